Workspace, kernel, object store stand-in and settings tree

Change: CMake workspace of packages (utils, kernel, store, config); numbered result codes on Boost.Outcome; W3C traceparent and JSON-lines spans; an in-process object API stand-in with outages and lost answers; the settings tree (group -> business -> pipeline / organisation) applied by revision so an accepted setting never reverts; INI instance settings checked on load.

Conclusion: the state layer the request path needs is in place.

--- /dev/null
+++ b/libs/config/include/turmeric/config/settings_tree.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "turmeric/config/resolved_settings.h"
+#include "turmeric/config/settings_layer.h"
+#include "turmeric/store/object_store.h"
+#include "turmeric/utils/result.h"
+
+namespace turmeric::config {
+
+/** Store key prefix under which every settings level lives. */
+inline constexpr std::string_view kConfigPrefix = "config/";
+
+/**
+ * @param level "group", "business", "pipeline" or "organisation".
+ * @param business business name (unused for "group").
+ * @param leaf pipeline or organisation name (unused otherwise).
+ * @return the store key, e.g. "config/pipeline/nilelight/translate-notice".
+ */
+std::string SettingsKey(std::string_view level, std::string_view business,
+                        std::string_view leaf);
+
+/**
+ * Every instance's copy of the settings tree, fed by a watch on the
+ * platform's object API. A change is applied only if its revision is newer
+ * than the one held for that key, so an accepted setting never reverts,
+ * even when a resumed watch replays old changes. Thread-safe.
+ */
+class SettingsTree {
+ public:
+  /** @param store the platform's object API; must outlive this. */
+  explicit SettingsTree(store::ObjectStore& store);
+  ~SettingsTree();
+
+  /**
+   * Arms (or re-arms after a break) the watch from the last revision seen.
+   * @return kStoreUnavailable while the store is down; the cache stays.
+   */
+  utils::Result<void> Arm();
+  /** @return true while the watch is armed. */
+  bool armed() const;
+
+  /**
+   * Applies one change as delivered by a watch or read.
+   * @param change a stored object under kConfigPrefix.
+   * @return true if it was newer and applied.
+   */
+  bool Apply(const store::StoredObject& change);
+
+  /**
+   * Merges group → business → pipeline → organisation.
+   * @param business business name.
+   * @param pipeline pipeline name.
+   * @param organisation organisation name.
+   * @return settings, or kUnknownPipeline / kUnknownOrganisation.
+   */
+  utils::Result<ResolvedSettings> Resolve(std::string_view business,
+                                          std::string_view pipeline,
+                                          std::string_view organisation) const;
+
+  /** @return highest revision applied. */
+  int64_t revision() const;
+  /** @return number of levels held. */
+  size_t size() const;
+
+ private:
+  struct Held {
+    SettingsLayer layer;
+    int64_t revision = 0;
+  };
+  void OnWatch(const utils::Result<store::StoredObject>& event);
+
+  store::ObjectStore& store_;
+  mutable std::mutex mu_;
+  std::map<std::string, Held, std::less<>> levels_;
+  int64_t revision_ = 0;
+  int64_t watch_id_ = 0;
+  bool armed_ = false;
+};
+
+}  // namespace turmeric::config
--- /dev/null
+++ b/libs/config/src/instance_settings.cc
@@ -0,0 +1,90 @@
+#include "turmeric/config/instance_settings.h"
+
+#include <QFileInfo>
+#include <QSettings>
+#include <QStringList>
+#include <set>
+
+namespace turmeric::config {
+
+using utils::Errc;
+using utils::Fail;
+
+namespace {
+
+const std::set<std::string> kKnownKeys = {
+    "instance/name",         "instance/zone",        "instance/listen_address",
+    "instance/listen_port",  "instance/store",       "instance/log_level",
+    "instance/trace_path",   "instance/drain_timeout_ms",
+    "instance/embedded",     "instance/standin_base_port"};
+
+utils::Result<int> ReadInt(const QSettings& ini, const char* key, int lo,
+                           int hi, int fallback) {
+  if (!ini.contains(key)) return fallback;
+  bool ok = false;
+  const int v = ini.value(key).toString().toInt(&ok);
+  if (!ok || v < lo || v > hi) {
+    return Fail(Errc::kIniInvalid, std::string(key) + ": want an integer in [" +
+                                       std::to_string(lo) + ", " +
+                                       std::to_string(hi) + "]");
+  }
+  return v;
+}
+
+std::string ReadString(const QSettings& ini, const char* key,
+                       const std::string& fallback) {
+  return ini.value(key, QString::fromStdString(fallback)).toString().toStdString();
+}
+
+}  // namespace
+
+utils::Result<InstanceSettings> LoadInstanceSettings(std::string_view path) {
+  const QString qpath = QString::fromUtf8(path.data(), path.size());
+  if (!QFileInfo::exists(qpath)) {
+    return Fail(Errc::kIniMissing, "no settings file at " + std::string(path));
+  }
+  QSettings ini(qpath, QSettings::IniFormat);
+  if (ini.status() != QSettings::NoError) {
+    return Fail(Errc::kIniInvalid, "cannot parse " + std::string(path));
+  }
+  for (const QString& key : ini.allKeys()) {
+    if (!kKnownKeys.contains(key.toStdString())) {
+      return Fail(Errc::kIniInvalid, "unknown key " + key.toStdString());
+    }
+  }
+  InstanceSettings s;
+  s.name = ReadString(ini, "instance/name", s.name);
+  s.zone = ReadString(ini, "instance/zone", s.zone);
+  s.listen_address = ReadString(ini, "instance/listen_address", s.listen_address);
+  s.store = ReadString(ini, "instance/store", s.store);
+  s.log_level = ReadString(ini, "instance/log_level", s.log_level);
+  s.trace_path = ReadString(ini, "instance/trace_path", s.trace_path);
+  const std::string embedded = ReadString(ini, "instance/embedded", "true");
+  if (embedded != "true" && embedded != "false") {
+    return Fail(Errc::kIniInvalid, "instance/embedded: want true or false");
+  }
+  s.embedded = embedded == "true";
+  static const std::set<std::string> kLevels = {"debug", "info", "warning",
+                                                "error"};
+  if (!kLevels.contains(s.log_level)) {
+    return Fail(Errc::kIniInvalid, "instance/log_level: want debug, info, "
+                                   "warning or error");
+  }
+  if (s.name.empty() || s.zone.empty()) {
+    return Fail(Errc::kIniInvalid, "instance/name and instance/zone must be set");
+  }
+  auto port = ReadInt(ini, "instance/listen_port", 1, 65535, s.listen_port);
+  if (!port) return port.error();
+  s.listen_port = static_cast<uint16_t>(port.value());
+  auto base = ReadInt(ini, "instance/standin_base_port", 1024, 65000,
+                      s.standin_base_port);
+  if (!base) return base.error();
+  s.standin_base_port = static_cast<uint16_t>(base.value());
+  auto drain = ReadInt(ini, "instance/drain_timeout_ms", 0, 600000,
+                       s.drain_timeout_ms);
+  if (!drain) return drain.error();
+  s.drain_timeout_ms = drain.value();
+  return s;
+}
+
+}  // namespace turmeric::config
--- /dev/null
+++ b/libs/config/src/settings_tree.cc
@@ -0,0 +1,183 @@
+#include "turmeric/config/settings_tree.h"
+
+#include <algorithm>
+#include <charconv>
+#include <span>
+
+namespace turmeric::config {
+
+using utils::Errc;
+using utils::Fail;
+
+namespace {
+
+std::vector<std::string> SplitList(std::string_view s) {
+  std::vector<std::string> out;
+  size_t pos = 0;
+  while (pos <= s.size() && !s.empty()) {
+    const size_t end = std::min(s.find(',', pos), s.size());
+    out.emplace_back(s.substr(pos, end - pos));
+    pos = end + 1;
+  }
+  return out;
+}
+
+int ToInt(const std::string& s) {
+  int v = 0;
+  std::from_chars(s.data(), s.data() + s.size(), v);
+  return v;
+}
+
+/** Looks a key up from the most specific layer down. */
+const std::string* Lookup(std::span<const SettingsLayer* const> layers,
+                          std::string_view key) {
+  for (auto it = layers.rbegin(); it != layers.rend(); ++it) {
+    if (*it == nullptr) continue;
+    if (const std::string* v = FindValue(**it, key)) return v;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string SettingsKey(std::string_view level, std::string_view business,
+                        std::string_view leaf) {
+  std::string key(kConfigPrefix);
+  key += level;
+  if (level == "group") return key;
+  key += "/";
+  key += business;
+  if (level == "business") return key;
+  key += "/";
+  key += leaf;
+  return key;
+}
+
+SettingsTree::SettingsTree(store::ObjectStore& store) : store_(store) {}
+
+SettingsTree::~SettingsTree() {
+  if (armed()) store_.CancelWatch(watch_id_);
+}
+
+utils::Result<void> SettingsTree::Arm() {
+  int64_t from = 0;
+  {
+    std::lock_guard lock(mu_);
+    if (armed_) return boost::outcome_v2::success();
+    from = revision_;
+  }
+  auto id = store_.Watch(kConfigPrefix, from,
+                         [this](const auto& event) { OnWatch(event); });
+  if (!id) return id.error();
+  std::lock_guard lock(mu_);
+  watch_id_ = id.value();
+  armed_ = true;
+  return boost::outcome_v2::success();
+}
+
+bool SettingsTree::armed() const {
+  std::lock_guard lock(mu_);
+  return armed_;
+}
+
+void SettingsTree::OnWatch(const utils::Result<store::StoredObject>& event) {
+  if (!event) {
+    // The watch broke (store outage). Keep serving the cached tree; the
+    // owner re-arms from revision_ so no change in between is missed.
+    std::lock_guard lock(mu_);
+    armed_ = false;
+    return;
+  }
+  Apply(event.value());
+}
+
+bool SettingsTree::Apply(const store::StoredObject& change) {
+  // Guard: a replayed or reordered change must not undo a newer one. A
+  // resumed watch may deliver a change we already hold; without the
+  // revision check an accepted setting would revert. Revisions are
+  // store-wide and increase, so older is always smaller.
+  std::lock_guard lock(mu_);
+  auto it = levels_.find(change.key);
+  if (it != levels_.end() && it->second.revision >= change.revision) {
+    return false;
+  }
+  revision_ = std::max(revision_, change.revision);
+  if (change.deleted) {
+    if (it != levels_.end()) levels_.erase(it);
+    return true;
+  }
+  auto parsed = ParseLayer(change.value);
+  // Values are checked before they are written, so a bad one here was
+  // written around this tool; keep the last good layer rather than lose it.
+  if (!parsed) return false;
+  levels_[change.key] = Held{std::move(parsed).value(), change.revision};
+  return true;
+}
+
+utils::Result<ResolvedSettings> SettingsTree::Resolve(
+    std::string_view business, std::string_view pipeline,
+    std::string_view organisation) const {
+  std::lock_guard lock(mu_);
+  auto find = [&](const std::string& key) -> const Held* {
+    auto it = levels_.find(key);
+    return it == levels_.end() ? nullptr : &it->second;
+  };
+  const Held* group = find(SettingsKey("group", "", ""));
+  const Held* biz = find(SettingsKey("business", business, ""));
+  const Held* pipe = find(SettingsKey("pipeline", business, pipeline));
+  const Held* org = find(SettingsKey("organisation", business, organisation));
+  if (biz == nullptr || pipe == nullptr) {
+    return Fail(Errc::kUnknownPipeline,
+                std::string(business) + "/" + std::string(pipeline));
+  }
+  if (org == nullptr) {
+    return Fail(Errc::kUnknownOrganisation,
+                std::string(business) + "/" + std::string(organisation));
+  }
+  const SettingsLayer* layers[] = {group ? &group->layer : nullptr,
+                                   &biz->layer, &pipe->layer, &org->layer};
+  ResolvedSettings out;
+  out.business = business;
+  out.pipeline = pipeline;
+  out.organisation = organisation;
+  auto set_int = [&](std::string_view key, int& field) {
+    if (const auto* v = Lookup(layers, key)) field = ToInt(*v);
+  };
+  set_int("deadline_ms", out.deadline_ms);
+  set_int("max_inflight", out.max_inflight);
+  set_int("retry_budget_percent", out.retry_budget_percent);
+  set_int("min_stage_ms", out.min_stage_ms);
+  if (const auto* v = Lookup(layers, "routing")) out.routing = *v;
+  if (const auto* v = Lookup(layers, "stages")) {
+    for (const std::string& name : SplitList(*v)) {
+      StageSpec stage;
+      stage.name = name;
+      const std::string prefix = "stage." + name + ".";
+      if (const auto* p = Lookup(layers, prefix + "pool")) stage.pool = *p;
+      if (const auto* i = Lookup(layers, prefix + "idempotent")) {
+        stage.idempotent = *i == "true";
+      }
+      const std::string pool = "pool." + stage.pool + ".";
+      if (const auto* u = Lookup(layers, pool + "upstreams")) {
+        stage.upstreams = SplitList(*u);
+      }
+      if (const auto* k = Lookup(layers, pool + "kind")) stage.kind = *k;
+      out.stages.push_back(std::move(stage));
+    }
+  }
+  out.revision = std::max({group ? group->revision : 0, biz->revision,
+                           pipe->revision, org->revision});
+  return out;
+}
+
+int64_t SettingsTree::revision() const {
+  std::lock_guard lock(mu_);
+  return revision_;
+}
+
+size_t SettingsTree::size() const {
+  std::lock_guard lock(mu_);
+  return levels_.size();
+}
+
+}  // namespace turmeric::config
--- /dev/null
+++ b/libs/store/test/memory_store_test.cc
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "turmeric/store/memory_store.h"
+
+using turmeric::store::kAbsent;
+using turmeric::store::MemoryStore;
+using turmeric::utils::Errc;
+
+TEST_CASE("conditional create admits exactly one writer") {
+  rc::prop("n racing creators, one wins", [](uint8_t n) {
+    MemoryStore store;
+    int wins = 0;
+    for (int i = 0; i <= n % 16; ++i) {
+      if (store.Put("k", std::to_string(i), kAbsent)) ++wins;
+    }
+    RC_ASSERT(wins == 1);
+  });
+}
+
+TEST_CASE("a lost answer still applied the write") {
+  // The platform applies a write, then the answer is lost on the way back;
+  // the writer sees an error but the object is there at version 1.
+  MemoryStore store;
+  store.SetFaults({.outage = false, .lose_answer_rate = 1.0, .seed = 7});
+  auto put = store.Put("k", "v", kAbsent);
+  REQUIRE_FALSE(put);
+  CHECK(put.error().code == Errc::kStoreAnswerLost);
+  store.SetFaults({});
+  auto got = store.Get("k");
+  REQUIRE(got);
+  CHECK(got.value().version == 1);
+}
+
+TEST_CASE("a watch resumed after an outage misses no change") {
+  // An instance's settings watch breaks when the store goes down; changes
+  // made around the outage must all arrive once it re-arms from its
+  // last revision.
+  MemoryStore store;
+  std::vector<std::string> seen;
+  int64_t last = 0;
+  bool broken = false;
+  auto cb = [&](const turmeric::utils::Result<turmeric::store::StoredObject>& r) {
+    if (!r) { broken = true; return; }
+    seen.push_back(r.value().value);
+    last = r.value().revision;
+  };
+  REQUIRE(store.Watch("config/", 0, cb));
+  REQUIRE(store.Put("config/a", "1", kAbsent));
+  store.SetFaults({.outage = true});
+  CHECK(broken);
+  store.SetFaults({});
+  REQUIRE(store.Put("config/a", "2", 1));
+  REQUIRE(store.Watch("config/", last, cb));
+  CHECK(seen == std::vector<std::string>{"1", "2"});
+}
--- /dev/null
+++ b/libs/utils/test/result_test.cc
@@ -0,0 +1,14 @@
+#include <catch2/catch.hpp>
+
+#include "turmeric/utils/result.h"
+
+using turmeric::utils::Errc;
+
+TEST_CASE("every result code has a name and an HTTP status") {
+  for (Errc code : {Errc::kBadRequest, Errc::kOverloaded, Errc::kUpstreamFailed,
+                    Errc::kOutcomeUnknown, Errc::kStoreAnswerLost,
+                    Errc::kIniInvalid}) {
+    CHECK(turmeric::utils::ErrcName(code) != "unnamed");
+    CHECK(turmeric::utils::HttpStatus(code) >= 400);
+  }
+}
