--- /dev/null
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <QNetworkAccessManager>
+#include <QTimer>
+#include <memory>
+#include <random>
+
+#include "turmeric/config/instance_settings.h"
+#include "turmeric/gateway/admission.h"
+#include "turmeric/gateway/gateway_metrics.h"
+#include "turmeric/gateway/retry_budget.h"
+#include "turmeric/gateway/upstream_pools.h"
+#include "turmeric/http/router_server.h"
+#include "turmeric/kernel/service.h"
+#include "turmeric/utils/trace.h"
+
+namespace turmeric::gateway {
+
+class ClaimTable;
+class SettingsService;
+class StoreService;
+
+/**
+ * Service "gateway": the caller front (QHttpServer), admission, at-most-once
+ * claims and the pipeline executor, plus the operator endpoints for
+ * settings and /metrics. Routes: see docs/operations/api.md.
+ */
+class GatewayService : public kernel::Service {
+ public:
+  /** @param settings this instance's INI settings. */
+  explicit GatewayService(config::InstanceSettings settings);
+  ~GatewayService() override;
+  std::string_view name() const override { return "gateway"; }
+  utils::Result<void> Start(kernel::Kernel& kernel) override;
+  void Stop() override;
+  /**
+   * Stops taking new work and calls `done` when nothing is in flight or the
+   * drain timeout passes.
+   * @param done called once.
+   */
+  void Drain(std::function<void()> done);
+  /** @return bound port. */
+  uint16_t port() const { return port_; }
+
+ private:
+  void HandleRun(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+  void HandleConfigGet(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+  void HandleConfigPut(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+
+  config::InstanceSettings settings_;
+  http::RouterServer server_;
+  QNetworkAccessManager network_;
+  UpstreamPools pools_;
+  RetryBudget retry_budget_;
+  Admission admission_;
+  GatewayMetrics metrics_;
+  std::unique_ptr<utils::SpanSink> spans_;
+  std::unique_ptr<ClaimTable> claims_;
+  std::mt19937_64 rng_{20261202};
+  SettingsService* settings_service_ = nullptr;
+  StoreService* store_service_ = nullptr;
+  QTimer recover_;
+  uint16_t port_ = 0;
+  int64_t next_request_ = 0;
+};
+
+}  // namespace turmeric::gateway
--- /dev/null
+++ b/libs/http/include/turmeric/http/router_server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <QAbstractHttpServer>
+#include <QHttpServerRequest>
+#include <QHttpServerResponder>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace turmeric::http {
+
+/** Handles one request; may keep the responder and answer later. */
+using Handler =
+    std::function<void(const QHttpServerRequest&, QHttpServerResponder&&)>;
+
+/**
+ * A small HTTP server on Qt's QAbstractHttpServer that routes by method and
+ * path prefix, and lets handlers answer asynchronously (the responder is
+ * moved into the handler).
+ */
+class RouterServer : public QAbstractHttpServer {
+ public:
+  RouterServer() = default;
+  /**
+   * @param method the HTTP method.
+   * @param prefix path prefix; the longest matching prefix wins.
+   * @param handler the handler.
+   */
+  void Route(QHttpServerRequest::Method method, std::string prefix,
+             Handler handler);
+
+ protected:
+  bool handleRequest(const QHttpServerRequest& request,
+                     QTcpSocket* socket) override;
+  void missingHandler(const QHttpServerRequest& request,
+                      QTcpSocket* socket) override;
+
+ private:
+  struct Entry {
+    QHttpServerRequest::Method method;
+    std::string prefix;
+    Handler handler;
+  };
+  std::vector<Entry> routes_;
+};
+
+/**
+ * Writes a whole JSON answer.
+ * @param responder the responder.
+ * @param status HTTP status code.
+ * @param body JSON body.
+ * @param headers extra headers.
+ */
+void WriteJson(QHttpServerResponder& responder, int status,
+               const QByteArray& body,
+               const std::vector<std::pair<QByteArray, QByteArray>>& headers = {});
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/standins/src/service_standin.cc
@@ -0,0 +1,73 @@
+#include "turmeric/standins/service_standin.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace turmeric::standins {
+
+ServiceStandin::ServiceStandin(double delay_ms) : delay_ms_(delay_ms) {
+  server_.Route(QHttpServerRequest::Method::Post, "/v1/stage",
+                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                  Serve(r, std::move(w));
+                });
+  server_.Route(QHttpServerRequest::Method::Get, "/admin/stats",
+                [this](const QHttpServerRequest&, QHttpServerResponder&& w) {
+                  QJsonObject o{{"executed", double(executed_)},
+                                {"doubled", double(doubled_)}};
+                  http::WriteJson(w, 200, QJsonDocument(o).toJson());
+                });
+  server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
+                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                  const auto o = QJsonDocument::fromJson(r.body()).object();
+                  faults_.slow_factor = o.value("slow_factor").toDouble(1.0);
+                  faults_.fail_rate = o.value("fail_rate").toDouble(0.0);
+                  faults_.leaving = o.value("leaving").toBool(false);
+                  http::WriteJson(w, 200, "{}");
+                });
+  load_timer_.setInterval(200);
+  connect(&load_timer_, &QTimer::timeout, this,
+          [this] { reported_depth_ = active_; });
+  load_timer_.start();
+}
+
+uint16_t ServiceStandin::Listen(uint16_t port) {
+  return server_.listen(QHostAddress::LocalHost, port);
+}
+
+void ServiceStandin::Serve(const QHttpServerRequest& request,
+                           QHttpServerResponder&& responder) {
+  const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
+  const QByteArray request_id = request.value("x-request-id");
+  if (faults_.leaving) {
+    http::WriteJson(responder, 503, R"({"error":"leaving"})",
+                    {{"x-leaving", "1"}, {"x-request-id", request_id}});
+    return;
+  }
+  if (std::uniform_real_distribution<>(0, 1)(rng_) < faults_.fail_rate) {
+    http::WriteJson(responder, 500, R"({"error":"injected"})",
+                    {{"x-request-id", request_id}});
+    return;
+  }
+  const std::string key = request.value("idempotency-key").toStdString();
+  ++active_;
+  auto held = std::make_shared<std::optional<QHttpServerResponder>>(
+      std::move(responder));
+  const double delay = delay_ms_ * (1.0 + active_ / 8.0) * faults_.slow_factor;
+  QTimer::singleShot(static_cast<int>(delay + 0.5), this,
+                     [this, held, request_id, key, body] {
+    --active_;
+    ++executed_;
+    // Executed twice for one key means at-most-once was broken upstream of us.
+    if (!key.empty() && ++executions_[key] == 2) ++doubled_;
+    const QString stage = body.value("stage").toString();
+    const QString input = body.value("input").toString();
+    QJsonObject out{{"request_id", QString(request_id)},
+                    {"output", stage + "(" + input + ")"}};
+    http::WriteJson(**held, 200, QJsonDocument(out).toJson(QJsonDocument::Compact),
+                    {{"x-request-id", request_id},
+                     {"x-queue-depth", QByteArray::number(reported_depth_)}});
+    held->reset();
+  });
+}
+
+}  // namespace turmeric::standins
--- /dev/null
+++ b/tools/turmericgated/main.cc
@@ -0,0 +1,88 @@
+// turmericgated: the entry instance daemon.
+#include <easylogging++.h>
+#include <gflags/gflags.h>
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+
+#include "turmeric/config/instance_settings.h"
+#include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/gateway_service.h"
+#include "turmeric/gateway/settings_service.h"
+#include "turmeric/gateway/store_service.h"
+#include "turmeric/kernel/kernel.h"
+#include "turmeric/store/memory_store.h"
+#include "turmeric/utils/log.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+DEFINE_string(config, "", "INI file with an [instance] section; empty: defaults");
+DEFINE_bool(embedded, true,
+            "start the platform stand-in and stand-in upstreams in-process");
+DEFINE_int32(port, -1, "override instance/listen_port");
+DEFINE_string(trace_path, "", "override instance/trace_path (JSON-lines spans)");
+
+namespace {
+std::atomic<bool> g_stop{false};
+void OnSignal(int) { g_stop = true; }
+}  // namespace
+
+int main(int argc, char* argv[]) {
+  gflags::SetUsageMessage("turmericgated [--config=FILE] [--embedded] [--port=N]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  QCoreApplication app(argc, argv);
+  turmeric::config::InstanceSettings settings;
+  if (!FLAGS_config.empty()) {
+    auto loaded = turmeric::config::LoadInstanceSettings(FLAGS_config);
+    if (!loaded) {
+      std::cerr << "error " << static_cast<int>(loaded.error().code) << " "
+                << turmeric::utils::ErrcName(loaded.error().code) << ": "
+                << loaded.error().detail << "\n";
+      return 2;
+    }
+    settings = loaded.value();
+  }
+  if (FLAGS_port >= 0) settings.listen_port = static_cast<uint16_t>(FLAGS_port);
+  if (!FLAGS_trace_path.empty()) settings.trace_path = FLAGS_trace_path;
+  settings.embedded = settings.embedded && FLAGS_embedded;
+  turmeric::utils::ConfigureLogging(settings.log_level);
+  if (!settings.embedded || settings.store != "embedded") {
+    // Guard: only the in-process store stand-in exists so far; starting
+    // against an address we cannot speak to would serve a blank tree.
+    std::cerr << "error 6005 ini_invalid: only instance/store=embedded with "
+                 "--embedded is supported in this version\n";
+    return 2;
+  }
+  auto store = std::make_shared<turmeric::store::MemoryStore>();
+  turmeric::kernel::Kernel kernel;
+  kernel.Register(std::make_unique<turmeric::gateway::StoreService>(store));
+  kernel.Register(std::make_unique<turmeric::gateway::EmbeddedPlatform>(
+      settings.standin_base_port));
+  kernel.Register(std::make_unique<turmeric::gateway::SettingsService>());
+  auto* gateway = static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
+      std::make_unique<turmeric::gateway::GatewayService>(settings)));
+  if (auto started = kernel.StartAll(); !started) {
+    std::cerr << "error " << static_cast<int>(started.error().code) << " "
+              << turmeric::utils::ErrcName(started.error().code) << ": "
+              << started.error().detail << "\n";
+    return 2;
+  }
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGINT, OnSignal);
+  QTimer watch_signal;
+  watch_signal.setInterval(50);
+  QObject::connect(&watch_signal, &QTimer::timeout, [&] {
+    if (!g_stop.exchange(false)) return;
+    watch_signal.stop();
+    // Planned stop: take no new work, finish what is in flight, then quit.
+    gateway->Drain([&] { app.quit(); });
+  });
+  watch_signal.start();
+  const int rc = app.exec();
+  kernel.StopAll();
+  LOG(INFO) << "event=stopped";
+  return rc;
+}
