--- a/libs/config/include/turmeric/config/instance_settings.h
+++ b/libs/config/include/turmeric/config/instance_settings.h
@@ -10,16 +10,16 @@
 
 /** What one entry instance learns from its INI file at start. */
 struct InstanceSettings {
-  std::string name = "entry-1";         ///< Unique among instances.
-  std::string zone = "zone-a";          ///< Availability zone.
+  std::string name = "entry-1";  ///< Unique among instances.
+  std::string zone = "zone-a";   ///< Availability zone.
   std::string listen_address = "127.0.0.1";
-  uint16_t listen_port = 8080;          ///< Callers, operators, /metrics.
-  std::string store = "embedded";       ///< "embedded" or "ip:port".
+  uint16_t listen_port = 8080;     ///< Callers, operators, /metrics.
+  std::string store = "embedded";  ///< "embedded" or "ip:port".
   std::string log_level = "info";
-  std::string trace_path;               ///< JSON-lines spans; empty: off.
-  int drain_timeout_ms = 10000;         ///< Longest wait for in-flight work.
-  bool embedded = true;                 ///< Start stand-ins in-process.
-  uint16_t standin_base_port = 9100;    ///< First stand-in upstream port.
+  std::string trace_path;             ///< JSON-lines spans; empty: off.
+  int drain_timeout_ms = 10000;       ///< Longest wait for in-flight work.
+  bool embedded = true;               ///< Start stand-ins in-process.
+  uint16_t standin_base_port = 9100;  ///< First stand-in upstream port.
 };
 
 /**
--- a/libs/config/include/turmeric/config/resolved_settings.h
+++ b/libs/config/include/turmeric/config/resolved_settings.h
@@ -20,13 +20,13 @@
   std::string business;
   std::string pipeline;
   std::string organisation;
-  int deadline_ms = 6000;          ///< Longest deadline a caller may ask.
-  int max_inflight = 64;           ///< Per organisation on one instance.
-  std::string routing = "p2c";     ///< "p2c" or "round_robin".
-  int retry_budget_percent = 10;   ///< Retries per 100 first attempts.
-  int min_stage_ms = 5;            ///< Budget under which a stage is shed.
+  int deadline_ms = 6000;         ///< Longest deadline a caller may ask.
+  int max_inflight = 64;          ///< Per organisation on one instance.
+  std::string routing = "p2c";    ///< "p2c" or "round_robin".
+  int retry_budget_percent = 10;  ///< Retries per 100 first attempts.
+  int min_stage_ms = 5;           ///< Budget under which a stage is shed.
   std::vector<StageSpec> stages;
-  int64_t revision = 0;            ///< Highest store revision used.
+  int64_t revision = 0;  ///< Highest store revision used.
 };
 
 }  // namespace turmeric::config
--- a/libs/config/src/instance_settings.cc
+++ b/libs/config/src/instance_settings.cc
@@ -13,10 +13,11 @@
 namespace {
 
 const std::set<std::string> kKnownKeys = {
-    "instance/name",         "instance/zone",        "instance/listen_address",
-    "instance/listen_port",  "instance/store",       "instance/log_level",
-    "instance/trace_path",   "instance/drain_timeout_ms",
-    "instance/embedded",     "instance/standin_base_port"};
+    "instance/name",           "instance/zone",
+    "instance/listen_address", "instance/listen_port",
+    "instance/store",          "instance/log_level",
+    "instance/trace_path",     "instance/drain_timeout_ms",
+    "instance/embedded",       "instance/standin_base_port"};
 
 utils::Result<int> ReadInt(const QSettings& ini, const char* key, int lo,
                            int hi, int fallback) {
@@ -33,7 +34,9 @@
 
 std::string ReadString(const QSettings& ini, const char* key,
                        const std::string& fallback) {
-  return ini.value(key, QString::fromStdString(fallback)).toString().toStdString();
+  return ini.value(key, QString::fromStdString(fallback))
+      .toString()
+      .toStdString();
 }
 
 }  // namespace
@@ -55,7 +58,8 @@
   InstanceSettings s;
   s.name = ReadString(ini, "instance/name", s.name);
   s.zone = ReadString(ini, "instance/zone", s.zone);
-  s.listen_address = ReadString(ini, "instance/listen_address", s.listen_address);
+  s.listen_address =
+      ReadString(ini, "instance/listen_address", s.listen_address);
   s.store = ReadString(ini, "instance/store", s.store);
   s.log_level = ReadString(ini, "instance/log_level", s.log_level);
   s.trace_path = ReadString(ini, "instance/trace_path", s.trace_path);
@@ -67,11 +71,13 @@
   static const std::set<std::string> kLevels = {"debug", "info", "warning",
                                                 "error"};
   if (!kLevels.contains(s.log_level)) {
-    return Fail(Errc::kIniInvalid, "instance/log_level: want debug, info, "
-                                   "warning or error");
+    return Fail(Errc::kIniInvalid,
+                "instance/log_level: want debug, info, "
+                "warning or error");
   }
   if (s.name.empty() || s.zone.empty()) {
-    return Fail(Errc::kIniInvalid, "instance/name and instance/zone must be set");
+    return Fail(Errc::kIniInvalid,
+                "instance/name and instance/zone must be set");
   }
   auto port = ReadInt(ini, "instance/listen_port", 1, 65535, s.listen_port);
   if (!port) return port.error();
@@ -80,8 +86,8 @@
                       s.standin_base_port);
   if (!base) return base.error();
   s.standin_base_port = static_cast<uint16_t>(base.value());
-  auto drain = ReadInt(ini, "instance/drain_timeout_ms", 0, 600000,
-                       s.drain_timeout_ms);
+  auto drain =
+      ReadInt(ini, "instance/drain_timeout_ms", 0, 600000, s.drain_timeout_ms);
   if (!drain) return drain.error();
   s.drain_timeout_ms = drain.value();
   return s;
--- a/libs/config/src/settings_layer.cc
+++ b/libs/config/src/settings_layer.cc
@@ -55,11 +55,16 @@
       return ec == std::errc() && end == v.data() + v.size() && n >= rule.lo &&
              n <= rule.hi;
     }
-    case ValueKind::kBool: return v == "true" || v == "false";
-    case ValueKind::kRouting: return v == "p2c" || v == "round_robin";
-    case ValueKind::kPoolKind: return v == "engine" || v == "service";
-    case ValueKind::kIdList: return std::regex_match(v, kIds);
-    case ValueKind::kAddrList: return std::regex_match(v, kAddrs);
+    case ValueKind::kBool:
+      return v == "true" || v == "false";
+    case ValueKind::kRouting:
+      return v == "p2c" || v == "round_robin";
+    case ValueKind::kPoolKind:
+      return v == "engine" || v == "service";
+    case ValueKind::kIdList:
+      return std::regex_match(v, kIds);
+    case ValueKind::kAddrList:
+      return std::regex_match(v, kAddrs);
   }
   return false;
 }
@@ -84,19 +89,21 @@
     std::string key(Trim(line.substr(0, eq)));
     std::string value(Trim(line.substr(eq + 1)));
     const auto& rules = Rules();
-    auto rule = std::ranges::find_if(
-        rules, [&](const KeyRule& r) { return std::regex_match(key, r.pattern); });
+    auto rule = std::ranges::find_if(rules, [&](const KeyRule& r) {
+      return std::regex_match(key, r.pattern);
+    });
     if (rule == rules.end()) {
       return Fail(Errc::kConfigUnknownKey,
                   "line " + std::to_string(line_no) + ": unknown key " + key);
     }
     if (!ValidValue(*rule, value)) {
-      return Fail(Errc::kConfigInvalid, "line " + std::to_string(line_no) +
-                                            ": bad value for " + key);
+      return Fail(Errc::kConfigInvalid,
+                  "line " + std::to_string(line_no) + ": bad value for " + key);
     }
     layer.entries.emplace_back(std::move(key), std::move(value));
   }
-  std::ranges::stable_sort(layer.entries, {}, &std::pair<std::string, std::string>::first);
+  std::ranges::stable_sort(layer.entries, {},
+                           &std::pair<std::string, std::string>::first);
   // A key stated twice: the later line wins, as operators read top-down.
   auto dup = std::ranges::unique(
       layer.entries.rbegin(), layer.entries.rend(),
@@ -112,10 +119,9 @@
 }
 
 const std::string* FindValue(const SettingsLayer& layer, std::string_view key) {
-  auto it = std::ranges::lower_bound(layer.entries, key, {},
-                                     [](const auto& e) -> std::string_view {
-                                       return e.first;
-                                     });
+  auto it = std::ranges::lower_bound(
+      layer.entries, key, {},
+      [](const auto& e) -> std::string_view { return e.first; });
   if (it == layer.entries.end() || it->first != key) return nullptr;
   return &it->second;
 }
--- a/libs/config/src/settings_tree.cc
+++ b/libs/config/src/settings_tree.cc
@@ -134,8 +134,8 @@
     return Fail(Errc::kUnknownOrganisation,
                 std::string(business) + "/" + std::string(organisation));
   }
-  const SettingsLayer* layers[] = {group ? &group->layer : nullptr,
-                                   &biz->layer, &pipe->layer, &org->layer};
+  const SettingsLayer* layers[] = {group ? &group->layer : nullptr, &biz->layer,
+                                   &pipe->layer, &org->layer};
   ResolvedSettings out;
   out.business = business;
   out.pipeline = pipeline;
--- a/libs/config/test/instance_settings_test.cc
+++ b/libs/config/test/instance_settings_test.cc
@@ -1,16 +1,16 @@
-#include <catch2/catch.hpp>
+#include "turmeric/config/instance_settings.h"
 
+#include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
 
-#include "turmeric/config/instance_settings.h"
-
 using turmeric::config::LoadInstanceSettings;
 using turmeric::utils::Errc;
 
 namespace {
 std::string Write(const std::string& body) {
-  const std::string path = "/tmp/turmeric_ini_test_" + std::to_string(std::rand()) + ".ini";
+  const std::string path =
+      "/tmp/turmeric_ini_test_" + std::to_string(std::rand()) + ".ini";
   std::ofstream(path) << body;
   return path;
 }
@@ -26,7 +26,8 @@
   auto port = LoadInstanceSettings(Write("[instance]\nlisten_port=99999\n"));
   REQUIRE_FALSE(port);
   CHECK(port.error().code == Errc::kIniInvalid);
-  CHECK(LoadInstanceSettings("/nonexistent.ini").error().code == Errc::kIniMissing);
+  CHECK(LoadInstanceSettings("/nonexistent.ini").error().code ==
+        Errc::kIniMissing);
   auto ok = LoadInstanceSettings(
       Write("[instance]\nname=e2\nzone=cairo-b\nlisten_port=8082\n"));
   REQUIRE(ok);
--- a/libs/config/test/settings_layer_test.cc
+++ b/libs/config/test/settings_layer_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
+#include "turmeric/config/settings_layer.h"
+
 #include <rapidcheck/catch.h>
 
-#include "turmeric/config/settings_layer.h"
+#include <catch2/catch.hpp>
 
 using turmeric::config::ParseLayer;
 using turmeric::config::RenderLayer;
@@ -9,10 +10,9 @@
 
 TEST_CASE("a rendered layer parses back to itself") {
   rc::prop("render . parse is identity", [](uint16_t deadline, bool idem) {
-    const std::string text = "deadline_ms = " +
-                             std::to_string(deadline % 60000 + 1) +
-                             "\nstage.generate.idempotent = " +
-                             (idem ? "true" : "false") + "\n";
+    const std::string text =
+        "deadline_ms = " + std::to_string(deadline % 60000 + 1) +
+        "\nstage.generate.idempotent = " + (idem ? "true" : "false") + "\n";
     auto layer = ParseLayer(text);
     RC_ASSERT(layer.has_value());
     auto again = ParseLayer(RenderLayer(layer.value()));
--- a/libs/config/test/settings_tree_test.cc
+++ b/libs/config/test/settings_tree_test.cc
@@ -1,7 +1,9 @@
-#include <catch2/catch.hpp>
+#include "turmeric/config/settings_tree.h"
+
 #include <rapidcheck/catch.h>
 
-#include "turmeric/config/settings_tree.h"
+#include <catch2/catch.hpp>
+
 #include "turmeric/store/memory_store.h"
 
 using turmeric::config::SettingsKey;
@@ -31,8 +33,8 @@
   REQUIRE(tree.Arm());
   auto r = tree.Resolve("nile", "p", "o");
   REQUIRE(r);
-  CHECK(r.value().deadline_ms == 3000);  // pipeline over group
-  CHECK(r.value().max_inflight == 2);    // organisation over group
+  CHECK(r.value().deadline_ms == 3000);         // pipeline over group
+  CHECK(r.value().max_inflight == 2);           // organisation over group
   CHECK(r.value().retry_budget_percent == 10);  // built-in default
   REQUIRE(r.value().stages.size() == 1);
   CHECK(r.value().stages[0].kind == "engine");  // from business
@@ -42,26 +44,28 @@
 TEST_CASE("an accepted setting never reverts under replayed changes") {
   // A watch resumed after an outage replays changes in any order; an older
   // revision arriving after a newer one must not bring the old value back.
-  rc::prop("apply in any order ends at the newest", [](std::vector<uint8_t> order) {
-    RC_PRE(!order.empty());
-    MemoryStore store;
-    SettingsTree tree(store);
-    std::vector<turmeric::store::StoredObject> changes;
-    for (size_t i = 0; i < order.size(); ++i) {
-      changes.push_back({"config/group",
-                         "max_inflight = " + std::to_string(order[i] % 100 + 1),
-                         static_cast<int64_t>(i + 1),
-                         static_cast<int64_t>(i + 1), false});
-    }
-    auto shuffled = *rc::gen::arbitrary<std::vector<size_t>>();
-    for (size_t pick : shuffled) {
-      tree.Apply(changes[pick % changes.size()]);
-    }
-    for (const auto& c : changes) tree.Apply(c);
-    RC_ASSERT(tree.revision() == static_cast<int64_t>(changes.size()));
-    tree.Apply(changes.front());
-    RC_ASSERT(tree.revision() == static_cast<int64_t>(changes.size()));
-  });
+  rc::prop("apply in any order ends at the newest",
+           [](std::vector<uint8_t> order) {
+             RC_PRE(!order.empty());
+             MemoryStore store;
+             SettingsTree tree(store);
+             std::vector<turmeric::store::StoredObject> changes;
+             for (size_t i = 0; i < order.size(); ++i) {
+               changes.push_back(
+                   {"config/group",
+                    "max_inflight = " + std::to_string(order[i] % 100 + 1),
+                    static_cast<int64_t>(i + 1), static_cast<int64_t>(i + 1),
+                    false});
+             }
+             auto shuffled = *rc::gen::arbitrary<std::vector<size_t>>();
+             for (size_t pick : shuffled) {
+               tree.Apply(changes[pick % changes.size()]);
+             }
+             for (const auto& c : changes) tree.Apply(c);
+             RC_ASSERT(tree.revision() == static_cast<int64_t>(changes.size()));
+             tree.Apply(changes.front());
+             RC_ASSERT(tree.revision() == static_cast<int64_t>(changes.size()));
+           });
 }
 
 TEST_CASE("changes made during a store outage arrive after re-arm") {
--- a/libs/gateway/include/turmeric/gateway/claim_table.h
+++ b/libs/gateway/include/turmeric/gateway/claim_table.h
@@ -21,10 +21,10 @@
 /** A claim on one idempotency key. */
 struct Claim {
   ClaimState state = ClaimState::kStoreDown;
-  std::string key;     ///< Store key, "claims/<business>/<idempotency key>".
-  std::string token;   ///< This attempt's token (unique per attempt).
-  int64_t version = 0; ///< Version of the claim object we wrote.
-  std::string result;  ///< With kDone: the stored answer.
+  std::string key;      ///< Store key, "claims/<business>/<idempotency key>".
+  std::string token;    ///< This attempt's token (unique per attempt).
+  int64_t version = 0;  ///< Version of the claim object we wrote.
+  std::string result;   ///< With kDone: the stored answer.
 };
 
 /** Store calls made by claims, for the write budget. */
--- a/libs/gateway/include/turmeric/gateway/embedded_platform.h
+++ b/libs/gateway/include/turmeric/gateway/embedded_platform.h
@@ -20,15 +20,26 @@
  */
 class EmbeddedPlatform : public kernel::Service {
  public:
-  /** @param base_port first port for stand-ins (127.0.0.1). */
+  /** @param base_port first port for stand-ins (127.0.0.1); 0: any free. */
   explicit EmbeddedPlatform(uint16_t base_port);
   ~EmbeddedPlatform() override;
   std::string_view name() const override { return "embedded"; }
   utils::Result<void> Start(kernel::Kernel& kernel) override;
   /** @return the first engine stand-in's port (for direct benches). */
   uint16_t first_engine_port() const { return first_engine_port_; }
+  /** @return engine stand-ins, for fault injection in experiments. */
+  const std::vector<std::unique_ptr<standins::EngineStandin>>& engines() const {
+    return engines_;
+  }
+  /** @return service stand-ins, for fault injection and double counts. */
+  const std::vector<std::unique_ptr<standins::ServiceStandin>>& services()
+      const {
+    return services_;
+  }
 
  private:
+  uint16_t NextPort();
+
   uint16_t next_port_;
   uint16_t first_engine_port_ = 0;
   std::vector<std::unique_ptr<standins::EngineStandin>> engines_;
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -41,15 +41,28 @@
   void Drain(std::function<void()> done);
   /** @return bound port. */
   uint16_t port() const { return port_; }
+  /** @return the instance's metrics. */
+  GatewayMetrics& metrics() { return metrics_; }
+  /** @return the instance's claims. */
+  ClaimTable& claims() { return *claims_; }
+  /** @return the instance's upstream pools. */
+  UpstreamPools& pools() { return pools_; }
+  /** Closes the listening socket at once, as a killed process would. */
+  void Kill();
 
  private:
-  void HandleRun(const QHttpServerRequest& request, QHttpServerResponder&& responder);
-  void HandleConfigGet(const QHttpServerRequest& request, QHttpServerResponder&& responder);
-  void HandleConfigPut(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+  void HandleRun(const QHttpServerRequest& request,
+                 QHttpServerResponder&& responder);
+  void HandleConfigGet(const QHttpServerRequest& request,
+                       QHttpServerResponder&& responder);
+  void HandleConfigPut(const QHttpServerRequest& request,
+                       QHttpServerResponder&& responder);
 
   config::InstanceSettings settings_;
   http::RouterServer server_;
-  QNetworkAccessManager network_;
+  /** Qt 6.4 opens at most 6 connections per upstream per manager; a few
+   * managers lift the cap without an HTTP/2 dependency. */
+  std::vector<std::unique_ptr<QNetworkAccessManager>> networks_;
   UpstreamPools pools_;
   RetryBudget retry_budget_;
   Admission admission_;
@@ -62,6 +75,7 @@
   QTimer recover_;
   uint16_t port_ = 0;
   int64_t next_request_ = 0;
+  bool killed_ = false;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/pipeline_run.h
+++ b/libs/gateway/include/turmeric/gateway/pipeline_run.h
@@ -29,7 +29,7 @@
   int max_tokens = 16;
   bool stream = false;  ///< Forward generated tokens as they come.
   std::chrono::steady_clock::time_point deadline;
-  utils::TraceContext trace;   ///< This request's span in the caller's trace.
+  utils::TraceContext trace;  ///< This request's span in the caller's trace.
 };
 
 /** What one stage cost. */
--- a/libs/gateway/include/turmeric/gateway/retry_budget.h
+++ b/libs/gateway/include/turmeric/gateway/retry_budget.h
@@ -11,8 +11,9 @@
   /** Credits a first attempt. @param percent retries allowed per 100. */
   void OnAttempt(int percent) {
     constexpr double kMaxTokens = 20.0;
-    tokens_ = tokens_ + percent / 100.0 > kMaxTokens ? kMaxTokens
-                                                     : tokens_ + percent / 100.0;
+    tokens_ = tokens_ + percent / 100.0 > kMaxTokens
+                  ? kMaxTokens
+                  : tokens_ + percent / 100.0;
   }
   /** @return true and spends a token if a retry may be sent now. */
   bool TrySpend() {
--- a/libs/gateway/src/claim_table.cc
+++ b/libs/gateway/src/claim_table.cc
@@ -22,16 +22,16 @@
                           std::string_view idempotency_key,
                           int64_t expires_unix_ms) {
   Claim mine;
-  mine.key = "claims/" + std::string(business) + "/" +
-             std::string(idempotency_key);
+  mine.key =
+      "claims/" + std::string(business) + "/" + std::string(idempotency_key);
   {
     std::lock_guard lock(mu_);
     // Unique per attempt: instance name plus a local sequence. Retries of
     // the same request through this instance get new tokens too.
     mine.token = instance_ + "#" + std::to_string(++sequence_);
   }
-  const std::string value = EncodeClaim(
-      {"claimed", mine.token, instance_, expires_unix_ms, ""});
+  const std::string value =
+      EncodeClaim({"claimed", mine.token, instance_, expires_unix_ms, ""});
   auto put = store_.Put(mine.key, value, store::kAbsent);
   if (put) {
     std::lock_guard lock(mu_);
@@ -90,8 +90,8 @@
 }
 
 bool ClaimTable::TryComplete(const Claim& claim, std::string_view result) {
-  const std::string value = EncodeClaim(
-      {"done", claim.token, instance_, 0, std::string(result)});
+  const std::string value =
+      EncodeClaim({"done", claim.token, instance_, 0, std::string(result)});
   auto put = store_.Put(claim.key, value, claim.version);
   if (put) return true;
   auto got = store_.Get(claim.key);
@@ -135,9 +135,11 @@
     work.swap(pending_);
   }
   std::vector<Pending> again;
-  std::ranges::copy_if(work, std::back_inserter(again), [this](const Pending& p) {
-    return p.release ? !TryRelease(p.claim) : !TryComplete(p.claim, p.result);
-  });
+  std::ranges::copy_if(work, std::back_inserter(again),
+                       [this](const Pending& p) {
+                         return p.release ? !TryRelease(p.claim)
+                                          : !TryComplete(p.claim, p.result);
+                       });
   std::lock_guard lock(mu_);
   pending_.insert(pending_.end(), again.begin(), again.end());
 }
--- a/libs/gateway/src/embedded_platform.cc
+++ b/libs/gateway/src/embedded_platform.cc
@@ -12,22 +12,30 @@
 
 using utils::Errc;
 
-EmbeddedPlatform::EmbeddedPlatform(uint16_t base_port) : next_port_(base_port) {}
+EmbeddedPlatform::EmbeddedPlatform(uint16_t base_port)
+    : next_port_(base_port) {}
 EmbeddedPlatform::~EmbeddedPlatform() = default;
 
+uint16_t EmbeddedPlatform::NextPort() {
+  // Port 0 asks the kernel for free ports (tests, in-process benches).
+  return next_port_ == 0 ? 0 : next_port_++;
+}
+
 utils::Result<void> EmbeddedPlatform::Start(kernel::Kernel& kernel) {
   auto* store_service = kernel.Find<StoreService>("store");
-  if (!store_service) return utils::Fail(Errc::kConfigInvalid, "no store service");
+  if (!store_service)
+    return utils::Fail(Errc::kConfigInvalid, "no store service");
   store::ObjectStore& store = store_service->store();
   std::string failed;
   auto engines = [&](int n) {
     std::string list;
     for (int i = 0; i < n; ++i) {
       auto e = std::make_unique<standins::EngineStandin>();
-      const uint16_t port = e->Listen(next_port_++);
-      if (port == 0) failed = "engine port " + std::to_string(next_port_ - 1);
+      const uint16_t port = e->Listen(NextPort());
+      if (port == 0) failed = "engine port";
       if (first_engine_port_ == 0) first_engine_port_ = port;
-      list += (list.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(port);
+      list += (list.empty() ? "" : ",") + std::string("127.0.0.1:") +
+              std::to_string(port);
       engines_.push_back(std::move(e));
     }
     return list;
@@ -36,18 +44,21 @@
     std::string list;
     for (int i = 0; i < n; ++i) {
       auto s = std::make_unique<standins::ServiceStandin>(delay_ms);
-      const uint16_t port = s->Listen(next_port_++);
-      if (port == 0) failed = "service port " + std::to_string(next_port_ - 1);
-      list += (list.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(port);
+      const uint16_t port = s->Listen(NextPort());
+      if (port == 0) failed = "service port";
+      list += (list.empty() ? "" : ",") + std::string("127.0.0.1:") +
+              std::to_string(port);
       services_.push_back(std::move(s));
     }
     return list;
   };
-  auto pools = [&](const std::string& engine_pool, const std::string& service_pool) {
+  auto pools = [&](const std::string& engine_pool,
+                   const std::string& service_pool) {
     return "pool." + engine_pool + ".kind = engine\npool." + engine_pool +
            ".upstreams = " + engines(3) + "\npool." + service_pool +
-           ".kind = service\npool." + service_pool + ".upstreams = " +
-           services(3, 3) + "\npool.encoder.upstreams = " + services(2, 2) +
+           ".kind = service\npool." + service_pool +
+           ".upstreams = " + services(3, 3) +
+           "\npool.encoder.upstreams = " + services(2, 2) +
            "\npool.retriever.upstreams = " + services(2, 4) +
            "\npool.reranker.upstreams = " + services(2, 3) + "\n";
   };
@@ -58,7 +69,8 @@
       {config::SettingsKey("group", "", ""),
        "deadline_ms = 6000\nmax_inflight = 256\nrouting = p2c\n"
        "retry_budget_percent = 10\nmin_stage_ms = 5\n"},
-      {config::SettingsKey("business", "nilelight", ""), pools("llm", "panel-app")},
+      {config::SettingsKey("business", "nilelight", ""),
+       pools("llm", "panel-app")},
       {config::SettingsKey("pipeline", "nilelight", "translate-notice"),
        "stages = encode,retrieve,rerank,generate\n" + rag +
            "stage.generate.pool = llm\ndeadline_ms = 2000\n"},
@@ -82,15 +94,16 @@
       {config::SettingsKey("organisation", "arvoredo", "parish-bonfim"),
        "max_inflight = 16\n"},
   };
-  if (!failed.empty()) return utils::Fail(Errc::kIniInvalid, "cannot listen: " + failed);
+  if (!failed.empty())
+    return utils::Fail(Errc::kIniInvalid, "cannot listen: " + failed);
   for (const auto& [key, value] : seed) {
     // Seeding is a conditional create: an operator's newer value stays.
     auto put = store.Put(key, value, store::kAbsent);
     if (!put && put.error().code != Errc::kStoreConflict) return put.error();
   }
   LOG(INFO) << "event=embedded_started engines=" << engines_.size()
-            << " services=" << services_.size() << " first_engine_port="
-            << first_engine_port_;
+            << " services=" << services_.size()
+            << " first_engine_port=" << first_engine_port_;
   return boost::outcome_v2::success();
 }
 
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -60,10 +60,14 @@
                                std::string_view state, std::string_view code,
                                double seconds, bool in_deadline) {
   const std::string b(business), p(pipeline);
-  requests_.Add({{"business", b}, {"pipeline", p}, {"state", std::string(state)},
-                 {"code", std::string(code)}})
+  requests_
+      .Add({{"business", b},
+            {"pipeline", p},
+            {"state", std::string(state)},
+            {"code", std::string(code)}})
       .Increment();
-  if (in_deadline) in_deadline_.Add({{"business", b}, {"pipeline", p}}).Increment();
+  if (in_deadline)
+    in_deadline_.Add({{"business", b}, {"pipeline", p}}).Increment();
   static const prometheus::Histogram::BucketBoundaries kBuckets = {
       0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 6, 10};
   latency_.Add({{"business", b}}, kBuckets).Observe(seconds);
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -5,6 +5,8 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QTcpServer>
+#include <QTcpSocket>
 #include <QUrlQuery>
 
 #include "turmeric/config/settings_layer.h"
@@ -46,15 +48,16 @@
                               {"tokens", r.tokens},
                               {"attempts", r.attempts}});
   }
-  QJsonObject o{{"request_id", QString::fromStdString(request_id)},
-                {"business", QString::fromStdString(s.business)},
-                {"pipeline", QString::fromStdString(s.pipeline)},
-                {"organisation", QString::fromStdString(s.organisation)},
-                {"state", QString::fromUtf8(utils::RunStateName(a.state).data())},
-                {"code", static_cast<int>(a.code)},
-                {"error", QString::fromUtf8(utils::ErrcName(a.code).data())},
-                {"output", QString::fromStdString(a.output)},
-                {"stages", stages}};
+  QJsonObject o{
+      {"request_id", QString::fromStdString(request_id)},
+      {"business", QString::fromStdString(s.business)},
+      {"pipeline", QString::fromStdString(s.pipeline)},
+      {"organisation", QString::fromStdString(s.organisation)},
+      {"state", QString::fromUtf8(utils::RunStateName(a.state).data())},
+      {"code", static_cast<int>(a.code)},
+      {"error", QString::fromUtf8(utils::ErrcName(a.code).data())},
+      {"output", QString::fromStdString(a.output)},
+      {"stages", stages}};
   if (!a.detail.empty()) o["detail"] = QString::fromStdString(a.detail);
   return QJsonDocument(o).toJson(QJsonDocument::Compact);
 }
@@ -62,7 +65,19 @@
 }  // namespace
 
 GatewayService::GatewayService(config::InstanceSettings settings)
-    : settings_(std::move(settings)) {}
+    : settings_(std::move(settings)) {
+  constexpr int kNetworkManagers = 4;
+  for (int i = 0; i < kNetworkManagers; ++i) {
+    networks_.push_back(std::make_unique<QNetworkAccessManager>());
+  }
+}
+
+void GatewayService::Kill() {
+  killed_ = true;
+  admission_.StartDrain();
+  for (QTcpServer* s : server_.servers()) s->close();
+  for (QTcpSocket* s : server_.findChildren<QTcpSocket*>()) s->abort();
+}
 
 GatewayService::~GatewayService() = default;
 
@@ -70,17 +85,22 @@
   settings_service_ = kernel.Find<SettingsService>("settings");
   store_service_ = kernel.Find<StoreService>("store");
   if (!settings_service_ || !store_service_) {
-    return utils::Fail(Errc::kConfigInvalid, "gateway needs store and settings");
+    return utils::Fail(Errc::kConfigInvalid,
+                       "gateway needs store and settings");
   }
   spans_ = std::make_unique<utils::SpanSink>(settings_.trace_path);
-  claims_ = std::make_unique<ClaimTable>(store_service_->store(), settings_.name);
+  claims_ =
+      std::make_unique<ClaimTable>(store_service_->store(), settings_.name);
   using M = QHttpServerRequest::Method;
-  server_.Route(M::Post, std::string(kRunPrefix),
-                [this](const auto& r, auto&& w) { HandleRun(r, std::move(w)); });
-  server_.Route(M::Get, std::string(kConfigPrefix),
-                [this](const auto& r, auto&& w) { HandleConfigGet(r, std::move(w)); });
-  server_.Route(M::Put, std::string(kConfigPrefix),
-                [this](const auto& r, auto&& w) { HandleConfigPut(r, std::move(w)); });
+  server_.Route(
+      M::Post, std::string(kRunPrefix),
+      [this](const auto& r, auto&& w) { HandleRun(r, std::move(w)); });
+  server_.Route(
+      M::Get, std::string(kConfigPrefix),
+      [this](const auto& r, auto&& w) { HandleConfigGet(r, std::move(w)); });
+  server_.Route(
+      M::Put, std::string(kConfigPrefix),
+      [this](const auto& r, auto&& w) { HandleConfigPut(r, std::move(w)); });
   server_.Route(M::Get, "/metrics", [this](const auto&, auto&& w) {
     const QByteArray text = QByteArray::fromStdString(metrics_.Render());
     w.writeStatusLine(QHttpServerResponder::StatusCode::Ok);
@@ -97,8 +117,9 @@
     Drain([] {});
     http::WriteJson(w, 202, R"({"state":"draining"})");
   });
-  port_ = server_.listen(QHostAddress(QString::fromStdString(settings_.listen_address)),
-                         settings_.listen_port);
+  port_ = server_.listen(
+      QHostAddress(QString::fromStdString(settings_.listen_address)),
+      settings_.listen_port);
   if (port_ == 0) {
     return utils::Fail(Errc::kIniInvalid,
                        "cannot listen on " + settings_.listen_address + ":" +
@@ -141,12 +162,13 @@
   const std::string request_id =
       settings_.name + "-" + std::to_string(++next_request_);
   auto refuse = [&](Errc code, const std::string& detail, RunState state) {
-    metrics_.OnRequest("-", "-", utils::RunStateName(state), utils::ErrcName(code),
-                       0, false);
+    metrics_.OnRequest("-", "-", utils::RunStateName(state),
+                       utils::ErrcName(code), 0, false);
     std::vector<std::pair<QByteArray, QByteArray>> headers = {
         {"x-request-id", QByteArray::fromStdString(request_id)}};
     if (utils::HttpStatus(code) == 503 || utils::HttpStatus(code) == 429) {
-      headers.emplace_back("Retry-After", QByteArray::number(kRetryAfterSeconds));
+      headers.emplace_back("Retry-After",
+                           QByteArray::number(kRetryAfterSeconds));
     }
     http::WriteJson(responder, utils::HttpStatus(code),
                     ErrorBody(request_id, code, detail, state), headers);
@@ -160,7 +182,8 @@
     return;
   }
   QJsonParseError parse_error{};
-  const QJsonDocument doc = QJsonDocument::fromJson(request.body(), &parse_error);
+  const QJsonDocument doc =
+      QJsonDocument::fromJson(request.body(), &parse_error);
   if (parse_error.error != QJsonParseError::NoError || !doc.isObject()) {
     refuse(Errc::kBadRequest, "body must be a JSON object", RunState::kNotRun);
     return;
@@ -168,7 +191,8 @@
   const QJsonObject body = doc.object();
   const std::string business = parts[0].toStdString();
   const std::string pipeline = parts[1].chopped(4).toStdString();
-  const std::string organisation = body.value("organisation").toString().toStdString();
+  const std::string organisation =
+      body.value("organisation").toString().toStdString();
   auto resolved =
       settings_service_->tree().Resolve(business, pipeline, organisation);
   if (!resolved) {
@@ -185,15 +209,18 @@
   }
   const QByteArray key_header = request.value("idempotency-key");
   const bool idempotent = body.value("idempotent").toBool(true);
-  const std::string idempotency_key = key_header.isEmpty()
-      ? body.value("idempotency_key").toString().toStdString()
-      : key_header.toStdString();
+  const std::string idempotency_key =
+      key_header.isEmpty()
+          ? body.value("idempotency_key").toString().toStdString()
+          : key_header.toStdString();
   if (!idempotent && idempotency_key.empty()) {
     refuse(Errc::kMissingIdempotencyKey,
-           "a non-idempotent request needs an Idempotency-Key", RunState::kNotRun);
+           "a non-idempotent request needs an Idempotency-Key",
+           RunState::kNotRun);
     return;
   }
-  if (const Errc admit = admission_.TryAdmit(s, deadline_ms); admit != Errc::kOk) {
+  if (const Errc admit = admission_.TryAdmit(s, deadline_ms);
+      admit != Errc::kOk) {
     refuse(admit, "not admitted", RunState::kNotRun);
     return;
   }
@@ -204,19 +231,22 @@
     if (claim.state != ClaimState::kOwned) {
       admission_.Release(s);
       if (claim.state == ClaimState::kDone) {
-        http::WriteJson(responder, 200, QByteArray::fromStdString(claim.result),
-                        {{"x-request-id", QByteArray::fromStdString(request_id)},
-                         {"x-replayed", "1"}});
+        http::WriteJson(
+            responder, 200, QByteArray::fromStdString(claim.result),
+            {{"x-request-id", QByteArray::fromStdString(request_id)},
+             {"x-replayed", "1"}});
         return;
       }
       if (claim.state == ClaimState::kInFlightElsewhere) {
-        refuse(Errc::kDuplicateInFlight,
-               "this idempotency key is claimed by another attempt; its outcome "
-               "is not known here",
-               RunState::kUnknown);
+        refuse(
+            Errc::kDuplicateInFlight,
+            "this idempotency key is claimed by another attempt; its outcome "
+            "is not known here",
+            RunState::kUnknown);
         return;
       }
-      refuse(Errc::kStoreUnavailable, "cannot claim the idempotency key; nothing ran",
+      refuse(Errc::kStoreUnavailable,
+             "cannot claim the idempotency key; nothing ran",
              RunState::kNotRun);
       return;
     }
@@ -231,7 +261,8 @@
   run.trace = utils::ChildContext(
       utils::ParseTraceparent(request.value("traceparent").toStdString()));
   const int64_t start_us = utils::NowUnixMicros();
-  auto held = std::make_shared<std::optional<QHttpServerResponder>>(std::move(responder));
+  auto held = std::make_shared<std::optional<QHttpServerResponder>>(
+      std::move(responder));
   if (run.stream) {
     (*held)->writeStatusLine(QHttpServerResponder::StatusCode::Ok);
     (*held)->writeHeader("Content-Type", "text/event-stream");
@@ -248,7 +279,10 @@
   };
   const bool stream = run.stream;
   auto on_done = [this, held, s, request_id, received, deadline_ms, claim,
-                  idempotent, stream, start_us, trace = run.trace](const RunAnswer& a) {
+                  idempotent, stream, start_us,
+                  trace = run.trace](const RunAnswer& a) {
+    // A killed process records nothing: its claims stay as they were.
+    if (killed_) return;
     const QByteArray body = AnswerBody(request_id, s, a);
     if (!idempotent) {
       if (a.state == RunState::kRan) {
@@ -259,11 +293,13 @@
       }
     }
     admission_.Release(s);
-    const double seconds =
-        std::chrono::duration<double>(std::chrono::steady_clock::now() - received).count();
-    metrics_.OnRequest(s.business, s.pipeline, utils::RunStateName(a.state),
-                       utils::ErrcName(a.code), seconds,
-                       a.state == RunState::kRan && seconds * 1000 <= deadline_ms);
+    const double seconds = std::chrono::duration<double>(
+                               std::chrono::steady_clock::now() - received)
+                               .count();
+    metrics_.OnRequest(
+        s.business, s.pipeline, utils::RunStateName(a.state),
+        utils::ErrcName(a.code), seconds,
+        a.state == RunState::kRan && seconds * 1000 <= deadline_ms);
     spans_->Export({trace, "", "request." + s.pipeline, start_us,
                     utils::NowUnixMicros() - start_us,
                     "\"business\":\"" + s.business + "\",\"state\":\"" +
@@ -273,26 +309,33 @@
       (*held)->writeBody(http::HttpChunk(http::SseEvent(body)));
       (*held)->writeBody("0\r\n\r\n");
     } else {
-      http::WriteJson(**held, a.code == Errc::kOk ? 200 : utils::HttpStatus(a.code),
-                      body, {{"x-request-id", QByteArray::fromStdString(request_id)}});
+      http::WriteJson(
+          **held, a.code == Errc::kOk ? 200 : utils::HttpStatus(a.code), body,
+          {{"x-request-id", QByteArray::fromStdString(request_id)}});
     }
     held->reset();
   };
-  RunContext ctx{&network_, &pools_, &retry_budget_, &metrics_, spans_.get(), &rng_};
+  RunContext ctx{networks_[next_request_ % networks_.size()].get(),
+                 &pools_,
+                 &retry_budget_,
+                 &metrics_,
+                 spans_.get(),
+                 &rng_};
   auto* runner = new PipelineRun(ctx, std::move(run), on_token, on_done);
   runner->Start();
 }
 
 void GatewayService::HandleConfigGet(const QHttpServerRequest& request,
                                      QHttpServerResponder&& responder) {
-  const std::string key = "config/" +
-      request.url().path().mid(kConfigPrefix.size()).toStdString();
+  const std::string key =
+      "config/" + request.url().path().mid(kConfigPrefix.size()).toStdString();
   store::ObjectStore& store = store_service_->store();
   if (key == "config/" || key.ends_with("/")) {
     auto list = store.List(key);
     if (!list) {
       http::WriteJson(responder, utils::HttpStatus(list.error().code),
-                      ErrorBody("", list.error().code, list.error().detail, RunState::kNotRun));
+                      ErrorBody("", list.error().code, list.error().detail,
+                                RunState::kNotRun));
       return;
     }
     QJsonArray items;
@@ -301,26 +344,29 @@
                                {"version", double(o.version)},
                                {"revision", double(o.revision)}});
     }
-    http::WriteJson(responder, 200, QJsonDocument(QJsonObject{{"items", items}}).toJson());
+    http::WriteJson(responder, 200,
+                    QJsonDocument(QJsonObject{{"items", items}}).toJson());
     return;
   }
   auto got = store.Get(key);
   if (!got) {
-    http::WriteJson(responder, utils::HttpStatus(got.error().code),
-                    ErrorBody("", got.error().code, got.error().detail, RunState::kNotRun));
+    http::WriteJson(
+        responder, utils::HttpStatus(got.error().code),
+        ErrorBody("", got.error().code, got.error().detail, RunState::kNotRun));
     return;
   }
   QJsonObject o{{"key", QString::fromStdString(key)},
                 {"version", double(got.value().version)},
                 {"revision", double(got.value().revision)},
                 {"value", QString::fromStdString(got.value().value)}};
-  http::WriteJson(responder, 200, QJsonDocument(o).toJson(QJsonDocument::Compact));
+  http::WriteJson(responder, 200,
+                  QJsonDocument(o).toJson(QJsonDocument::Compact));
 }
 
 void GatewayService::HandleConfigPut(const QHttpServerRequest& request,
                                      QHttpServerResponder&& responder) {
-  const std::string key = "config/" +
-      request.url().path().mid(kConfigPrefix.size()).toStdString();
+  const std::string key =
+      "config/" + request.url().path().mid(kConfigPrefix.size()).toStdString();
   auto fail = [&](Errc code, const std::string& detail) {
     http::WriteJson(responder, utils::HttpStatus(code),
                     ErrorBody("", code, detail, RunState::kNotRun));
@@ -332,7 +378,8 @@
   // writer silently overwrites the first; requiring If-Match makes the
   // loser see config_version_conflict and re-read.
   if (!ok) {
-    fail(Errc::kConfigVersionConflict, "If-Match: <version> required (0 to create)");
+    fail(Errc::kConfigVersionConflict,
+         "If-Match: <version> required (0 to create)");
     return;
   }
   const std::string text = request.body().toStdString();
@@ -341,7 +388,8 @@
     fail(layer.error().code, layer.error().detail);
     return;
   }
-  auto put = store_service_->store().Put(key, config::RenderLayer(layer.value()), expected);
+  auto put = store_service_->store().Put(
+      key, config::RenderLayer(layer.value()), expected);
   if (!put) {
     const Errc code = put.error().code == Errc::kStoreConflict
                           ? Errc::kConfigVersionConflict
@@ -349,12 +397,14 @@
     fail(code, put.error().detail);
     return;
   }
-  LOG(INFO) << "event=config_accepted key=" << key << " version=" << put.value().version
+  LOG(INFO) << "event=config_accepted key=" << key
+            << " version=" << put.value().version
             << " revision=" << put.value().revision;
   QJsonObject o{{"key", QString::fromStdString(key)},
                 {"version", double(put.value().version)},
                 {"revision", double(put.value().revision)}};
-  http::WriteJson(responder, 200, QJsonDocument(o).toJson(QJsonDocument::Compact));
+  http::WriteJson(responder, 200,
+                  QJsonDocument(o).toJson(QJsonDocument::Compact));
 }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -43,11 +43,12 @@
   // Guard: a stage started with less than its minimum budget would only be
   // cut by the deadline. Stop here so the caller hears at once what ran.
   if (RemainingMs() < std::max(1, req_.settings.min_stage_ms)) {
-    Finish(called_non_idempotent_ ? RunState::kUnknown
-           : called_any_          ? RunState::kFailed
-                                  : RunState::kNotRun,
-           Errc::kDeadlineExceeded, "deadline reached before stage " +
-                                        req_.settings.stages[stage_].name);
+    Finish(
+        called_non_idempotent_ ? RunState::kUnknown
+        : called_any_          ? RunState::kFailed
+                               : RunState::kNotRun,
+        Errc::kDeadlineExceeded,
+        "deadline reached before stage " + req_.settings.stages[stage_].name);
     return;
   }
   const config::StageSpec& spec = req_.settings.stages[stage_];
@@ -61,7 +62,8 @@
            Errc::kNoUpstream, "no upstream for stage " + spec.name);
     return;
   }
-  if (attempt_ == 0) ctx_.retry_budget->OnAttempt(req_.settings.retry_budget_percent);
+  if (attempt_ == 0)
+    ctx_.retry_budget->OnAttempt(req_.settings.retry_budget_percent);
   Send(index);
 }
 
@@ -79,14 +81,15 @@
   http.setRawHeader("x-request-id", QByteArray::fromStdString(call_id));
   stage_span_ = utils::ChildContext(req_.trace);
   stage_start_us_ = utils::NowUnixMicros();
-  http.setRawHeader("traceparent",
-                    QByteArray::fromStdString(utils::FormatTraceparent(stage_span_)));
+  http.setRawHeader("traceparent", QByteArray::fromStdString(
+                                       utils::FormatTraceparent(stage_span_)));
   if (!spec.idempotent) {
-    http.setRawHeader("idempotency-key", QByteArray::fromStdString(req_.request_id));
+    http.setRawHeader("idempotency-key",
+                      QByteArray::fromStdString(req_.request_id));
   }
   http.setTransferTimeout(std::max(1, RemainingMs()));
-  const bool stream_here = engine && req_.stream &&
-                           stage_ + 1 == req_.settings.stages.size();
+  const bool stream_here =
+      engine && req_.stream && stage_ + 1 == req_.settings.stages.size();
   QJsonObject body;
   if (engine) {
     body = {{"model", QString::fromStdString(spec.pool)},
@@ -111,9 +114,9 @@
             [this, reply] { OnStreamBytes(reply); });
   }
   connect(reply, &QNetworkReply::finished, this, [this, reply, index] {
-    const double seconds =
-        std::chrono::duration<double>(std::chrono::steady_clock::now() - sent_at_)
-            .count();
+    const double seconds = std::chrono::duration<double>(
+                               std::chrono::steady_clock::now() - sent_at_)
+                               .count();
     OnFinished(reply, index, seconds);
   });
 }
@@ -186,13 +189,14 @@
                             success);
   if (ctx_.spans) {
     ctx_.spans->Export({stage_span_, req_.trace.span_id, "stage." + spec.name,
-                        stage_start_us_, utils::NowUnixMicros() - stage_start_us_,
+                        stage_start_us_,
+                        utils::NowUnixMicros() - stage_start_us_,
                         "\"upstream\":\"" + pool.upstreams()[index].address +
                             "\",\"status\":" + std::to_string(status)});
   }
   if (success) {
-    answer_.stages.push_back(
-        {spec.name, pool.upstreams()[index].address, seconds, tokens, attempt_});
+    answer_.stages.push_back({spec.name, pool.upstreams()[index].address,
+                              seconds, tokens, attempt_});
     current_input_ = output;
     ++stage_;
     attempt_ = 0;
@@ -219,7 +223,8 @@
                             reply->error() == QNetworkReply::TimeoutError
                         ? Errc::kUpstreamTimeout
                         : Errc::kUpstreamFailed;
-  const bool nothing_ran = !called_non_idempotent_ && stage_ == 0 && refused_unrun;
+  const bool nothing_ran =
+      !called_non_idempotent_ && stage_ == 0 && refused_unrun;
   // An earlier non-idempotent stage did run: the request is not "failed
   // without effects", and never "not run".
   Finish(called_non_idempotent_ ? RunState::kUnknown
--- a/libs/gateway/src/settings_service.cc
+++ b/libs/gateway/src/settings_service.cc
@@ -14,12 +14,15 @@
   }
   tree_ = std::make_unique<config::SettingsTree>(store->store());
   auto armed = tree_->Arm();
-  if (!armed) LOG(WARNING) << "event=settings_watch_down detail=\"" << armed.error().detail << "\"";
+  if (!armed)
+    LOG(WARNING) << "event=settings_watch_down detail=\""
+                 << armed.error().detail << "\"";
   rearm_.setInterval(1000);
   QObject::connect(&rearm_, &QTimer::timeout, [this] {
     if (tree_->armed()) return;
     if (tree_->Arm()) {
-      LOG(INFO) << "event=settings_watch_rearmed revision=" << tree_->revision();
+      LOG(INFO) << "event=settings_watch_rearmed revision="
+                << tree_->revision();
     }
   });
   rearm_.start();
--- a/libs/gateway/src/upstream_pool.cc
+++ b/libs/gateway/src/upstream_pool.cc
@@ -7,13 +7,11 @@
 void UpstreamPool::SetAddresses(std::span<const std::string> addresses) {
   std::vector<UpstreamState> next;
   next.reserve(addresses.size());
-  std::ranges::transform(addresses, std::back_inserter(next),
-                         [this](const std::string& a) {
-                           auto it = std::ranges::find(
-                               upstreams_, a, &UpstreamState::address);
-                           return it != upstreams_.end() ? *it
-                                                         : UpstreamState{a};
-                         });
+  std::ranges::transform(
+      addresses, std::back_inserter(next), [this](const std::string& a) {
+        auto it = std::ranges::find(upstreams_, a, &UpstreamState::address);
+        return it != upstreams_.end() ? *it : UpstreamState{a};
+      });
   upstreams_ = std::move(next);
 }
 
--- a/libs/gateway/test/admission_test.cc
+++ b/libs/gateway/test/admission_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "turmeric/gateway/admission.h"
 
+#include <catch2/catch.hpp>
+
 using turmeric::gateway::Admission;
 using turmeric::utils::Errc;
 
--- a/libs/gateway/test/claim_table_test.cc
+++ b/libs/gateway/test/claim_table_test.cc
@@ -1,9 +1,10 @@
-#include <catch2/catch.hpp>
+#include "turmeric/gateway/claim_table.h"
+
 #include <rapidcheck/catch.h>
 
+#include <catch2/catch.hpp>
 #include <map>
 
-#include "turmeric/gateway/claim_table.h"
 #include "turmeric/store/memory_store.h"
 
 using turmeric::gateway::Claim;
@@ -20,7 +21,8 @@
     MemoryStore store;
     std::vector<std::unique_ptr<ClaimTable>> instances;
     for (int i = 0; i < 4; ++i) {
-      instances.push_back(std::make_unique<ClaimTable>(store, "entry-" + std::to_string(i)));
+      instances.push_back(
+          std::make_unique<ClaimTable>(store, "entry-" + std::to_string(i)));
     }
     std::map<std::string, int> runs;
     uint64_t seed = 1;
@@ -63,7 +65,8 @@
   ClaimTable b(store, "entry-2");
   Claim c = a.Acquire("nilelight", "notice-7", 0);
   REQUIRE(c.state == ClaimState::kOwned);
-  CHECK(b.Acquire("nilelight", "notice-7", 0).state == ClaimState::kInFlightElsewhere);
+  CHECK(b.Acquire("nilelight", "notice-7", 0).state ==
+        ClaimState::kInFlightElsewhere);
   REQUIRE(a.Complete(c, "{\"output\":\"printed\"}"));
   Claim replay = b.Acquire("nilelight", "notice-7", 0);
   CHECK(replay.state == ClaimState::kDone);
--- a/libs/http/include/turmeric/http/router_server.h
+++ b/libs/http/include/turmeric/http/router_server.h
@@ -51,8 +51,8 @@
  * @param body JSON body.
  * @param headers extra headers.
  */
-void WriteJson(QHttpServerResponder& responder, int status,
-               const QByteArray& body,
-               const std::vector<std::pair<QByteArray, QByteArray>>& headers = {});
+void WriteJson(
+    QHttpServerResponder& responder, int status, const QByteArray& body,
+    const std::vector<std::pair<QByteArray, QByteArray>>& headers = {});
 
 }  // namespace turmeric::http
--- a/libs/http/src/sse.cc
+++ b/libs/http/src/sse.cc
@@ -18,9 +18,7 @@
   return events;
 }
 
-QByteArray SseEvent(const QByteArray& data) {
-  return "data: " + data + "\n\n";
-}
+QByteArray SseEvent(const QByteArray& data) { return "data: " + data + "\n\n"; }
 
 QByteArray HttpChunk(const QByteArray& payload) {
   return QByteArray::number(payload.size(), 16) + "\r\n" + payload + "\r\n";
--- a/libs/http/test/sse_test.cc
+++ b/libs/http/test/sse_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
+#include "turmeric/http/sse.h"
+
 #include <rapidcheck/catch.h>
 
-#include "turmeric/http/sse.h"
+#include <catch2/catch.hpp>
 
 using turmeric::http::SseEvent;
 using turmeric::http::SseParser;
@@ -11,7 +12,8 @@
   // must never be lost or glued to its neighbour.
   rc::prop("any split", [](std::vector<uint8_t> cuts) {
     QByteArray stream;
-    for (int i = 0; i < 20; ++i) stream += SseEvent("tok" + QByteArray::number(i));
+    for (int i = 0; i < 20; ++i)
+      stream += SseEvent("tok" + QByteArray::number(i));
     SseParser parser;
     std::vector<QByteArray> got;
     qsizetype pos = 0;
--- a/libs/kernel/test/kernel_test.cc
+++ b/libs/kernel/test/kernel_test.cc
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "turmeric/kernel/kernel.h"
 
+#include <catch2/catch.hpp>
+
 namespace {
 
 class Named : public turmeric::kernel::Service {
@@ -31,6 +31,6 @@
     CHECK(k.Find<Named>("b") != nullptr);
     CHECK(k.Find<Named>("c") == nullptr);
   }
-  CHECK(log == std::vector<std::string>{"start a", "start b", "stop b",
-                                        "stop a"});
+  CHECK(log ==
+        std::vector<std::string>{"start a", "start b", "stop b", "stop a"});
 }
--- a/libs/standins/include/turmeric/standins/service_standin.h
+++ b/libs/standins/include/turmeric/standins/service_standin.h
@@ -32,7 +32,8 @@
   int64_t executed() const { return executed_; }
 
  private:
-  void Serve(const QHttpServerRequest& request, QHttpServerResponder&& responder);
+  void Serve(const QHttpServerRequest& request,
+             QHttpServerResponder&& responder);
 
   double delay_ms_;
   StandinFaults faults_;
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -44,7 +44,8 @@
 }
 
 uint16_t EngineStandin::Listen(uint16_t port) {
-  return server_.listen(QHostAddress::LocalHost, port);
+  port_ = server_.listen(QHostAddress::LocalHost, port);
+  return port_;
 }
 
 bool EngineStandin::PrefixCached(const std::string& prompt) {
@@ -110,8 +111,8 @@
       }
       ++c->emitted;
       const double batch = 1.0 + double(active_) / model_.batch_capacity;
-      const int delay = static_cast<int>(model_.token_ms * batch *
-                                         faults_.slow_factor + 0.5);
+      const int delay =
+          static_cast<int>(model_.token_ms * batch * faults_.slow_factor + 0.5);
       QTimer::singleShot(delay, this, *step);
       return;
     }
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -53,21 +53,23 @@
   auto held = std::make_shared<std::optional<QHttpServerResponder>>(
       std::move(responder));
   const double delay = delay_ms_ * (1.0 + active_ / 8.0) * faults_.slow_factor;
-  QTimer::singleShot(static_cast<int>(delay + 0.5), this,
-                     [this, held, request_id, key, body] {
-    --active_;
-    ++executed_;
-    // Executed twice for one key means at-most-once was broken upstream of us.
-    if (!key.empty() && ++executions_[key] == 2) ++doubled_;
-    const QString stage = body.value("stage").toString();
-    const QString input = body.value("input").toString();
-    QJsonObject out{{"request_id", QString(request_id)},
-                    {"output", stage + "(" + input + ")"}};
-    http::WriteJson(**held, 200, QJsonDocument(out).toJson(QJsonDocument::Compact),
-                    {{"x-request-id", request_id},
-                     {"x-queue-depth", QByteArray::number(reported_depth_)}});
-    held->reset();
-  });
+  QTimer::singleShot(
+      static_cast<int>(delay + 0.5), this, [this, held, request_id, key, body] {
+        --active_;
+        ++executed_;
+        // Executed twice for one key means at-most-once was broken upstream of
+        // us.
+        if (!key.empty() && ++executions_[key] == 2) ++doubled_;
+        const QString stage = body.value("stage").toString();
+        const QString input = body.value("input").toString();
+        QJsonObject out{{"request_id", QString(request_id)},
+                        {"output", stage + "(" + input + ")"}};
+        http::WriteJson(
+            **held, 200, QJsonDocument(out).toJson(QJsonDocument::Compact),
+            {{"x-request-id", request_id},
+             {"x-queue-depth", QByteArray::number(reported_depth_)}});
+        held->reset();
+      });
 }
 
 }  // namespace turmeric::standins
--- a/libs/store/include/turmeric/store/memory_store.h
+++ b/libs/store/include/turmeric/store/memory_store.h
@@ -11,9 +11,9 @@
 
 /** Faults the stand-in injects, as the platform's service shows them. */
 struct StoreFaults {
-  bool outage = false;              ///< Every call fails kStoreUnavailable.
-  double lose_answer_rate = 0.0;    ///< Writes applied, answer lost.
-  uint64_t seed = 1;                ///< Seed for the loss draws.
+  bool outage = false;            ///< Every call fails kStoreUnavailable.
+  double lose_answer_rate = 0.0;  ///< Writes applied, answer lost.
+  uint64_t seed = 1;              ///< Seed for the loss draws.
 };
 
 /** Calls the platform would bill, counted as it counts them. */
--- a/libs/store/test/memory_store_test.cc
+++ b/libs/store/test/memory_store_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
+#include "turmeric/store/memory_store.h"
+
 #include <rapidcheck/catch.h>
 
-#include "turmeric/store/memory_store.h"
+#include <catch2/catch.hpp>
 
 using turmeric::store::kAbsent;
 using turmeric::store::MemoryStore;
@@ -40,11 +41,15 @@
   std::vector<std::string> seen;
   int64_t last = 0;
   bool broken = false;
-  auto cb = [&](const turmeric::utils::Result<turmeric::store::StoredObject>& r) {
-    if (!r) { broken = true; return; }
-    seen.push_back(r.value().value);
-    last = r.value().revision;
-  };
+  auto cb =
+      [&](const turmeric::utils::Result<turmeric::store::StoredObject>& r) {
+        if (!r) {
+          broken = true;
+          return;
+        }
+        seen.push_back(r.value().value);
+        last = r.value().revision;
+      };
   REQUIRE(store.Watch("config/", 0, cb));
   REQUIRE(store.Put("config/a", "1", kAbsent));
   store.SetFaults({.outage = true});
--- a/libs/utils/include/turmeric/utils/trace.h
+++ b/libs/utils/include/turmeric/utils/trace.h
@@ -40,8 +40,8 @@
 struct Span {
   TraceContext context;
   std::string parent_span_id;
-  std::string name;        ///< e.g. "stage.generate".
-  int64_t start_us = 0;    ///< Unix time, microseconds.
+  std::string name;      ///< e.g. "stage.generate".
+  int64_t start_us = 0;  ///< Unix time, microseconds.
   int64_t duration_us = 0;
   std::string attributes;  ///< Pre-rendered JSON object body, may be empty.
 };
--- a/libs/utils/src/trace.cc
+++ b/libs/utils/src/trace.cc
@@ -40,8 +40,7 @@
                    header.substr(53, 2) == "01"};
   const bool all_zero_trace =
       std::ranges::all_of(ctx.trace_id, [](char c) { return c == '0'; });
-  if (!IsLowerHex(ctx.trace_id) || !IsLowerHex(ctx.span_id) ||
-      all_zero_trace) {
+  if (!IsLowerHex(ctx.trace_id) || !IsLowerHex(ctx.span_id) || all_zero_trace) {
     return std::nullopt;
   }
   return ctx;
@@ -72,7 +71,8 @@
   std::lock_guard lock(mu_);
   std::ofstream out(path_, std::ios::app);
   out << head;
-  if (!span.attributes.empty()) out << ",\"attributes\":{" << span.attributes << "}";
+  if (!span.attributes.empty())
+    out << ",\"attributes\":{" << span.attributes << "}";
   out << "}\n";
   ++exported_;
 }
--- a/libs/utils/test/test_main.cc
+++ b/libs/utils/test/test_main.cc
@@ -1,7 +1,8 @@
 #define CATCH_CONFIG_RUNNER
-#include <catch2/catch.hpp>
 #include <easylogging++.h>
 
+#include <catch2/catch.hpp>
+
 INITIALIZE_EASYLOGGINGPP
 
 int main(int argc, char* argv[]) {
--- a/libs/utils/test/trace_test.cc
+++ b/libs/utils/test/trace_test.cc
@@ -1,7 +1,8 @@
-#include <catch2/catch.hpp>
+#include "turmeric/utils/trace.h"
+
 #include <rapidcheck/catch.h>
 
-#include "turmeric/utils/trace.h"
+#include <catch2/catch.hpp>
 
 using turmeric::utils::ChildContext;
 using turmeric::utils::FormatTraceparent;
--- /dev/null
+++ b/tools/turmericctl/load_runner.cc
@@ -0,0 +1,145 @@
+#include "load_runner.h"
+
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTimer>
+#include <algorithm>
+
+namespace turmeric::ctl {
+
+struct LoadRunner::Open {
+  int index = 0;
+  int attempt = 0;
+  std::chrono::steady_clock::time_point first_sent;
+};
+
+LoadRunner::LoadRunner(int concurrency, int total, int deadline_ms,
+                       int max_retries, RequestMaker make)
+    : concurrency_(concurrency),
+      total_(total),
+      deadline_ms_(deadline_ms),
+      max_retries_(max_retries),
+      make_(std::move(make)) {
+  // Qt 6.4 keeps at most 6 connections per host per manager.
+  const int managers = std::max(1, (concurrency + 5) / 6);
+  for (int i = 0; i < managers; ++i) {
+    networks_.push_back(std::make_unique<QNetworkAccessManager>());
+  }
+}
+
+LoadRunner::~LoadRunner() = default;
+
+std::vector<LoadResult> LoadRunner::Run(int time_cap_ms) {
+  QEventLoop loop;
+  on_all_done_ = [&loop] { loop.quit(); };
+  QTimer::singleShot(time_cap_ms, &loop, &QEventLoop::quit);
+  for (int i = 0; i < concurrency_ && started_ < total_; ++i) StartNext();
+  if (started_ > 0) loop.exec();
+  on_all_done_ = nullptr;
+  return results_;
+}
+
+void LoadRunner::StartNext() {
+  auto open = std::make_shared<Open>();
+  open->index = started_++;
+  open->first_sent = std::chrono::steady_clock::now();
+  results_.emplace_back();
+  Send(open);
+}
+
+void LoadRunner::Send(std::shared_ptr<Open> open) {
+  const LoadRequest req = make_(open->index, open->attempt);
+  QNetworkRequest http{QUrl(req.url)};
+  http.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  for (const auto& [k, v] : req.headers) http.setRawHeader(k, v);
+  http.setTransferTimeout(deadline_ms_ + 2000);
+  QNetworkAccessManager& network = *networks_[open->index % networks_.size()];
+  QNetworkReply* reply = network.post(http, req.body);
+  connect(reply, &QNetworkReply::finished, this, [this, reply, open, req] {
+    reply->deleteLater();
+    const double ms = std::chrono::duration<double, std::milli>(
+                          std::chrono::steady_clock::now() - open->first_sent)
+                          .count();
+    LoadResult& r = results_[open->index];
+    r.business = req.business;
+    r.latency_ms = ms;
+    r.attempts = open->attempt + 1;
+    r.status =
+        reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    QByteArray body = reply->readAll();
+    // A streamed answer ends with the whole answer as its last event.
+    if (body.startsWith("data:")) {
+      const qsizetype last = body.lastIndexOf("data:");
+      body = body.mid(last + 5).trimmed();
+    }
+    const QJsonObject o = QJsonDocument::fromJson(body).object();
+    r.state = o.value("state").toString().toStdString();
+    if (o.contains("text")) r.state = "ran";  // direct engine answers
+    const std::string output =
+        (o.contains("text") ? o.value("text") : o.value("output"))
+            .toString()
+            .toStdString();
+    // Exact delivery, checked at the caller: the answer must carry this
+    // request's nonce and no other request's.
+    const bool has_own = output.find(req.nonce) != std::string::npos;
+    size_t foreign = 0;
+    for (size_t p = output.find("#n"); p != std::string::npos;
+         p = output.find("#n", p + 2)) {
+      const size_t end = output.find_first_of(" )", p);
+      if (output.substr(p, end - p) != req.nonce) ++foreign;
+    }
+    r.misdelivered = r.state == "ran" && (!has_own || foreign > 0);
+    r.whole_in_time = r.state == "ran" && !r.misdelivered && ms <= deadline_ms_;
+    const bool transport = r.status == 0;
+    const bool retryable = transport || r.state == "not_run";
+    if (retryable && open->attempt < max_retries_ && ms < deadline_ms_) {
+      ++open->attempt;
+      Send(open);
+      return;
+    }
+    ++finished_;
+    if (started_ < total_) {
+      StartNext();
+    } else if (finished_ == started_ && on_all_done_) {
+      on_all_done_();
+    }
+  });
+}
+
+LoadSummary Summarize(const std::vector<LoadResult>& results,
+                      const std::string& business) {
+  LoadSummary s;
+  std::vector<double> latencies;
+  for (const LoadResult& r : results) {
+    if (!business.empty() && r.business != business) continue;
+    ++s.count;
+    s.whole_in_time += r.whole_in_time;
+    s.misdelivered += r.misdelivered;
+    if (r.state == "ran")
+      ++s.ran;
+    else if (r.state == "not_run")
+      ++s.not_run;
+    else if (r.state == "failed")
+      ++s.failed;
+    else if (r.state == "unknown")
+      ++s.unknown;
+    else
+      ++s.no_answer;
+    if (r.state == "ran") latencies.push_back(r.latency_ms);
+  }
+  auto quantile = [&](double q) {
+    if (latencies.empty()) return 0.0;
+    const size_t k =
+        std::min(latencies.size() - 1, size_t(q * latencies.size()));
+    std::ranges::nth_element(latencies, latencies.begin() + k);
+    return latencies[k];
+  };
+  s.p50_ms = quantile(0.50);
+  s.p99_ms = quantile(0.99);
+  return s;
+}
+
+}  // namespace turmeric::ctl
--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -19,11 +19,13 @@
 
 INITIALIZE_EASYLOGGINGPP
 
-DEFINE_string(config, "", "INI file with an [instance] section; empty: defaults");
+DEFINE_string(config, "",
+              "INI file with an [instance] section; empty: defaults");
 DEFINE_bool(embedded, true,
             "start the platform stand-in and stand-in upstreams in-process");
 DEFINE_int32(port, -1, "override instance/listen_port");
-DEFINE_string(trace_path, "", "override instance/trace_path (JSON-lines spans)");
+DEFINE_string(trace_path, "",
+              "override instance/trace_path (JSON-lines spans)");
 
 namespace {
 std::atomic<bool> g_stop{false};
@@ -31,7 +33,8 @@
 }  // namespace
 
 int main(int argc, char* argv[]) {
-  gflags::SetUsageMessage("turmericgated [--config=FILE] [--embedded] [--port=N]");
+  gflags::SetUsageMessage(
+      "turmericgated [--config=FILE] [--embedded] [--port=N]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication app(argc, argv);
   turmeric::config::InstanceSettings settings;
@@ -62,8 +65,9 @@
   kernel.Register(std::make_unique<turmeric::gateway::EmbeddedPlatform>(
       settings.standin_base_port));
   kernel.Register(std::make_unique<turmeric::gateway::SettingsService>());
-  auto* gateway = static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
-      std::make_unique<turmeric::gateway::GatewayService>(settings)));
+  auto* gateway =
+      static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
+          std::make_unique<turmeric::gateway::GatewayService>(settings)));
   if (auto started = kernel.StartAll(); !started) {
     std::cerr << "error " << static_cast<int>(started.error().code) << " "
               << turmeric::utils::ErrcName(started.error().code) << ": "
