--- /dev/null
+++ b/bench/capacity_bench.cc
@@ -0,0 +1,160 @@
+// Slopes for docs/CAPACITY.md: memory per organisation of settings, CPU per
+// resolve / config change / upstream pick / claim, store calls per request
+// and per config change. Run: build/bench/capacity_bench
+#include <benchmark/benchmark.h>
+#include <easylogging++.h>
+#include <malloc.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "turmeric/config/settings_tree.h"
+#include "turmeric/gateway/claim_table.h"
+#include "turmeric/gateway/upstream_pool.h"
+#include "turmeric/store/memory_store.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace {
+
+using turmeric::config::SettingsKey;
+using turmeric::config::SettingsTree;
+using turmeric::store::kAnyVersion;
+using turmeric::store::MemoryStore;
+
+size_t HeapInUse() {
+  const struct mallinfo2 m = mallinfo2();
+  return m.uordblks + m.hblkhd;
+}
+
+void SeedBusiness(MemoryStore& store) {
+  store.Put(SettingsKey("group", "", ""), "deadline_ms = 6000\nmax_inflight = 64\n",
+            kAnyVersion);
+  store.Put(SettingsKey("business", "b", ""),
+            "pool.llm.kind = engine\npool.llm.upstreams = "
+            "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3,127.0.0.1:4\n"
+            "pool.enc.upstreams = 127.0.0.1:5,127.0.0.1:6\n",
+            kAnyVersion);
+  store.Put(SettingsKey("pipeline", "b", "p"),
+            "stages = encode,generate\nstage.encode.pool = enc\n"
+            "stage.generate.pool = llm\ndeadline_ms = 3000\n",
+            kAnyVersion);
+}
+
+std::string OrgName(int i) { return "organisation-" + std::to_string(i); }
+
+/** An organisation states two keys, as the seeded ones do. */
+void SeedOrganisations(MemoryStore& store, int n) {
+  for (int i = 0; i < n; ++i) {
+    store.Put(SettingsKey("organisation", "b", OrgName(i)),
+              "max_inflight = " + std::to_string(i % 50 + 1) + "\nretry_budget_percent = 5\n",
+              kAnyVersion);
+  }
+}
+
+// Memory of the settings tree per organisation held on one instance.
+void BM_SettingsBytesPerOrganisation(benchmark::State& state) {
+  const int n = static_cast<int>(state.range(0));
+  MemoryStore store;
+  SeedBusiness(store);
+  SeedOrganisations(store, n);
+  double bytes_per_org = 0;
+  for (auto _ : state) {
+    const size_t before = HeapInUse();
+    auto tree = std::make_unique<SettingsTree>(store);
+    benchmark::DoNotOptimize(tree->Arm());
+    bytes_per_org = double(HeapInUse() - before) / n;
+    state.PauseTiming();
+    tree.reset();
+    state.ResumeTiming();
+  }
+  state.counters["bytes_per_org"] = bytes_per_org;
+}
+BENCHMARK(BM_SettingsBytesPerOrganisation)->Arg(1000)->Arg(10000)->Arg(49000)->Iterations(3)->Unit(benchmark::kMillisecond);
+
+// CPU to resolve one request's settings with 49,000 organisations held.
+void BM_ResolvePerRequest(benchmark::State& state) {
+  MemoryStore store;
+  SeedBusiness(store);
+  SeedOrganisations(store, 49000);
+  SettingsTree tree(store);
+  tree.Arm();
+  std::mt19937_64 rng(1);
+  for (auto _ : state) {
+    auto r = tree.Resolve("b", "p", OrgName(rng() % 49000));
+    benchmark::DoNotOptimize(r);
+  }
+}
+BENCHMARK(BM_ResolvePerRequest);
+
+// CPU on each watching instance to apply one configuration change, and
+// store calls billed per change while the watches stay armed.
+void BM_ConfigChangeFanout(benchmark::State& state) {
+  const int instances = static_cast<int>(state.range(0));
+  MemoryStore store;
+  SeedBusiness(store);
+  SeedOrganisations(store, 100);
+  std::vector<std::unique_ptr<SettingsTree>> trees;
+  for (int i = 0; i < instances; ++i) {
+    trees.push_back(std::make_unique<SettingsTree>(store));
+    trees.back()->Arm();
+  }
+  const auto before = store.counts();
+  int64_t changes = 0;
+  size_t bytes = 0;
+  for (auto _ : state) {
+    const std::string value = "max_inflight = " + std::to_string(changes % 90 + 1) + "\n";
+    const std::string key = SettingsKey("organisation", "b", OrgName(changes % 100));
+    bytes += key.size() + value.size() + 16;  // key, value, version, revision
+    store.Put(key, value, kAnyVersion);
+    ++changes;
+  }
+  const auto after = store.counts();
+  state.counters["instances"] = instances;
+  state.counters["store_calls_per_change"] =
+      double(after.reads + after.watches + after.writes - before.reads - before.watches -
+             before.writes) / double(changes);
+  state.counters["event_bytes_per_instance"] = double(bytes) / double(changes);
+  state.counters["ns_per_instance_apply"] = benchmark::Counter(
+      double(changes) * instances, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+BENCHMARK(BM_ConfigChangeFanout)->Arg(1)->Arg(8)->Arg(64);
+
+// CPU of one power-of-two-choices pick over a 12-upstream pool.
+void BM_UpstreamPick(benchmark::State& state) {
+  turmeric::gateway::UpstreamPool pool;
+  std::vector<std::string> addrs;
+  for (int i = 0; i < state.range(0); ++i) addrs.push_back("127.0.0.1:" + std::to_string(9000 + i));
+  pool.SetAddresses(addrs);
+  std::mt19937_64 rng(1);
+  for (auto _ : state) {
+    const int i = pool.Pick(turmeric::gateway::RoutingPolicy::kPowerOfTwo, rng);
+    pool.OnSend(i);
+    pool.OnAnswer(i, 1, false);
+  }
+}
+BENCHMARK(BM_UpstreamPick)->Arg(12)->Arg(120);
+
+// Store calls and CPU per non-idempotent request (claim + complete).
+void BM_ClaimPerNonIdempotentRequest(benchmark::State& state) {
+  MemoryStore store;
+  turmeric::gateway::ClaimTable table(store, "entry-1");
+  int64_t n = 0;
+  size_t value_bytes = 0;
+  for (auto _ : state) {
+    auto c = table.Acquire("b", "key-" + std::to_string(n++), 0);
+    table.Complete(c, R"({"state":"ran","output":"a short answer of about this size"})");
+  }
+  auto list = store.List("claims/");
+  for (const auto& o : list.value()) value_bytes += o.key.size() + o.value.size();
+  const auto c = store.counts();
+  state.counters["writes_per_request"] = double(c.writes) / n;
+  state.counters["reads_per_request"] = double(c.reads - 1) / n;
+  state.counters["stored_bytes_per_claim"] = double(value_bytes) / n;
+}
+BENCHMARK(BM_ClaimPerNonIdempotentRequest);
+
+}  // namespace
+
+BENCHMARK_MAIN();
