--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -29,8 +29,8 @@
 }
 
 void SeedBusiness(MemoryStore& store) {
-  store.Put(SettingsKey("group", "", ""), "deadline_ms = 6000\nmax_inflight = 64\n",
-            kAnyVersion);
+  store.Put(SettingsKey("group", "", ""),
+            "deadline_ms = 6000\nmax_inflight = 64\n", kAnyVersion);
   store.Put(SettingsKey("business", "b", ""),
             "pool.llm.kind = engine\npool.llm.upstreams = "
             "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3,127.0.0.1:4\n"
@@ -48,7 +48,8 @@
 void SeedOrganisations(MemoryStore& store, int n) {
   for (int i = 0; i < n; ++i) {
     store.Put(SettingsKey("organisation", "b", OrgName(i)),
-              "max_inflight = " + std::to_string(i % 50 + 1) + "\nretry_budget_percent = 5\n",
+              "max_inflight = " + std::to_string(i % 50 + 1) +
+                  "\nretry_budget_percent = 5\n",
               kAnyVersion);
   }
 }
@@ -71,7 +72,12 @@
   }
   state.counters["bytes_per_org"] = bytes_per_org;
 }
-BENCHMARK(BM_SettingsBytesPerOrganisation)->Arg(1000)->Arg(10000)->Arg(49000)->Iterations(3)->Unit(benchmark::kMillisecond);
+BENCHMARK(BM_SettingsBytesPerOrganisation)
+    ->Arg(1000)
+    ->Arg(10000)
+    ->Arg(49000)
+    ->Iterations(3)
+    ->Unit(benchmark::kMillisecond);
 
 // CPU to resolve one request's settings with 49,000 organisations held.
 void BM_ResolvePerRequest(benchmark::State& state) {
@@ -104,8 +110,10 @@
   int64_t changes = 0;
   size_t bytes = 0;
   for (auto _ : state) {
-    const std::string value = "max_inflight = " + std::to_string(changes % 90 + 1) + "\n";
-    const std::string key = SettingsKey("organisation", "b", OrgName(changes % 100));
+    const std::string value =
+        "max_inflight = " + std::to_string(changes % 90 + 1) + "\n";
+    const std::string key =
+        SettingsKey("organisation", "b", OrgName(changes % 100));
     bytes += key.size() + value.size() + 16;  // key, value, version, revision
     store.Put(key, value, kAnyVersion);
     ++changes;
@@ -113,11 +121,13 @@
   const auto after = store.counts();
   state.counters["instances"] = instances;
   state.counters["store_calls_per_change"] =
-      double(after.reads + after.watches + after.writes - before.reads - before.watches -
-             before.writes) / double(changes);
+      double(after.reads + after.watches + after.writes - before.reads -
+             before.watches - before.writes) /
+      double(changes);
   state.counters["event_bytes_per_instance"] = double(bytes) / double(changes);
   state.counters["ns_per_instance_apply"] = benchmark::Counter(
-      double(changes) * instances, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+      double(changes) * instances,
+      benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 BENCHMARK(BM_ConfigChangeFanout)->Arg(1)->Arg(8)->Arg(64);
 
@@ -125,7 +135,8 @@
 void BM_UpstreamPick(benchmark::State& state) {
   turmeric::gateway::UpstreamPool pool;
   std::vector<std::string> addrs;
-  for (int i = 0; i < state.range(0); ++i) addrs.push_back("127.0.0.1:" + std::to_string(9000 + i));
+  for (int i = 0; i < state.range(0); ++i)
+    addrs.push_back("127.0.0.1:" + std::to_string(9000 + i));
   pool.SetAddresses(addrs);
   std::mt19937_64 rng(1);
   for (auto _ : state) {
@@ -144,10 +155,12 @@
   size_t value_bytes = 0;
   for (auto _ : state) {
     auto c = table.Acquire("b", "key-" + std::to_string(n++), 0);
-    table.Complete(c, R"({"state":"ran","output":"a short answer of about this size"})");
+    table.Complete(
+        c, R"({"state":"ran","output":"a short answer of about this size"})");
   }
   auto list = store.List("claims/");
-  for (const auto& o : list.value()) value_bytes += o.key.size() + o.value.size();
+  for (const auto& o : list.value())
+    value_bytes += o.key.size() + o.value.size();
   const auto c = store.counts();
   state.counters["writes_per_request"] = double(c.writes) / n;
   state.counters["reads_per_request"] = double(c.reads - 1) / n;
--- a/libs/standins/include/turmeric/standins/service_standin.h
+++ b/libs/standins/include/turmeric/standins/service_standin.h
@@ -30,6 +30,13 @@
   int64_t doubled() const { return doubled_; }
   /** @return requests executed. */
   int64_t executed() const { return executed_; }
+  /** @param key idempotency key. @return times executed for it. */
+  int executions(const std::string& key) const {
+    auto it = executions_.find(key);
+    return it == executions_.end() ? 0 : it->second;
+  }
+  /** @return calls refused because this upstream was leaving. */
+  int64_t refused_leaving() const { return refused_leaving_; }
 
  private:
   void Serve(const QHttpServerRequest& request,
@@ -43,6 +50,7 @@
   int reported_depth_ = 0;
   int64_t executed_ = 0;
   int64_t doubled_ = 0;
+  int64_t refused_leaving_ = 0;
   std::map<std::string, int> executions_;
   std::mt19937_64 rng_{7};
 };
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -69,6 +69,7 @@
       {"x-request-id", request_id},
       {"x-queue-depth", QByteArray::number(reported_depth_)}};
   if (faults_.leaving) {
+    ++refused_leaving_;
     http::WriteJson(responder, 503, R"({"error":"leaving"})",
                     {{"x-leaving", "1"}, {"x-request-id", request_id}});
     return;
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -39,6 +39,7 @@
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
   if (faults_.leaving) {
+    ++refused_leaving_;
     http::WriteJson(responder, 503, R"({"error":"leaving"})",
                     {{"x-leaving", "1"}, {"x-request-id", request_id}});
     return;
--- /dev/null
+++ b/tools/turmericctl/faults_scenario.cc
@@ -0,0 +1,236 @@
+// `turmericctl load --scenario=faults`: the brief's promises under faults,
+// policy against baseline in the same run.
+#include <gflags/gflags.h>
+
+#include <QFile>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTimer>
+#include <cstdio>
+#include <map>
+#include <sstream>
+
+#include "embedded_stack.h"
+#include "load_phase.h"
+#include "turmeric/config/settings_tree.h"
+#include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/gateway_metrics.h"
+#include "turmeric/gateway/gateway_service.h"
+#include "turmeric/standins/engine_standin.h"
+#include "turmeric/standins/service_standin.h"
+#include "turmeric/store/memory_store.h"
+
+DECLARE_int32(requests);
+DECLARE_int32(concurrency);
+DECLARE_int32(instances);
+DECLARE_string(report);
+DECLARE_uint64(seed);
+
+namespace turmeric::ctl {
+
+namespace {
+
+/** One pipeline of the traffic mix. */
+struct Flow {
+  const char* business;
+  const char* pipeline;
+  const char* organisation;
+  bool idempotent;
+};
+
+// Nilelight and Arvoredo each: a read-like pipeline and a non-idempotent one.
+constexpr Flow kMix[] = {
+    {"nilelight", "translate-notice", "nile-hotels", true},
+    {"arvoredo", "pruning-note", "camara-porto", true},
+    {"nilelight", "translate-notice", "nile-clinics", true},
+    {"arvoredo", "pruning-note", "parish-bonfim", true},
+    {"nilelight", "print-notice", "nile-hotels", false},
+    {"arvoredo", "felling-recommendation", "parish-bonfim", false},
+};
+
+/** What the invariants check found in one run. */
+struct Verdict {
+  int64_t doubled = 0;          ///< Non-idempotent keys executed twice.
+  int64_t not_run_but_ran = 0;  ///< Told "not run" yet executed.
+  int64_t misdelivered = 0;     ///< Caller got another request's answer.
+  int64_t gateway_misdelivered = 0;
+  int64_t leaving_refusals = 0;  ///< Calls that reached a leaving upstream.
+};
+
+double MetricSum(const std::string& text, const std::string& prefix) {
+  double sum = 0;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) {
+    if (line.rfind(prefix, 0) == 0)
+      sum += std::stod(line.substr(line.rfind(' ') + 1));
+  }
+  return sum;
+}
+
+QJsonObject RunOnce(const std::string& label, bool baseline, int run_index) {
+  EmbeddedStack stack;
+  const int instances = std::clamp(FLAGS_instances, 2, 8);
+  if (!stack.Start(instances)) return {{"error", "cannot start"}};
+  if (baseline) {
+    // Baseline: round-robin, no retries, no admission limits, no shedding.
+    stack.store->Put(
+        config::SettingsKey("group", "", ""),
+        "deadline_ms = 6000\nmax_inflight = 1000000\nrouting = round_robin\n"
+        "retry_budget_percent = 0\nmin_stage_ms = 0\n",
+        store::kAnyVersion);
+    for (const char* b : {"nilelight", "arvoredo"}) {
+      auto biz = stack.store->Get(config::SettingsKey("business", b, ""));
+      std::string v = biz.value().value;
+      v += "retry_budget_percent = 0\n";
+      stack.store->Put(config::SettingsKey("business", b, ""), v,
+                       store::kAnyVersion);
+    }
+    for (auto [b, o] : {std::pair{"nilelight", "nile-clinics"},
+                        std::pair{"arvoredo", "parish-bonfim"}}) {
+      stack.store->Put(config::SettingsKey("organisation", b, o), "",
+                       store::kAnyVersion);
+    }
+  }
+  const auto& engines = stack.embedded->engines();
+  const auto& services = stack.embedded->services();
+  const int total = std::clamp(FLAGS_requests, 50, 20000);
+  auto make = [&](int i, int attempt) {
+    const Flow& f = kMix[i % std::size(kMix)];
+    const std::string nonce = "#n" + std::to_string(i);
+    QJsonObject body{{"organisation", f.organisation},
+                     {"input", QString::fromStdString("notice " + nonce)},
+                     {"max_tokens", 4},
+                     {"deadline_ms", kDeadlineMs}};
+    QList<QPair<QByteArray, QByteArray>> headers;
+    if (!f.idempotent) {
+      body["idempotent"] = false;
+      headers.append({"Idempotency-Key", QByteArray::fromStdString(
+                                             "k" + std::to_string(run_index) +
+                                             "-" + std::to_string(i))});
+    }
+    // A caller's retry lands on another instance, as the balancer would.
+    const int instance = (i + attempt) % instances;
+    return LoadRequest{stack.Url(instance) + "/v1/pipelines/" + f.business +
+                           "/" + f.pipeline + ":run",
+                       QJsonDocument(body).toJson(QJsonDocument::Compact),
+                       headers, nonce, f.business};
+  };
+  // The fault schedule, in ms from the start of the run.
+  std::vector<std::unique_ptr<QTimer>> timers;
+  auto at = [&](int ms, std::function<void()> action) {
+    auto t = std::make_unique<QTimer>();
+    t->setSingleShot(true);
+    QObject::connect(t.get(), &QTimer::timeout, action);
+    t->start(ms);
+    timers.push_back(std::move(t));
+  };
+  at(300, [&] {
+    services[6]->SetFaults({.slow_factor = 20});
+  });  // a stage service slows
+  at(800, [&] {
+    stack.store->SetFaults(
+        {.outage = false, .lose_answer_rate = 0.3, .seed = FLAGS_seed});
+  });
+  at(1000, [&] {
+    engines[0]->SetFaults({.leaving = true});  // a Nilelight engine leaves
+    engines[3]->SetFaults({.leaving = true});  // an Arvoredo engine leaves
+  });
+  at(1200, [&] { stack.gateways[instances - 1]->Kill(); });
+  at(1500,
+     [&] { stack.store->SetFaults({.outage = true, .seed = FLAGS_seed}); });
+  at(2000, [&] { stack.store->SetFaults({.seed = FLAGS_seed}); });
+  at(2300, [&] { services[6]->SetFaults({}); });
+  Phase p = RunPhase(total, std::clamp(FLAGS_concurrency, 1, 256), 2, make);
+
+  Verdict v;
+  for (const auto& s : services) v.doubled += s->doubled();
+  for (const auto& e : engines) v.leaving_refusals += e->refused_leaving();
+  for (int i = 0; i < static_cast<int>(p.results.size()); ++i) {
+    const Flow& f = kMix[i % std::size(kMix)];
+    const LoadResult& r = p.results[i];
+    v.misdelivered += r.misdelivered;
+    if (f.idempotent || r.state != "not_run") continue;
+    const std::string key =
+        "k" + std::to_string(run_index) + "-" + std::to_string(i);
+    for (const auto& s : services) v.not_run_but_ran += s->executions(key) > 0;
+  }
+  std::map<std::string, double> cost;
+  for (gateway::GatewayService* g : stack.gateways) {
+    const std::string text = g->metrics().Render();
+    v.gateway_misdelivered +=
+        static_cast<int64_t>(MetricSum(text, "turmeric_misdelivered_total"));
+    for (const char* b : {"nilelight", "arvoredo"}) {
+      for (const char* st :
+           {"encode", "retrieve", "rerank", "generate", "print", "record"}) {
+        const std::string key = std::string(b) + "/" + st;
+        cost[key] += MetricSum(
+            text, "turmeric_stage_upstream_seconds_total{business=\"" +
+                      std::string(b) + "\",stage=\"" + st + "\"}");
+      }
+    }
+  }
+  std::printf("== %s\n", label.c_str());
+  PrintSummary("  all", p.summary, p.seconds);
+  QJsonObject per_business;
+  for (const char* b : {"nilelight", "arvoredo"}) {
+    const LoadSummary s = Summarize(p.results, b);
+    PrintSummary(std::string("  ") + b, s, p.seconds);
+    per_business[b] = SummaryJson(s);
+  }
+  std::printf(
+      "  invariants: doubled=%lld not_run_but_ran=%lld misdelivered=%lld "
+      "gateway_misdelivered=%lld\n",
+      static_cast<long long>(v.doubled),
+      static_cast<long long>(v.not_run_but_ran),
+      static_cast<long long>(v.misdelivered),
+      static_cast<long long>(v.gateway_misdelivered));
+  std::printf("  calls refused by leaving engines (after 1000 ms): %lld\n",
+              static_cast<long long>(v.leaving_refusals));
+  QJsonObject cost_json;
+  std::printf("  upstream seconds by business/stage:");
+  for (const auto& [k, s] : cost) {
+    if (s <= 0) continue;
+    std::printf(" %s=%.2f", k.c_str(), s);
+    cost_json[QString::fromStdString(k)] = s;
+  }
+  std::printf("\n");
+  const bool held = v.doubled == 0 && v.not_run_but_ran == 0 &&
+                    v.misdelivered == 0 && v.gateway_misdelivered == 0;
+  return {{"label", QString::fromStdString(label)},
+          {"all", SummaryJson(p.summary)},
+          {"per_business", per_business},
+          {"doubled", double(v.doubled)},
+          {"not_run_but_ran", double(v.not_run_but_ran)},
+          {"misdelivered", double(v.misdelivered + v.gateway_misdelivered)},
+          {"leaving_refusals", double(v.leaving_refusals)},
+          {"upstream_seconds", cost_json},
+          {"invariants_held", held}};
+}
+
+}  // namespace
+
+int RunFaultsScenario() {
+  std::printf(
+      "scenario=faults requests=%d concurrency=%d instances=%d seed=%llu\n",
+      FLAGS_requests, FLAGS_concurrency, FLAGS_instances,
+      static_cast<unsigned long long>(FLAGS_seed));
+  const QJsonObject policy =
+      RunOnce("policy (p2c, retry budget, admission, shedding)", false, 0);
+  const QJsonObject base =
+      RunOnce("baseline (round-robin, no retries, no admission)", true, 1);
+  if (!FLAGS_report.empty()) {
+    QFile f(QString::fromStdString(FLAGS_report));
+    if (f.open(QIODevice::WriteOnly)) {
+      f.write(QJsonDocument(QJsonObject{{"scenario", "faults"},
+                                        {"policy", policy},
+                                        {"baseline", base}})
+                  .toJson());
+    }
+  }
+  return policy.value("invariants_held").toBool() &&
+                 base.value("invariants_held").toBool()
+             ? 0
+             : 1;
+}
+
+}  // namespace turmeric::ctl
--- a/tools/turmericctl/load_command.cc
+++ b/tools/turmericctl/load_command.cc
@@ -11,6 +11,8 @@
 #include <iostream>
 #include <memory>
 
+#include "embedded_stack.h"
+#include "load_phase.h"
 #include "load_runner.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/gateway_service.h"
@@ -32,96 +34,7 @@
 
 namespace {
 
-constexpr int kTimeCapMs = 120000;
-constexpr int kDeadlineMs = 2000;
-
-double CpuSeconds() {
-  rusage u{};
-  getrusage(RUSAGE_SELF, &u);
-  return u.ru_utime.tv_sec + u.ru_stime.tv_sec +
-         (u.ru_utime.tv_usec + u.ru_stime.tv_usec) / 1e6;
-}
-
-/** The embedded platform plus entry instances, all in this process. */
-struct Stack {
-  std::shared_ptr<store::MemoryStore> store =
-      std::make_shared<store::MemoryStore>();
-  kernel::Kernel platform;
-  gateway::EmbeddedPlatform* embedded = nullptr;
-  std::vector<std::unique_ptr<kernel::Kernel>> kernels;
-  std::vector<gateway::GatewayService*> gateways;
-
-  bool Start(int instances) {
-    platform.Register(std::make_unique<gateway::StoreService>(store));
-    embedded = static_cast<gateway::EmbeddedPlatform*>(
-        platform.Register(std::make_unique<gateway::EmbeddedPlatform>(0)));
-    if (!platform.StartAll()) return false;
-    for (int i = 0; i < instances; ++i) {
-      config::InstanceSettings s;
-      s.name = "entry-" + std::to_string(i + 1);
-      s.zone = "zone-" + std::string(1, char('a' + i % 3));
-      s.listen_port = 0;
-      auto k = std::make_unique<kernel::Kernel>();
-      k->Register(std::make_unique<gateway::StoreService>(store));
-      k->Register(std::make_unique<gateway::SettingsService>());
-      gateways.push_back(static_cast<gateway::GatewayService*>(
-          k->Register(std::make_unique<gateway::GatewayService>(s))));
-      if (!k->StartAll()) return false;
-      kernels.push_back(std::move(k));
-    }
-    return true;
-  }
-  QString Url(int instance) const {
-    return "http://127.0.0.1:" + QString::number(gateways[instance]->port());
-  }
-};
-
-QJsonObject SummaryJson(const LoadSummary& s) {
-  return {{"count", s.count},
-          {"attainment", s.attainment()},
-          {"ran", s.ran},
-          {"not_run", s.not_run},
-          {"failed", s.failed},
-          {"unknown", s.unknown},
-          {"no_answer", s.no_answer},
-          {"misdelivered", s.misdelivered},
-          {"p50_ms", s.p50_ms},
-          {"p99_ms", s.p99_ms}};
-}
-
-void PrintSummary(const std::string& label, const LoadSummary& s,
-                  double seconds) {
-  std::printf(
-      "%-28s n=%5d attain=%6.2f%% p50=%7.2fms p99=%7.2fms rps=%7.1f "
-      "ran=%d not_run=%d failed=%d unknown=%d no_answer=%d misdelivered=%d\n",
-      label.c_str(), s.count, 100 * s.attainment(), s.p50_ms, s.p99_ms,
-      seconds > 0 ? s.count / seconds : 0.0, s.ran, s.not_run, s.failed,
-      s.unknown, s.no_answer, s.misdelivered);
-}
-
-struct Phase {
-  LoadSummary summary;
-  double seconds = 0;
-  double cpu_seconds = 0;
-  std::vector<LoadResult> results;
-};
-
-Phase RunPhase(int total, int concurrency, int max_retries, RequestMaker make) {
-  Phase p;
-  const double cpu0 = CpuSeconds();
-  const auto t0 = std::chrono::steady_clock::now();
-  LoadRunner runner(concurrency, total, kDeadlineMs, max_retries,
-                    std::move(make));
-  p.results = runner.Run(kTimeCapMs);
-  p.seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() - t0)
-          .count();
-  p.cpu_seconds = CpuSeconds() - cpu0;
-  p.summary = Summarize(p.results, "");
-  return p;
-}
-
-int Overhead(Stack& stack) {
+int Overhead(EmbeddedStack& stack) {
   // The direct baseline spreads over the same three engines the gateway's
   // "generate" pipeline routes to, in turn, at the same concurrency.
   constexpr int kEngines = 3;
@@ -193,19 +106,20 @@
 
 }  // namespace
 
-int RunFaultsScenario(Stack& stack);
+int RunFaultsScenario();
 
 int RunLoadCommand() {
-  Stack stack;
-  const int instances =
-      FLAGS_scenario == "faults" ? std::clamp(FLAGS_instances, 2, 8) : 1;
-  if (!stack.Start(instances)) {
+  if (FLAGS_scenario == "faults") return RunFaultsScenario();
+  if (FLAGS_scenario != "overhead") {
+    std::cerr << "unknown scenario " << FLAGS_scenario << "\n";
+    return 2;
+  }
+  EmbeddedStack stack;
+  if (!stack.Start(1)) {
     std::cerr << "cannot start the embedded stack\n";
     return 2;
   }
-  if (FLAGS_scenario == "overhead") return Overhead(stack);
-  std::cerr << "unknown scenario " << FLAGS_scenario << "\n";
-  return 2;
+  return Overhead(stack);
 }
 
 }  // namespace turmeric::ctl
