Leaving refusals are not charged to the retry budget; whole-path tests

Cause: a new whole-path test ('a leaving upstream gets no new work after it says so') failed on its first request: the engine refused with 503 x-leaving, and the retry to another engine was denied because the retry budget starts empty (10% of first attempts, so 0.1 token after one request). The caller got 'failed' for a request nothing had run. Ruled out: routing (Pick excluded the engine correctly after the refusal) and the stand-in (it answered 503 + x-leaving as specified).

Change: a refusal from a leaving upstream is resent without spending the budget; it is bounded because each upstream refuses at most once per instance before Pick excludes it. EmbeddedStack and HttpCall move into the libraries so tests and the load tool share them. New path tests (Qt, real loopback HTTP): planned stop cuts nothing in flight and refuses late arrivals as not run (2003); leaving upstream; non-idempotent retry through another instance replayed and executed once; store outage told not_run truthfully, retry after it runs once; bad input numbered (1001, 1003, 1005, 6002, 6003).

Conclusion: replacing an upstream no longer fails requests right after an instance starts.

--- a/tools/turmericctl/embedded_stack.h
+++ b/libs/gateway/include/turmeric/gateway/embedded_stack.h
@@ -10,11 +10,9 @@
 class MemoryStore;
 }
 namespace turmeric::gateway {
+
 class EmbeddedPlatform;
 class GatewayService;
-}  // namespace turmeric::gateway
-
-namespace turmeric::ctl {
 
 /**
  * The embedded platform (store stand-in, upstream stand-ins) plus entry
@@ -31,9 +29,9 @@
 
   std::shared_ptr<store::MemoryStore> store;
   kernel::Kernel platform;
-  gateway::EmbeddedPlatform* embedded = nullptr;
+  EmbeddedPlatform* embedded = nullptr;
   std::vector<std::unique_ptr<kernel::Kernel>> kernels;
-  std::vector<gateway::GatewayService*> gateways;
+  std::vector<GatewayService*> gateways;
 };
 
-}  // namespace turmeric::ctl
+}  // namespace turmeric::gateway
--- a/tools/turmericctl/embedded_stack.cc
+++ b/libs/gateway/src/embedded_stack.cc
@@ -1,4 +1,4 @@
-#include "embedded_stack.h"
+#include "turmeric/gateway/embedded_stack.h"
 
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/gateway_service.h"
@@ -6,7 +6,7 @@
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/store/memory_store.h"
 
-namespace turmeric::ctl {
+namespace turmeric::gateway {
 
 EmbeddedStack::EmbeddedStack()
     : store(std::make_shared<store::MemoryStore>()) {}
@@ -17,9 +17,9 @@
 }
 
 bool EmbeddedStack::Start(int instances) {
-  platform.Register(std::make_unique<gateway::StoreService>(store));
-  embedded = static_cast<gateway::EmbeddedPlatform*>(
-      platform.Register(std::make_unique<gateway::EmbeddedPlatform>(0)));
+  platform.Register(std::make_unique<StoreService>(store));
+  embedded = static_cast<EmbeddedPlatform*>(
+      platform.Register(std::make_unique<EmbeddedPlatform>(0)));
   if (!platform.StartAll()) return false;
   for (int i = 0; i < instances; ++i) {
     config::InstanceSettings s;
@@ -27,10 +27,10 @@
     s.zone = "zone-" + std::string(1, static_cast<char>('a' + i % 3));
     s.listen_port = 0;
     auto k = std::make_unique<kernel::Kernel>();
-    k->Register(std::make_unique<gateway::StoreService>(store));
-    k->Register(std::make_unique<gateway::SettingsService>());
-    gateways.push_back(static_cast<gateway::GatewayService*>(
-        k->Register(std::make_unique<gateway::GatewayService>(s))));
+    k->Register(std::make_unique<StoreService>(store));
+    k->Register(std::make_unique<SettingsService>());
+    gateways.push_back(static_cast<GatewayService*>(
+        k->Register(std::make_unique<GatewayService>(s))));
     if (!k->StartAll()) return false;
     kernels.push_back(std::move(k));
   }
@@ -41,4 +41,4 @@
   return "http://127.0.0.1:" + QString::number(gateways[instance]->port());
 }
 
-}  // namespace turmeric::ctl
+}  // namespace turmeric::gateway
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -208,8 +208,13 @@
   // elsewhere. Other failures of a non-idempotent call may have run.
   const bool refused_unrun = leaving && status == 503;
   const bool may_retry = spec.idempotent || refused_unrun;
-  if (may_retry && ctx_.retry_budget->TrySpend() &&
-      RemainingMs() > req_.settings.min_stage_ms) {
+  // A leaving upstream's refusal did no work and marks it out of the pool,
+  // so resending it cannot feed a retry storm: each upstream refuses at most
+  // once per instance. It is not charged to the retry budget, which would
+  // otherwise turn a routine replacement into failed requests right after
+  // start, when the budget holds no tokens yet.
+  const bool budget_ok = refused_unrun || ctx_.retry_budget->TrySpend();
+  if (may_retry && budget_ok && RemainingMs() > req_.settings.min_stage_ms) {
     last_upstream_ = index;
     RunStage();
     return;
--- /dev/null
+++ b/libs/gateway/test/path_test.cc
@@ -0,0 +1,183 @@
+// Whole-path tests: the embedded platform and entry instances in-process,
+// real HTTP on loopback, faults injected at the stand-ins.
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QTimer>
+#include <catch2/catch.hpp>
+
+#include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/embedded_stack.h"
+#include "turmeric/gateway/gateway_service.h"
+#include "turmeric/http/http_call.h"
+#include "turmeric/standins/engine_standin.h"
+#include "turmeric/standins/service_standin.h"
+#include "turmeric/store/memory_store.h"
+
+using turmeric::gateway::EmbeddedStack;
+using turmeric::http::HttpAnswer;
+using turmeric::http::HttpCall;
+
+namespace {
+
+QByteArray Body(const char* organisation, const char* input,
+                bool idempotent = true) {
+  QJsonObject o{
+      {"organisation", organisation}, {"input", input}, {"max_tokens", 4}};
+  if (!idempotent) o["idempotent"] = false;
+  return QJsonDocument(o).toJson(QJsonDocument::Compact);
+}
+
+QJsonObject Json(const HttpAnswer& a) {
+  return QJsonDocument::fromJson(a.body).object();
+}
+
+QString RunUrl(const EmbeddedStack& s, int instance, const char* business,
+               const char* pipeline) {
+  return s.Url(instance) + "/v1/pipelines/" + business + "/" + pipeline +
+         ":run";
+}
+
+void Wait(int ms) {
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+}  // namespace
+
+TEST_CASE("a planned stop cuts nothing in flight") {
+  // An operator stops an entry instance while receptionists' requests are
+  // being generated. Each request already taken must still get its whole
+  // answer; only requests arriving after the stop are refused, as not run.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  for (const auto& e : stack.embedded->engines())
+    e->SetFaults({.slow_factor = 10});
+  QNetworkAccessManager network;
+  std::vector<QNetworkReply*> replies;
+  for (int i = 0; i < 5; ++i) {
+    QNetworkRequest r{QUrl(RunUrl(stack, 0, "nilelight", "generate"))};
+    r.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    replies.push_back(network.post(r, Body("nile-hotels", "room 4 moved")));
+  }
+  Wait(30);
+  bool drained = false;
+  stack.gateways[0]->Drain([&] { drained = true; });
+  const HttpAnswer late =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "generate"),
+               Body("nile-hotels", "too late"));
+  CHECK(late.status == 503);
+  CHECK(Json(late).value("code").toInt() == 2003);
+  CHECK(Json(late).value("state").toString() == "not_run");
+  for (int i = 0; i < 200 && !drained; ++i) Wait(10);
+  CHECK(drained);
+  for (QNetworkReply* r : replies) {
+    REQUIRE(r->isFinished());
+    CHECK(QJsonDocument::fromJson(r->readAll())
+              .object()
+              .value("state")
+              .toString() == "ran");
+  }
+}
+
+TEST_CASE("a leaving upstream gets no new work after it says so") {
+  // A Nilelight engine is being replaced. After its first refusal no
+  // request may be sent to it again; every notice still gets generated.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  const auto& leaving = stack.embedded->engines()[0];
+  leaving->SetFaults({.leaving = true});
+  QNetworkAccessManager network;
+  for (int i = 0; i < 30; ++i) {
+    const HttpAnswer a =
+        HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "generate"),
+                 Body("nile-hotels", "notice"));
+    CHECK(Json(a).value("state").toString() == "ran");
+  }
+  CHECK(leaving->refused_leaving() <= 1);
+  CHECK(leaving->served() == 0);
+}
+
+TEST_CASE("a non-idempotent retry through another instance is replayed") {
+  // A parish crew's app times out and resends its felling recommendation
+  // with the same key; the balancer sends it to another instance. The crew
+  // portal must record it once, and the retry must get the first answer.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(2));
+  QNetworkAccessManager network;
+  const QList<QPair<QByteArray, QByteArray>> key = {
+      {"Idempotency-Key", "tree-881"}};
+  const HttpAnswer first = HttpCall(
+      network, "POST", RunUrl(stack, 0, "arvoredo", "felling-recommendation"),
+      Body("parish-bonfim", "lime 881", false), key);
+  REQUIRE(Json(first).value("state").toString() == "ran");
+  const HttpAnswer retry = HttpCall(
+      network, "POST", RunUrl(stack, 1, "arvoredo", "felling-recommendation"),
+      Body("parish-bonfim", "lime 881", false), key);
+  CHECK(Json(retry).value("state").toString() == "ran");
+  CHECK(Json(retry).value("output") == Json(first).value("output"));
+  int executions = 0;
+  for (const auto& s : stack.embedded->services())
+    executions += s->executions("tree-881");
+  CHECK(executions == 1);
+}
+
+TEST_CASE("a store outage refuses non-idempotent work as not run, truthfully") {
+  // The platform's store is down when a notice is to be printed. The caller
+  // must hear "not run" only if nothing was printed, and its retry after the
+  // outage must print exactly once.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  QNetworkAccessManager network;
+  const QList<QPair<QByteArray, QByteArray>> key = {
+      {"Idempotency-Key", "notice-9"}};
+  stack.store->SetFaults({.outage = true});
+  const HttpAnswer down =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+               Body("nile-hotels", "floor 2", false), key);
+  CHECK(Json(down).value("code").toInt() == 5001);
+  CHECK(Json(down).value("state").toString() == "not_run");
+  int executions = 0;
+  for (const auto& s : stack.embedded->services())
+    executions += s->executions("notice-9");
+  CHECK(executions == 0);
+  stack.store->SetFaults({});
+  Wait(1100);  // the claim release queued during the outage is retried
+  const HttpAnswer again =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+               Body("nile-hotels", "floor 2", false), key);
+  CHECK(Json(again).value("state").toString() == "ran");
+  executions = 0;
+  for (const auto& s : stack.embedded->services())
+    executions += s->executions("notice-9");
+  CHECK(executions == 1);
+}
+
+TEST_CASE("bad input gets a numbered error and runs nothing") {
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  QNetworkAccessManager network;
+  const HttpAnswer org =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "generate"),
+               Body("nobody", "x"));
+  CHECK(org.status == 404);
+  CHECK(Json(org).value("code").toInt() == 1003);
+  const HttpAnswer json = HttpCall(
+      network, "POST", RunUrl(stack, 0, "nilelight", "generate"), "{not json");
+  CHECK(Json(json).value("code").toInt() == 1001);
+  const HttpAnswer key =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+               Body("nile-hotels", "x", false));
+  CHECK(Json(key).value("code").toInt() == 1005);
+  const HttpAnswer cfg =
+      HttpCall(network, "PUT", stack.Url(0) + "/v1/config/group",
+               "deadlin_ms = 5", {{"If-Match", "1"}});
+  CHECK(Json(cfg).value("code").toInt() == 6002);
+  const HttpAnswer race =
+      HttpCall(network, "PUT", stack.Url(0) + "/v1/config/group",
+               "deadline_ms = 5000", {{"If-Match", "99"}});
+  CHECK(Json(race).value("code").toInt() == 6003);
+}
--- a/tools/turmericctl/http_call.h
+++ b/libs/http/include/turmeric/http/http_call.h
@@ -7,7 +7,7 @@
 
 class QNetworkAccessManager;
 
-namespace turmeric::ctl {
+namespace turmeric::http {
 
 /** A finished HTTP exchange. */
 struct HttpAnswer {
@@ -32,4 +32,4 @@
                     const QList<QPair<QByteArray, QByteArray>>& headers = {},
                     int timeout_ms = 10000);
 
-}  // namespace turmeric::ctl
+}  // namespace turmeric::http
--- a/tools/turmericctl/http_call.cc
+++ b/libs/http/src/http_call.cc
@@ -1,11 +1,11 @@
-#include "http_call.h"
+#include "turmeric/http/http_call.h"
 
 #include <QBuffer>
 #include <QEventLoop>
 #include <QNetworkAccessManager>
 #include <QNetworkReply>
 
-namespace turmeric::ctl {
+namespace turmeric::http {
 
 HttpAnswer HttpCall(QNetworkAccessManager& network, const QByteArray& method,
                     const QString& url, const QByteArray& body,
@@ -33,4 +33,4 @@
   return answer;
 }
 
-}  // namespace turmeric::ctl
+}  // namespace turmeric::http
--- a/tools/turmericctl/config_command.cc
+++ b/tools/turmericctl/config_command.cc
@@ -8,7 +8,7 @@
 #include <QNetworkAccessManager>
 #include <iostream>
 
-#include "http_call.h"
+#include "turmeric/http/http_call.h"
 #include "turmeric/config/settings_layer.h"
 
 DECLARE_string(file);
@@ -35,7 +35,7 @@
   return f.readAll();
 }
 
-int Print(const HttpAnswer& a) {
+int Print(const http::HttpAnswer& a) {
   if (!a.error.isEmpty()) {
     std::cerr << "error: " << a.error.toStdString() << "\n";
     return 1;
@@ -57,26 +57,26 @@
   const std::string& verb = args[0];
   const QString key =
       args.size() > 1 ? QString::fromStdString(args[1]) : QString();
-  if (verb == "list") return Print(HttpCall(network, "GET", base + key));
+  if (verb == "list") return Print(http::HttpCall(network, "GET", base + key));
   if (key.isEmpty()) {
     std::cerr << "usage: turmericctl config " << verb
               << " KEY (e.g. business/nilelight)\n";
     return 2;
   }
-  if (verb == "get") return Print(HttpCall(network, "GET", base + key));
+  if (verb == "get") return Print(http::HttpCall(network, "GET", base + key));
   if (verb == "set") {
     if (FLAGS_if_version < 0) {
       std::cerr << "config set needs --if_version (0 to create; the version "
                    "`config get` showed to update)\n";
       return 2;
     }
-    return Print(HttpCall(
+    return Print(http::HttpCall(
         network, "PUT", base + key, ReadInput(),
         {{"If-Match",
           QByteArray::number(static_cast<qlonglong>(FLAGS_if_version))}}));
   }
   if (verb == "diff") {
-    const HttpAnswer current = HttpCall(network, "GET", base + key);
+    const http::HttpAnswer current = http::HttpCall(network, "GET", base + key);
     const std::string stored = QJsonDocument::fromJson(current.body)
                                    .object()
                                    .value("value")
@@ -122,8 +122,8 @@
   const QString url =
       QString::fromStdString(target + "/v1/pipelines/" + FLAGS_business + "/" +
                              FLAGS_pipeline + ":run");
-  const HttpAnswer a =
-      HttpCall(network, "POST", url,
+  const http::HttpAnswer a =
+      http::HttpCall(network, "POST", url,
                QJsonDocument(body).toJson(QJsonDocument::Compact), headers);
   Print(a);
   return QJsonDocument::fromJson(a.body).object().value("state").toString() ==
--- a/tools/turmericctl/faults_scenario.cc
+++ b/tools/turmericctl/faults_scenario.cc
@@ -10,7 +10,7 @@
 #include <map>
 #include <sstream>
 
-#include "embedded_stack.h"
+#include "turmeric/gateway/embedded_stack.h"
 #include "load_phase.h"
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/embedded_platform.h"
@@ -68,7 +68,7 @@
 }
 
 QJsonObject RunOnce(const std::string& label, bool baseline, int run_index) {
-  EmbeddedStack stack;
+  gateway::EmbeddedStack stack;
   const int instances = std::clamp(FLAGS_instances, 2, 8);
   if (!stack.Start(instances)) return {{"error", "cannot start"}};
   if (baseline) {
--- a/tools/turmericctl/load_command.cc
+++ b/tools/turmericctl/load_command.cc
@@ -11,7 +11,7 @@
 #include <iostream>
 #include <memory>
 
-#include "embedded_stack.h"
+#include "turmeric/gateway/embedded_stack.h"
 #include "load_phase.h"
 #include "load_runner.h"
 #include "turmeric/gateway/embedded_platform.h"
@@ -34,7 +34,7 @@
 
 namespace {
 
-int Overhead(EmbeddedStack& stack) {
+int Overhead(gateway::EmbeddedStack& stack) {
   // The direct baseline spreads over the same three engines the gateway's
   // "generate" pipeline routes to, in turn, at the same concurrency.
   constexpr int kEngines = 3;
@@ -114,7 +114,7 @@
     std::cerr << "unknown scenario " << FLAGS_scenario << "\n";
     return 2;
   }
-  EmbeddedStack stack;
+  gateway::EmbeddedStack stack;
   if (!stack.Start(1)) {
     std::cerr << "cannot start the embedded stack\n";
     return 2;
