Never 'not run' for a keyed request whose claim was not checked; Retry-After in ms

Change: keyed (non-idempotent) requests refused before their claim is read are answered state 'unknown' with the code and a retry_after_ms; 'not run' is kept for idempotent requests and for keyed ones whose own claim shows nothing ran. Refusals carry retry_after_ms (RetryAfterMs: draining 0, overloaded 50, store down / key in flight 250, no upstream 500) and Retry-After in whole seconds. The load tool's callers now wait what the answer asks before resending (was: at once).

--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -26,7 +26,6 @@
 
 constexpr std::string_view kRunPrefix = "/v1/pipelines/";
 constexpr std::string_view kConfigPrefix = "/v1/config/";
-constexpr int kRetryAfterSeconds = 1;
 
 QByteArray ErrorBody(const std::string& request_id, Errc code,
                      const std::string& detail, RunState state) {
@@ -166,12 +165,19 @@
                        utils::ErrcName(code), 0, false);
     std::vector<std::pair<QByteArray, QByteArray>> headers = {
         {"x-request-id", QByteArray::fromStdString(request_id)}};
-    if (utils::HttpStatus(code) == 503 || utils::HttpStatus(code) == 429) {
-      headers.emplace_back("Retry-After",
-                           QByteArray::number(kRetryAfterSeconds));
+    QJsonObject body =
+        QJsonDocument::fromJson(ErrorBody(request_id, code, detail, state))
+            .object();
+    if (const int after_ms = utils::RetryAfterMs(code); after_ms >= 0) {
+      constexpr int kMsPerSecond = 1000;
+      headers.emplace_back(
+          "Retry-After",
+          QByteArray::number((after_ms + kMsPerSecond - 1) / kMsPerSecond));
+      body["retry_after_ms"] = after_ms;
     }
     http::WriteJson(responder, utils::HttpStatus(code),
-                    ErrorBody(request_id, code, detail, state), headers);
+                    QJsonDocument(body).toJson(QJsonDocument::Compact),
+                    headers);
   };
   // Path: /v1/pipelines/<business>/<pipeline>:run
   const QString path = request.url().path().mid(kRunPrefix.size());
@@ -221,7 +227,12 @@
   }
   if (const Errc admit = admission_.TryAdmit(s, deadline_ms);
       admit != Errc::kOk) {
-    refuse(admit, "not admitted", RunState::kNotRun);
+    // Guard: an earlier attempt with this idempotency key may have run on
+    // another instance (killed before it answered). This attempt has not
+    // looked at the claim, so it cannot say "not run" for the request; it
+    // says "unknown" and when to come back with the same key.
+    refuse(admit, "not admitted; this attempt ran nothing",
+           idempotent ? RunState::kNotRun : RunState::kUnknown);
     return;
   }
   Claim claim;
@@ -245,9 +256,13 @@
             RunState::kUnknown);
         return;
       }
+      // Guard: with the store unreadable we cannot tell whether an earlier
+      // attempt with this key ran (found by the faults scenario: a retry
+      // after a killed instance was told "not run" for a printed notice).
       refuse(Errc::kStoreUnavailable,
-             "cannot claim the idempotency key; nothing ran",
-             RunState::kNotRun);
+             "cannot read the idempotency key's claim; this attempt ran "
+             "nothing, an earlier one may have",
+             RunState::kUnknown);
       return;
     }
   }
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -78,6 +78,15 @@
  */
 int HttpStatus(Errc code);
 
+/**
+ * When a refused caller should come back: sent as `retry_after_ms` in the
+ * body and, rounded up to whole seconds, as `Retry-After`.
+ * @param code a result code.
+ * @return milliseconds to wait (0: at once, to another instance), or -1 if
+ *     resending the same request cannot help.
+ */
+int RetryAfterMs(Errc code);
+
 /** What a caller is told about whether its request ran. */
 enum class RunState {
   kRan,      ///< Every stage ran; the answer is whole.
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -86,6 +86,22 @@
   return 503;
 }
 
+int RetryAfterMs(Errc code) {
+  switch (code) {
+    case Errc::kDraining:
+      return 0;  // another instance can take it now
+    case Errc::kOverloaded:
+      return 50;
+    case Errc::kStoreUnavailable:
+    case Errc::kDuplicateInFlight:
+      return 250;
+    case Errc::kNoUpstream:
+      return 500;
+    default:
+      return -1;
+  }
+}
+
 std::string_view RunStateName(RunState state) {
   switch (state) {
     case RunState::kRan:
--- a/tools/turmericctl/config_command.cc
+++ b/tools/turmericctl/config_command.cc
@@ -8,8 +8,8 @@
 #include <QNetworkAccessManager>
 #include <iostream>
 
-#include "turmeric/http/http_call.h"
 #include "turmeric/config/settings_layer.h"
+#include "turmeric/http/http_call.h"
 
 DECLARE_string(file);
 DECLARE_int64(if_version);
@@ -122,9 +122,9 @@
   const QString url =
       QString::fromStdString(target + "/v1/pipelines/" + FLAGS_business + "/" +
                              FLAGS_pipeline + ":run");
-  const http::HttpAnswer a =
-      http::HttpCall(network, "POST", url,
-               QJsonDocument(body).toJson(QJsonDocument::Compact), headers);
+  const http::HttpAnswer a = http::HttpCall(
+      network, "POST", url, QJsonDocument(body).toJson(QJsonDocument::Compact),
+      headers);
   Print(a);
   return QJsonDocument::fromJson(a.body).object().value("state").toString() ==
                  "ran"
--- a/tools/turmericctl/faults_scenario.cc
+++ b/tools/turmericctl/faults_scenario.cc
@@ -10,10 +10,10 @@
 #include <map>
 #include <sstream>
 
-#include "turmeric/gateway/embedded_stack.h"
 #include "load_phase.h"
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/embedded_stack.h"
 #include "turmeric/gateway/gateway_metrics.h"
 #include "turmeric/gateway/gateway_service.h"
 #include "turmeric/standins/engine_standin.h"
--- a/tools/turmericctl/load_command.cc
+++ b/tools/turmericctl/load_command.cc
@@ -11,10 +11,10 @@
 #include <iostream>
 #include <memory>
 
-#include "turmeric/gateway/embedded_stack.h"
 #include "load_phase.h"
 #include "load_runner.h"
 #include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/embedded_stack.h"
 #include "turmeric/gateway/gateway_service.h"
 #include "turmeric/gateway/settings_service.h"
 #include "turmeric/gateway/store_service.h"
--- a/tools/turmericctl/load_runner.cc
+++ b/tools/turmericctl/load_runner.cc
@@ -94,10 +94,14 @@
     r.misdelivered = r.state == "ran" && (!has_own || foreign > 0);
     r.whole_in_time = r.state == "ran" && !r.misdelivered && ms <= deadline_ms_;
     const bool transport = r.status == 0;
-    const bool retryable = transport || r.state == "not_run";
-    if (retryable && open->attempt < max_retries_ && ms < deadline_ms_) {
+    // As a caller would: resend what did not run, and an unknown outcome
+    // under the same idempotency key, after the wait the answer asked for.
+    const int after_ms = o.value("retry_after_ms").toInt(transport ? 0 : -1);
+    const bool retryable = after_ms >= 0 && r.state != "ran";
+    if (retryable && open->attempt < max_retries_ &&
+        ms + after_ms < deadline_ms_) {
       ++open->attempt;
-      Send(open);
+      QTimer::singleShot(after_ms, this, [this, open] { Send(open); });
       return;
     }
     ++finished_;
