--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -44,13 +44,15 @@
 
 std::string OrgName(int i) { return "organisation-" + std::to_string(i); }
 
-/** An organisation states two keys, as the seeded ones do. */
-void SeedOrganisations(MemoryStore& store, int n) {
+/** An organisation states two keys, as the seeded ones do; with
+ * `distinct`, no two organisations state the same text (the worst case). */
+void SeedOrganisations(MemoryStore& store, int n, bool distinct = false) {
   for (int i = 0; i < n; ++i) {
-    store.Put(SettingsKey("organisation", "b", OrgName(i)),
-              "max_inflight = " + std::to_string(i % 50 + 1) +
-                  "\nretry_budget_percent = 5\n",
-              kAnyVersion);
+    store.Put(
+        SettingsKey("organisation", "b", OrgName(i)),
+        "max_inflight = " + std::to_string(distinct ? i + 1 : i % 50 + 1) +
+            "\nretry_budget_percent = 5\n",
+        kAnyVersion);
   }
 }
 
@@ -59,7 +61,7 @@
   const int n = static_cast<int>(state.range(0));
   MemoryStore store;
   SeedBusiness(store);
-  SeedOrganisations(store, n);
+  SeedOrganisations(store, n, state.range(1) != 0);
   double bytes_per_org = 0;
   for (auto _ : state) {
     const size_t before = HeapInUse();
@@ -72,10 +74,12 @@
   }
   state.counters["bytes_per_org"] = bytes_per_org;
 }
+// Second argument: 0 = 50 distinct texts shared, 1 = every text distinct.
 BENCHMARK(BM_SettingsBytesPerOrganisation)
-    ->Arg(1000)
-    ->Arg(10000)
-    ->Arg(49000)
+    ->Args({1000, 0})
+    ->Args({49000, 0})
+    ->Args({1000, 1})
+    ->Args({49000, 1})
     ->Iterations(3)
     ->Unit(benchmark::kMillisecond);
 
--- a/libs/config/include/turmeric/config/settings_tree.h
+++ b/libs/config/include/turmeric/config/settings_tree.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 #include "turmeric/config/resolved_settings.h"
 #include "turmeric/config/settings_layer.h"
@@ -69,14 +71,18 @@
 
  private:
   struct Held {
-    SettingsLayer layer;
+    /** Shared by every level that states the same text (interned). */
+    std::shared_ptr<const SettingsLayer> layer;
     int64_t revision = 0;
   };
+  std::shared_ptr<const SettingsLayer> Intern(SettingsLayer layer);
   void OnWatch(const utils::Result<store::StoredObject>& event);
 
   store::ObjectStore& store_;
   mutable std::mutex mu_;
   std::map<std::string, Held, std::less<>> levels_;
+  /** Hash of canonical text -> layer, so identical levels are held once. */
+  std::unordered_map<size_t, std::weak_ptr<const SettingsLayer>> interned_;
   int64_t revision_ = 0;
   int64_t watch_id_ = 0;
   bool armed_ = false;
--- a/libs/config/src/settings_tree.cc
+++ b/libs/config/src/settings_tree.cc
@@ -110,10 +110,30 @@
   // Values are checked before they are written, so a bad one here was
   // written around this tool; keep the last good layer rather than lose it.
   if (!parsed) return false;
-  levels_[change.key] = Held{std::move(parsed).value(), change.revision};
+  levels_[change.key] =
+      Held{Intern(std::move(parsed).value()), change.revision};
   return true;
 }
 
+std::shared_ptr<const SettingsLayer> SettingsTree::Intern(SettingsLayer layer) {
+  // Most organisations state the same few lines; holding one copy per
+  // distinct text is what keeps 49,000 of them inside the memory budget
+  // (docs/CAPACITY.md 2.2). Called with mu_ held.
+  const size_t hash = std::hash<std::string>{}(RenderLayer(layer));
+  std::weak_ptr<const SettingsLayer>& slot = interned_[hash];
+  auto shared = slot.lock();
+  if (shared && shared->entries == layer.entries) return shared;
+  auto made = std::make_shared<const SettingsLayer>(std::move(layer));
+  // On a hash collision the slot keeps its layer; the newcomer is unshared.
+  if (!shared) slot = made;
+  // Drop entries whose layers are gone once they outnumber the live ones.
+  if (interned_.size() > 2 * levels_.size() + 64) {
+    std::erase_if(interned_,
+                  [](const auto& kv) { return kv.second.expired(); });
+  }
+  return made;
+}
+
 utils::Result<ResolvedSettings> SettingsTree::Resolve(
     std::string_view business, std::string_view pipeline,
     std::string_view organisation) const {
@@ -134,8 +154,9 @@
     return Fail(Errc::kUnknownOrganisation,
                 std::string(business) + "/" + std::string(organisation));
   }
-  const SettingsLayer* layers[] = {group ? &group->layer : nullptr, &biz->layer,
-                                   &pipe->layer, &org->layer};
+  const SettingsLayer* layers[] = {group ? group->layer.get() : nullptr,
+                                   biz->layer.get(), pipe->layer.get(),
+                                   org->layer.get()};
   ResolvedSettings out;
   out.business = business;
   out.pipeline = pipeline;
