Leaving upstreams from the platform's instance list; one resumable watch

The settings watch's re-arm logic would have been written a second time for the list.

Change: store::ResumableWatch (a watch that remembers its revision and re-arms without missing or repeating changes) now carries both the settings tree and the instance list. GatewayService watches 'upstreams/<ip:port>'; 'leaving' marks the upstream in every pool, also pools built later (UpstreamPools remembers listed addresses), 'live' clears it. The embedded platform plays the list with a lag (PublishInstanceState). Faults scenario: the list says leaving 300 ms late, the engines refuse 1 s after that; it counts calls the leaving engines receive after the list reached every instance.

New path test: an engine the list marks leaving while it still answers receives no further call (30 requests all ran).

Conclusion: planned replacements no longer cost a refused call; the x-leaving refusal remains the fallback when the list is late.

--- a/libs/config/include/turmeric/config/settings_tree.h
+++ b/libs/config/include/turmeric/config/settings_tree.h
@@ -10,6 +10,7 @@
 #include "turmeric/config/resolved_settings.h"
 #include "turmeric/config/settings_layer.h"
 #include "turmeric/store/object_store.h"
+#include "turmeric/store/resumable_watch.h"
 #include "turmeric/utils/result.h"
 
 namespace turmeric::config {
@@ -36,7 +37,6 @@
  public:
   /** @param store the platform's object API; must outlive this. */
   explicit SettingsTree(store::ObjectStore& store);
-  ~SettingsTree();
 
   /**
    * Arms (or re-arms after a break) the watch from the last revision seen.
@@ -76,16 +76,12 @@
     int64_t revision = 0;
   };
   std::shared_ptr<const SettingsLayer> Intern(SettingsLayer layer);
-  void OnWatch(const utils::Result<store::StoredObject>& event);
-
-  store::ObjectStore& store_;
+  store::ResumableWatch watch_;
   mutable std::mutex mu_;
   std::map<std::string, Held, std::less<>> levels_;
   /** Hash of canonical text -> layer, so identical levels are held once. */
   std::unordered_map<size_t, std::weak_ptr<const SettingsLayer>> interned_;
   int64_t revision_ = 0;
-  int64_t watch_id_ = 0;
-  bool armed_ = false;
 };
 
 }  // namespace turmeric::config
--- a/libs/config/src/settings_tree.cc
+++ b/libs/config/src/settings_tree.cc
@@ -53,43 +53,16 @@
   return key;
 }
 
-SettingsTree::SettingsTree(store::ObjectStore& store) : store_(store) {}
-
-SettingsTree::~SettingsTree() {
-  if (armed()) store_.CancelWatch(watch_id_);
-}
+SettingsTree::SettingsTree(store::ObjectStore& store)
+    : watch_(store, std::string(kConfigPrefix),
+             [this](const store::StoredObject& change) { Apply(change); }) {}
 
 utils::Result<void> SettingsTree::Arm() {
-  int64_t from = 0;
-  {
-    std::lock_guard lock(mu_);
-    if (armed_) return boost::outcome_v2::success();
-    from = revision_;
-  }
-  auto id = store_.Watch(kConfigPrefix, from,
-                         [this](const auto& event) { OnWatch(event); });
-  if (!id) return id.error();
-  std::lock_guard lock(mu_);
-  watch_id_ = id.value();
-  armed_ = true;
-  return boost::outcome_v2::success();
+  // While the watch is down the cached tree keeps serving.
+  return watch_.Arm();
 }
 
-bool SettingsTree::armed() const {
-  std::lock_guard lock(mu_);
-  return armed_;
-}
-
-void SettingsTree::OnWatch(const utils::Result<store::StoredObject>& event) {
-  if (!event) {
-    // The watch broke (store outage). Keep serving the cached tree; the
-    // owner re-arms from revision_ so no change in between is missed.
-    std::lock_guard lock(mu_);
-    armed_ = false;
-    return;
-  }
-  Apply(event.value());
-}
+bool SettingsTree::armed() const { return watch_.armed(); }
 
 bool SettingsTree::Apply(const store::StoredObject& change) {
   // Guard: a replayed or reordered change must not undo a newer one. A
--- a/libs/gateway/include/turmeric/gateway/embedded_platform.h
+++ b/libs/gateway/include/turmeric/gateway/embedded_platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "turmeric/kernel/service.h"
@@ -10,6 +11,10 @@
 class ServiceStandin;
 }  // namespace turmeric::standins
 
+namespace turmeric::store {
+class ObjectStore;
+}  // namespace turmeric::store
+
 namespace turmeric::gateway {
 
 /**
@@ -27,6 +32,15 @@
   utils::Result<void> Start(kernel::Kernel& kernel) override;
   /** @return the first engine stand-in's port (for direct benches). */
   uint16_t first_engine_port() const { return first_engine_port_; }
+  /**
+   * Plays the platform's lagging instance list: after `lag_ms`, writes
+   * "upstreams/<address>" with state leaving (or live) into the store.
+   * @param address "ip:port" of a stand-in.
+   * @param leaving the state to publish.
+   * @param lag_ms how late the list is.
+   */
+  void PublishInstanceState(const std::string& address, bool leaving,
+                            int lag_ms);
   /** @return engine stand-ins, for fault injection in experiments. */
   const std::vector<std::unique_ptr<standins::EngineStandin>>& engines() const {
     return engines_;
@@ -40,6 +54,7 @@
  private:
   uint16_t NextPort();
 
+  store::ObjectStore* store_ = nullptr;
   uint16_t next_port_;
   uint16_t first_engine_port_ = 0;
   std::vector<std::unique_ptr<standins::EngineStandin>> engines_;
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -12,6 +12,7 @@
 #include "turmeric/gateway/upstream_pools.h"
 #include "turmeric/http/router_server.h"
 #include "turmeric/kernel/service.h"
+#include "turmeric/store/resumable_watch.h"
 #include "turmeric/utils/trace.h"
 
 namespace turmeric::gateway {
@@ -72,6 +73,8 @@
   std::mt19937_64 rng_{20261202};
   SettingsService* settings_service_ = nullptr;
   StoreService* store_service_ = nullptr;
+  /** The platform's (lagging) list of live and leaving upstreams. */
+  std::unique_ptr<store::ResumableWatch> instance_list_;
   QTimer recover_;
   uint16_t port_ = 0;
   int64_t next_request_ = 0;
--- a/libs/gateway/include/turmeric/gateway/upstream_pool.h
+++ b/libs/gateway/include/turmeric/gateway/upstream_pool.h
@@ -48,7 +48,12 @@
    */
   void OnAnswer(int index, int reported_depth, bool leaving);
   /** @param address upstream the instance list says is leaving. */
-  void MarkLeaving(std::string_view address);
+  void MarkLeaving(std::string_view address) { SetLeaving(address, true); }
+  /**
+   * @param address an upstream.
+   * @param leaving true: give it no new work; false: it is live again.
+   */
+  void SetLeaving(std::string_view address, bool leaving);
   /** @return upstreams, in settings order. */
   std::span<const UpstreamState> upstreams() const { return upstreams_; }
 
--- a/libs/gateway/include/turmeric/gateway/upstream_pools.h
+++ b/libs/gateway/include/turmeric/gateway/upstream_pools.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "turmeric/config/resolved_settings.h"
@@ -17,7 +18,12 @@
    */
   UpstreamPool& For(const config::StageSpec& stage);
   /** @param address upstream to give no new work, in every pool. */
-  void MarkLeaving(std::string_view address);
+  void MarkLeaving(std::string_view address) { SetLeaving(address, true); }
+  /**
+   * Applies the platform's instance list: remembered for pools built later.
+   * @param address an upstream. @param leaving its state in the list.
+   */
+  void SetLeaving(std::string_view address, bool leaving);
   /** @return pools by name. */
   const std::map<std::string, UpstreamPool, std::less<>>& pools() const {
     return pools_;
@@ -26,6 +32,7 @@
  private:
   std::map<std::string, UpstreamPool, std::less<>> pools_;
   std::map<std::string, std::string, std::less<>> applied_;
+  std::set<std::string, std::less<>> listed_leaving_;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/embedded_platform.cc
+++ b/libs/gateway/src/embedded_platform.cc
@@ -2,6 +2,8 @@
 
 #include <easylogging++.h>
 
+#include <QTimer>
+
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/kernel/kernel.h"
@@ -16,6 +18,15 @@
     : next_port_(base_port) {}
 EmbeddedPlatform::~EmbeddedPlatform() = default;
 
+void EmbeddedPlatform::PublishInstanceState(const std::string& address,
+                                            bool leaving, int lag_ms) {
+  QTimer::singleShot(lag_ms, Qt::PreciseTimer, [this, address, leaving] {
+    store_->Put("upstreams/" + address,
+                leaving ? "state = leaving" : "state = live",
+                store::kAnyVersion);
+  });
+}
+
 uint16_t EmbeddedPlatform::NextPort() {
   // Port 0 asks the kernel for free ports (tests, in-process benches).
   return next_port_ == 0 ? 0 : next_port_++;
@@ -26,6 +37,7 @@
   if (!store_service)
     return utils::Fail(Errc::kConfigInvalid, "no store service");
   store::ObjectStore& store = store_service->store();
+  store_ = &store;
   std::string failed;
   auto engines = [&](int n) {
     std::string list;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -26,6 +26,8 @@
 
 constexpr std::string_view kRunPrefix = "/v1/pipelines/";
 constexpr std::string_view kConfigPrefix = "/v1/config/";
+/** Store prefix of the platform's instance list: "upstreams/<ip:port>". */
+constexpr std::string_view kInstanceListPrefix = "upstreams/";
 
 QByteArray ErrorBody(const std::string& request_id, Errc code,
                      const std::string& detail, RunState state) {
@@ -124,8 +126,27 @@
                        "cannot listen on " + settings_.listen_address + ":" +
                            std::to_string(settings_.listen_port));
   }
+  instance_list_ = std::make_unique<store::ResumableWatch>(
+      store_service_->store(), std::string(kInstanceListPrefix),
+      [this](const store::StoredObject& entry) {
+        // The list lags the upstream's own state; our other signal is the
+        // upstream's x-leaving refusal. Whichever comes first stops new work.
+        const std::string address =
+            entry.key.substr(kInstanceListPrefix.size());
+        const bool leaving =
+            !entry.deleted && entry.value.find("leaving") != std::string::npos;
+        pools_.SetLeaving(address, leaving);
+        LOG(INFO) << "event=upstream_listed address=" << address
+                  << " state=" << (leaving ? "leaving" : "live");
+      });
+  if (!instance_list_->Arm()) {
+    LOG(WARNING) << "event=instance_list_watch_down";
+  }
   recover_.setInterval(1000);
-  QObject::connect(&recover_, &QTimer::timeout, [this] { claims_->Recover(); });
+  QObject::connect(&recover_, &QTimer::timeout, [this] {
+    claims_->Recover();
+    if (!instance_list_->armed()) instance_list_->Arm();
+  });
   recover_.start();
   LOG(INFO) << "event=serving instance=" << settings_.name
             << " zone=" << settings_.zone << " port=" << port_;
--- a/libs/gateway/src/upstream_pool.cc
+++ b/libs/gateway/src/upstream_pool.cc
@@ -49,9 +49,9 @@
   if (leaving) u.leaving = true;
 }
 
-void UpstreamPool::MarkLeaving(std::string_view address) {
+void UpstreamPool::SetLeaving(std::string_view address, bool leaving) {
   auto it = std::ranges::find(upstreams_, address, &UpstreamState::address);
-  if (it != upstreams_.end()) it->leaving = true;
+  if (it != upstreams_.end()) it->leaving = leaving;
 }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/upstream_pools.cc
+++ b/libs/gateway/src/upstream_pools.cc
@@ -1,5 +1,7 @@
 #include "turmeric/gateway/upstream_pools.h"
 
+#include <algorithm>
+
 namespace turmeric::gateway {
 
 UpstreamPool& UpstreamPools::For(const config::StageSpec& stage) {
@@ -9,13 +11,21 @@
   std::string& applied = applied_[stage.pool];
   if (applied != joined) {
     pool.SetAddresses(stage.upstreams);
+    std::ranges::for_each(listed_leaving_,
+                          [&](const std::string& a) { pool.MarkLeaving(a); });
     applied = joined;
   }
   return pool;
 }
 
-void UpstreamPools::MarkLeaving(std::string_view address) {
-  for (auto& [name, pool] : pools_) pool.MarkLeaving(address);
+void UpstreamPools::SetLeaving(std::string_view address, bool leaving) {
+  if (leaving) {
+    listed_leaving_.emplace(address);
+  } else if (auto it = listed_leaving_.find(address);
+             it != listed_leaving_.end()) {
+    listed_leaving_.erase(it);
+  }
+  for (auto& [name, pool] : pools_) pool.SetLeaving(address, leaving);
 }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -101,6 +101,27 @@
   CHECK(leaving->served() == 0);
 }
 
+TEST_CASE("an upstream the instance list marks leaving gets no new work") {
+  // The platform is replacing a Nilelight engine: its instance list says
+  // "leaving" while the engine still answers. If instances kept sending to
+  // it, requests would be cut when it finally stops.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  const auto& engine = stack.embedded->engines()[0];
+  stack.embedded->PublishInstanceState(
+      "127.0.0.1:" + std::to_string(engine->port()), true, 0);
+  Wait(20);
+  const int64_t before = engine->received();
+  QNetworkAccessManager network;
+  for (int i = 0; i < 30; ++i) {
+    const HttpAnswer a =
+        HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "generate"),
+                 Body("nile-hotels", "notice"));
+    CHECK(Json(a).value("state").toString() == "ran");
+  }
+  CHECK(engine->received() == before);
+}
+
 TEST_CASE("a non-idempotent retry through another instance is replayed") {
   // A parish crew's app times out and resends its felling recommendation
   // with the same key; the balancer sends it to another instance. The crew
--- a/libs/gateway/test/qt_test_main.cc
+++ b/libs/gateway/test/qt_test_main.cc
@@ -4,12 +4,13 @@
 #include <QCoreApplication>
 #include <catch2/catch.hpp>
 
+#include "turmeric/utils/log.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 int main(int argc, char* argv[]) {
   // Path tests run real Qt servers and clients on loopback in this thread.
   QCoreApplication app(argc, argv);
-  el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
-  el::Loggers::setLoggingLevel(el::Level::Error);
+  turmeric::utils::ConfigureLogging("error");
   return Catch::Session().run(argc, argv);
 }
--- a/libs/standins/include/turmeric/standins/engine_standin.h
+++ b/libs/standins/include/turmeric/standins/engine_standin.h
@@ -41,6 +41,8 @@
   void SetFaults(const StandinFaults& faults) { faults_ = faults; }
   /** @return requests answered so far. */
   int64_t served() const { return served_; }
+  /** @return completion calls received, answered or refused. */
+  int64_t received() const { return received_; }
   /** @return calls refused because this engine was leaving. */
   int64_t refused_leaving() const { return refused_leaving_; }
   /** @return the bound port, 0 before Listen. */
@@ -60,6 +62,7 @@
   int64_t served_ = 0;
   uint16_t port_ = 0;
   int64_t refused_leaving_ = 0;
+  int64_t received_ = 0;
   std::list<std::string> prefixes_;
   std::mt19937_64 rng_{42};
 };
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -65,6 +65,7 @@
                              QHttpServerResponder&& responder) {
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
+  ++received_;
   const std::vector<std::pair<QByteArray, QByteArray>> headers = {
       {"x-request-id", request_id},
       {"x-queue-depth", QByteArray::number(reported_depth_)}};
--- a/libs/utils/test/test_main.cc
+++ b/libs/utils/test/test_main.cc
@@ -3,11 +3,12 @@
 
 #include <catch2/catch.hpp>
 
+#include "turmeric/utils/log.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 int main(int argc, char* argv[]) {
   // Tests run with logging quiet; state-change lines would only clutter CI.
-  el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
-  el::Loggers::setLoggingLevel(el::Level::Error);
+  turmeric::utils::ConfigureLogging("error");
   return Catch::Session().run(argc, argv);
 }
--- a/tools/turmericctl/faults_scenario.cc
+++ b/tools/turmericctl/faults_scenario.cc
@@ -54,7 +54,8 @@
   int64_t not_run_but_ran = 0;  ///< Told "not run" yet executed.
   int64_t misdelivered = 0;     ///< Caller got another request's answer.
   int64_t gateway_misdelivered = 0;
-  int64_t leaving_refusals = 0;  ///< Calls that reached a leaving upstream.
+  int64_t leaving_refusals = 0;  ///< Calls refused by a leaving upstream.
+  int64_t sent_to_leaving = 0;   ///< Calls sent after the list said leaving.
 };
 
 double MetricSum(const std::string& text, const std::string& prefix) {
@@ -120,6 +121,7 @@
   auto at = [&](int ms, std::function<void()> action) {
     auto t = std::make_unique<QTimer>();
     t->setSingleShot(true);
+    t->setTimerType(Qt::PreciseTimer);  // the schedule is what is measured
     QObject::connect(t.get(), &QTimer::timeout, action);
     t->start(ms);
     timers.push_back(std::move(t));
@@ -131,9 +133,26 @@
     stack.store->SetFaults(
         {.outage = false, .lose_answer_rate = 0.3, .seed = FLAGS_seed});
   });
-  at(1000, [&] {
-    engines[0]->SetFaults({.leaving = true});  // a Nilelight engine leaves
-    engines[3]->SetFaults({.leaving = true});  // an Arvoredo engine leaves
+  // One engine per business is replaced: the platform's list says
+  // "leaving" 300 ms late; the engines refuse new work 1 s after that.
+  constexpr int kLeaveAt = 1000;
+  constexpr int kListLagMs = 300;
+  constexpr int kGraceMs = 1000;
+  for (int e : {0, 3}) {
+    at(kLeaveAt, [&, e] {
+      stack.embedded->PublishInstanceState(
+          "127.0.0.1:" + std::to_string(engines[e]->port()), true, kListLagMs);
+    });
+    at(kLeaveAt + kListLagMs + kGraceMs,
+       [&, e] { engines[e]->SetFaults({.leaving = true}); });
+  }
+  // Calls an engine receives after the list reached every instance
+  // (lag + 100 ms margin for the event loop) are new work sent to a
+  // leaving upstream.
+  int64_t received_at_list[2] = {0, 0};
+  at(kLeaveAt + kListLagMs + 100, [&] {
+    received_at_list[0] = engines[0]->received();
+    received_at_list[1] = engines[3]->received();
   });
   at(1200, [&] { stack.gateways[instances - 1]->Kill(); });
   at(1500,
@@ -145,6 +164,8 @@
   Verdict v;
   for (const auto& s : services) v.doubled += s->doubled();
   for (const auto& e : engines) v.leaving_refusals += e->refused_leaving();
+  v.sent_to_leaving = engines[0]->received() - received_at_list[0] +
+                      engines[3]->received() - received_at_list[1];
   for (int i = 0; i < static_cast<int>(p.results.size()); ++i) {
     const Flow& f = kMix[i % std::size(kMix)];
     const LoadResult& r = p.results[i];
@@ -184,8 +205,11 @@
       static_cast<long long>(v.not_run_but_ran),
       static_cast<long long>(v.misdelivered),
       static_cast<long long>(v.gateway_misdelivered));
-  std::printf("  calls refused by leaving engines (after 1000 ms): %lld\n",
-              static_cast<long long>(v.leaving_refusals));
+  std::printf(
+      "  leaving engines: calls sent after the list said so %lld, refused "
+      "%lld\n",
+      static_cast<long long>(v.sent_to_leaving),
+      static_cast<long long>(v.leaving_refusals));
   QJsonObject cost_json;
   std::printf("  upstream seconds by business/stage:");
   for (const auto& [k, s] : cost) {
@@ -203,6 +227,7 @@
           {"not_run_but_ran", double(v.not_run_but_ran)},
           {"misdelivered", double(v.misdelivered + v.gateway_misdelivered)},
           {"leaving_refusals", double(v.leaving_refusals)},
+          {"sent_to_leaving", double(v.sent_to_leaving)},
           {"upstream_seconds", cost_json},
           {"invariants_held", held}};
 }
