--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -40,6 +40,13 @@
          ":run";
 }
 
+/** @return how often the stand-in services executed idempotency key `key`. */
+int Executions(const EmbeddedStack& stack, const std::string& key) {
+  int n = 0;
+  for (const auto& s : stack.embedded->services()) n += s->executions(key);
+  return n;
+}
+
 void Wait(int ms) {
   QEventLoop loop;
   QTimer::singleShot(ms, &loop, &QEventLoop::quit);
@@ -140,10 +147,7 @@
       Body("parish-bonfim", "lime 881", false), key);
   CHECK(Json(retry).value("state").toString() == "ran");
   CHECK(Json(retry).value("output") == Json(first).value("output"));
-  int executions = 0;
-  for (const auto& s : stack.embedded->services())
-    executions += s->executions("tree-881");
-  CHECK(executions == 1);
+  CHECK(Executions(stack, "tree-881") == 1);
 }
 
 TEST_CASE("a store outage refuses non-idempotent work without saying not run") {
@@ -163,20 +167,14 @@
   CHECK(Json(down).value("code").toInt() == 5001);
   CHECK(Json(down).value("state").toString() == "unknown");
   CHECK(Json(down).value("retry_after_ms").toInt() == 250);
-  int executions = 0;
-  for (const auto& s : stack.embedded->services())
-    executions += s->executions("notice-9");
-  CHECK(executions == 0);
+  CHECK(Executions(stack, "notice-9") == 0);
   stack.store->SetFaults({});
   Wait(1100);  // the claim release queued during the outage is retried
   const HttpAnswer again =
       HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
                Body("nile-hotels", "floor 2", false), key);
   CHECK(Json(again).value("state").toString() == "ran");
-  executions = 0;
-  for (const auto& s : stack.embedded->services())
-    executions += s->executions("notice-9");
-  CHECK(executions == 1);
+  CHECK(Executions(stack, "notice-9") == 1);
 }
 
 TEST_CASE("a retry is never told not run after an earlier attempt ran") {
--- a/libs/standins/include/turmeric/standins/standin_faults.h
+++ b/libs/standins/include/turmeric/standins/standin_faults.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <QByteArray>
+
 namespace turmeric::standins {
 
 /** Faults an upstream stand-in can be told to show. */
@@ -9,4 +11,10 @@
   bool leaving = false;      ///< Answers new work 503 with x-leaving.
 };
 
+/**
+ * @param json body of `POST /admin/faults`, e.g. {"slow_factor": 5}.
+ * @return the faults; absent fields take their defaults (no fault).
+ */
+StandinFaults ParseFaults(const QByteArray& json);
+
 }  // namespace turmeric::standins
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -30,10 +30,7 @@
                 });
   server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
                 [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
-                  const auto o = QJsonDocument::fromJson(r.body()).object();
-                  faults_.slow_factor = o.value("slow_factor").toDouble(1.0);
-                  faults_.fail_rate = o.value("fail_rate").toDouble(0.0);
-                  faults_.leaving = o.value("leaving").toBool(false);
+                  faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
   // The reported depth trails the true one, as real engines' load reports do.
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -18,10 +18,7 @@
                 });
   server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
                 [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
-                  const auto o = QJsonDocument::fromJson(r.body()).object();
-                  faults_.slow_factor = o.value("slow_factor").toDouble(1.0);
-                  faults_.fail_rate = o.value("fail_rate").toDouble(0.0);
-                  faults_.leaving = o.value("leaving").toBool(false);
+                  faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
   load_timer_.setInterval(200);
--- a/libs/store/src/resumable_watch.cc
+++ b/libs/store/src/resumable_watch.cc
@@ -5,7 +5,9 @@
 ResumableWatch::ResumableWatch(
     ObjectStore& store, std::string prefix,
     std::function<void(const StoredObject&)> on_change)
-    : store_(store), prefix_(std::move(prefix)), on_change_(std::move(on_change)) {}
+    : store_(store),
+      prefix_(std::move(prefix)),
+      on_change_(std::move(on_change)) {}
 
 ResumableWatch::~ResumableWatch() {
   if (armed()) store_.CancelWatch(watch_id_);
