A caller that disconnects no longer crashes the instance; answers keep request order

Cause: two faults found by raw-socket probes against the daemon. (1) Qt's QHttpServerResponder keeps a raw QTcpSocket*; when a caller disconnects before its answer, Qt deletes the socket and the late write is a use after free: the daemon segfaulted on the first of 20 disconnecting callers, cutting every request in flight. (2) Qt handles the next request of a connection while the first is still open; with two pipelined requests the quick answer was written first and read as the answer to the slow one. Ruled out: the executor (each run held its own responder) and the stand-ins (same crash with the store and engines idle).

Change: http::Responder replaces Qt's responder everywhere. It holds the connection by QPointer, drops writes once the caller is gone, tells the owner (OnGone), closes the connection when it is destroyed unanswered, and lets only the front exchange of a connection write (details/connection_order). A gone caller cancels idempotent work (code 2005 caller_gone, metrics only); once a non-idempotent call is sent the run goes on, so a retry is replayed. The path tests share path_helpers.h.

--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -53,11 +53,11 @@
 
  private:
   void HandleRun(const QHttpServerRequest& request,
-                 QHttpServerResponder&& responder);
+                 http::Responder&& responder);
   void HandleConfigGet(const QHttpServerRequest& request,
-                       QHttpServerResponder&& responder);
+                       http::Responder&& responder);
   void HandleConfigPut(const QHttpServerRequest& request,
-                       QHttpServerResponder&& responder);
+                       http::Responder&& responder);
 
   config::InstanceSettings settings_;
   http::RouterServer server_;
--- a/libs/gateway/include/turmeric/gateway/pipeline_run.h
+++ b/libs/gateway/include/turmeric/gateway/pipeline_run.h
@@ -79,6 +79,12 @@
               std::function<void(const RunAnswer&)> on_done);
   /** Starts the first stage. */
   void Start();
+  /**
+   * The caller has gone: idempotent work stops at once. Once a
+   * non-idempotent call has been sent the run goes on, so that a retry under
+   * the same idempotency key gets its answer.
+   */
+  void Cancel();
 
  private:
   void RunStage();
@@ -89,6 +95,9 @@
   int RemainingMs() const;
 
   RunContext ctx_;
+  /** The call in flight, if any, and the upstream it went to. */
+  QPointer<QNetworkReply> reply_;
+  int reply_upstream_ = -1;
   RunRequest req_;
   std::function<void(const QByteArray&)> on_token_;
   std::function<void(const RunAnswer&)> on_done_;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -104,10 +104,7 @@
       [this](const auto& r, auto&& w) { HandleConfigPut(r, std::move(w)); });
   server_.Route(M::Get, "/metrics", [this](const auto&, auto&& w) {
     const QByteArray text = QByteArray::fromStdString(metrics_.Render());
-    w.writeStatusLine(QHttpServerResponder::StatusCode::Ok);
-    w.writeHeader("Content-Type", "text/plain; version=0.0.4");
-    w.writeHeader("Content-Length", QByteArray::number(text.size()));
-    w.writeBody(text);
+    w.WriteWhole(200, "text/plain; version=0.0.4", text);
   });
   server_.Route(M::Get, "/healthz", [this](const auto&, auto&& w) {
     http::WriteJson(w, admission_.draining() ? 503 : 200,
@@ -177,7 +174,7 @@
 }
 
 void GatewayService::HandleRun(const QHttpServerRequest& request,
-                               QHttpServerResponder&& responder) {
+                               http::Responder&& responder) {
   const auto received = std::chrono::steady_clock::now();
   const std::string request_id =
       settings_.name + "-" + std::to_string(++next_request_);
@@ -297,20 +294,18 @@
   run.trace = utils::ChildContext(
       utils::ParseTraceparent(request.value("traceparent").toStdString()));
   const int64_t start_us = utils::NowUnixMicros();
-  auto held = std::make_shared<std::optional<QHttpServerResponder>>(
-      std::move(responder));
+  auto held =
+      std::make_shared<std::optional<http::Responder>>(std::move(responder));
   if (run.stream) {
-    (*held)->writeStatusLine(QHttpServerResponder::StatusCode::Ok);
-    (*held)->writeHeader("Content-Type", "text/event-stream");
-    (*held)->writeHeader("Transfer-Encoding", "chunked");
-    (*held)->writeHeader("x-request-id", QByteArray::fromStdString(request_id));
-    (*held)->writeBody("");
+    (*held)->StartStream(
+        "text/event-stream",
+        {{"x-request-id", QByteArray::fromStdString(request_id)}});
   }
   auto on_token = [held](const QByteArray& word) {
     if (*held) {
       QJsonObject ev{{"token", QString::fromUtf8(word)}};
-      (*held)->writeBody(http::HttpChunk(
-          http::SseEvent(QJsonDocument(ev).toJson(QJsonDocument::Compact))));
+      (*held)->WriteChunk(
+          http::SseEvent(QJsonDocument(ev).toJson(QJsonDocument::Compact)));
     }
   };
   const bool stream = run.stream;
@@ -342,8 +337,8 @@
                         std::string(utils::RunStateName(a.state)) + "\""});
     if (!*held) return;
     if (stream) {
-      (*held)->writeBody(http::HttpChunk(http::SseEvent(body)));
-      (*held)->writeBody("0\r\n\r\n");
+      (*held)->WriteChunk(http::SseEvent(body));
+      (*held)->EndStream();
     } else {
       http::WriteJson(
           **held, a.code == Errc::kOk ? 200 : utils::HttpStatus(a.code), body,
@@ -358,11 +353,14 @@
                  spans_.get(),
                  &rng_};
   auto* runner = new PipelineRun(ctx, std::move(run), on_token, on_done);
+  (*held)->OnGone([runner = QPointer(runner)] {
+    if (runner) runner->Cancel();
+  });
   runner->Start();
 }
 
 void GatewayService::HandleConfigGet(const QHttpServerRequest& request,
-                                     QHttpServerResponder&& responder) {
+                                     http::Responder&& responder) {
   const std::string key =
       "config/" + request.url().path().mid(kConfigPrefix.size()).toStdString();
   store::ObjectStore& store = store_service_->store();
@@ -400,7 +398,7 @@
 }
 
 void GatewayService::HandleConfigPut(const QHttpServerRequest& request,
-                                     QHttpServerResponder&& responder) {
+                                     http::Responder&& responder) {
   const std::string key =
       "config/" + request.url().path().mid(kConfigPrefix.size()).toStdString();
   auto fail = [&](Errc code, const std::string& detail) {
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -109,6 +109,8 @@
   streamed_tokens_ = 0;
   QNetworkReply* reply = ctx_.network->post(
       http, QJsonDocument(body).toJson(QJsonDocument::Compact));
+  reply_ = reply;
+  reply_upstream_ = index;
   if (stream_here) {
     connect(reply, &QNetworkReply::readyRead, this,
             [this, reply] { OnStreamBytes(reply); });
@@ -239,6 +241,24 @@
          "stage " + spec.name + ": " + reply->errorString().toStdString());
 }
 
+void PipelineRun::Cancel() {
+  if (!on_done_ || called_non_idempotent_) return;
+  if (reply_ != nullptr) {
+    const config::StageSpec& spec = req_.settings.stages[stage_];
+    const double seconds = std::chrono::duration<double>(
+                               std::chrono::steady_clock::now() - sent_at_)
+                               .count();
+    ctx_.pools->For(spec).OnAnswer(reply_upstream_, -1, false);
+    ctx_.metrics->OnStageCall(req_.settings.business, spec.name, seconds, 0,
+                              false);
+    reply_->disconnect(this);
+    reply_->abort();
+    reply_->deleteLater();
+  }
+  Finish(called_any_ ? RunState::kFailed : RunState::kNotRun, Errc::kCallerGone,
+         "the caller closed its connection");
+}
+
 void PipelineRun::Finish(RunState state, Errc code, std::string detail) {
   answer_.state = state;
   answer_.code = code;
--- /dev/null
+++ b/libs/gateway/test/path_helpers.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTimer>
+#include <string>
+
+#include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/embedded_stack.h"
+#include "turmeric/http/http_call.h"
+#include "turmeric/standins/service_standin.h"
+
+/** Helpers shared by the whole-path tests. */
+namespace turmeric::gateway::testing {
+
+/** @return a run request's JSON body. */
+inline QByteArray Body(const char* organisation, const char* input,
+                       bool idempotent = true, int max_tokens = 4) {
+  QJsonObject o{{"organisation", organisation},
+                {"input", input},
+                {"max_tokens", max_tokens}};
+  if (!idempotent) o["idempotent"] = false;
+  return QJsonDocument(o).toJson(QJsonDocument::Compact);
+}
+
+/** @return an answer's JSON body. */
+inline QJsonObject Json(const http::HttpAnswer& a) {
+  return QJsonDocument::fromJson(a.body).object();
+}
+
+/** @return the run URL of a pipeline on one instance. */
+inline QString RunUrl(const EmbeddedStack& s, int instance,
+                      const char* business, const char* pipeline) {
+  return s.Url(instance) + "/v1/pipelines/" + business + "/" + pipeline +
+         ":run";
+}
+
+/** @return how often the stand-in services executed idempotency key `key`. */
+inline int Executions(const EmbeddedStack& stack, const std::string& key) {
+  int n = 0;
+  for (const auto& s : stack.embedded->services()) n += s->executions(key);
+  return n;
+}
+
+/** @param ms time to let the event loop run. */
+inline void Wait(int ms) {
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+}  // namespace turmeric::gateway::testing
--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -8,6 +8,7 @@
 #include <QTimer>
 #include <catch2/catch.hpp>
 
+#include "path_helpers.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/embedded_stack.h"
 #include "turmeric/gateway/gateway_service.h"
@@ -19,41 +20,7 @@
 using turmeric::gateway::EmbeddedStack;
 using turmeric::http::HttpAnswer;
 using turmeric::http::HttpCall;
-
-namespace {
-
-QByteArray Body(const char* organisation, const char* input,
-                bool idempotent = true) {
-  QJsonObject o{
-      {"organisation", organisation}, {"input", input}, {"max_tokens", 4}};
-  if (!idempotent) o["idempotent"] = false;
-  return QJsonDocument(o).toJson(QJsonDocument::Compact);
-}
-
-QJsonObject Json(const HttpAnswer& a) {
-  return QJsonDocument::fromJson(a.body).object();
-}
-
-QString RunUrl(const EmbeddedStack& s, int instance, const char* business,
-               const char* pipeline) {
-  return s.Url(instance) + "/v1/pipelines/" + business + "/" + pipeline +
-         ":run";
-}
-
-/** @return how often the stand-in services executed idempotency key `key`. */
-int Executions(const EmbeddedStack& stack, const std::string& key) {
-  int n = 0;
-  for (const auto& s : stack.embedded->services()) n += s->executions(key);
-  return n;
-}
-
-void Wait(int ms) {
-  QEventLoop loop;
-  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
-  loop.exec();
-}
-
-}  // namespace
+using namespace turmeric::gateway::testing;
 
 TEST_CASE("a planned stop cuts nothing in flight") {
   // An operator stops an entry instance while receptionists' requests are
--- a/libs/http/include/turmeric/http/router_server.h
+++ b/libs/http/include/turmeric/http/router_server.h
@@ -2,16 +2,16 @@
 
 #include <QAbstractHttpServer>
 #include <QHttpServerRequest>
-#include <QHttpServerResponder>
 #include <functional>
 #include <string>
 #include <vector>
 
+#include "turmeric/http/responder.h"
+
 namespace turmeric::http {
 
 /** Handles one request; may keep the responder and answer later. */
-using Handler =
-    std::function<void(const QHttpServerRequest&, QHttpServerResponder&&)>;
+using Handler = std::function<void(const QHttpServerRequest&, Responder&&)>;
 
 /**
  * A small HTTP server on Qt's QAbstractHttpServer that routes by method and
@@ -51,8 +51,7 @@
  * @param body JSON body.
  * @param headers extra headers.
  */
-void WriteJson(
-    QHttpServerResponder& responder, int status, const QByteArray& body,
-    const std::vector<std::pair<QByteArray, QByteArray>>& headers = {});
+void WriteJson(Responder& responder, int status, const QByteArray& body,
+               const Headers& headers = {});
 
 }  // namespace turmeric::http
--- /dev/null
+++ b/libs/http/src/responder.cc
@@ -0,0 +1,86 @@
+#include "turmeric/http/responder.h"
+
+#include <QHttpServerResponder>
+#include <QTcpSocket>
+
+#include "details/connection_order.h"
+#include "details/exchange.h"
+#include "turmeric/http/sse.h"
+
+namespace turmeric::http {
+
+using details::ConnectionOrder;
+using details::Exchange;
+
+namespace {
+
+void WriteHead(QHttpServerResponder& out, int status,
+               const QByteArray& content_type, const Headers& headers) {
+  out.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
+  out.writeHeader("Content-Type", content_type);
+  for (const auto& [name, value] : headers) out.writeHeader(name, value);
+}
+
+void FinishExchange(Exchange& exchange) {
+  exchange.Finish();
+  if (QTcpSocket* socket = exchange.socket()) {
+    ConnectionOrder::Of(socket).Advance();
+  }
+}
+
+}  // namespace
+
+Responder::Responder(QHttpServerResponder&& responder, QTcpSocket* socket)
+    : exchange_(std::make_shared<Exchange>(std::move(responder), socket)) {
+  ConnectionOrder::Of(socket).Append(exchange_);
+}
+
+Responder::Responder(Responder&&) noexcept = default;
+Responder& Responder::operator=(Responder&&) noexcept = default;
+
+Responder::~Responder() {
+  if (exchange_ && !exchange_->finished()) Abort();
+}
+
+void Responder::WriteWhole(int status, const QByteArray& content_type,
+                           const QByteArray& body, const Headers& headers) {
+  exchange_->Do([=](QHttpServerResponder& out) {
+    WriteHead(out, status, content_type, headers);
+    out.writeHeader("Content-Length", QByteArray::number(body.size()));
+    out.writeBody(body);
+  });
+  FinishExchange(*exchange_);
+}
+
+void Responder::StartStream(const QByteArray& content_type,
+                            const Headers& headers) {
+  constexpr int kOk = 200;
+  exchange_->Do([=](QHttpServerResponder& out) {
+    WriteHead(out, kOk, content_type, headers);
+    out.writeHeader("Transfer-Encoding", "chunked");
+    out.writeBody("");
+  });
+}
+
+void Responder::WriteChunk(const QByteArray& bytes) {
+  exchange_->Do(
+      [=](QHttpServerResponder& out) { out.writeBody(HttpChunk(bytes)); });
+}
+
+void Responder::EndStream() {
+  exchange_->Do([](QHttpServerResponder& out) { out.writeBody("0\r\n\r\n"); });
+  FinishExchange(*exchange_);
+}
+
+void Responder::Abort() {
+  exchange_->Finish();
+  if (QTcpSocket* socket = exchange_->socket()) socket->abort();
+}
+
+bool Responder::gone() const { return exchange_->socket() == nullptr; }
+
+void Responder::OnGone(std::function<void()> callback) {
+  exchange_->set_on_gone(std::move(callback));
+}
+
+}  // namespace turmeric::http
--- a/libs/http/src/router_server.cc
+++ b/libs/http/src/router_server.cc
@@ -1,5 +1,6 @@
 #include "turmeric/http/router_server.h"
 
+#include <QHttpServerResponder>
 #include <algorithm>
 
 namespace turmeric::http {
@@ -19,26 +20,20 @@
     return e.method == request.method() && path.starts_with(e.prefix);
   });
   if (it == routes_.end()) return false;
-  it->handler(request, makeResponder(request, socket));
+  it->handler(request, Responder(makeResponder(request, socket), socket));
   return true;
 }
 
 void RouterServer::missingHandler(const QHttpServerRequest& request,
                                   QTcpSocket* socket) {
-  auto responder = makeResponder(request, socket);
+  Responder responder(makeResponder(request, socket), socket);
   WriteJson(responder, 404,
             R"({"code":1001,"error":"bad_request","detail":"no such route"})");
 }
 
-void WriteJson(QHttpServerResponder& responder, int status,
-               const QByteArray& body,
-               const std::vector<std::pair<QByteArray, QByteArray>>& headers) {
-  responder.writeStatusLine(
-      static_cast<QHttpServerResponder::StatusCode>(status));
-  responder.writeHeader("Content-Type", "application/json");
-  responder.writeHeader("Content-Length", QByteArray::number(body.size()));
-  for (const auto& [k, v] : headers) responder.writeHeader(k, v);
-  responder.writeBody(body);
+void WriteJson(Responder& responder, int status, const QByteArray& body,
+               const Headers& headers) {
+  responder.WriteWhole(status, "application/json", body, headers);
 }
 
 }  // namespace turmeric::http
--- a/libs/standins/include/turmeric/standins/engine_standin.h
+++ b/libs/standins/include/turmeric/standins/engine_standin.h
@@ -49,8 +49,7 @@
   uint16_t port() const { return port_; }
 
  private:
-  void Complete(const QHttpServerRequest& request,
-                QHttpServerResponder&& responder);
+  void Complete(const QHttpServerRequest& request, http::Responder&& responder);
   bool PrefixCached(const std::string& prompt);
 
   EngineModel model_;
--- a/libs/standins/include/turmeric/standins/service_standin.h
+++ b/libs/standins/include/turmeric/standins/service_standin.h
@@ -39,8 +39,7 @@
   int64_t refused_leaving() const { return refused_leaving_; }
 
  private:
-  void Serve(const QHttpServerRequest& request,
-             QHttpServerResponder&& responder);
+  void Serve(const QHttpServerRequest& request, http::Responder&& responder);
 
   double delay_ms_;
   StandinFaults faults_;
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -12,7 +12,7 @@
 
 /** One completion in progress. */
 struct Completion {
-  std::optional<QHttpServerResponder> responder;
+  std::optional<http::Responder> responder;
   QByteArray request_id;
   QStringList words;
   int max_tokens = 16;
@@ -25,11 +25,11 @@
 
 EngineStandin::EngineStandin(EngineModel model) : model_(model) {
   server_.Route(QHttpServerRequest::Method::Post, "/v1/completions",
-                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                [this](const QHttpServerRequest& r, http::Responder&& w) {
                   Complete(r, std::move(w));
                 });
   server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
-                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                [this](const QHttpServerRequest& r, http::Responder&& w) {
                   faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
@@ -59,7 +59,7 @@
 }
 
 void EngineStandin::Complete(const QHttpServerRequest& request,
-                             QHttpServerResponder&& responder) {
+                             http::Responder&& responder) {
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
   ++received_;
@@ -88,11 +88,7 @@
   const double prefill_ms =
       cached ? 0.0 : prompt.size() * model_.prefill_us_per_char / 1000.0;
   if (c->stream) {
-    c->responder->writeStatusLine(QHttpServerResponder::StatusCode::Ok);
-    c->responder->writeHeader("Content-Type", "text/event-stream");
-    c->responder->writeHeader("Transfer-Encoding", "chunked");
-    for (const auto& [k, v] : headers) c->responder->writeHeader(k, v);
-    c->responder->writeBody("");
+    c->responder->StartStream("text/event-stream", headers);
   }
   auto step = std::make_shared<std::function<void()>>();
   *step = [this, c, step] {
@@ -105,8 +101,8 @@
         QJsonObject ev{{"request_id", QString(c->request_id)},
                        {"index", c->emitted},
                        {"text", word}};
-        c->responder->writeBody(http::HttpChunk(
-            http::SseEvent(QJsonDocument(ev).toJson(QJsonDocument::Compact))));
+        c->responder->WriteChunk(
+            http::SseEvent(QJsonDocument(ev).toJson(QJsonDocument::Compact)));
       }
       ++c->emitted;
       const double batch = 1.0 + double(active_) / model_.batch_capacity;
@@ -121,10 +117,10 @@
       QJsonObject done{{"request_id", QString(c->request_id)},
                        {"done", true},
                        {"completion_tokens", c->emitted}};
-      c->responder->writeBody(http::HttpChunk(
-          http::SseEvent(QJsonDocument(done).toJson(QJsonDocument::Compact))));
-      c->responder->writeBody(http::HttpChunk(http::SseEvent("[DONE]")));
-      c->responder->writeBody("0\r\n\r\n");
+      c->responder->WriteChunk(
+          http::SseEvent(QJsonDocument(done).toJson(QJsonDocument::Compact)) +
+          http::SseEvent("[DONE]"));
+      c->responder->EndStream();
     } else {
       QJsonObject out{{"request_id", QString(c->request_id)},
                       {"text", c->text},
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -7,17 +7,17 @@
 
 ServiceStandin::ServiceStandin(double delay_ms) : delay_ms_(delay_ms) {
   server_.Route(QHttpServerRequest::Method::Post, "/v1/stage",
-                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                [this](const QHttpServerRequest& r, http::Responder&& w) {
                   Serve(r, std::move(w));
                 });
   server_.Route(QHttpServerRequest::Method::Get, "/admin/stats",
-                [this](const QHttpServerRequest&, QHttpServerResponder&& w) {
+                [this](const QHttpServerRequest&, http::Responder&& w) {
                   QJsonObject o{{"executed", double(executed_)},
                                 {"doubled", double(doubled_)}};
                   http::WriteJson(w, 200, QJsonDocument(o).toJson());
                 });
   server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
-                [this](const QHttpServerRequest& r, QHttpServerResponder&& w) {
+                [this](const QHttpServerRequest& r, http::Responder&& w) {
                   faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
@@ -32,7 +32,7 @@
 }
 
 void ServiceStandin::Serve(const QHttpServerRequest& request,
-                           QHttpServerResponder&& responder) {
+                           http::Responder&& responder) {
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
   if (faults_.leaving) {
@@ -48,8 +48,8 @@
   }
   const std::string key = request.value("idempotency-key").toStdString();
   ++active_;
-  auto held = std::make_shared<std::optional<QHttpServerResponder>>(
-      std::move(responder));
+  auto held =
+      std::make_shared<std::optional<http::Responder>>(std::move(responder));
   const double delay = delay_ms_ * (1.0 + active_ / 8.0) * faults_.slow_factor;
   QTimer::singleShot(
       static_cast<int>(delay + 0.5), this, [this, held, request_id, key, body] {
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -24,6 +24,7 @@
   kDeadlineTooShort = 2002,
   kDraining = 2003,
   kDeadlineExceeded = 2004,
+  kCallerGone = 2005,
   // 3xxx: upstreams.
   kUpstreamFailed = 3001,
   kNoUpstream = 3002,
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -24,6 +24,8 @@
       return "draining";
     case Errc::kDeadlineExceeded:
       return "deadline_exceeded";
+    case Errc::kCallerGone:
+      return "caller_gone";
     case Errc::kUpstreamFailed:
       return "upstream_failed";
     case Errc::kNoUpstream:
@@ -78,6 +80,8 @@
       return 504;
     case Errc::kOutcomeUnknown:
       return 502;
+    case Errc::kCallerGone:
+      return 499;
     default:
       break;
   }
