--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -162,9 +162,13 @@
   int64_t n = 0;
   size_t value_bytes = 0;
   for (auto _ : state) {
-    auto c = table.Acquire("b", "key-" + std::to_string(n++), 0);
+    const turmeric::gateway::ClaimSubject subject{
+        "claims/b/o/p/key-" + std::to_string(n++), "0123456789abcdef"};
+    benchmark::DoNotOptimize(table.Lookup(subject));
+    auto c = table.Acquire(subject, 0);
     table.Complete(
-        c, R"({"state":"ran","output":"a short answer of about this size"})");
+        c, R"({"state":"ran","output":"a short answer of about this size"})",
+        0);
   }
   auto list = store.List("claims/");
   for (const auto& o : list.value())
--- a/libs/config/include/turmeric/config/instance_settings.h
+++ b/libs/config/include/turmeric/config/instance_settings.h
@@ -18,6 +18,7 @@
   std::string log_level = "info";
   std::string trace_path;             ///< JSON-lines spans; empty: off.
   int drain_timeout_ms = 10000;       ///< Longest wait for in-flight work.
+  int claim_retention_s = 3600;       ///< How long answers can be replayed.
   bool embedded = true;               ///< Start stand-ins in-process.
   uint16_t standin_base_port = 9100;  ///< First stand-in upstream port.
 };
--- a/libs/config/src/instance_settings.cc
+++ b/libs/config/src/instance_settings.cc
@@ -12,12 +12,17 @@
 
 namespace {
 
-const std::set<std::string> kKnownKeys = {
-    "instance/name",           "instance/zone",
-    "instance/listen_address", "instance/listen_port",
-    "instance/store",          "instance/log_level",
-    "instance/trace_path",     "instance/drain_timeout_ms",
-    "instance/embedded",       "instance/standin_base_port"};
+const std::set<std::string> kKnownKeys = {"instance/name",
+                                          "instance/zone",
+                                          "instance/listen_address",
+                                          "instance/listen_port",
+                                          "instance/store",
+                                          "instance/log_level",
+                                          "instance/trace_path",
+                                          "instance/drain_timeout_ms",
+                                          "instance/claim_retention_s",
+                                          "instance/embedded",
+                                          "instance/standin_base_port"};
 
 utils::Result<int> ReadInt(const QSettings& ini, const char* key, int lo,
                            int hi, int fallback) {
@@ -90,6 +95,10 @@
       ReadInt(ini, "instance/drain_timeout_ms", 0, 600000, s.drain_timeout_ms);
   if (!drain) return drain.error();
   s.drain_timeout_ms = drain.value();
+  auto retention = ReadInt(ini, "instance/claim_retention_s", 600, 604800,
+                           s.claim_retention_s);
+  if (!retention) return retention.error();
+  s.claim_retention_s = retention.value();
   return s;
 }
 
--- /dev/null
+++ b/libs/gateway/include/turmeric/gateway/answer_json.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <QByteArray>
+#include <string>
+#include <string_view>
+
+#include "turmeric/http/responder.h"
+#include "turmeric/utils/result.h"
+
+namespace turmeric::config {
+struct ResolvedSettings;
+}
+
+namespace turmeric::gateway {
+
+struct RunAnswer;
+
+/**
+ * @param request_id the request, empty for operator calls.
+ * @param code result code. @param detail what went wrong.
+ * @param state what is known of whether the request ran.
+ * @return an error answer's JSON body, with when to come back.
+ */
+QByteArray ErrorJson(std::string_view request_id, utils::Errc code,
+                     std::string_view detail, utils::RunState state);
+
+/**
+ * @param request_id the request. @param settings its settings.
+ * @param answer how it ended.
+ * @return the answer's JSON body.
+ */
+QByteArray AnswerJson(std::string_view request_id,
+                      const config::ResolvedSettings& settings,
+                      const RunAnswer& answer);
+
+/**
+ * @param request_id the request. @param code result code.
+ * @return headers of its answer: the id and, where it helps, Retry-After.
+ */
+http::Headers AnswerHeaders(std::string_view request_id, utils::Errc code);
+
+}  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/claim_table.h
+++ b/libs/gateway/include/turmeric/gateway/claim_table.h
@@ -6,40 +6,28 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/gateway/claim.h"
 #include "turmeric/store/object_store.h"
 
 namespace turmeric::gateway {
 
-/** What acquiring an at-most-once claim found. */
-enum class ClaimState {
-  kOwned,              ///< This attempt holds the claim: it may run.
-  kDone,               ///< Ran before; `result` holds its answer.
-  kInFlightElsewhere,  ///< Claimed by another attempt; outcome unknown.
-  kStoreDown,          ///< Could not tell; nothing was run.
-};
-
-/** A claim on one idempotency key. */
-struct Claim {
-  ClaimState state = ClaimState::kStoreDown;
-  std::string key;      ///< Store key, "claims/<business>/<idempotency key>".
-  std::string token;    ///< This attempt's token (unique per attempt).
-  int64_t version = 0;  ///< Version of the claim object we wrote.
-  std::string result;   ///< With kDone: the stored answer.
-};
+/** Store key prefix under which claims live. */
+inline constexpr std::string_view kClaimPrefix = "claims/";
 
-/** Store calls made by claims, for the write budget. */
+/** What claims met, for the operator. */
 struct ClaimCounts {
   int64_t acquired = 0;
   int64_t replayed = 0;
   int64_t lost_answers_resolved = 0;
   int64_t released = 0;
+  int64_t swept = 0;
 };
 
 /**
  * At-most-once execution across entry instances by conditional create in
- * the platform's object API (docs/design/at-most-once.md). Two writes per
- * non-idempotent request; idempotent work never touches the store.
- * Thread-safe.
+ * the platform's object API (docs/design/at-most-once.md). One read and two
+ * writes per non-idempotent request; idempotent work never touches the
+ * store. Calls block on the store; thread-safe.
  */
 class ClaimTable {
  public:
@@ -50,28 +38,42 @@
   ClaimTable(store::ObjectStore& store, std::string instance);
 
   /**
-   * @param business the business.
-   * @param idempotency_key the caller's key.
-   * @param expires_unix_ms the request's deadline; the claim's lease.
+   * Reads whether the request ran before, without claiming it.
+   * @param subject the request.
+   * @return kFree, or as for Acquire but never kOwned.
+   */
+  Claim Lookup(const ClaimSubject& subject);
+  /**
+   * Claims the request, just before its first non-idempotent call.
+   * @param subject the request.
+   * @param keep_until_unix_ms when the claim may be swept away.
    * @return the claim as found or made.
    */
-  Claim Acquire(std::string_view business, std::string_view idempotency_key,
-                int64_t expires_unix_ms);
+  Claim Acquire(const ClaimSubject& subject, int64_t keep_until_unix_ms);
   /**
    * Records the answer of an owned claim, so a retry replays it.
    * @param claim an owned claim.
    * @param result the answer given to the caller.
+   * @param keep_until_unix_ms when the claim may be swept away.
    * @return false if the store could not confirm; retried by Recover.
    */
-  bool Complete(const Claim& claim, std::string_view result);
+  bool Complete(const Claim& claim, std::string_view result,
+                int64_t keep_until_unix_ms);
   /**
-   * Gives up an owned claim that never ran (deadline passed before the
-   * call), so a retry may run it.
+   * Gives up an owned claim whose call certainly did not run, so that a
+   * retry may run it.
    * @param claim an owned claim.
    */
   void Release(const Claim& claim);
   /** Retries completions and releases the store could not take. */
   void Recover();
+  /**
+   * Deletes claims past their time. Run by one instance at a time, but safe
+   * if two do: deletes are conditional on the version read.
+   * @param now_unix_ms the time. @param most deletes at most.
+   * @return claims deleted, or the store's error.
+   */
+  utils::Result<int> Sweep(int64_t now_unix_ms, int most);
   /** @return counters. */
   ClaimCounts counts() const;
   /** @return completions and releases waiting for the store. */
@@ -80,19 +82,22 @@
  private:
   struct Pending {
     Claim claim;
-    std::string result;  ///< Empty: release; else: complete with it.
+    std::string result;
+    int64_t keep_until_unix_ms = 0;
     bool release = false;
   };
-  Claim ReadBack(Claim mine, int attempts);
-  bool TryComplete(const Claim& claim, std::string_view result);
+  std::string NewToken() const;
+  Claim Judge(Claim mine, const store::StoredObject& found);
+  Claim Resolve(Claim mine, const std::string& value);
+  bool TryComplete(const Pending& p);
   bool TryRelease(const Claim& claim);
+  void Keep(Pending p);
 
   store::ObjectStore& store_;
   std::string instance_;
   mutable std::mutex mu_;
   std::vector<Pending> pending_;
   ClaimCounts counts_;
-  int64_t sequence_ = 0;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -1,29 +1,25 @@
 #pragma once
 
-#include <QNetworkAccessManager>
 #include <QTimer>
+#include <functional>
 #include <memory>
-#include <random>
 
 #include "turmeric/config/instance_settings.h"
-#include "turmeric/gateway/admission.h"
-#include "turmeric/gateway/gateway_metrics.h"
-#include "turmeric/gateway/upstream_pools.h"
+#include "turmeric/gateway/config_handler.h"
+#include "turmeric/gateway/run_handler.h"
 #include "turmeric/http/router_server.h"
 #include "turmeric/kernel/service.h"
+#include "turmeric/store/duty_lease.h"
 #include "turmeric/store/resumable_watch.h"
-#include "turmeric/utils/trace.h"
 
 namespace turmeric::gateway {
 
-class ClaimTable;
-class SettingsService;
 class StoreService;
 
 /**
- * Service "gateway": the caller front (QHttpServer), admission, at-most-once
- * claims and the pipeline executor, plus the operator endpoints for
- * settings and /metrics. Routes: see docs/operations/api.md.
+ * Service "gateway": the caller front (QHttpServer) with its handlers, the
+ * watch on the platform's instance list, the sweep of old claims and the
+ * planned stop. Routes: see docs/operations/api.md.
  */
 class GatewayService : public kernel::Service {
  public:
@@ -42,44 +38,28 @@
   /** @return bound port. */
   uint16_t port() const { return port_; }
   /** @return the instance's metrics. */
-  GatewayMetrics& metrics() { return metrics_; }
+  GatewayMetrics& metrics() { return runs_->metrics(); }
   /** @return the instance's claims. */
-  ClaimTable& claims() { return *claims_; }
-  /** @return the instance's upstream pools. */
-  UpstreamPools& pools() { return pools_; }
+  ClaimTable& claims() { return runs_->claims(); }
   /** Closes the listening socket at once, as a killed process would. */
   void Kill();
 
  private:
-  void HandleRun(const QHttpServerRequest& request,
-                 http::Responder&& responder);
-  void HandleConfigGet(const QHttpServerRequest& request,
-                       http::Responder&& responder);
-  void HandleConfigPut(const QHttpServerRequest& request,
-                       http::Responder&& responder);
+  void AddRoutes();
+  void WatchInstanceList();
+  void SweepClaims();
 
   config::InstanceSettings settings_;
   http::RouterServer server_;
-  /** Qt 6.4 opens at most 6 connections per upstream per manager; a few
-   * managers lift the cap without an HTTP/2 dependency. */
-  std::vector<std::unique_ptr<QNetworkAccessManager>> networks_;
-  /** Non-idempotent calls: a kept connection the upstream closes just as
-   * the call is sent would leave its outcome unknown, so none is kept. */
-  std::vector<std::unique_ptr<QNetworkAccessManager>> fresh_networks_;
-  UpstreamPools pools_;
-  Admission admission_;
-  GatewayMetrics metrics_;
-  std::unique_ptr<utils::SpanSink> spans_;
-  std::unique_ptr<ClaimTable> claims_;
-  std::mt19937_64 rng_{20261202};
-  SettingsService* settings_service_ = nullptr;
-  StoreService* store_service_ = nullptr;
+  StoreService* store_ = nullptr;
+  std::unique_ptr<RunHandler> runs_;
+  std::unique_ptr<ConfigHandler> config_;
   /** The platform's (lagging) list of live and leaving upstreams. */
   std::unique_ptr<store::ResumableWatch> instance_list_;
+  std::unique_ptr<store::DutyLease> sweep_duty_;
   QTimer recover_;
+  QTimer sweep_;
   uint16_t port_ = 0;
-  int64_t next_request_ = 0;
-  bool killed_ = false;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/pipeline_run.h
+++ b/libs/gateway/include/turmeric/gateway/pipeline_run.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "turmeric/config/resolved_settings.h"
+#include "turmeric/gateway/claim.h"
 #include "turmeric/utils/result.h"
 #include "turmeric/utils/trace.h"
 
@@ -30,6 +31,9 @@
   config::ResolvedSettings settings;
   std::string input;
   int max_tokens = 16;
+  /** Claims the request before its first non-idempotent call, then calls
+   * back; empty if the request has no non-idempotent stage. */
+  std::function<void(std::function<void(const Claim&)>)> acquire_claim;
   bool stream = false;  ///< Forward generated tokens as they come.
   std::chrono::steady_clock::time_point deadline;
   utils::TraceContext trace;  ///< This request's span in the caller's trace.
@@ -52,6 +56,8 @@
   std::string detail;
   std::string output;
   std::vector<StageRecord> stages;
+  /** The recorded answer, if another attempt ran this request before. */
+  std::string replay;
 };
 
 /** What the executor uses, owned by the gateway service. */
@@ -97,6 +103,7 @@
   void RunStage();
   void StartCall(const UpstreamState* exclude);
   void ArmHedge();
+  void OnClaim(const Claim& claim);
   void OnCallDone(StageCall* call, const StageOutcome& outcome);
   void OnStageOk(const StageCall& call, const StageOutcome& outcome);
   void OnStageFailed(const StageCall& call, const StageOutcome& outcome);
@@ -112,6 +119,8 @@
     return req_.settings.stages[stage_];
   }
   bool streams_here() const;
+  /** @return the stage before which a keyed request is claimed. */
+  size_t ClaimStage() const;
 
   RunContext ctx_;
   RunRequest req_;
@@ -125,6 +134,7 @@
   int attempt_ = 0;
   /** A non-idempotent call was sent and is not proved unrun. */
   bool non_idempotent_sent_ = false;
+  bool claimed_ = false;
   /** Some call was sent and is not proved unrun. */
   bool any_sent_ = false;
   std::string current_input_;
--- a/libs/gateway/include/turmeric/gateway/store_service.h
+++ b/libs/gateway/include/turmeric/gateway/store_service.h
@@ -1,31 +1,36 @@
 #pragma once
 
 #include <memory>
+#include <string_view>
+#include <utility>
 
 #include "turmeric/kernel/service.h"
 #include "turmeric/store/object_store.h"
-
-namespace turmeric::store {
-class MemoryStore;
-}
+#include "turmeric/store/store_executor.h"
 
 namespace turmeric::gateway {
 
 /** Service "store": the platform's object API as this instance reaches it. */
 class StoreService : public kernel::Service {
  public:
-  /** @param store the store to use (the embedded stand-in today). */
+  /** @param store the store: the platform's, or the embedded stand-in. */
   explicit StoreService(std::shared_ptr<store::ObjectStore> store)
-      : store_(std::move(store)) {}
+      : store_(std::move(store)), executor_(kThreads) {}
   std::string_view name() const override { return "store"; }
   utils::Result<void> Start(kernel::Kernel&) override {
     return boost::outcome_v2::success();
   }
-  /** @return the object API. */
+  /** @return the object API; its calls block. */
   store::ObjectStore& store() { return *store_; }
+  /** @return runs blocking store calls off the event loop. */
+  store::StoreExecutor& executor() { return executor_; }
 
  private:
+  /** At 4 ms a call, 8 threads make 2,000 calls/s: the whole fleet's reads. */
+  static constexpr int kThreads = 8;
+
   std::shared_ptr<store::ObjectStore> store_;
+  store::StoreExecutor executor_;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/claim_table.cc
+++ b/libs/gateway/src/claim_table.cc
@@ -1,131 +1,169 @@
 #include "turmeric/gateway/claim_table.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "details/claim_record.h"
+#include "turmeric/utils/random_id.h"
+#include "turmeric/utils/trace.h"
 
 namespace turmeric::gateway {
 
+using details::ClaimPhase;
 using details::ClaimRecord;
 using details::DecodeClaim;
 using details::EncodeClaim;
 using utils::Errc;
 
 namespace {
-constexpr int kReadBackAttempts = 3;
+/** Store round trips spent on finding out what an unclear write did. */
+constexpr int kResolveAttempts = 3;
+constexpr size_t kTokenDigits = 24;
 }  // namespace
 
 ClaimTable::ClaimTable(store::ObjectStore& store, std::string instance)
     : store_(store), instance_(std::move(instance)) {}
 
-Claim ClaimTable::Acquire(std::string_view business,
-                          std::string_view idempotency_key,
-                          int64_t expires_unix_ms) {
-  Claim mine;
-  mine.key =
-      "claims/" + std::string(business) + "/" + std::string(idempotency_key);
-  {
-    std::lock_guard lock(mu_);
-    // Unique per attempt: instance name plus a local sequence. Retries of
-    // the same request through this instance get new tokens too.
-    mine.token = instance_ + "#" + std::to_string(++sequence_);
-  }
-  const std::string value =
-      EncodeClaim({"claimed", mine.token, instance_, expires_unix_ms, ""});
-  auto put = store_.Put(mine.key, value, store::kAbsent);
-  if (put) {
+std::string ClaimTable::NewToken() const {
+  // Guard: a token must be unlike any other attempt's, also those of this
+  // instance before a restart. Name and counter repeat after a restart: the
+  // dead predecessor's claim then looked like our own and ran again.
+  return instance_ + "#" + utils::RandomHex(kTokenDigits);
+}
+
+Claim ClaimTable::Lookup(const ClaimSubject& subject) {
+  Claim claim;
+  claim.subject = subject;
+  auto got = store_.Get(subject.key);
+  if (got) return Judge(std::move(claim), got.value());
+  claim.state = got.error().code == Errc::kStoreNotFound
+                    ? ClaimState::kFree
+                    : ClaimState::kStoreDown;
+  return claim;
+}
+
+/** @return `mine` with the state that the stored record gives it. */
+Claim ClaimTable::Judge(Claim mine, const store::StoredObject& found) {
+  const ClaimRecord record = DecodeClaim(found.value);
+  if (record.phase == ClaimPhase::kReleased) {
+    mine.state = ClaimState::kFree;
+    mine.version = found.version;
+  } else if (record.fingerprint != mine.subject.fingerprint) {
+    mine.state = ClaimState::kOtherRequest;
+  } else if (record.phase == ClaimPhase::kDone) {
+    mine.state = ClaimState::kDone;
+    mine.result = record.result;
     std::lock_guard lock(mu_);
-    ++counts_.acquired;
+    ++counts_.replayed;
+  } else if (!mine.token.empty() && record.token == mine.token) {
+    // Guard: the store applied our write but lost its answer. Without this
+    // the caller would be told nothing ran while the claim is ours, and
+    // every retry would find it held for ever.
     mine.state = ClaimState::kOwned;
-    mine.version = put.value().version;
-    return mine;
+    mine.version = found.version;
+    std::lock_guard lock(mu_);
+    ++counts_.lost_answers_resolved;
+  } else {
+    mine.state = ClaimState::kInFlightElsewhere;
   }
-  // Conflict or an answer we cannot trust: the store's state decides.
-  return ReadBack(mine, kReadBackAttempts);
+  return mine;
 }
 
-Claim ClaimTable::ReadBack(Claim mine, int attempts) {
-  for (int i = 0; i < attempts; ++i) {
-    auto got = store_.Get(mine.key);
-    if (!got && got.error().code == Errc::kStoreNotFound) {
-      // Our create did not apply; try it once more.
-      auto put = store_.Put(
-          mine.key, EncodeClaim({"claimed", mine.token, instance_, 0, ""}),
-          store::kAbsent);
-      if (put) {
-        mine.state = ClaimState::kOwned;
-        mine.version = put.value().version;
-        return mine;
-      }
-      continue;
-    }
-    if (!got) continue;
-    const ClaimRecord rec = DecodeClaim(got.value().value);
-    if (rec.token == mine.token && rec.state == "claimed") {
-      // Guard: the store applied our create but lost its answer. Without
-      // this read-back the caller would be told "not run" while the claim
-      // is ours, and every retry would then find it held forever.
-      std::lock_guard lock(mu_);
-      ++counts_.lost_answers_resolved;
+Claim ClaimTable::Acquire(const ClaimSubject& subject,
+                          int64_t keep_until_unix_ms) {
+  Claim mine;
+  mine.subject = subject;
+  mine.token = NewToken();
+  const std::string value =
+      EncodeClaim({ClaimPhase::kClaimed, mine.token, instance_,
+                   subject.fingerprint, keep_until_unix_ms, ""});
+  Claim claim = Resolve(std::move(mine), value);
+  std::lock_guard lock(mu_);
+  if (claim.state == ClaimState::kOwned) ++counts_.acquired;
+  return claim;
+}
+
+/** Writes `value` where the key is free, until it is clear whose it is. */
+Claim ClaimTable::Resolve(Claim mine, const std::string& value) {
+  int64_t expected = store::kAbsent;
+  for (int i = 0; i < kResolveAttempts; ++i) {
+    auto put = store_.Put(mine.subject.key, value, expected);
+    if (put) {
       mine.state = ClaimState::kOwned;
-      mine.version = got.value().version;
+      mine.version = put.value().version;
       return mine;
     }
-    if (rec.state == "done") {
-      std::lock_guard lock(mu_);
-      ++counts_.replayed;
-      mine.state = ClaimState::kDone;
-      mine.result = rec.result;
-      return mine;
+    // A conflict or an answer not to be trusted: the store's state decides.
+    auto got = store_.Get(mine.subject.key);
+    if (!got) {
+      expected = store::kAbsent;
+      continue;
     }
-    mine.state = ClaimState::kInFlightElsewhere;
-    return mine;
+    mine = Judge(std::move(mine), got.value());
+    if (mine.state != ClaimState::kFree) return mine;
+    expected = mine.version;  // a released record: take it over
   }
-  // Unknown whether our create applied. Nothing ran; queue a release so a
-  // claim we may hold does not block the caller's retry for ever.
+  // Unknown whether our write applied, or will. Nothing was sent; a release
+  // is kept so that a claim we may hold does not block the caller's retry.
   mine.state = ClaimState::kStoreDown;
-  std::lock_guard lock(mu_);
-  pending_.push_back({mine, "", true});
+  Keep({mine, "", 0, true});
   return mine;
 }
 
-bool ClaimTable::TryComplete(const Claim& claim, std::string_view result) {
-  const std::string value =
-      EncodeClaim({"done", claim.token, instance_, 0, std::string(result)});
-  auto put = store_.Put(claim.key, value, claim.version);
-  if (put) return true;
-  auto got = store_.Get(claim.key);
+bool ClaimTable::TryComplete(const Pending& p) {
+  const std::string value = EncodeClaim({ClaimPhase::kDone, p.claim.token,
+                                         instance_, p.claim.subject.fingerprint,
+                                         p.keep_until_unix_ms, p.result});
+  if (store_.Put(p.claim.subject.key, value, p.claim.version)) return true;
+  auto got = store_.Get(p.claim.subject.key);
+  if (!got) return got.error().code == Errc::kStoreNotFound;  // swept
   // A lost answer: the write is there if the record is ours and done.
-  return got && DecodeClaim(got.value().value).token == claim.token &&
-         DecodeClaim(got.value().value).state == "done";
+  const ClaimRecord record = DecodeClaim(got.value().value);
+  return record.token != p.claim.token || record.phase == ClaimPhase::kDone;
 }
 
-bool ClaimTable::Complete(const Claim& claim, std::string_view result) {
-  if (TryComplete(claim, result)) return true;
-  std::lock_guard lock(mu_);
-  pending_.push_back({claim, std::string(result), false});
+bool ClaimTable::Complete(const Claim& claim, std::string_view result,
+                          int64_t keep_until_unix_ms) {
+  Pending p{claim, std::string(result), keep_until_unix_ms, false};
+  if (TryComplete(p)) return true;
+  Keep(std::move(p));
   return false;
 }
 
 bool ClaimTable::TryRelease(const Claim& claim) {
-  auto got = store_.Get(claim.key);
-  if (!got) return got.error().code == Errc::kStoreNotFound;
-  const ClaimRecord rec = DecodeClaim(got.value().value);
-  // Only our own, never-run claim is released; anything else is left be.
-  if (rec.token != claim.token || rec.state != "claimed") return true;
-  auto del = store_.Delete(claim.key, got.value().version);
-  if (del || del.error().code == Errc::kStoreNotFound) {
-    std::lock_guard lock(mu_);
-    ++counts_.released;
-    return true;
+  constexpr int64_t kKeepReleasedMs = 600'000;
+  constexpr int64_t kMicrosPerMs = 1000;
+  const std::string released = EncodeClaim(
+      {ClaimPhase::kReleased, claim.token, instance_, claim.subject.fingerprint,
+       utils::NowUnixMicros() / kMicrosPerMs + kKeepReleasedMs, ""});
+  auto got = store_.Get(claim.subject.key);
+  if (!got && got.error().code != Errc::kStoreNotFound) return false;
+  int64_t expected = store::kAbsent;
+  if (got) {
+    const ClaimRecord record = DecodeClaim(got.value().value);
+    // Only our own, never-run claim is released; anything else is left be.
+    if (record.token != claim.token || record.phase != ClaimPhase::kClaimed) {
+      return true;
+    }
+    expected = got.value().version;
   }
-  return false;
+  // Guard: a create that timed out may still apply after this read found
+  // nothing, and would then hold the key for ever. Writing "released" in its
+  // place makes the late create fail its precondition.
+  if (!store_.Put(claim.subject.key, released, expected)) return false;
+  std::lock_guard lock(mu_);
+  ++counts_.released;
+  return true;
 }
 
 void ClaimTable::Release(const Claim& claim) {
-  if (TryRelease(claim)) return;
+  if (!TryRelease(claim)) Keep({claim, "", 0, true});
+}
+
+void ClaimTable::Keep(Pending p) {
   std::lock_guard lock(mu_);
-  pending_.push_back({claim, "", true});
+  pending_.push_back(std::move(p));
 }
 
 void ClaimTable::Recover() {
@@ -135,15 +173,32 @@
     work.swap(pending_);
   }
   std::vector<Pending> again;
-  std::ranges::copy_if(work, std::back_inserter(again),
-                       [this](const Pending& p) {
-                         return p.release ? !TryRelease(p.claim)
-                                          : !TryComplete(p.claim, p.result);
-                       });
+  std::ranges::copy_if(
+      work, std::back_inserter(again), [this](const Pending& p) {
+        return p.release ? !TryRelease(p.claim) : !TryComplete(p);
+      });
   std::lock_guard lock(mu_);
   pending_.insert(pending_.end(), again.begin(), again.end());
 }
 
+utils::Result<int> ClaimTable::Sweep(int64_t now_unix_ms, int most) {
+  auto all = store_.List(kClaimPrefix);
+  if (!all) return all.error();
+  int swept = 0;
+  for (const store::StoredObject& o : all.value()) {
+    if (swept == most) break;
+    const ClaimRecord record = DecodeClaim(o.value);
+    if (record.phase == ClaimPhase::kMalformed ||
+        record.keep_until_unix_ms >= now_unix_ms) {
+      continue;
+    }
+    if (store_.Delete(o.key, o.version)) ++swept;
+  }
+  std::lock_guard lock(mu_);
+  counts_.swept += swept;
+  return swept;
+}
+
 ClaimCounts ClaimTable::counts() const {
   std::lock_guard lock(mu_);
   return counts_;
--- /dev/null
+++ b/libs/gateway/src/config_handler.cc
@@ -0,0 +1,140 @@
+#include "turmeric/gateway/config_handler.h"
+
+#include <easylogging++.h>
+
+#include <QHttpServerRequest>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <memory>
+
+#include "turmeric/config/settings_layer.h"
+#include "turmeric/config/settings_tree.h"
+#include "turmeric/gateway/answer_json.h"
+#include "turmeric/gateway/store_service.h"
+#include "turmeric/http/router_server.h"
+
+namespace turmeric::gateway {
+
+using store::StoredObject;
+using utils::Errc;
+
+namespace {
+
+constexpr int kStatusOk = 200;
+
+std::string StoreKey(const QHttpServerRequest& request) {
+  const auto prefix = static_cast<qsizetype>(kConfigPath.size());
+  return std::string(config::kConfigPrefix) +
+         request.url().path().mid(prefix).toStdString();
+}
+
+QJsonObject ObjectJson(const StoredObject& o) {
+  return {{"key", QString::fromStdString(o.key)},
+          {"version", static_cast<double>(o.version)},
+          {"revision", static_cast<double>(o.revision)}};
+}
+
+void WriteObject(http::Responder& responder, const QJsonObject& o) {
+  http::WriteJson(responder, kStatusOk,
+                  QJsonDocument(o).toJson(QJsonDocument::Compact));
+}
+
+void WriteError(http::Responder& responder, const utils::Error& error) {
+  http::WriteJson(
+      responder, utils::HttpStatus(error.code),
+      ErrorJson("", error.code, error.detail, utils::RunState::kNotRun),
+      AnswerHeaders("", error.code));
+}
+
+/** @return a level's key ends where its name does; a prefix ends in "/". */
+bool IsPrefix(const std::string& key) { return key.ends_with('/'); }
+
+/**
+ * Writes a level under its version precondition, and finds out what became
+ * of the write if its answer was lost.
+ */
+utils::Result<StoredObject> WriteLevel(store::ObjectStore& store,
+                                       const std::string& key,
+                                       const std::string& text,
+                                       int64_t expected) {
+  auto put = store.Put(key, text, expected);
+  if (put || put.error().code != Errc::kStoreAnswerLost) return put;
+  // Guard: the write may have taken effect although its answer was lost. Told
+  // "unavailable", the operator would write again and get a conflict with
+  // their own change. The level as stored decides.
+  auto got = store.Get(key);
+  if (got && got.value().value == text && got.value().version == expected + 1) {
+    return got;
+  }
+  return put;
+}
+
+}  // namespace
+
+void ConfigHandler::HandleGet(const QHttpServerRequest& request,
+                              http::Responder&& responder) {
+  auto held = std::make_shared<http::Responder>(std::move(responder));
+  const std::string key = StoreKey(request);
+  if (IsPrefix(key)) {
+    store_.executor().Run(
+        this, [this, key] { return store_.store().List(key); },
+        [held](const utils::Result<std::vector<StoredObject>>& list) {
+          if (!list) return WriteError(*held, list.error());
+          QJsonArray items;
+          for (const StoredObject& o : list.value()) {
+            items.append(ObjectJson(o));
+          }
+          WriteObject(*held, {{"items", items}});
+        });
+    return;
+  }
+  store_.executor().Run(
+      this, [this, key] { return store_.store().Get(key); },
+      [held](const utils::Result<StoredObject>& got) {
+        if (!got) return WriteError(*held, got.error());
+        QJsonObject o = ObjectJson(got.value());
+        o["value"] = QString::fromStdString(got.value().value);
+        WriteObject(*held, o);
+      });
+}
+
+void ConfigHandler::HandlePut(const QHttpServerRequest& request,
+                              http::Responder&& responder) {
+  auto held = std::make_shared<http::Responder>(std::move(responder));
+  bool versioned = false;
+  const int64_t expected = request.value("if-match").toLongLong(&versioned);
+  // Guard: racing operators. Without a version precondition the second
+  // writer silently overwrites the first; requiring If-Match makes the
+  // loser see config_version_conflict and re-read.
+  if (!versioned || expected < 0) {
+    WriteError(*held, {Errc::kConfigVersionConflict,
+                       "If-Match: <version> required (0 to create)"});
+    return;
+  }
+  auto layer = config::ParseLayer(request.body().toStdString());
+  if (!layer) {
+    WriteError(*held, layer.error());
+    return;
+  }
+  store_.executor().Run(
+      this,
+      [this, key = StoreKey(request), text = config::RenderLayer(layer.value()),
+       expected] { return WriteLevel(store_.store(), key, text, expected); },
+      [held](const utils::Result<StoredObject>& put) {
+        if (!put) {
+          utils::Error error = put.error();
+          if (error.code == Errc::kStoreConflict) {
+            error.code = Errc::kConfigVersionConflict;
+          }
+          WriteError(*held, error);
+          return;
+        }
+        LOG(INFO) << "event=config_accepted key=" << put.value().key
+                  << " version=" << put.value().version
+                  << " revision=" << put.value().revision;
+        WriteObject(*held, ObjectJson(put.value()));
+      });
+}
+
+}  // namespace turmeric::gateway
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -1,6 +1,7 @@
 #include "turmeric/gateway/pipeline_run.h"
 
 #include <QNetworkAccessManager>
+#include <QPointer>
 #include <algorithm>
 #include <utility>
 
@@ -64,6 +65,15 @@
          stage_ + 1 == req_.settings.stages.size();
 }
 
+size_t PipelineRun::ClaimStage() const {
+  const auto& stages = req_.settings.stages;
+  const auto first =
+      std::ranges::find(stages, false, &config::StageSpec::idempotent);
+  // A request the caller marked, through stages that may all be repeated, is
+  // claimed before it starts.
+  return first == stages.end() ? 0 : first - stages.begin();
+}
+
 RunState PipelineRun::UnfinishedState() const {
   if (non_idempotent_sent_) return RunState::kUnknown;
   return any_sent_ ? RunState::kFailed : RunState::kNotRun;
@@ -82,6 +92,14 @@
            "deadline reached before stage " + stage().name);
     return;
   }
+  if (req_.acquire_claim && !claimed_ && stage_ == ClaimStage()) {
+    // Claimed only here, not on arrival: an instance that dies while the
+    // idempotent stages run leaves no claim, and the retry can run at once.
+    req_.acquire_claim([self = QPointer<PipelineRun>(this)](const Claim& c) {
+      if (self && self->on_done_) self->OnClaim(c);
+    });
+    return;
+  }
   UpstreamPool& pool = ctx_.pools->For(req_.settings.business, stage());
   pool.retry_budget().OnAttempt(req_.settings.retry_budget_percent);
   pool.hedge_budget().OnAttempt(req_.settings.hedge_percent);
@@ -89,6 +107,36 @@
   StartCall(nullptr);
 }
 
+void PipelineRun::OnClaim(const Claim& claim) {
+  switch (claim.state) {
+    case ClaimState::kOwned:
+      // Guard: this process may have been paused while it waited. RunStage
+      // checks the deadline again, so that nothing is sent for a caller who
+      // has long been answered.
+      claimed_ = true;
+      RunStage();
+      return;
+    case ClaimState::kDone:
+      answer_.replay = claim.result;
+      Finish(RunState::kRan, Errc::kOk, "");
+      return;
+    case ClaimState::kOtherRequest:
+      Finish(RunState::kNotRun, Errc::kIdempotencyKeyReused,
+             "the idempotency key stands for another request");
+      return;
+    case ClaimState::kFree:
+    case ClaimState::kInFlightElsewhere:
+      Finish(RunState::kUnknown, Errc::kDuplicateInFlight,
+             "another attempt with this idempotency key is under way");
+      return;
+    case ClaimState::kStoreDown:
+      Finish(RunState::kUnknown, Errc::kStoreUnavailable,
+             "cannot claim the idempotency key; this attempt ran nothing that "
+             "may not be repeated, an earlier one may have");
+      return;
+  }
+}
+
 void PipelineRun::StartCall(const UpstreamState* exclude) {
   UpstreamPool& pool = ctx_.pools->For(req_.settings.business, stage());
   const UpstreamRef upstream =
--- a/libs/gateway/test/claim_table_test.cc
+++ b/libs/gateway/test/claim_table_test.cc
@@ -9,9 +9,23 @@
 
 using turmeric::gateway::Claim;
 using turmeric::gateway::ClaimState;
+using turmeric::gateway::ClaimSubject;
 using turmeric::gateway::ClaimTable;
 using turmeric::store::MemoryStore;
 
+namespace {
+
+/** A request of one organisation, told apart by its key. */
+ClaimSubject Subject(const std::string& key) {
+  return {turmeric::gateway::ClaimStoreKey(
+              turmeric::gateway::QualifiedKey("b", "o", "p", key)),
+          "fingerprint-of-" + key};
+}
+
+constexpr int64_t kKeepUntil = 10'000;
+
+}  // namespace
+
 TEST_CASE("at most one attempt runs a key, whatever the store does") {
   // A parish crew's felling recommendation is retried through several entry
   // instances while the store loses answers and goes down. Each attempt that
@@ -32,15 +46,18 @@
                        .seed = seed++});
       ClaimTable& t = *instances[step % 4];
       const std::string key = "k" + std::to_string((step >> 2) % 3);
-      Claim c = t.Acquire("arvoredo", key, 0);
+      Claim c = t.Acquire(Subject(key), kKeepUntil);
       if (c.state == ClaimState::kOwned) {
         ++runs[key];
         RC_ASSERT(runs[key] <= 1);
-        if (step & 0x80) t.Complete(c, "done");
+        if (step & 0x80) t.Complete(c, "done", kKeepUntil);
       }
-      if (c.state == ClaimState::kStoreDown) {
-        // Told "not run": the store must not show it as done by us.
-        RC_ASSERT(true);
+      // A release says the call certainly did not run; the key is free again.
+      if (c.state == ClaimState::kOwned && (step & 0xC0) == 0x80) {
+        // completed above
+      } else if (c.state == ClaimState::kOwned && (step & 0x0C) == 0x0C) {
+        t.Release(c);
+        --runs[key];
       }
       t.Recover();
     }
@@ -54,7 +71,7 @@
   MemoryStore store;
   ClaimTable table(store, "entry-1");
   store.SetFaults({.outage = false, .lose_answer_rate = 1.0, .seed = 3});
-  Claim c = table.Acquire("nilelight", "notice-42", 0);
+  Claim c = table.Acquire(Subject("notice-42"), kKeepUntil);
   CHECK(c.state == ClaimState::kOwned);
   CHECK(table.counts().lost_answers_resolved == 1);
 }
@@ -63,12 +80,12 @@
   MemoryStore store;
   ClaimTable a(store, "entry-1");
   ClaimTable b(store, "entry-2");
-  Claim c = a.Acquire("nilelight", "notice-7", 0);
+  Claim c = a.Acquire(Subject("notice-7"), kKeepUntil);
   REQUIRE(c.state == ClaimState::kOwned);
-  CHECK(b.Acquire("nilelight", "notice-7", 0).state ==
+  CHECK(b.Acquire(Subject("notice-7"), kKeepUntil).state ==
         ClaimState::kInFlightElsewhere);
-  REQUIRE(a.Complete(c, "{\"output\":\"printed\"}"));
-  Claim replay = b.Acquire("nilelight", "notice-7", 0);
+  REQUIRE(a.Complete(c, "{\"output\":\"printed\"}", kKeepUntil));
+  Claim replay = b.Acquire(Subject("notice-7"), kKeepUntil);
   CHECK(replay.state == ClaimState::kDone);
   CHECK(replay.result == "{\"output\":\"printed\"}");
 }
@@ -80,9 +97,86 @@
   MemoryStore store;
   ClaimTable table(store, "entry-1");
   store.SetFaults({.outage = true});
-  CHECK(table.Acquire("nilelight", "k", 0).state == ClaimState::kStoreDown);
+  CHECK(table.Acquire(Subject("k"), kKeepUntil).state ==
+        ClaimState::kStoreDown);
   store.SetFaults({});
   table.Recover();
   CHECK(table.pending() == 0);
-  CHECK(table.Acquire("nilelight", "k", 0).state == ClaimState::kOwned);
+  CHECK(table.Acquire(Subject("k"), kKeepUntil).state == ClaimState::kOwned);
+}
+
+TEST_CASE("a restarted instance does not take its dead predecessor's claim") {
+  // entry-1 claims a felling recommendation, sends it and dies. It restarts
+  // under its old name (no disks: counters start anew) and the first retry
+  // it sees is for that key. With tokens of name and counter the old claim
+  // looked like its own, and the recommendation was sent twice.
+  MemoryStore store;
+  {
+    ClaimTable before(store, "entry-1");
+    REQUIRE(before.Acquire(Subject("tree-5"), kKeepUntil).state ==
+            ClaimState::kOwned);
+  }
+  ClaimTable after(store, "entry-1");
+  CHECK(after.Acquire(Subject("tree-5"), kKeepUntil).state ==
+        ClaimState::kInFlightElsewhere);
+}
+
+TEST_CASE("a create that applies late does not hold the key for ever") {
+  // The store times out on a claim's create. The claim is given up (the read
+  // shows nothing), and only then does the create take effect. The release
+  // must have closed the door, or every retry would hear "in flight".
+  struct LateStore : MemoryStore {
+    turmeric::utils::Result<turmeric::store::StoredObject> Put(
+        std::string_view key, std::string_view value,
+        int64_t expected) override {
+      if (hold) {
+        late_key = key;
+        late_value = value;
+        return turmeric::utils::Fail(turmeric::utils::Errc::kStoreUnavailable,
+                                     "timed out");
+      }
+      return MemoryStore::Put(key, value, expected);
+    }
+    bool hold = false;
+    std::string late_key, late_value;
+  };
+  LateStore store;
+  ClaimTable table(store, "entry-1");
+  store.hold = true;
+  REQUIRE(table.Acquire(Subject("k"), kKeepUntil).state ==
+          ClaimState::kStoreDown);
+  store.hold = false;
+  table.Recover();
+  CHECK_FALSE(
+      store.Put(store.late_key, store.late_value, turmeric::store::kAbsent));
+  CHECK(table.Acquire(Subject("k"), kKeepUntil).state == ClaimState::kOwned);
+}
+
+TEST_CASE("claims are swept once past their time, and not before") {
+  // Claims would fill the store for ever; swept too early, a retry would
+  // print again.
+  MemoryStore store;
+  ClaimTable table(store, "entry-1");
+  const Claim done = table.Acquire(Subject("done"), kKeepUntil);
+  REQUIRE(table.Complete(done, "{}", 2 * kKeepUntil));
+  REQUIRE(table.Acquire(Subject("open"), kKeepUntil).state ==
+          ClaimState::kOwned);
+  CHECK(table.Sweep(kKeepUntil, 10).value() == 0);
+  CHECK(table.Sweep(kKeepUntil + 1, 10).value() == 1);
+  CHECK(table.Lookup(Subject("open")).state == ClaimState::kFree);
+  CHECK(table.Lookup(Subject("done")).state == ClaimState::kDone);
+}
+
+TEST_CASE("qualified keys of different requests never meet") {
+  // "a/b" as an organisation's name or a caller's key must not make two
+  // requests look like one.
+  rc::prop("equal only if every part is", [] {
+    using turmeric::gateway::QualifiedKey;
+    const auto part = rc::gen::container<std::string>(
+        rc::gen::element('a', '/', '%', '2', 'F', '\xff', '\xfe'));
+    const auto a = *rc::gen::container<std::vector<std::string>>(4, part);
+    const auto b = *rc::gen::container<std::vector<std::string>>(4, part);
+    RC_ASSERT((QualifiedKey(a[0], a[1], a[2], a[3]) ==
+               QualifiedKey(b[0], b[1], b[2], b[3])) == (a == b));
+  });
 }
--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -115,7 +115,9 @@
       Body("parish-bonfim", "lime 881", false), key);
   CHECK(Json(retry).value("state").toString() == "ran");
   CHECK(Json(retry).value("output") == Json(first).value("output"));
-  CHECK(Executions(stack, "tree-881") == 1);
+  CHECK(Executions(stack,
+                   "arvoredo/parish-bonfim/felling-recommendation/tree-881") ==
+        1);
 }
 
 TEST_CASE("a store outage refuses non-idempotent work without saying not run") {
@@ -135,14 +137,14 @@
   CHECK(Json(down).value("code").toInt() == 5001);
   CHECK(Json(down).value("state").toString() == "unknown");
   CHECK(Json(down).value("retry_after_ms").toInt() == 250);
-  CHECK(Executions(stack, "notice-9") == 0);
+  CHECK(Executions(stack, "nilelight/nile-hotels/print-notice/notice-9") == 0);
   stack.store->SetFaults({});
   Wait(1100);  // the claim release queued during the outage is retried
   const HttpAnswer again =
       HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
                Body("nile-hotels", "floor 2", false), key);
   CHECK(Json(again).value("state").toString() == "ran");
-  CHECK(Executions(stack, "notice-9") == 1);
+  CHECK(Executions(stack, "nilelight/nile-hotels/print-notice/notice-9") == 1);
 }
 
 TEST_CASE("a retry is never told not run after an earlier attempt ran") {
@@ -264,3 +266,55 @@
   CHECK(a.body.contains(R"("code":3003)"));
   CHECK(timer.elapsed() < 1000);
 }
+
+TEST_CASE("two organisations may use the same idempotency key") {
+  // Two franchisees both number their notices from 1. Before, the second
+  // one's "notice-1" was answered with the first one's room, and not printed.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  QNetworkAccessManager network;
+  for (const char* organisation : {"nile-hotels", "nile-clinics"}) {
+    const HttpAnswer a =
+        HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+                 Body(organisation, organisation, false),
+                 {{"Idempotency-Key", "notice-1"}});
+    CHECK(Json(a).value("state").toString() == "ran");
+    CHECK(Json(a).value("organisation").toString() == organisation);
+    CHECK(Json(a).value("output").toString().contains(organisation));
+  }
+}
+
+TEST_CASE("a key used again for another body is refused, not replayed") {
+  // A panel reuses key 7 for a new room. The old room's answer must not be
+  // passed off as the new one's.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  QNetworkAccessManager network;
+  auto run = [&](const char* input) {
+    return HttpCall(
+        network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+        Body("nile-hotels", input, false), {{"Idempotency-Key", "7"}});
+  };
+  REQUIRE(Json(run("room one")).value("state").toString() == "ran");
+  Wait(50);
+  const HttpAnswer other = run("room two");
+  CHECK(Json(other).value("code").toInt() == 1006);
+  CHECK(Json(other).value("state").toString() == "not_run");
+  CHECK(Json(run("room one")).value("state").toString() == "ran");
+}
+
+TEST_CASE("a pipeline that prints cannot be run without a key") {
+  // A caller leaves out "idempotent": false on a pipeline whose print stage
+  // may not be repeated. Run without a claim, its retry printed again.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  QNetworkAccessManager network;
+  const HttpAnswer a =
+      HttpCall(network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+               Body("nile-hotels", "room 3"));
+  CHECK(Json(a).value("code").toInt() == 1005);
+  CHECK(Json(a).value("state").toString() == "not_run");
+  int64_t executed = 0;
+  for (const auto& s : stack.embedded->services()) executed += s->executed();
+  CHECK(executed == 0);
+}
--- a/libs/kernel/src/kernel.cc
+++ b/libs/kernel/src/kernel.cc
@@ -4,7 +4,12 @@
 
 namespace turmeric::kernel {
 
-Kernel::~Kernel() { StopAll(); }
+Kernel::~Kernel() {
+  StopAll();
+  // Guard: a service may hold what an earlier one owns (the store); a vector
+  // destroys its first element first, leaving the later ones dangling.
+  while (!services_.empty()) services_.pop_back();
+}
 
 Service* Kernel::Register(std::unique_ptr<Service> service) {
   services_.push_back(std::move(service));
--- a/libs/store/include/turmeric/store/memory_store.h
+++ b/libs/store/include/turmeric/store/memory_store.h
@@ -28,7 +28,7 @@
  * and lost answers. Thread-safe. Watch callbacks run on the writer's thread,
  * outside the lock.
  */
-class MemoryStore final : public ObjectStore {
+class MemoryStore : public ObjectStore {
  public:
   MemoryStore() = default;
 
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -19,6 +19,7 @@
   kUnknownOrganisation = 1003,
   kBadDeadline = 1004,
   kMissingIdempotencyKey = 1005,
+  kIdempotencyKeyReused = 1006,
   // 2xxx: admission and deadlines.
   kOverloaded = 2001,
   kDeadlineTooShort = 2002,
--- /dev/null
+++ b/libs/utils/src/random_id.cc
@@ -0,0 +1,27 @@
+#include "turmeric/utils/random_id.h"
+
+#include <algorithm>
+#include <random>
+
+namespace turmeric::utils {
+
+namespace {
+
+std::mt19937_64 SystemSeeded() {
+  std::random_device device;
+  std::seed_seq seed{device(), device(), device(), device(),
+                     device(), device(), device(), device()};
+  return std::mt19937_64(seed);
+}
+
+}  // namespace
+
+std::string RandomHex(size_t digits) {
+  thread_local std::mt19937_64 rng = SystemSeeded();
+  static constexpr char kHex[] = "0123456789abcdef";
+  std::string out(digits, '0');
+  std::ranges::generate(out, [] { return kHex[rng() & 0xf]; });
+  return out;
+}
+
+}  // namespace turmeric::utils
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -16,6 +16,8 @@
       return "bad_deadline";
     case Errc::kMissingIdempotencyKey:
       return "missing_idempotency_key";
+    case Errc::kIdempotencyKeyReused:
+      return "idempotency_key_reused";
     case Errc::kOverloaded:
       return "overloaded";
     case Errc::kDeadlineTooShort:
@@ -82,6 +84,8 @@
       return 502;
     case Errc::kCallerGone:
       return 499;
+    case Errc::kIdempotencyKeyReused:
+      return 422;
     default:
       break;
   }
--- a/libs/utils/src/trace.cc
+++ b/libs/utils/src/trace.cc
@@ -4,7 +4,8 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
-#include <random>
+
+#include "turmeric/utils/random_id.h"
 
 namespace turmeric::utils {
 namespace {
@@ -18,14 +19,6 @@
   });
 }
 
-std::string RandomHex(size_t digits) {
-  thread_local std::mt19937_64 rng{std::random_device{}()};
-  static constexpr char kHex[] = "0123456789abcdef";
-  std::string out(digits, '0');
-  std::ranges::generate(out, [] { return kHex[rng() & 0xf]; });
-  return out;
-}
-
 }  // namespace
 
 std::optional<TraceContext> ParseTraceparent(std::string_view header) {
--- a/tools/turmericctl/faults_scenario.cc
+++ b/tools/turmericctl/faults_scenario.cc
@@ -11,6 +11,7 @@
 #include "load_phase.h"
 #include "report.h"
 #include "turmeric/config/settings_tree.h"
+#include "turmeric/gateway/claim.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/embedded_stack.h"
 #include "turmeric/gateway/gateway_metrics.h"
@@ -159,8 +160,9 @@
     const LoadResult& r = p.results[i];
     v.misdelivered += r.misdelivered;
     if (f.idempotent || r.state != "not_run") continue;
-    const std::string key =
-        "k" + std::to_string(run_index) + "-" + std::to_string(i);
+    const std::string key = gateway::QualifiedKey(
+        f.business, f.organisation, f.pipeline,
+        "k" + std::to_string(run_index) + "-" + std::to_string(i));
     for (const auto& s : services) v.not_run_but_ran += s->executions(key) > 0;
   }
   std::map<std::string, double> cost;
