--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -171,7 +171,7 @@
         0);
   }
   auto list = store.List("claims/");
-  for (const auto& o : list.value())
+  for (const auto& o : list.value().objects)
     value_bytes += o.key.size() + o.value.size();
   const auto c = store.counts();
   state.counters["writes_per_request"] = double(c.writes) / n;
--- a/libs/config/include/turmeric/config/instance_settings.h
+++ b/libs/config/include/turmeric/config/instance_settings.h
@@ -14,12 +14,11 @@
   std::string zone = "zone-a";   ///< Availability zone.
   std::string listen_address = "127.0.0.1";
   uint16_t listen_port = 8080;     ///< Callers, operators, /metrics.
-  std::string store = "embedded";  ///< "embedded" or "ip:port".
+  std::string store = "embedded";  ///< "ip:port", or stand-ins in-process.
   std::string log_level = "info";
   std::string trace_path;             ///< JSON-lines spans; empty: off.
   int drain_timeout_ms = 10000;       ///< Longest wait for in-flight work.
   int claim_retention_s = 3600;       ///< How long answers can be replayed.
-  bool embedded = true;               ///< Start stand-ins in-process.
   uint16_t standin_base_port = 9100;  ///< First stand-in upstream port.
 };
 
--- a/libs/config/include/turmeric/config/settings_tree.h
+++ b/libs/config/include/turmeric/config/settings_tree.h
@@ -45,6 +45,10 @@
   utils::Result<void> Arm();
   /** @return true while the watch is armed. */
   bool armed() const;
+  /** @return true once the whole tree has been read. */
+  bool synced() const { return watch_.synced(); }
+  /** @return the watch that feeds the tree. */
+  store::ResumableWatch& watch() { return watch_; }
 
   /**
    * Applies one change as delivered by a watch or read.
@@ -70,6 +74,7 @@
   size_t size() const;
 
  private:
+  store::HeldKeys HeldLevels() const;
   struct Held {
     /** Shared by every level that states the same text (interned). */
     std::shared_ptr<const SettingsLayer> layer;
--- a/libs/config/src/instance_settings.cc
+++ b/libs/config/src/instance_settings.cc
@@ -3,6 +3,7 @@
 #include <QFileInfo>
 #include <QSettings>
 #include <QStringList>
+#include <regex>
 #include <set>
 
 namespace turmeric::config {
@@ -21,7 +22,7 @@
                                           "instance/trace_path",
                                           "instance/drain_timeout_ms",
                                           "instance/claim_retention_s",
-                                          "instance/embedded",
+
                                           "instance/standin_base_port"};
 
 utils::Result<int> ReadInt(const QSettings& ini, const char* key, int lo,
@@ -68,11 +69,11 @@
   s.store = ReadString(ini, "instance/store", s.store);
   s.log_level = ReadString(ini, "instance/log_level", s.log_level);
   s.trace_path = ReadString(ini, "instance/trace_path", s.trace_path);
-  const std::string embedded = ReadString(ini, "instance/embedded", "true");
-  if (embedded != "true" && embedded != "false") {
-    return Fail(Errc::kIniInvalid, "instance/embedded: want true or false");
+  static const std::regex kStoreAddress(
+      "embedded|[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
+  if (!std::regex_match(s.store, kStoreAddress)) {
+    return Fail(Errc::kIniInvalid, "instance/store: want embedded or ip:port");
   }
-  s.embedded = embedded == "true";
   static const std::set<std::string> kLevels = {"debug", "info", "warning",
                                                 "error"};
   if (!kLevels.contains(s.log_level)) {
--- a/libs/config/src/settings_tree.cc
+++ b/libs/config/src/settings_tree.cc
@@ -54,8 +54,19 @@
 }
 
 SettingsTree::SettingsTree(store::ObjectStore& store)
-    : watch_(store, std::string(kConfigPrefix),
-             [this](const store::StoredObject& change) { Apply(change); }) {}
+    : watch_(
+          store, std::string(kConfigPrefix),
+          [this](const store::StoredObject& change) { Apply(change); },
+          [this] { return HeldLevels(); }) {}
+
+store::HeldKeys SettingsTree::HeldLevels() const {
+  std::lock_guard lock(mu_);
+  store::HeldKeys held;
+  std::ranges::transform(levels_, std::back_inserter(held), [](const auto& l) {
+    return std::pair(l.first, l.second.revision);
+  });
+  return held;
+}
 
 utils::Result<void> SettingsTree::Arm() {
   // While the watch is down the cached tree keeps serving.
--- a/libs/gateway/include/turmeric/gateway/config_handler.h
+++ b/libs/gateway/include/turmeric/gateway/config_handler.h
@@ -7,10 +7,15 @@
 
 class QHttpServerRequest;
 
+namespace turmeric::config {
+class SettingsTree;
+}
 namespace turmeric::gateway {
 
 class StoreService;
 
+/** Path prefix of the settings in force on this instance. */
+inline constexpr std::string_view kResolvedPath = "/v1/resolved/";
 /** Path prefix of the operators' settings calls. */
 inline constexpr std::string_view kConfigPath = "/v1/config/";
 
@@ -20,8 +25,9 @@
  */
 class ConfigHandler : public QObject {
  public:
-  /** @param store the platform's store. */
-  explicit ConfigHandler(StoreService& store) : store_(store) {}
+  /** @param store the platform's store. @param tree the settings in force. */
+  ConfigHandler(StoreService& store, const config::SettingsTree& tree)
+      : store_(store), tree_(tree) {}
   /** @param request GET of a level or a prefix. @param responder its answer. */
   void HandleGet(const QHttpServerRequest& request,
                  http::Responder&& responder);
@@ -29,8 +35,17 @@
   void HandlePut(const QHttpServerRequest& request,
                  http::Responder&& responder);
 
+  /**
+   * What is in force on this instance, store or no store.
+   * @param request GET /v1/resolved/<business>/<pipeline>/<organisation>.
+   * @param responder its answer.
+   */
+  void HandleResolved(const QHttpServerRequest& request,
+                      http::Responder&& responder);
+
  private:
   StoreService& store_;
+  const config::SettingsTree& tree_;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/run_handler.h
+++ b/libs/gateway/include/turmeric/gateway/run_handler.h
@@ -46,6 +46,8 @@
   void Recover();
   /** Forgets everything in flight, as a killed process does. */
   void Kill();
+  /** @return true once the settings have been read. */
+  bool ready() const;
   /** @return true when nothing is in flight and all claims are written. */
   bool idle() const;
 
--- a/libs/gateway/include/turmeric/gateway/settings_service.h
+++ b/libs/gateway/include/turmeric/gateway/settings_service.h
@@ -1,17 +1,17 @@
 #pragma once
 
-#include <QTimer>
 #include <memory>
 
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/kernel/service.h"
+#include "turmeric/store/watch_keeper.h"
 
 namespace turmeric::gateway {
 
 /**
  * Service "settings": the watched settings tree. While the store is down
- * the cached tree keeps serving; the watch is re-armed every second from the
- * last applied revision.
+ * the cached tree keeps serving; the watch is re-armed with back-off from
+ * the last applied revision.
  */
 class SettingsService : public kernel::Service {
  public:
@@ -23,7 +23,7 @@
 
  private:
   std::unique_ptr<config::SettingsTree> tree_;
-  QTimer rearm_;
+  std::unique_ptr<store::WatchKeeper> keeper_;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/claim_table.cc
+++ b/libs/gateway/src/claim_table.cc
@@ -185,7 +185,7 @@
   auto all = store_.List(kClaimPrefix);
   if (!all) return all.error();
   int swept = 0;
-  for (const store::StoredObject& o : all.value()) {
+  for (const store::StoredObject& o : all.value().objects) {
     if (swept == most) break;
     const ClaimRecord record = DecodeClaim(o.value);
     if (record.phase == ClaimPhase::kMalformed ||
--- a/libs/gateway/src/config_handler.cc
+++ b/libs/gateway/src/config_handler.cc
@@ -79,10 +79,10 @@
   if (IsPrefix(key)) {
     store_.executor().Run(
         this, [this, key] { return store_.store().List(key); },
-        [held](const utils::Result<std::vector<StoredObject>>& list) {
+        [held](const utils::Result<store::ObjectList>& list) {
           if (!list) return WriteError(*held, list.error());
           QJsonArray items;
-          for (const StoredObject& o : list.value()) {
+          for (const StoredObject& o : list.value().objects) {
             items.append(ObjectJson(o));
           }
           WriteObject(*held, {{"items", items}});
@@ -99,6 +99,42 @@
       });
 }
 
+void ConfigHandler::HandleResolved(const QHttpServerRequest& request,
+                                   http::Responder&& responder) {
+  const QStringList parts =
+      request.url()
+          .path()
+          .mid(static_cast<qsizetype>(kResolvedPath.size()))
+          .split('/');
+  if (parts.size() != 3) {
+    WriteError(responder, {Errc::kBadRequest,
+                           "want /v1/resolved/<business>/<pipeline>/"
+                           "<organisation>"});
+    return;
+  }
+  auto resolved = tree_.Resolve(parts[0].toStdString(), parts[1].toStdString(),
+                                parts[2].toStdString());
+  if (!resolved) {
+    WriteError(responder, resolved.error());
+    return;
+  }
+  const config::ResolvedSettings& s = resolved.value();
+  QJsonArray stages;
+  for (const config::StageSpec& stage : s.stages) {
+    stages.append(QJsonObject{{"stage", QString::fromStdString(stage.name)},
+                              {"pool", QString::fromStdString(stage.pool)},
+                              {"idempotent", stage.idempotent}});
+  }
+  WriteObject(responder, {{"deadline_ms", s.deadline_ms},
+                          {"max_inflight", s.max_inflight},
+                          {"routing", QString::fromStdString(s.routing)},
+                          {"retry_budget_percent", s.retry_budget_percent},
+                          {"hedge_percent", s.hedge_percent},
+                          {"min_stage_ms", s.min_stage_ms},
+                          {"stages", stages},
+                          {"revision", static_cast<double>(s.revision)}});
+}
+
 void ConfigHandler::HandlePut(const QHttpServerRequest& request,
                               http::Responder&& responder) {
   auto held = std::make_shared<http::Responder>(std::move(responder));
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -51,7 +51,7 @@
   }
   runs_ = std::make_unique<RunHandler>(settings_, settings_service->tree(),
                                        *store_);
-  config_ = std::make_unique<ConfigHandler>(*store_);
+  config_ = std::make_unique<ConfigHandler>(*store_, settings_service->tree());
   AddRoutes();
   port_ = server_.listen(
       QHostAddress(QString::fromStdString(settings_.listen_address)),
@@ -65,10 +65,7 @@
   sweep_duty_ = std::make_unique<store::DutyLease>(
       store_->store(), "claim-sweep",
       settings_.name + "#" + utils::RandomHex(16), kSweepLeaseMs);
-  QObject::connect(&recover_, &QTimer::timeout, [this] {
-    runs_->Recover();
-    if (!instance_list_->armed()) (void)instance_list_->Arm();
-  });
+  QObject::connect(&recover_, &QTimer::timeout, [this] { runs_->Recover(); });
   recover_.start(kRecoverEvery);
   QObject::connect(&sweep_, &QTimer::timeout, [this] { SweepClaims(); });
   sweep_.start(kSweepEvery);
@@ -88,15 +85,23 @@
   server_.Route(
       M::Put, std::string(kConfigPath),
       [this](const auto& r, auto&& w) { config_->HandlePut(r, std::move(w)); });
+  server_.Route(M::Get, std::string(kResolvedPath),
+                [this](const auto& r, auto&& w) {
+                  config_->HandleResolved(r, std::move(w));
+                });
   server_.Route(M::Get, "/metrics", [this](const auto&, auto&& w) {
     w.WriteWhole(200, "text/plain; version=0.0.4",
                  QByteArray::fromStdString(metrics().Render()));
   });
   server_.Route(M::Get, "/healthz", [this](const auto&, auto&& w) {
-    const bool draining = runs_->admission().draining();
-    http::WriteJson(
-        w, draining ? 503 : 200,
-        draining ? R"({"state":"draining"})" : R"({"state":"serving"})");
+    const char* state = runs_->admission().draining() ? "draining"
+                        : runs_->ready()              ? "serving"
+                                                      : "starting";
+    constexpr int kOk = 200;
+    constexpr int kUnavailable = 503;
+    http::WriteJson(w,
+                    state == std::string_view("serving") ? kOk : kUnavailable,
+                    QByteArray(R"({"state":")") + state + R"("})");
   });
   server_.Route(M::Post, "/admin/drain", [this](const auto&, auto&& w) {
     Drain([] {});
@@ -112,6 +117,7 @@
       [this](const store::StoredObject& entry) {
         const std::string address =
             entry.key.substr(kInstanceListPrefix.size());
+        listed_.Note(entry);
         const bool leaving =
             !entry.deleted && entry.value.find("leaving") != std::string::npos;
         // Watch events come on a store thread; upstream state belongs to the
@@ -124,10 +130,12 @@
                         << " state=" << (leaving ? "leaving" : "live");
             },
             Qt::QueuedConnection);
-      });
-  if (!instance_list_->Arm()) {
-    LOG(WARNING) << "event=instance_list_watch_down";
-  }
+      },
+      [this] { return listed_.Held(); });
+  (void)instance_list_->Arm();
+  instance_list_keeper_ = std::make_unique<store::WatchKeeper>(
+      *instance_list_, store_->executor(), "instance_list");
+  instance_list_keeper_->Start();
 }
 
 void GatewayService::SweepClaims() {
@@ -146,6 +154,8 @@
 void GatewayService::Stop() {
   recover_.stop();
   sweep_.stop();
+  instance_list_keeper_.reset();
+  store_->executor().WaitIdle();
   instance_list_.reset();
 }
 
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -99,6 +99,14 @@
   exchange->request_id = settings_.name + "-" + incarnation_ + "-" +
                          std::to_string(++next_request_);
   exchange->responder.emplace(std::move(responder));
+  if (!ready()) {
+    // Guard: an instance that has not read the settings knows no pipeline;
+    // "unknown pipeline" would turn a proper request away for good.
+    Refuse(*exchange, Errc::kNotReady, "settings not read yet",
+           request.value("idempotency-key").isEmpty() ? RunState::kNotRun
+                                                      : RunState::kUnknown);
+    return;
+  }
   auto parsed =
       ParseRun({request.url().path(), request.body(),
                 request.value("idempotency-key"), request.value("traceparent")},
@@ -316,6 +324,8 @@
   admission_.StartDrain();
 }
 
+bool RunHandler::ready() const { return tree_.synced(); }
+
 bool RunHandler::idle() const {
   return admission_.inflight() == 0 && store_work_ == 0 &&
          claims_.pending() == 0;
--- a/libs/gateway/src/settings_service.cc
+++ b/libs/gateway/src/settings_service.cc
@@ -1,7 +1,5 @@
 #include "turmeric/gateway/settings_service.h"
 
-#include <easylogging++.h>
-
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/kernel/kernel.h"
 
@@ -13,22 +11,15 @@
     return utils::Fail(utils::Errc::kConfigInvalid, "no store service");
   }
   tree_ = std::make_unique<config::SettingsTree>(store->store());
-  auto armed = tree_->Arm();
-  if (!armed)
-    LOG(WARNING) << "event=settings_watch_down detail=\""
-                 << armed.error().detail << "\"";
-  rearm_.setInterval(1000);
-  QObject::connect(&rearm_, &QTimer::timeout, [this] {
-    if (tree_->armed()) return;
-    if (tree_->Arm()) {
-      LOG(INFO) << "event=settings_watch_rearmed revision="
-                << tree_->revision();
-    }
-  });
-  rearm_.start();
+  // Read before serving where the store is there; else the instance starts
+  // not ready and the keeper goes on trying.
+  (void)tree_->Arm();
+  keeper_ = std::make_unique<store::WatchKeeper>(tree_->watch(),
+                                                 store->executor(), "settings");
+  keeper_->Start();
   return boost::outcome_v2::success();
 }
 
-void SettingsService::Stop() { rearm_.stop(); }
+void SettingsService::Stop() { keeper_.reset(); }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/stage_call.cc
+++ b/libs/gateway/src/stage_call.cc
@@ -8,7 +8,7 @@
 #include <QUrl>
 #include <utility>
 
-#include "details/one_shot_body.h"
+#include "turmeric/http/one_shot_body.h"
 #include "turmeric/http/sse.h"
 
 namespace turmeric::gateway {
@@ -77,7 +77,7 @@
   // sends the POST again by itself, and a notice is printed twice. A body
   // that cannot be rewound makes Qt report an error instead; whether to
   // send again is the executor's decision alone.
-  auto* device = new details::OneShotBody(body, this);
+  auto* device = new http::OneShotBody(body, this);
   reply_ = network.post(RequestHead(spec_, body.size()), device);
   if (spec_.stream) {
     connect(reply_, &QNetworkReply::readyRead, this, [this] { ReadStream(); });
--- a/libs/gateway/src/details/one_shot_body.h
+++ b/libs/http/include/turmeric/http/one_shot_body.h
@@ -3,7 +3,7 @@
 #include <QByteArray>
 #include <QIODevice>
 
-namespace turmeric::gateway::details {
+namespace turmeric::http {
 
 /** A request body that can be read once and never rewound. */
 class OneShotBody : public QIODevice {
@@ -23,4 +23,4 @@
   qint64 position_ = 0;
 };
 
-}  // namespace turmeric::gateway::details
+}  // namespace turmeric::http
--- a/libs/gateway/src/details/one_shot_body.cc
+++ b/libs/http/src/one_shot_body.cc
@@ -1,8 +1,8 @@
-#include "details/one_shot_body.h"
+#include "turmeric/http/one_shot_body.h"
 
 #include <algorithm>
 
-namespace turmeric::gateway::details {
+namespace turmeric::http {
 
 OneShotBody::OneShotBody(QByteArray bytes, QObject* parent)
     : QIODevice(parent), bytes_(std::move(bytes)) {
@@ -21,4 +21,4 @@
   return n;
 }
 
-}  // namespace turmeric::gateway::details
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/standins/src/platform_standin.cc
@@ -0,0 +1,226 @@
+#include "turmeric/standins/platform_standin.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrlQuery>
+#include <algorithm>
+#include <utility>
+
+#include "turmeric/store/object_codec.h"
+
+namespace turmeric::standins {
+
+using store::StoredObject;
+using utils::Errc;
+
+namespace {
+
+constexpr int kBookmarkEveryMs = 1000;
+constexpr int kStatusOk = 200;
+
+QByteArray Line(const QJsonObject& o) {
+  return QJsonDocument(o).toJson(QJsonDocument::Compact) + "\n";
+}
+
+std::string Query(const QHttpServerRequest& request, const char* name) {
+  return QUrlQuery(request.url())
+      .queryItemValue(QString::fromLatin1(name), QUrl::FullyDecoded)
+      .toStdString();
+}
+
+int StatusOf(Errc code) {
+  switch (code) {
+    case Errc::kStoreNotFound:
+      return 404;
+    case Errc::kStoreConflict:
+      return 409;
+    case Errc::kStoreRevisionGone:
+      return 410;
+    case Errc::kBadRequest:
+      return 400;
+    default:
+      return 503;
+  }
+}
+
+void WriteError(http::Responder& responder, const utils::Error& error) {
+  // The write took effect; only its answer goes missing.
+  if (error.code == Errc::kStoreAnswerLost) {
+    responder.Abort();
+    return;
+  }
+  http::WriteJson(responder, StatusOf(error.code), "{}");
+}
+
+}  // namespace
+
+/** One watch and where its events go. */
+struct PlatformStandin::OpenWatch {
+  std::shared_ptr<http::Responder> responder;
+  int64_t id = 0;
+  bool started = false;
+  QByteArray replay;  ///< Events before the stream starts.
+};
+
+PlatformStandin::PlatformStandin(std::shared_ptr<store::MemoryStore> store)
+    : store_(std::move(store)) {
+  AddRoutes();
+  connect(&bookmarks_, &QTimer::timeout, this, [this] { SendBookmarks(); });
+  bookmarks_.start(kBookmarkEveryMs);
+}
+
+PlatformStandin::~PlatformStandin() {
+  for (const auto& w : watches_) store_->CancelWatch(w->id);
+}
+
+uint16_t PlatformStandin::Listen(uint16_t port) {
+  return server_.listen(QHostAddress::LocalHost, port);
+}
+
+void PlatformStandin::SetFaults(const PlatformFaults& faults) {
+  const bool ends_silence = faults_.silent && !faults.silent;
+  faults_ = faults;
+  store_->SetFaults(faults.store);
+  if (!ends_silence) return;
+  // Events were swallowed meanwhile; no stream may go on as if whole.
+  unanswered_.clear();  // closes their connections
+  for (const auto& w : std::exchange(watches_, {})) {
+    store_->CancelWatch(w->id);
+    w->responder->Abort();
+  }
+}
+
+void PlatformStandin::Later(http::Responder&& responder,
+                            std::function<void(http::Responder&)> answer) {
+  auto held = std::make_shared<http::Responder>(std::move(responder));
+  if (faults_.silent) {
+    unanswered_.push_back(std::move(held));
+    return;
+  }
+  QTimer::singleShot(faults_.delay_ms, Qt::PreciseTimer, this,
+                     [held, answer = std::move(answer)] { answer(*held); });
+}
+
+void PlatformStandin::AddRoutes() {
+  using M = QHttpServerRequest::Method;
+  server_.Route(M::Get, "/v1/objects", [this](const auto& r, auto&& w) {
+    Later(std::move(w), [this, key = Query(r, "key")](http::Responder& out) {
+      auto got = store_->Get(key);
+      if (!got) return WriteError(out, got.error());
+      http::WriteJson(out, kStatusOk, Line(store::ObjectToJson(got.value())));
+    });
+  });
+  server_.Route(M::Put, "/v1/objects", [this](const auto& r, auto&& w) {
+    const int64_t expected = r.value(store::kIfVersionHeader).toLongLong();
+    Later(std::move(w), [this, key = Query(r, "key"), expected,
+                         value = r.body().toStdString()](http::Responder& out) {
+      auto put = store_->Put(key, value, expected);
+      if (!put) return WriteError(out, put.error());
+      StoredObject head = put.value();
+      head.value.clear();
+      http::WriteJson(out, kStatusOk, Line(store::ObjectToJson(head)));
+    });
+  });
+  server_.Route(M::Delete, "/v1/objects", [this](const auto& r, auto&& w) {
+    const int64_t expected = r.value(store::kIfVersionHeader).toLongLong();
+    Later(std::move(w),
+          [this, key = Query(r, "key"), expected](http::Responder& out) {
+            auto deleted = store_->Delete(key, expected);
+            if (!deleted) return WriteError(out, deleted.error());
+            http::WriteJson(out, kStatusOk, "{}");
+          });
+  });
+  server_.Route(M::Get, "/v1/list", [this](const auto& r, auto&& w) {
+    Later(std::move(w), [this,
+                         prefix = Query(r, "prefix")](http::Responder& out) {
+      auto list = store_->List(prefix);
+      if (!list) return WriteError(out, list.error());
+      QJsonArray items;
+      for (const StoredObject& o : list.value().objects) {
+        items.append(store::ObjectToJson(o));
+      }
+      http::WriteJson(
+          out, kStatusOk,
+          Line({{"items", items},
+                {"revision", static_cast<double>(list.value().revision)}}));
+    });
+  });
+  server_.Route(M::Get, "/v1/watch",
+                [this](const auto& r, auto&& w) { Watch(r, std::move(w)); });
+  server_.Route(M::Post, "/admin/faults", [this](const auto& r, auto&& w) {
+    const QJsonObject o = QJsonDocument::fromJson(r.body()).object();
+    PlatformFaults faults;
+    faults.store.outage = o.value("outage").toBool();
+    faults.store.lose_answer_rate = o.value("lose_answer_rate").toDouble();
+    faults.store.seed = static_cast<uint64_t>(o.value("seed").toDouble(1));
+    faults.delay_ms = o.value("delay_ms").toInt(faults.delay_ms);
+    faults.silent = o.value("silent").toBool();
+    SetFaults(faults);
+    http::WriteJson(w, kStatusOk, "{}");
+  });
+  server_.Route(M::Post, "/admin/compact", [this](const auto&, auto&& w) {
+    store_->Compact();
+    http::WriteJson(w, kStatusOk, "{}");
+  });
+  server_.Route(M::Get, "/admin/counts", [this](const auto&, auto&& w) {
+    const store::StoreCallCounts c = store_->counts();
+    http::WriteJson(w, kStatusOk,
+                    Line({{"reads", static_cast<double>(c.reads)},
+                          {"writes", static_cast<double>(c.writes)},
+                          {"watches", static_cast<double>(c.watches)}}));
+  });
+}
+
+void PlatformStandin::Watch(const QHttpServerRequest& request,
+                            http::Responder&& responder) {
+  auto watch = std::make_shared<OpenWatch>();
+  watch->responder = std::make_shared<http::Responder>(std::move(responder));
+  if (faults_.silent) {
+    unanswered_.push_back(watch->responder);
+    return;
+  }
+  auto deliver = [this, watch](const utils::Result<StoredObject>& event) {
+    if (!event) {
+      watch->responder->Abort();
+      std::erase(watches_, watch);
+      return;
+    }
+    const QByteArray line = Line(store::ObjectToJson(event.value()));
+    if (!watch->started) {
+      watch->replay += line;
+    } else if (!faults_.silent) {
+      watch->responder->WriteChunk(line);
+    }
+  };
+  // The store calls back on its writer's thread; the connection is ours.
+  auto on_event = [this, deliver](const utils::Result<StoredObject>& event) {
+    QMetaObject::invokeMethod(this, [deliver, event] { deliver(event); });
+  };
+  auto id = store_->Watch(
+      Query(request, "prefix"),
+      QString::fromStdString(Query(request, "after")).toLongLong(), on_event);
+  if (!id) return WriteError(*watch->responder, id.error());
+  watch->id = id.value();
+  watch->started = true;
+  watch->responder->StartStream("application/x-ndjson");
+  watch->responder->WriteChunk(
+      watch->replay +
+      Line({{"bookmark", static_cast<double>(store_->revision())}}));
+  watch->replay.clear();
+  watch->responder->OnGone([this, watch] {
+    store_->CancelWatch(watch->id);
+    std::erase(watches_, watch);
+  });
+  watches_.push_back(watch);
+}
+
+void PlatformStandin::SendBookmarks() {
+  if (faults_.silent) return;
+  const QByteArray line =
+      Line({{"bookmark", static_cast<double>(store_->revision())}});
+  std::ranges::for_each(watches_,
+                        [&](const auto& w) { w->responder->WriteChunk(line); });
+}
+
+}  // namespace turmeric::standins
--- a/libs/store/include/turmeric/store/memory_store.h
+++ b/libs/store/include/turmeric/store/memory_store.h
@@ -33,8 +33,7 @@
   MemoryStore() = default;
 
   utils::Result<StoredObject> Get(std::string_view key) override;
-  utils::Result<std::vector<StoredObject>> List(
-      std::string_view prefix) override;
+  utils::Result<ObjectList> List(std::string_view prefix) override;
   utils::Result<StoredObject> Put(std::string_view key, std::string_view value,
                                   int64_t expected_version) override;
   utils::Result<void> Delete(std::string_view key,
@@ -45,6 +44,8 @@
 
   /** @param faults faults from now on; starting an outage breaks watches. */
   void SetFaults(const StoreFaults& faults);
+  /** Forgets deletions: watches from an earlier revision must list. */
+  void Compact();
   /** @return calls billed so far. */
   StoreCallCounts counts() const;
   /** @return the store-wide revision. */
@@ -65,6 +66,7 @@
   StoreFaults faults_;
   std::mt19937_64 rng_{1};
   int64_t revision_ = 0;
+  int64_t compacted_ = 0;  ///< Deletions up to here are forgotten.
   int64_t next_watch_ = 1;
   mutable StoreCallCounts counts_;
 };
--- a/libs/store/include/turmeric/store/object_store.h
+++ b/libs/store/include/turmeric/store/object_store.h
@@ -24,6 +24,12 @@
   bool deleted = false;  ///< A tombstone, seen only by watches.
 };
 
+/** What a prefix held at one revision. */
+struct ObjectList {
+  std::vector<StoredObject> objects;  ///< Live ones, by key.
+  int64_t revision = 0;               ///< Store-wide, when listed.
+};
+
 /** Called once per change under a watched prefix, or once with an error
  * when the watch breaks (then the watcher re-arms from its revision). */
 using WatchCallback = std::function<void(const utils::Result<StoredObject>&)>;
@@ -33,7 +39,8 @@
  * conditional updates and watches that resume from a revision. The platform
  * bills each call (a waiting watch counts once), so callers keep calls few.
  * Errors: kStoreUnavailable (outage or slow), kStoreConflict (precondition
- * failed), kStoreNotFound, kStoreAnswerLost (the write may have applied).
+ * failed), kStoreNotFound, kStoreAnswerLost (the write may have applied),
+ * kStoreRevisionGone (a watch from before the history kept).
  */
 class ObjectStore {
  public:
@@ -41,8 +48,7 @@
   /** @param key object key. @return the object or kStoreNotFound. */
   virtual utils::Result<StoredObject> Get(std::string_view key) = 0;
   /** @param prefix key prefix. @return live objects under it, by key. */
-  virtual utils::Result<std::vector<StoredObject>> List(
-      std::string_view prefix) = 0;
+  virtual utils::Result<ObjectList> List(std::string_view prefix) = 0;
   /**
    * Conditional write.
    * @param key object key.
--- a/libs/store/include/turmeric/store/store_executor.h
+++ b/libs/store/include/turmeric/store/store_executor.h
@@ -21,6 +21,8 @@
   StoreExecutor(const StoreExecutor&) = delete;
   StoreExecutor& operator=(const StoreExecutor&) = delete;
 
+  /** Waits until no call is open; results may still be on their way back. */
+  void WaitIdle() { pool_.waitForDone(); }
   /**
    * @param context owner of `done`; if it is gone by then, `done` is not run.
    *     Lives on the event loop's thread.
--- a/libs/store/src/memory_store.cc
+++ b/libs/store/src/memory_store.cc
@@ -37,14 +37,15 @@
   return it->second;
 }
 
-Result<std::vector<StoredObject>> MemoryStore::List(std::string_view prefix) {
+Result<ObjectList> MemoryStore::List(std::string_view prefix) {
   std::lock_guard lock(mu_);
   ++counts_.reads;
   if (auto ok = CheckAvailable(); !ok) return ok.error();
-  std::vector<StoredObject> out;
+  ObjectList out;
+  out.revision = revision_;
   for (auto it = objects_.lower_bound(prefix);
        it != objects_.end() && HasPrefix(it->first, prefix); ++it) {
-    if (!it->second.deleted) out.push_back(it->second);
+    if (!it->second.deleted) out.objects.push_back(it->second);
   }
   return out;
 }
@@ -120,6 +121,9 @@
     std::lock_guard lock(mu_);
     ++counts_.watches;
     if (auto ok = CheckAvailable(); !ok) return ok.error();
+    if (after_revision > 0 && after_revision < compacted_) {
+      return Fail(Errc::kStoreRevisionGone, std::string(prefix));
+    }
     for (const auto& [key, obj] : objects_) {
       if (HasPrefix(key, prefix) && obj.revision > after_revision) {
         replay.push_back(obj);
@@ -167,6 +171,12 @@
   std::ranges::for_each(broken, [&](const auto& cb) { cb(err); });
 }
 
+void MemoryStore::Compact() {
+  std::lock_guard lock(mu_);
+  std::erase_if(objects_, [](const auto& kv) { return kv.second.deleted; });
+  compacted_ = revision_;
+}
+
 StoreCallCounts MemoryStore::counts() const {
   std::lock_guard lock(mu_);
   return counts_;
--- a/libs/store/src/resumable_watch.cc
+++ b/libs/store/src/resumable_watch.cc
@@ -1,13 +1,20 @@
 #include "turmeric/store/resumable_watch.h"
 
+#include <algorithm>
+#include <set>
+
 namespace turmeric::store {
 
+using utils::Errc;
+
 ResumableWatch::ResumableWatch(
     ObjectStore& store, std::string prefix,
-    std::function<void(const StoredObject&)> on_change)
+    std::function<void(const StoredObject&)> on_change,
+    std::function<HeldKeys()> held_keys)
     : store_(store),
       prefix_(std::move(prefix)),
-      on_change_(std::move(on_change)) {}
+      on_change_(std::move(on_change)),
+      held_keys_(std::move(held_keys)) {}
 
 ResumableWatch::~ResumableWatch() {
   if (armed()) store_.CancelWatch(watch_id_);
@@ -19,13 +26,50 @@
     std::lock_guard lock(mu_);
     if (armed_) return boost::outcome_v2::success();
     from = revision_;
+    // Set before the call: the watch may break again while it is being
+    // armed, and that must not be overwritten.
+    armed_ = true;
+  }
+  auto start = [this](int64_t after) {
+    return store_.Watch(prefix_, after,
+                        [this](const auto& event) { OnEvent(event); });
+  };
+  auto id = start(from);
+  if (!id && id.error().code == Errc::kStoreRevisionGone) {
+    if (auto listed = Relist(); listed) id = start(revision());
   }
-  auto id = store_.Watch(prefix_, from,
-                         [this](const auto& event) { OnEvent(event); });
-  if (!id) return id.error();
   std::lock_guard lock(mu_);
+  if (!id) {
+    armed_ = false;
+    return id.error();
+  }
   watch_id_ = id.value();
-  armed_ = true;
+  synced_ = true;
+  return boost::outcome_v2::success();
+}
+
+utils::Result<void> ResumableWatch::Relist() {
+  auto list = store_.List(prefix_);
+  if (!list) return list.error();
+  std::vector<StoredObject>& objects = list.value().objects;
+  std::ranges::sort(objects, {}, &StoredObject::revision);
+  std::set<std::string, std::less<>> live;
+  for (const StoredObject& o : objects) live.insert(o.key);
+  // Guard: a key deleted while the watch was down has left no trace in the
+  // store's history; without this a removed organisation would stay in force
+  // until a restart. Its tombstone is dated just after what we hold, so that
+  // a later re-creation is still newer.
+  for (const auto& [key, held] : held_keys_()) {
+    if (live.contains(key)) continue;
+    StoredObject tombstone;
+    tombstone.key = key;
+    tombstone.revision = held + 1;
+    tombstone.deleted = true;
+    on_change_(tombstone);
+  }
+  std::ranges::for_each(objects, [this](const StoredObject& o) { OnEvent(o); });
+  std::lock_guard lock(mu_);
+  revision_ = std::max(revision_, list.value().revision);
   return boost::outcome_v2::success();
 }
 
@@ -34,6 +78,11 @@
   return armed_;
 }
 
+bool ResumableWatch::synced() const {
+  std::lock_guard lock(mu_);
+  return synced_;
+}
+
 int64_t ResumableWatch::revision() const {
   std::lock_guard lock(mu_);
   return revision_;
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -26,6 +26,7 @@
   kDraining = 2003,
   kDeadlineExceeded = 2004,
   kCallerGone = 2005,
+  kNotReady = 2006,
   // 3xxx: upstreams.
   kUpstreamFailed = 3001,
   kNoUpstream = 3002,
@@ -39,6 +40,7 @@
   kStoreConflict = 5002,
   kStoreNotFound = 5003,
   kStoreAnswerLost = 5004,
+  kStoreRevisionGone = 5005,
   // 6xxx: settings.
   kConfigInvalid = 6001,
   kConfigUnknownKey = 6002,
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -28,6 +28,8 @@
       return "deadline_exceeded";
     case Errc::kCallerGone:
       return "caller_gone";
+    case Errc::kNotReady:
+      return "not_ready";
     case Errc::kUpstreamFailed:
       return "upstream_failed";
     case Errc::kNoUpstream:
@@ -48,6 +50,8 @@
       return "store_not_found";
     case Errc::kStoreAnswerLost:
       return "store_answer_lost";
+    case Errc::kStoreRevisionGone:
+      return "store_revision_gone";
     case Errc::kConfigInvalid:
       return "config_invalid";
     case Errc::kConfigUnknownKey:
@@ -103,6 +107,7 @@
     case Errc::kStoreUnavailable:
     case Errc::kDuplicateInFlight:
       return 250;
+    case Errc::kNotReady:
     case Errc::kNoUpstream:
       return 500;
     default:
--- a/tools/turmericctl/config_command.cc
+++ b/tools/turmericctl/config_command.cc
@@ -49,7 +49,8 @@
 int RunConfigCommand(const std::string& target,
                      const std::vector<std::string>& args) {
   if (args.empty()) {
-    std::cerr << "usage: turmericctl config get|list|set|diff KEY\n";
+    std::cerr << "usage: turmericctl config get|list|set|diff KEY | resolved "
+                 "BUSINESS/PIPELINE/ORGANISATION\n";
     return 2;
   }
   QNetworkAccessManager network;
@@ -63,6 +64,11 @@
               << " KEY (e.g. business/nilelight)\n";
     return 2;
   }
+  if (verb == "resolved") {
+    return Print(
+        http::HttpCall(network, "GET",
+                       QString::fromStdString(target) + "/v1/resolved/" + key));
+  }
   if (verb == "get") return Print(http::HttpCall(network, "GET", base + key));
   if (verb == "set") {
     if (FLAGS_if_version < 0) {
--- a/tools/turmericctl/faults_scenario.cc
+++ b/tools/turmericctl/faults_scenario.cc
@@ -10,8 +10,8 @@
 
 #include "load_phase.h"
 #include "report.h"
+#include "traffic_mix.h"
 #include "turmeric/config/settings_tree.h"
-#include "turmeric/gateway/claim.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/embedded_stack.h"
 #include "turmeric/gateway/gateway_metrics.h"
@@ -19,6 +19,7 @@
 #include "turmeric/standins/engine_standin.h"
 #include "turmeric/standins/service_standin.h"
 #include "turmeric/store/memory_store.h"
+#include "verdict.h"
 
 DECLARE_int32(requests);
 DECLARE_int32(concurrency);
@@ -29,34 +30,6 @@
 
 namespace {
 
-/** One pipeline of the traffic mix. */
-struct Flow {
-  const char* business;
-  const char* pipeline;
-  const char* organisation;
-  bool idempotent;
-};
-
-// Nilelight and Arvoredo each: a read-like pipeline and a non-idempotent one.
-constexpr Flow kMix[] = {
-    {"nilelight", "translate-notice", "nile-hotels", true},
-    {"arvoredo", "pruning-note", "camara-porto", true},
-    {"nilelight", "translate-notice", "nile-clinics", true},
-    {"arvoredo", "pruning-note", "parish-bonfim", true},
-    {"nilelight", "print-notice", "nile-hotels", false},
-    {"arvoredo", "felling-recommendation", "parish-bonfim", false},
-};
-
-/** What the invariants check found in one run. */
-struct Verdict {
-  int64_t doubled = 0;          ///< Non-idempotent keys executed twice.
-  int64_t not_run_but_ran = 0;  ///< Told "not run" yet executed.
-  int64_t misdelivered = 0;     ///< Caller got another request's answer.
-  int64_t gateway_misdelivered = 0;
-  int64_t leaving_refusals = 0;  ///< Calls refused by a leaving upstream.
-  int64_t sent_to_leaving = 0;   ///< Calls sent after the list said leaving.
-};
-
 QJsonObject RunOnce(const std::string& label, bool baseline, int run_index) {
   gateway::EmbeddedStack stack;
   const int instances = std::clamp(FLAGS_instances, 2, 8);
@@ -85,25 +58,8 @@
   const auto& services = stack.embedded->services();
   const int total = std::clamp(FLAGS_requests, 50, 20000);
   auto make = [&](int i, int attempt) {
-    const Flow& f = kMix[i % std::size(kMix)];
-    const std::string nonce = "#n" + std::to_string(i);
-    QJsonObject body{{"organisation", f.organisation},
-                     {"input", QString::fromStdString("notice " + nonce)},
-                     {"max_tokens", 4},
-                     {"deadline_ms", kDeadlineMs}};
-    QList<QPair<QByteArray, QByteArray>> headers;
-    if (!f.idempotent) {
-      body["idempotent"] = false;
-      headers.append({"Idempotency-Key", QByteArray::fromStdString(
-                                             "k" + std::to_string(run_index) +
-                                             "-" + std::to_string(i))});
-    }
     // A caller's retry lands on another instance, as the balancer would.
-    const int instance = (i + attempt) % instances;
-    return LoadRequest{stack.Url(instance) + "/v1/pipelines/" + f.business +
-                           "/" + f.pipeline + ":run",
-                       QJsonDocument(body).toJson(QJsonDocument::Compact),
-                       headers, nonce, f.business};
+    return MixRequest(stack.Url((i + attempt) % instances), run_index, i);
   };
   // The fault schedule, in ms from the start of the run.
   std::vector<std::unique_ptr<QTimer>> timers;
@@ -150,25 +106,13 @@
   at(2300, [&] { services[6]->SetFaults({}); });
   Phase p = RunPhase(total, std::clamp(FLAGS_concurrency, 1, 256), 2, make);
 
-  Verdict v;
-  for (const auto& s : services) v.doubled += s->doubled();
-  for (const auto& e : engines) v.leaving_refusals += e->refused_leaving();
+  Verdict v = CheckDelivery(p.results, run_index, *stack.embedded);
   v.sent_to_leaving = engines[0]->received() - received_at_list[0] +
                       engines[3]->received() - received_at_list[1];
-  for (int i = 0; i < static_cast<int>(p.results.size()); ++i) {
-    const Flow& f = kMix[i % std::size(kMix)];
-    const LoadResult& r = p.results[i];
-    v.misdelivered += r.misdelivered;
-    if (f.idempotent || r.state != "not_run") continue;
-    const std::string key = gateway::QualifiedKey(
-        f.business, f.organisation, f.pipeline,
-        "k" + std::to_string(run_index) + "-" + std::to_string(i));
-    for (const auto& s : services) v.not_run_but_ran += s->executions(key) > 0;
-  }
   std::map<std::string, double> cost;
   for (gateway::GatewayService* g : stack.gateways) {
     const std::string text = g->metrics().Render();
-    v.gateway_misdelivered +=
+    v.misdelivered +=
         static_cast<int64_t>(MetricSum(text, "turmeric_misdelivered_total"));
     for (const char* b : {"nilelight", "arvoredo"}) {
       for (const char* st :
@@ -188,18 +132,7 @@
     PrintSummary(std::string("  ") + b, s, p.seconds);
     per_business[b] = SummaryJson(s);
   }
-  std::printf(
-      "  invariants: doubled=%lld not_run_but_ran=%lld misdelivered=%lld "
-      "gateway_misdelivered=%lld\n",
-      static_cast<long long>(v.doubled),
-      static_cast<long long>(v.not_run_but_ran),
-      static_cast<long long>(v.misdelivered),
-      static_cast<long long>(v.gateway_misdelivered));
-  std::printf(
-      "  leaving engines: calls sent after the list said so %lld, refused "
-      "%lld\n",
-      static_cast<long long>(v.sent_to_leaving),
-      static_cast<long long>(v.leaving_refusals));
+  PrintVerdict(v);
   QJsonObject cost_json;
   std::printf("  upstream seconds by business/stage:");
   for (const auto& [k, s] : cost) {
@@ -208,18 +141,10 @@
     cost_json[QString::fromStdString(k)] = s;
   }
   std::printf("\n");
-  const bool held = v.doubled == 0 && v.not_run_but_ran == 0 &&
-                    v.misdelivered == 0 && v.gateway_misdelivered == 0;
-  return {{"label", QString::fromStdString(label)},
-          {"all", SummaryJson(p.summary)},
-          {"per_business", per_business},
-          {"doubled", double(v.doubled)},
-          {"not_run_but_ran", double(v.not_run_but_ran)},
-          {"misdelivered", double(v.misdelivered + v.gateway_misdelivered)},
-          {"leaving_refusals", double(v.leaving_refusals)},
-          {"sent_to_leaving", double(v.sent_to_leaving)},
-          {"upstream_seconds", cost_json},
-          {"invariants_held", held}};
+  return {
+      {"label", QString::fromStdString(label)}, {"all", SummaryJson(p.summary)},
+      {"per_business", per_business},           {"verdict", VerdictJson(v)},
+      {"upstream_seconds", cost_json},          {"invariants_held", v.held()}};
 }
 
 }  // namespace
@@ -230,7 +155,8 @@
       FLAGS_requests, FLAGS_concurrency, FLAGS_instances,
       static_cast<unsigned long long>(FLAGS_seed));
   const QJsonObject policy =
-      RunOnce("policy (p2c, retry budget, admission, shedding)", false, 0);
+      RunOnce("policy (p2c_ewma, hedging, retry budget, admission, shedding)",
+              false, 0);
   const QJsonObject base =
       RunOnce("baseline (round-robin, no retries, no admission)", true, 1);
   WriteReport({{"scenario", "faults"}, {"policy", policy}, {"baseline", base}});
--- /dev/null
+++ b/tools/turmericctl/fleet_scenario.cc
@@ -0,0 +1,250 @@
+// `turmericctl load --scenario=fleet`: entry instances as processes of their
+// own (started by scripts/fleet.sh), stand-ins for everything outside them in
+// this process, and faults by signal and at the platform's store.
+#include <gflags/gflags.h>
+#include <signal.h>
+
+#include <QEventLoop>
+#include <QJsonDocument>
+#include <QNetworkReply>
+#include <QTimer>
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <sstream>
+
+#include "balancer.h"
+#include "load_phase.h"
+#include "report.h"
+#include "traffic_mix.h"
+#include "turmeric/config/settings_tree.h"
+#include "turmeric/gateway/embedded_platform.h"
+#include "turmeric/gateway/store_service.h"
+#include "turmeric/http/http_call.h"
+#include "turmeric/kernel/kernel.h"
+#include "turmeric/standins/platform_standin.h"
+#include "turmeric/store/memory_store.h"
+#include "verdict.h"
+
+DECLARE_int32(requests);
+DECLARE_int32(concurrency);
+DECLARE_uint64(seed);
+DEFINE_string(targets, "", "fleet: ip:port of each entry instance, by comma");
+DEFINE_string(pids, "", "fleet: their process ids, in the same order");
+DEFINE_int32(platform_port, 7000, "fleet: port of the platform stand-in");
+DEFINE_bool(faults, true, "fleet: play the fault schedule");
+
+namespace turmeric::ctl {
+
+namespace {
+
+using standins::PlatformFaults;
+
+/** The instances each fault is for; they need not be distinct from 3 on. */
+enum Victim : size_t { kKilled = 0, kPaused = 1, kStopped = 2, kOperated = 3 };
+
+std::vector<std::string> Split(const std::string& list) {
+  std::vector<std::string> parts;
+  std::istringstream in(list);
+  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
+  return parts;
+}
+
+/** The fleet under test and what stands around it. */
+class Fleet {
+ public:
+  bool Start() {
+    memory_ = std::make_shared<store::MemoryStore>();
+    kernel_.Register(std::make_unique<gateway::StoreService>(memory_));
+    embedded_ = static_cast<gateway::EmbeddedPlatform*>(
+        kernel_.Register(std::make_unique<gateway::EmbeddedPlatform>(0)));
+    platform_ = std::make_unique<standins::PlatformStandin>(memory_);
+    if (!kernel_.StartAll()) return false;
+    if (platform_->Listen(static_cast<uint16_t>(FLAGS_platform_port)) == 0) {
+      return false;
+    }
+    for (const std::string& t : Split(FLAGS_targets)) {
+      urls_.push_back("http://" + QString::fromStdString(t));
+    }
+    for (const std::string& p : Split(FLAGS_pids))
+      pids_.push_back(std::stoi(p));
+    constexpr size_t kFewest = 4;
+    return urls_.size() >= kFewest && pids_.size() == urls_.size();
+  }
+
+  void Signal(Victim victim, int signal) { ::kill(pids_[victim], signal); }
+  void SetStore(const PlatformFaults& faults) { platform_->SetFaults(faults); }
+
+  const std::vector<QString>& urls() const { return urls_; }
+  gateway::EmbeddedPlatform& embedded() { return *embedded_; }
+  store::MemoryStore& memory() { return *memory_; }
+
+ private:
+  kernel::Kernel kernel_;
+  std::shared_ptr<store::MemoryStore> memory_;
+  gateway::EmbeddedPlatform* embedded_ = nullptr;
+  std::unique_ptr<standins::PlatformStandin> platform_;
+  std::vector<QString> urls_;
+  std::vector<pid_t> pids_;
+};
+
+/** One settings change, timed until it is in force on each instance. */
+class ConfigProbe : public QObject {
+ public:
+  ConfigProbe(Fleet& fleet, Balancer& balancer)
+      : fleet_(fleet), balancer_(balancer) {
+    connect(&poll_, &QTimer::timeout, this, [this] { Poll(); });
+  }
+  /** Writes through one instance as an operator does. */
+  void Begin() {
+    constexpr const char* kKey = "organisation/nilelight/nile-clinics";
+    auto held =
+        fleet_.memory().Get(config::kConfigPrefix.data() + std::string(kKey));
+    QNetworkRequest put(QUrl(fleet_.urls()[kOperated] + "/v1/config/" + kKey));
+    put.setRawHeader("If-Match", QByteArray::number(static_cast<qlonglong>(
+                                     held ? held.value().version : 0)));
+    put.setHeader(QNetworkRequest::ContentTypeHeader, "text/plain");
+    QNetworkReply* reply = network_.put(put, "max_inflight = 33");
+    connect(reply, &QNetworkReply::finished, this, [this, reply] {
+      accepted_ = reply->error() == QNetworkReply::NoError;
+      revision_ = QJsonDocument::fromJson(reply->readAll())
+                      .object()
+                      .value("revision")
+                      .toDouble();
+      reply->deleteLater();
+      since_ = std::chrono::steady_clock::now();
+      if (accepted_) poll_.start(5);
+    });
+  }
+  bool accepted() const { return accepted_; }
+  /** @return ms until the slowest of the instances in rotation had it. */
+  double slowest_ms() const { return slowest_ms_; }
+  /** @return instances seen with it in force. */
+  size_t in_force() const { return in_force_.size(); }
+  /** @return instances that went back to an older revision. */
+  int reverted() const { return reverted_; }
+
+ private:
+  void Poll() {
+    for (size_t i = 0; i < fleet_.urls().size(); ++i) {
+      if (!balancer_.healthy(static_cast<int>(i))) continue;
+      QNetworkRequest get(
+          QUrl(fleet_.urls()[i] +
+               "/v1/resolved/nilelight/translate-notice/nile-clinics"));
+      get.setTransferTimeout(1000);
+      QNetworkReply* reply = network_.get(get);
+      connect(reply, &QNetworkReply::finished, this, [this, reply, i] {
+        const auto json = QJsonDocument::fromJson(reply->readAll()).object();
+        reply->deleteLater();
+        if (!json.contains("revision")) return;
+        const bool now = json.value("revision").toDouble() >= revision_;
+        if (!now && in_force_.contains(i)) ++reverted_;
+        if (now && in_force_.emplace(i, true).second) {
+          slowest_ms_ = std::chrono::duration<double, std::milli>(
+                            std::chrono::steady_clock::now() - since_)
+                            .count();
+        }
+      });
+    }
+    poll_.setInterval(in_force_.empty() ? 5 : 50);
+  }
+
+  Fleet& fleet_;
+  Balancer& balancer_;
+  QNetworkAccessManager network_;
+  QTimer poll_;
+  std::chrono::steady_clock::time_point since_;
+  std::map<size_t, bool> in_force_;
+  double revision_ = 0;
+  double slowest_ms_ = 0;
+  int reverted_ = 0;
+  bool accepted_ = false;
+};
+
+void RunFor(int ms) {
+  QEventLoop loop;
+  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+}  // namespace
+
+int RunFleetScenario() {
+  Fleet fleet;
+  if (!fleet.Start()) {
+    std::fprintf(stderr,
+                 "fleet: want --targets and --pids of at least 4 instances; "
+                 "run scripts/fleet.sh\n");
+    return 2;
+  }
+  Balancer balancer(fleet.urls());
+  const int size = static_cast<int>(fleet.urls().size());
+  for (int waited = 0; waited < 15000 && balancer.healthy() < size;
+       waited += 100) {
+    RunFor(100);
+  }
+  std::printf(
+      "scenario=fleet instances=%d ready=%d requests=%d concurrency=%d "
+      "faults=%d\n",
+      size, balancer.healthy(), FLAGS_requests, FLAGS_concurrency,
+      FLAGS_faults);
+  ConfigProbe config(fleet, balancer);
+  QObject schedule;
+  auto at = [&](int ms, std::function<void()> action) {
+    QTimer::singleShot(ms, Qt::PreciseTimer, &schedule, std::move(action));
+  };
+  const store::StoreCallCounts before = fleet.memory().counts();
+  if (FLAGS_faults) {
+    PlatformFaults silent;
+    silent.silent = true;
+    PlatformFaults outage;
+    outage.store.outage = true;
+    PlatformFaults lossy;
+    lossy.store = {.lose_answer_rate = 0.3, .seed = FLAGS_seed};
+    at(800, [&] { fleet.Signal(kPaused, SIGSTOP); });
+    at(1200, [&] { fleet.Signal(kKilled, SIGKILL); });
+    at(2000, [&fleet, silent] { fleet.SetStore(silent); });
+    at(3000, [&] { fleet.Signal(kPaused, SIGCONT); });
+    at(3500, [&] { fleet.SetStore({}); });
+    at(4500, [&fleet, lossy] { fleet.SetStore(lossy); });
+    at(5000, [&] { fleet.Signal(kStopped, SIGTERM); });
+    at(6000, [&fleet, outage] { fleet.SetStore(outage); });
+    at(6500, [&] { fleet.SetStore({}); });
+    at(7000, [&] { config.Begin(); });
+  } else {
+    at(1000, [&] { config.Begin(); });
+  }
+  auto make = [&](int i, int) { return MixRequest(balancer.Next(), 0, i); };
+  const Phase p = RunPhase(std::clamp(FLAGS_requests, 50, 50000),
+                           std::clamp(FLAGS_concurrency, 1, 256), 3, make);
+  RunFor(FLAGS_faults ? std::max(0, 8500 - static_cast<int>(p.seconds * 1000))
+                      : 500);
+  const store::StoreCallCounts after = fleet.memory().counts();
+  PrintSummary("  all", p.summary, p.seconds);
+  for (const char* b : {"nilelight", "arvoredo"}) {
+    PrintSummary(std::string("  ") + b, Summarize(p.results, b), p.seconds);
+  }
+  const Verdict v = CheckDelivery(p.results, 0, fleet.embedded());
+  PrintVerdict(v);
+  std::printf(
+      "  settings change: accepted=%d in force on %zu of %d in rotation, "
+      "slowest %.0f ms, reverted %d\n",
+      config.accepted(), config.in_force(), balancer.healthy(),
+      config.slowest_ms(), config.reverted());
+  std::printf("  store calls: reads=%lld writes=%lld watches=%lld\n",
+              static_cast<long long>(after.reads - before.reads),
+              static_cast<long long>(after.writes - before.writes),
+              static_cast<long long>(after.watches - before.watches));
+  const bool held =
+      v.held() && config.accepted() && config.reverted() == 0 &&
+      config.in_force() >= static_cast<size_t>(balancer.healthy());
+  WriteReport({{"scenario", "fleet"},
+               {"all", SummaryJson(p.summary)},
+               {"verdict", VerdictJson(v)},
+               {"config_slowest_ms", config.slowest_ms()},
+               {"held", held}});
+  std::printf("  promises held: %s\n", held ? "yes" : "NO");
+  return held ? 0 : 1;
+}
+
+}  // namespace turmeric::ctl
--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -15,26 +15,41 @@
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/kernel/kernel.h"
 #include "turmeric/store/memory_store.h"
+#include "turmeric/store/remote_store.h"
 #include "turmeric/utils/log.h"
 
 INITIALIZE_EASYLOGGINGPP
 
 DEFINE_string(config, "",
               "INI file with an [instance] section; empty: defaults");
-DEFINE_bool(embedded, true,
-            "start the platform stand-in and stand-in upstreams in-process");
+DEFINE_string(store, "",
+              "override instance/store: ip:port of the platform's object API, "
+              "or embedded (stand-ins in this process)");
+DEFINE_string(name, "", "override instance/name");
 DEFINE_int32(port, -1, "override instance/listen_port");
 DEFINE_string(trace_path, "",
               "override instance/trace_path (JSON-lines spans)");
 
 namespace {
+constexpr std::string_view kEmbeddedStore = "embedded";
+
 std::atomic<bool> g_stop{false};
 void OnSignal(int) { g_stop = true; }
+
+std::shared_ptr<turmeric::store::ObjectStore> OpenStore(
+    const std::string& address) {
+  if (address == kEmbeddedStore) {
+    return std::make_shared<turmeric::store::MemoryStore>();
+  }
+  turmeric::store::RemoteStoreOptions options;
+  options.address = address;
+  return std::make_shared<turmeric::store::RemoteStore>(options);
+}
 }  // namespace
 
 int main(int argc, char* argv[]) {
   gflags::SetUsageMessage(
-      "turmericgated [--config=FILE] [--embedded] [--port=N]");
+      "turmericgated [--config=FILE] [--store=ip:port|embedded] [--port=N]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication app(argc, argv);
   turmeric::config::InstanceSettings settings;
@@ -50,20 +65,16 @@
   }
   if (FLAGS_port >= 0) settings.listen_port = static_cast<uint16_t>(FLAGS_port);
   if (!FLAGS_trace_path.empty()) settings.trace_path = FLAGS_trace_path;
-  settings.embedded = settings.embedded && FLAGS_embedded;
+  if (!FLAGS_store.empty()) settings.store = FLAGS_store;
+  if (!FLAGS_name.empty()) settings.name = FLAGS_name;
   turmeric::utils::ConfigureLogging(settings.log_level);
-  if (!settings.embedded || settings.store != "embedded") {
-    // Guard: only the in-process store stand-in exists so far; starting
-    // against an address we cannot speak to would serve a blank tree.
-    std::cerr << "error 6005 ini_invalid: only instance/store=embedded with "
-                 "--embedded is supported in this version\n";
-    return 2;
-  }
-  auto store = std::make_shared<turmeric::store::MemoryStore>();
   turmeric::kernel::Kernel kernel;
-  kernel.Register(std::make_unique<turmeric::gateway::StoreService>(store));
-  kernel.Register(std::make_unique<turmeric::gateway::EmbeddedPlatform>(
-      settings.standin_base_port));
+  kernel.Register(std::make_unique<turmeric::gateway::StoreService>(
+      OpenStore(settings.store)));
+  if (settings.store == kEmbeddedStore) {
+    kernel.Register(std::make_unique<turmeric::gateway::EmbeddedPlatform>(
+        settings.standin_base_port));
+  }
   kernel.Register(std::make_unique<turmeric::gateway::SettingsService>());
   auto* gateway =
       static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
