--- a/tools/turmericctl/fleet_scenario.cc
+++ b/tools/turmericctl/fleet_scenario.cc
@@ -224,8 +224,18 @@
   for (const char* b : {"nilelight", "arvoredo"}) {
     PrintSummary(std::string("  ") + b, Summarize(p.results, b), p.seconds);
   }
+  // Cut by anything but the kill: a planned stop, a pause or a store fault
+  // must cut nothing.
+  const int killed_port =
+      FLAGS_faults ? QUrl(fleet.urls()[kKilled]).port() : -1;
+  int cut = 0;
+  for (const LoadResult& r : p.results) {
+    cut += static_cast<int>(std::ranges::count_if(
+        r.cut_at, [&](int port) { return port != killed_port; }));
+  }
   const Verdict v = CheckDelivery(p.results, 0, fleet.embedded());
   PrintVerdict(v);
+  std::printf("  requests cut other than by the kill: %d\n", cut);
   std::printf(
       "  settings change: accepted=%d in force on %zu of %d in rotation, "
       "slowest %.0f ms, reverted %d\n",
@@ -236,7 +246,7 @@
               static_cast<long long>(after.writes - before.writes),
               static_cast<long long>(after.watches - before.watches));
   const bool held =
-      v.held() && config.accepted() && config.reverted() == 0 &&
+      v.held() && cut == 0 && config.accepted() && config.reverted() == 0 &&
       config.in_force() >= static_cast<size_t>(balancer.healthy());
   WriteReport({{"scenario", "fleet"},
                {"all", SummaryJson(p.summary)},
--- a/tools/turmericctl/load_runner.cc
+++ b/tools/turmericctl/load_runner.cc
@@ -8,6 +8,8 @@
 #include <QTimer>
 #include <algorithm>
 
+#include "turmeric/http/one_shot_body.h"
+
 namespace turmeric::ctl {
 
 struct LoadRunner::Open {
@@ -52,12 +54,17 @@
 
 void LoadRunner::Send(std::shared_ptr<Open> open) {
   const LoadRequest req = make_(open->index, open->attempt);
-  QNetworkRequest http{QUrl(req.url)};
-  http.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
-  for (const auto& [k, v] : req.headers) http.setRawHeader(k, v);
-  http.setTransferTimeout(deadline_ms_ + 2000);
+  QNetworkRequest request{QUrl(req.url)};
+  request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+  for (const auto& [k, v] : req.headers) request.setRawHeader(k, v);
+  request.setTransferTimeout(deadline_ms_ + 2000);
   QNetworkAccessManager& network = *networks_[open->index % networks_.size()];
-  QNetworkReply* reply = network.post(http, req.body);
+  // Qt would send a cut request again by itself and hide the cut.
+  request.setHeader(QNetworkRequest::ContentLengthHeader, req.body.size());
+  request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+  auto* body = new http::OneShotBody(req.body, nullptr);
+  QNetworkReply* reply = network.post(request, body);
+  body->setParent(reply);
   connect(reply, &QNetworkReply::finished, this, [this, reply, open, req] {
     reply->deleteLater();
     const double ms = std::chrono::duration<double, std::milli>(
@@ -94,6 +101,11 @@
     r.misdelivered = r.state == "ran" && (!has_own || foreign > 0);
     r.whole_in_time = r.state == "ran" && !r.misdelivered && ms <= deadline_ms_;
     const bool transport = r.status == 0;
+    const auto error = reply->error();
+    if (transport && error != QNetworkReply::ConnectionRefusedError &&
+        error != QNetworkReply::OperationCanceledError) {
+      r.cut_at.push_back(QUrl(req.url).port());
+    }
     // As a caller would: resend what did not run, and an unknown outcome
     // under the same idempotency key, after the wait the answer asked for.
     const int after_ms = o.value("retry_after_ms").toInt(transport ? 0 : -1);
--- a/tools/turmericctl/load_runner.h
+++ b/tools/turmericctl/load_runner.h
@@ -33,6 +33,8 @@
   bool whole_in_time = false;
   bool misdelivered = false;  ///< Answer carried another request's nonce.
   int attempts = 0;
+  /** Ports whose connection ended without an answer after sending. */
+  std::vector<int> cut_at;
 };
 
 /** Makes attempt `attempt` (0-based) of logical request `index`. */
