--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <vector>
 
+#include "fake_network.h"
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/claim_table.h"
 #include "turmeric/gateway/upstream_pool.h"
@@ -180,6 +181,83 @@
 }
 BENCHMARK(BM_ClaimPerNonIdempotentRequest);
 
+// Control traffic, CPU and memory of membership per node, by fleet size: a
+// settled fleet in virtual time, all its nodes in this process.
+void BM_MembershipPerNode(benchmark::State& state) {
+  using turmeric::membership::testing::FakeNetwork;
+  const int n = static_cast<int>(state.range(0));
+  const size_t heap_before = HeapInUse();
+  FakeNetwork net(1);
+  for (int i = 0; i < n; ++i) net.Start(i, 100, n);
+  net.Run(60000);
+  const double heap = static_cast<double>(HeapInUse() - heap_before);
+  const int agreeing = net.Agreeing(n);
+  net.bytes = 0;
+  net.messages = 0;
+  int64_t seconds = 0;
+  for (auto _ : state) {
+    net.Run(1000);
+    ++seconds;
+  }
+  const double node_seconds = static_cast<double>(seconds) * n;
+  constexpr int kUdpIpHeader = 28;
+  state.counters["agreeing_share"] = static_cast<double>(agreeing) / n;
+  state.counters["bytes_per_node_s"] =
+      static_cast<double>(net.bytes + net.messages * kUdpIpHeader) /
+      node_seconds;
+  state.counters["messages_per_node_s"] =
+      static_cast<double>(net.messages) / node_seconds;
+  state.counters["heap_bytes_per_node"] = heap / n;
+  state.counters["cpu_us_per_node_s"] =
+      benchmark::Counter(node_seconds * 1e-6, benchmark::Counter::kIsRate |
+                                                  benchmark::Counter::kInvert);
+}
+BENCHMARK(BM_MembershipPerNode)
+    ->Arg(8)
+    ->Arg(64)
+    ->Arg(256)
+    ->Arg(1100)
+    ->Iterations(30)
+    ->Unit(benchmark::kMillisecond);
+
+// The same through a bad hour: every 10 s one of the fleet is killed and
+// another restarted (letter 1: 1,000 restarts a day is one in 86 s).
+void BM_MembershipChurn(benchmark::State& state) {
+  using turmeric::membership::testing::FakeNetwork;
+  const int n = static_cast<int>(state.range(0));
+  FakeNetwork net(1);
+  for (int i = 0; i < n; ++i) net.Start(i, 100, n);
+  net.Run(60000);
+  net.bytes = 0;
+  net.messages = 0;
+  int64_t seconds = 0;
+  int victim = 0;
+  double detect_s = 0;
+  for (auto _ : state) {
+    net.nodes.erase(victim);
+    int waited = 0;
+    while (net.Agreeing(n - 1) < n - 1 && waited < 60) {
+      net.Run(1000);
+      ++waited;
+    }
+    detect_s = std::max(detect_s, static_cast<double>(waited));
+    net.Start(victim, 200 + static_cast<uint64_t>(seconds), n);
+    net.Run(10000);
+    seconds += waited + 10;
+    victim = (victim + 37) % n;
+  }
+  constexpr int kUdpIpHeader = 28;
+  state.counters["slowest_agreement_s"] = detect_s;
+  state.counters["bytes_per_node_s"] =
+      static_cast<double>(net.bytes + net.messages * kUdpIpHeader) /
+      (static_cast<double>(seconds) * n);
+}
+BENCHMARK(BM_MembershipChurn)
+    ->Arg(8)
+    ->Arg(256)
+    ->Iterations(3)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 
 BENCHMARK_MAIN();
--- a/libs/config/include/turmeric/config/instance_settings.h
+++ b/libs/config/include/turmeric/config/instance_settings.h
@@ -17,7 +17,9 @@
   std::string store = "embedded";  ///< "ip:port", or stand-ins in-process.
   std::string log_level = "info";
   std::string trace_path;             ///< JSON-lines spans; empty: off.
+  int drain_grace_ms = 2000;          ///< Serving on after SIGTERM, unhealthy.
   int drain_timeout_ms = 10000;       ///< Longest wait for in-flight work.
+  uint16_t membership_port = 0;       ///< UDP, between instances; 0: off.
   int claim_retention_s = 3600;       ///< How long answers can be replayed.
   uint16_t standin_base_port = 9100;  ///< First stand-in upstream port.
 };
--- a/libs/config/include/turmeric/config/resolved_settings.h
+++ b/libs/config/include/turmeric/config/resolved_settings.h
@@ -20,8 +20,9 @@
   std::string business;
   std::string pipeline;
   std::string organisation;
-  int deadline_ms = 6000;  ///< Longest deadline a caller may ask.
-  int max_inflight = 64;   ///< Per organisation on one instance.
+  int deadline_ms = 6000;      ///< Longest deadline a caller may ask.
+  int max_inflight = 64;       ///< Per organisation on one instance.
+  int max_inflight_fleet = 0;  ///< Per organisation, all instances; 0: off.
   /** "p2c_ewma", "p2c" or "round_robin". */
   std::string routing = "p2c_ewma";
   int retry_budget_percent = 10;  ///< Retries per 100 first attempts.
--- a/libs/config/src/instance_settings.cc
+++ b/libs/config/src/instance_settings.cc
@@ -21,7 +21,9 @@
                                           "instance/log_level",
                                           "instance/trace_path",
                                           "instance/drain_timeout_ms",
+                                          "instance/drain_grace_ms",
                                           "instance/claim_retention_s",
+                                          "instance/membership_port",
 
                                           "instance/standin_base_port"};
 
@@ -96,6 +98,14 @@
       ReadInt(ini, "instance/drain_timeout_ms", 0, 600000, s.drain_timeout_ms);
   if (!drain) return drain.error();
   s.drain_timeout_ms = drain.value();
+  auto membership =
+      ReadInt(ini, "instance/membership_port", 0, 65535, s.membership_port);
+  if (!membership) return membership.error();
+  s.membership_port = static_cast<uint16_t>(membership.value());
+  auto grace =
+      ReadInt(ini, "instance/drain_grace_ms", 0, 60000, s.drain_grace_ms);
+  if (!grace) return grace.error();
+  s.drain_grace_ms = grace.value();
   auto retention = ReadInt(ini, "instance/claim_retention_s", 600, 604800,
                            s.claim_retention_s);
   if (!retention) return retention.error();
--- a/libs/config/src/settings_layer.cc
+++ b/libs/config/src/settings_layer.cc
@@ -24,6 +24,7 @@
   static const std::vector<KeyRule> rules = {
       {std::regex("deadline_ms"), ValueKind::kInt, 1, 600000},
       {std::regex("max_inflight"), ValueKind::kInt, 1, 1000000},
+      {std::regex("max_inflight_fleet"), ValueKind::kInt, 0, 1000000},
       {std::regex("retry_budget_percent"), ValueKind::kInt, 0, 100},
       {std::regex("hedge_percent"), ValueKind::kInt, 0, 100},
       {std::regex("min_stage_ms"), ValueKind::kInt, 0, 60000},
--- a/libs/config/src/settings_tree.cc
+++ b/libs/config/src/settings_tree.cc
@@ -150,6 +150,7 @@
   };
   set_int("deadline_ms", out.deadline_ms);
   set_int("max_inflight", out.max_inflight);
+  set_int("max_inflight_fleet", out.max_inflight_fleet);
   set_int("retry_budget_percent", out.retry_budget_percent);
   set_int("hedge_percent", out.hedge_percent);
   set_int("min_stage_ms", out.min_stage_ms);
--- a/libs/gateway/include/turmeric/gateway/admission.h
+++ b/libs/gateway/include/turmeric/gateway/admission.h
@@ -19,10 +19,12 @@
   /**
    * @param settings settings in force for the request.
    * @param deadline_ms the caller's deadline for the whole pipeline.
+   * @param live_instances instances at work, this one included; each admits
+   *     its share of a fleet-wide limit.
    * @return kOk to go on, else the refusal code (nothing ran).
    */
   utils::Errc TryAdmit(const config::ResolvedSettings& settings,
-                       int deadline_ms);
+                       int deadline_ms, int live_instances = 1);
   /** @param settings as given to a successful TryAdmit. */
   void Release(const config::ResolvedSettings& settings);
   /** Stops taking new work; in-flight work goes on. */
--- a/libs/gateway/include/turmeric/gateway/answer_json.h
+++ b/libs/gateway/include/turmeric/gateway/answer_json.h
@@ -19,10 +19,12 @@
  * @param request_id the request, empty for operator calls.
  * @param code result code. @param detail what went wrong.
  * @param state what is known of whether the request ran.
+ * @param retry_after_ms when to come back, -1: not at all.
  * @return an error answer's JSON body, with when to come back.
  */
 QByteArray ErrorJson(std::string_view request_id, utils::Errc code,
-                     std::string_view detail, utils::RunState state);
+                     std::string_view detail, utils::RunState state,
+                     int retry_after_ms);
 
 /**
  * @param request_id the request. @param settings its settings.
@@ -34,9 +36,10 @@
                       const RunAnswer& answer);
 
 /**
- * @param request_id the request. @param code result code.
+ * @param request_id the request.
+ * @param retry_after_ms when to come back, -1: not at all.
  * @return headers of its answer: the id and, where it helps, Retry-After.
  */
-http::Headers AnswerHeaders(std::string_view request_id, utils::Errc code);
+http::Headers AnswerHeaders(std::string_view request_id, int retry_after_ms);
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -16,6 +16,7 @@
 
 namespace turmeric::gateway {
 
+class MembershipService;
 class StoreService;
 
 /**
@@ -32,7 +33,8 @@
   utils::Result<void> Start(kernel::Kernel& kernel) override;
   void Stop() override;
   /**
-   * Stops taking new work and calls `done` when nothing is in flight or the
+   * Turns unhealthy, so that the balancer looks elsewhere; after the grace
+   * stops taking new work, and calls `done` when nothing is in flight or the
    * drain timeout passes.
    * @param done called once.
    */
@@ -50,10 +52,12 @@
   void AddRoutes();
   void WatchInstanceList();
   void SweepClaims();
+  int LiveInstances() const;
 
   config::InstanceSettings settings_;
   http::RouterServer server_;
   StoreService* store_ = nullptr;
+  MembershipService* members_ = nullptr;  ///< May be absent.
   std::unique_ptr<RunHandler> runs_;
   std::unique_ptr<ConfigHandler> config_;
   /** What the instance list held, in case it must be listed anew. */
@@ -65,6 +69,7 @@
   QTimer recover_;
   QTimer sweep_;
   uint16_t port_ = 0;
+  bool leaving_ = false;  ///< A planned stop has begun.
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/include/turmeric/gateway/run_handler.h
+++ b/libs/gateway/include/turmeric/gateway/run_handler.h
@@ -2,7 +2,9 @@
 
 #include <QNetworkAccessManager>
 #include <QObject>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -35,9 +37,11 @@
   /**
    * @param settings this instance's settings. @param tree the settings tree.
    * @param store the platform's store.
+   * @param live_instances how many instances are at work.
    */
   RunHandler(const config::InstanceSettings& settings,
-             const config::SettingsTree& tree, StoreService& store);
+             const config::SettingsTree& tree, StoreService& store,
+             std::function<int()> live_instances);
   ~RunHandler() override;
 
   /** @param request a caller's request. @param responder its answer. */
@@ -64,6 +68,10 @@
   struct Exchange;
   using ExchangeRef = std::shared_ptr<Exchange>;
 
+  /** @param answers whether the store just answered. */
+  void NoteStore(bool answers);
+  /** @return as utils::RetryAfterMs, longer the longer the store is down. */
+  int RetryAfterMs(utils::Errc code) const;
   void Refuse(Exchange& exchange, utils::Errc code, std::string_view detail,
               utils::RunState state);
   void LookUpClaim(const ExchangeRef& exchange);
@@ -83,6 +91,7 @@
   const config::InstanceSettings settings_;
   const config::SettingsTree& tree_;
   StoreService& store_;
+  std::function<int()> live_instances_;
   /** Part of request ids: they must not repeat after a restart. */
   const std::string incarnation_;
   /** Qt opens at most 6 connections per upstream per manager; a few
@@ -100,6 +109,7 @@
   int64_t next_request_ = 0;
   int store_work_ = 0;  ///< Claim calls open on store threads.
   bool recovering_ = false;
+  std::optional<Clock::time_point> store_down_since_;
   bool killed_ = false;
 };
 
--- a/libs/gateway/src/admission.cc
+++ b/libs/gateway/src/admission.cc
@@ -1,5 +1,7 @@
 #include "turmeric/gateway/admission.h"
 
+#include <algorithm>
+
 namespace turmeric::gateway {
 
 using utils::Errc;
@@ -8,10 +10,21 @@
 std::string OrgKey(const config::ResolvedSettings& s) {
   return s.business + "/" + s.organisation;
 }
+
+/** @return how many requests of one organisation this instance may hold. */
+int LimitHere(const config::ResolvedSettings& s, int live_instances) {
+  if (s.max_inflight_fleet == 0) return s.max_inflight;
+  // Rounded up: an organisation with a small limit is not shut out of an
+  // instance the balancer sends it to.
+  const int share =
+      (s.max_inflight_fleet + live_instances - 1) / std::max(1, live_instances);
+  return std::min(s.max_inflight, share);
+}
+
 }  // namespace
 
 Errc Admission::TryAdmit(const config::ResolvedSettings& settings,
-                         int deadline_ms) {
+                         int deadline_ms, int live_instances) {
   if (draining_) return Errc::kDraining;
   // Guard: a deadline too short to give every stage its minimum would be
   // answered late or cut; shed it now as "not run" so the caller can act.
@@ -19,7 +32,7 @@
       static_cast<int>(settings.stages.size()) * settings.min_stage_ms;
   if (deadline_ms < needed) return Errc::kDeadlineTooShort;
   int& count = per_organisation_[OrgKey(settings)];
-  if (count >= settings.max_inflight) return Errc::kOverloaded;
+  if (count >= LimitHere(settings, live_instances)) return Errc::kOverloaded;
   ++count;
   ++inflight_;
   return Errc::kOk;
--- a/libs/gateway/src/answer_json.cc
+++ b/libs/gateway/src/answer_json.cc
@@ -18,22 +18,22 @@
 }
 
 /** What every answer to a run states. */
-QJsonObject Head(std::string_view request_id, Errc code, RunState state) {
+QJsonObject Head(std::string_view request_id, Errc code, RunState state,
+                 int retry_after_ms) {
   QJsonObject o{{"request_id", Text(request_id)},
                 {"state", Text(utils::RunStateName(state))},
                 {"code", static_cast<int>(code)},
                 {"error", Text(utils::ErrcName(code))}};
-  if (const int after_ms = utils::RetryAfterMs(code); after_ms >= 0) {
-    o["retry_after_ms"] = after_ms;
-  }
+  if (retry_after_ms >= 0) o["retry_after_ms"] = retry_after_ms;
   return o;
 }
 
 }  // namespace
 
 QByteArray ErrorJson(std::string_view request_id, Errc code,
-                     std::string_view detail, RunState state) {
-  QJsonObject o = Head(request_id, code, state);
+                     std::string_view detail, RunState state,
+                     int retry_after_ms) {
+  QJsonObject o = Head(request_id, code, state, retry_after_ms);
   o["detail"] = Text(detail);
   return QJsonDocument(o).toJson(QJsonDocument::Compact);
 }
@@ -50,7 +50,8 @@
                               {"tokens", r.tokens},
                               {"attempts", r.attempts}});
   }
-  QJsonObject o = Head(request_id, answer.code, answer.state);
+  QJsonObject o = Head(request_id, answer.code, answer.state,
+                       utils::RetryAfterMs(answer.code));
   o["business"] = Text(settings.business);
   o["pipeline"] = Text(settings.pipeline);
   o["organisation"] = Text(settings.organisation);
@@ -60,14 +61,14 @@
   return QJsonDocument(o).toJson(QJsonDocument::Compact);
 }
 
-http::Headers AnswerHeaders(std::string_view request_id, Errc code) {
+http::Headers AnswerHeaders(std::string_view request_id, int retry_after_ms) {
   http::Headers headers = {
       {"x-request-id", QByteArray(request_id.data(), request_id.size())}};
-  if (const int after_ms = utils::RetryAfterMs(code); after_ms >= 0) {
+  if (retry_after_ms >= 0) {
     constexpr int kMsPerSecond = 1000;
     headers.emplace_back(
         "Retry-After",
-        QByteArray::number((after_ms + kMsPerSecond - 1) / kMsPerSecond));
+        QByteArray::number((retry_after_ms + kMsPerSecond - 1) / kMsPerSecond));
   }
   return headers;
 }
--- a/libs/gateway/src/config_handler.cc
+++ b/libs/gateway/src/config_handler.cc
@@ -43,8 +43,9 @@
 void WriteError(http::Responder& responder, const utils::Error& error) {
   http::WriteJson(
       responder, utils::HttpStatus(error.code),
-      ErrorJson("", error.code, error.detail, utils::RunState::kNotRun),
-      AnswerHeaders("", error.code));
+      ErrorJson("", error.code, error.detail, utils::RunState::kNotRun,
+                utils::RetryAfterMs(error.code)),
+      AnswerHeaders("", utils::RetryAfterMs(error.code)));
 }
 
 /** @return a level's key ends where its name does; a prefix ends in "/". */
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "turmeric/gateway/membership_service.h"
 #include "turmeric/gateway/settings_service.h"
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/kernel/kernel.h"
@@ -49,8 +50,10 @@
     return utils::Fail(Errc::kConfigInvalid,
                        "gateway needs store and settings");
   }
-  runs_ = std::make_unique<RunHandler>(settings_, settings_service->tree(),
-                                       *store_);
+  members_ = kernel.Find<MembershipService>("membership");
+  runs_ =
+      std::make_unique<RunHandler>(settings_, settings_service->tree(), *store_,
+                                   [this] { return LiveInstances(); });
   config_ = std::make_unique<ConfigHandler>(*store_, settings_service->tree());
   AddRoutes();
   port_ = server_.listen(
@@ -94,14 +97,15 @@
                  QByteArray::fromStdString(metrics().Render()));
   });
   server_.Route(M::Get, "/healthz", [this](const auto&, auto&& w) {
-    const char* state = runs_->admission().draining() ? "draining"
-                        : runs_->ready()              ? "serving"
-                                                      : "starting";
+    const char* state = leaving_         ? "draining"
+                        : runs_->ready() ? "serving"
+                                         : "starting";
     constexpr int kOk = 200;
     constexpr int kUnavailable = 503;
     http::WriteJson(w,
                     state == std::string_view("serving") ? kOk : kUnavailable,
-                    QByteArray(R"({"state":")") + state + R"("})");
+                    QByteArray(R"({"state":")") + state + R"(","members":)" +
+                        QByteArray::number(LiveInstances()) + "}");
   });
   server_.Route(M::Post, "/admin/drain", [this](const auto&, auto&& w) {
     Drain([] {});
@@ -151,6 +155,10 @@
       [](int) {});
 }
 
+int GatewayService::LiveInstances() const {
+  return members_ != nullptr ? members_->live_count() : 1;
+}
+
 void GatewayService::Stop() {
   recover_.stop();
   sweep_.stop();
@@ -160,24 +168,34 @@
 }
 
 void GatewayService::Drain(std::function<void()> done) {
-  if (!runs_->admission().draining()) {
+  using std::chrono::milliseconds;
+  if (!leaving_) {
     LOG(INFO) << "event=draining inflight=" << runs_->admission().inflight();
+    leaving_ = true;
+    if (members_ != nullptr) members_->Leave();
   }
-  runs_->admission().StartDrain();
-  const auto until = std::chrono::steady_clock::now() +
-                     std::chrono::milliseconds(settings_.drain_timeout_ms);
+  // Guard: the balancer sends new connections for a while after the health
+  // check fails. Refused at once, requests spent their resends on an instance
+  // that could still serve them; within the grace they are served.
+  const auto stop_admitting =
+      std::chrono::steady_clock::now() + milliseconds(settings_.drain_grace_ms);
+  const auto until = stop_admitting + milliseconds(settings_.drain_timeout_ms);
+  if (settings_.drain_grace_ms == 0) runs_->admission().StartDrain();
   auto* poll = new QTimer();
   poll->setInterval(kDrainPollEvery);
-  QObject::connect(poll, &QTimer::timeout, [this, poll, until, done] {
-    // Claims not yet written count as in flight: gone with the process, they
-    // would leave a retry without the answer.
-    if (!runs_->idle() && std::chrono::steady_clock::now() < until) return;
-    LOG(INFO) << "event=drained inflight=" << runs_->admission().inflight()
-              << " claims_pending=" << claims().pending();
-    poll->stop();
-    poll->deleteLater();
-    done();
-  });
+  QObject::connect(
+      poll, &QTimer::timeout, [this, poll, stop_admitting, until, done] {
+        if (std::chrono::steady_clock::now() < stop_admitting) return;
+        runs_->admission().StartDrain();
+        // Claims not yet written count as in flight: gone with the process,
+        // they would leave a retry without the answer.
+        if (!runs_->idle() && std::chrono::steady_clock::now() < until) return;
+        LOG(INFO) << "event=drained inflight=" << runs_->admission().inflight()
+                  << " claims_pending=" << claims().pending();
+        poll->stop();
+        poll->deleteLater();
+        done();
+      });
   poll->start();
 }
 
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -4,6 +4,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QPointer>
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -44,10 +45,12 @@
 };
 
 RunHandler::RunHandler(const config::InstanceSettings& settings,
-                       const config::SettingsTree& tree, StoreService& store)
+                       const config::SettingsTree& tree, StoreService& store,
+                       std::function<int()> live_instances)
     : settings_(settings),
       tree_(tree),
       store_(store),
+      live_instances_(std::move(live_instances)),
       incarnation_(utils::RandomHex(kIncarnationDigits)),
       spans_(settings.trace_path),
       claims_(store.store(), settings.name),
@@ -76,6 +79,25 @@
          settings_.claim_retention_s * kMsPerSecond;
 }
 
+void RunHandler::NoteStore(bool answers) {
+  if (answers) {
+    store_down_since_.reset();
+  } else if (!store_down_since_) {
+    store_down_since_ = Clock::now();
+  }
+}
+
+int RunHandler::RetryAfterMs(Errc code) const {
+  const int usual = utils::RetryAfterMs(code);
+  if (code != Errc::kStoreUnavailable || !store_down_since_) return usual;
+  // An outage that has lasted a while is likely to last as long again; a
+  // fixed short wait made callers spend their resends inside it.
+  constexpr int kLongestMs = 1000;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock::now() - *store_down_since_);
+  return std::clamp(static_cast<int>(age.count()), usual, kLongestMs);
+}
+
 void RunHandler::Refuse(Exchange& exchange, Errc code, std::string_view detail,
                         RunState state) {
   const config::ResolvedSettings& s = exchange.settings();
@@ -85,9 +107,10 @@
   metrics_.OnRequest(label(s.business), label(s.pipeline),
                      utils::RunStateName(state), utils::ErrcName(code), 0,
                      false);
-  http::WriteJson(*exchange.responder, utils::HttpStatus(code),
-                  ErrorJson(exchange.request_id, code, detail, state),
-                  AnswerHeaders(exchange.request_id, code));
+  http::WriteJson(
+      *exchange.responder, utils::HttpStatus(code),
+      ErrorJson(exchange.request_id, code, detail, state, RetryAfterMs(code)),
+      AnswerHeaders(exchange.request_id, RetryAfterMs(code)));
   exchange.responder.reset();
 }
 
@@ -118,7 +141,8 @@
   }
   exchange->parsed = std::move(parsed).value();
   const ParsedRun& p = exchange->parsed;
-  if (const Errc admit = admission_.TryAdmit(p.run.settings, p.deadline_ms);
+  if (const Errc admit =
+          admission_.TryAdmit(p.run.settings, p.deadline_ms, live_instances_());
       admit != Errc::kOk) {
     // Guard: an earlier attempt with this idempotency key may have run on
     // another instance (killed before it answered). This attempt has not
@@ -142,6 +166,7 @@
       },
       [this, exchange](const Claim& claim) {
         if (killed_) return;
+        NoteStore(claim.state != ClaimState::kStoreDown);
         switch (claim.state) {
           case ClaimState::kFree:
           case ClaimState::kOwned:
@@ -189,7 +214,8 @@
   }
   if (run.stream) {
     exchange->responder->StartStream(
-        "text/event-stream", AnswerHeaders(exchange->request_id, Errc::kOk));
+        "text/event-stream",
+        AnswerHeaders(exchange->request_id, utils::RetryAfterMs(Errc::kOk)));
   }
   const size_t lane = next_request_ % networks_.size();
   const RunContext context{networks_[lane].get(),
@@ -274,7 +300,8 @@
   RunAnswer replayed;
   replayed.state = RunState::kRan;
   Record(exchange, replayed);
-  http::Headers headers = AnswerHeaders(exchange.request_id, Errc::kOk);
+  http::Headers headers =
+      AnswerHeaders(exchange.request_id, utils::RetryAfterMs(Errc::kOk));
   headers.emplace_back("x-replayed", "1");
   http::WriteJson(*exchange.responder, kStatusOk,
                   QByteArray::fromStdString(body), headers);
@@ -302,8 +329,9 @@
     exchange->responder->WriteChunk(http::SseEvent(body));
     exchange->responder->EndStream();
   } else {
-    http::WriteJson(*exchange->responder, utils::HttpStatus(answer.code), body,
-                    AnswerHeaders(exchange->request_id, answer.code));
+    http::WriteJson(
+        *exchange->responder, utils::HttpStatus(answer.code), body,
+        AnswerHeaders(exchange->request_id, utils::RetryAfterMs(answer.code)));
   }
   exchange->responder.reset();
 }
--- a/libs/gateway/test/admission_test.cc
+++ b/libs/gateway/test/admission_test.cc
@@ -24,3 +24,23 @@
   CHECK(a.TryAdmit(s, 1000) == Errc::kDraining);
   CHECK(a.inflight() == 1);
 }
+
+TEST_CASE("a fleet-wide limit is shared by the instances at work") {
+  // A franchise may have 8 requests open in all. With the limit per instance
+  // alone, its budget grew with every instance added.
+  turmeric::gateway::Admission admission;
+  turmeric::config::ResolvedSettings s;
+  s.organisation = "o";
+  s.max_inflight = 100;
+  s.max_inflight_fleet = 8;
+  constexpr int kDeadlineMs = 1000;
+  constexpr int kInstances = 4;
+  int admitted = 0;
+  while (admission.TryAdmit(s, kDeadlineMs, kInstances) ==
+         turmeric::utils::Errc::kOk) {
+    ++admitted;
+  }
+  CHECK(admitted == 2);
+  // Two instances die; the rest take over their share.
+  CHECK(admission.TryAdmit(s, kDeadlineMs, 2) == turmeric::utils::Errc::kOk);
+}
--- /dev/null
+++ b/libs/membership/src/details/codec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "turmeric/membership/member.h"
+
+namespace turmeric::membership::details {
+
+/** What a message is for. */
+enum class MessageKind : uint8_t { kPing, kAck, kPingRequest };
+
+/** One message between instances. */
+struct Message {
+  MessageKind kind = MessageKind::kPing;
+  uint64_t sequence = 0;
+  Member from;
+  std::optional<Member> target;
+  std::vector<Member> updates;
+};
+
+/** @param message a message. @return its datagram (FlatBuffers). */
+std::vector<uint8_t> Encode(const Message& message);
+/** @param bytes a datagram. @return the message, or nothing if malformed. */
+std::optional<Message> Decode(std::span<const uint8_t> bytes);
+
+}  // namespace turmeric::membership::details
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -29,6 +29,7 @@
 listen_address = 127.0.0.1
 listen_port = $port
 store = 127.0.0.1:$platform_port
+membership_port = $((port + 400))
 log_level = warning
 EOF
   build/tools/turmericgated/turmericgated --config="$dir/entry-$i.ini" \
--- a/tools/turmericctl/fleet_scenario.cc
+++ b/tools/turmericctl/fleet_scenario.cc
@@ -4,34 +4,27 @@
 #include <gflags/gflags.h>
 #include <signal.h>
 
-#include <QEventLoop>
 #include <QJsonDocument>
 #include <QNetworkReply>
 #include <QTimer>
 #include <algorithm>
 #include <cstdio>
 #include <map>
-#include <sstream>
 
 #include "balancer.h"
+#include "fleet.h"
 #include "load_phase.h"
 #include "report.h"
 #include "traffic_mix.h"
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/embedded_platform.h"
-#include "turmeric/gateway/store_service.h"
 #include "turmeric/http/http_call.h"
-#include "turmeric/kernel/kernel.h"
-#include "turmeric/standins/platform_standin.h"
 #include "turmeric/store/memory_store.h"
 #include "verdict.h"
 
 DECLARE_int32(requests);
 DECLARE_int32(concurrency);
 DECLARE_uint64(seed);
-DEFINE_string(targets, "", "fleet: ip:port of each entry instance, by comma");
-DEFINE_string(pids, "", "fleet: their process ids, in the same order");
-DEFINE_int32(platform_port, 7000, "fleet: port of the platform stand-in");
 DEFINE_bool(faults, true, "fleet: play the fault schedule");
 
 namespace turmeric::ctl {
@@ -43,51 +36,6 @@
 /** The instances each fault is for; they need not be distinct from 3 on. */
 enum Victim : size_t { kKilled = 0, kPaused = 1, kStopped = 2, kOperated = 3 };
 
-std::vector<std::string> Split(const std::string& list) {
-  std::vector<std::string> parts;
-  std::istringstream in(list);
-  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
-  return parts;
-}
-
-/** The fleet under test and what stands around it. */
-class Fleet {
- public:
-  bool Start() {
-    memory_ = std::make_shared<store::MemoryStore>();
-    kernel_.Register(std::make_unique<gateway::StoreService>(memory_));
-    embedded_ = static_cast<gateway::EmbeddedPlatform*>(
-        kernel_.Register(std::make_unique<gateway::EmbeddedPlatform>(0)));
-    platform_ = std::make_unique<standins::PlatformStandin>(memory_);
-    if (!kernel_.StartAll()) return false;
-    if (platform_->Listen(static_cast<uint16_t>(FLAGS_platform_port)) == 0) {
-      return false;
-    }
-    for (const std::string& t : Split(FLAGS_targets)) {
-      urls_.push_back("http://" + QString::fromStdString(t));
-    }
-    for (const std::string& p : Split(FLAGS_pids))
-      pids_.push_back(std::stoi(p));
-    constexpr size_t kFewest = 4;
-    return urls_.size() >= kFewest && pids_.size() == urls_.size();
-  }
-
-  void Signal(Victim victim, int signal) { ::kill(pids_[victim], signal); }
-  void SetStore(const PlatformFaults& faults) { platform_->SetFaults(faults); }
-
-  const std::vector<QString>& urls() const { return urls_; }
-  gateway::EmbeddedPlatform& embedded() { return *embedded_; }
-  store::MemoryStore& memory() { return *memory_; }
-
- private:
-  kernel::Kernel kernel_;
-  std::shared_ptr<store::MemoryStore> memory_;
-  gateway::EmbeddedPlatform* embedded_ = nullptr;
-  std::unique_ptr<standins::PlatformStandin> platform_;
-  std::vector<QString> urls_;
-  std::vector<pid_t> pids_;
-};
-
 /** One settings change, timed until it is in force on each instance. */
 class ConfigProbe : public QObject {
  public:
@@ -161,12 +109,6 @@
   bool accepted_ = false;
 };
 
-void RunFor(int ms) {
-  QEventLoop loop;
-  QTimer::singleShot(ms, &loop, &QEventLoop::quit);
-  loop.exec();
-}
-
 }  // namespace
 
 int RunFleetScenario() {
@@ -193,6 +135,7 @@
   auto at = [&](int ms, std::function<void()> action) {
     QTimer::singleShot(ms, Qt::PreciseTimer, &schedule, std::move(action));
   };
+  QNetworkAccessManager network;
   const store::StoreCallCounts before = fleet.memory().counts();
   if (FLAGS_faults) {
     PlatformFaults silent;
@@ -233,8 +176,13 @@
     cut += static_cast<int>(std::ranges::count_if(
         r.cut_at, [&](int port) { return port != killed_port; }));
   }
+  const http::HttpAnswer health =
+      http::HttpCall(network, "GET", fleet.urls().back() + "/healthz");
+  const int members =
+      QJsonDocument::fromJson(health.body).object().value("members").toInt();
   const Verdict v = CheckDelivery(p.results, 0, fleet.embedded());
   PrintVerdict(v);
+  std::printf("  members counted by the last instance: %d\n", members);
   std::printf("  requests cut other than by the kill: %d\n", cut);
   std::printf(
       "  settings change: accepted=%d in force on %zu of %d in rotation, "
--- a/tools/turmericctl/load_command.cc
+++ b/tools/turmericctl/load_command.cc
@@ -23,7 +23,7 @@
 #include "turmeric/store/memory_store.h"
 
 DEFINE_string(scenario, "overhead",
-              "load scenario: overhead | faults | routing | fleet");
+              "load scenario: overhead | faults | routing | fleet | slopes");
 DEFINE_int32(requests, 2000, "logical requests per phase (bounded)");
 DEFINE_int32(concurrency, 16, "requests open at once");
 DEFINE_int32(max_tokens, 4, "tokens per generation");
@@ -103,10 +103,12 @@
 int RunFaultsScenario();
 int RunFleetScenario();
 int RunRoutingScenario();
+int RunSlopesScenario();
 
 int RunLoadCommand() {
   if (FLAGS_scenario == "faults") return RunFaultsScenario();
   if (FLAGS_scenario == "fleet") return RunFleetScenario();
+  if (FLAGS_scenario == "slopes") return RunSlopesScenario();
   if (FLAGS_scenario == "routing") return RunRoutingScenario();
   if (FLAGS_scenario != "overhead") {
     std::cerr << "unknown scenario " << FLAGS_scenario << "\n";
--- a/tools/turmericctl/load_phase.cc
+++ b/tools/turmericctl/load_phase.cc
@@ -31,10 +31,14 @@
                   double seconds) {
   std::printf(
       "%-28s n=%5d attain=%6.2f%% p50=%7.2fms p99=%7.2fms rps=%7.1f "
-      "ran=%d not_run=%d failed=%d unknown=%d no_answer=%d misdelivered=%d\n",
+      "ran=%d not_run=%d failed=%d unknown=%d no_answer=%d misdelivered=%d",
       label.c_str(), s.count, 100 * s.attainment(), s.p50_ms, s.p99_ms,
       seconds > 0 ? s.count / seconds : 0.0, s.ran, s.not_run, s.failed,
       s.unknown, s.no_answer, s.misdelivered);
+  for (const auto& [error, count] : s.errors) {
+    std::printf(" %s=%d", error.c_str(), count);
+  }
+  std::printf("\n");
 }
 
 Phase RunPhase(int total, int concurrency, int max_retries, RequestMaker make) {
--- a/tools/turmericctl/load_runner.cc
+++ b/tools/turmericctl/load_runner.cc
@@ -83,6 +83,7 @@
       body = body.mid(last + 5).trimmed();
     }
     const QJsonObject o = QJsonDocument::fromJson(body).object();
+    r.error = o.value("error").toString().toStdString();
     r.state = o.value("state").toString().toStdString();
     if (o.contains("text")) r.state = "ran";  // direct engine answers
     const std::string output =
@@ -144,6 +145,7 @@
       ++s.unknown;
     else
       ++s.no_answer;
+    if (r.state != "ran") ++s.errors[r.error.empty() ? "no_answer" : r.error];
     if (r.state == "ran") latencies.push_back(r.latency_ms);
   }
   auto quantile = [&](double q) {
--- a/tools/turmericctl/load_runner.h
+++ b/tools/turmericctl/load_runner.h
@@ -7,6 +7,7 @@
 #include <QString>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
   double latency_ms = 0;  ///< From first send to final answer.
   int status = 0;         ///< HTTP status of the final answer; 0: none.
   std::string state;      ///< "ran", "not_run", "failed", "unknown", "" .
+  std::string error;      ///< Result code's name in the final answer.
   bool whole_in_time = false;
   bool misdelivered = false;  ///< Answer carried another request's nonce.
   int attempts = 0;
@@ -87,6 +89,7 @@
   int whole_in_time = 0;
   int ran = 0, not_run = 0, failed = 0, unknown = 0, no_answer = 0;
   int misdelivered = 0;
+  std::map<std::string, int> errors;  ///< Final answers but "ran", by code.
   double p50_ms = 0, p99_ms = 0;
   /** @return share answered whole within deadline. */
   double attainment() const {
--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -11,6 +11,7 @@
 #include "turmeric/config/instance_settings.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/gateway_service.h"
+#include "turmeric/gateway/membership_service.h"
 #include "turmeric/gateway/settings_service.h"
 #include "turmeric/gateway/store_service.h"
 #include "turmeric/kernel/kernel.h"
@@ -76,6 +77,8 @@
         settings.standin_base_port));
   }
   kernel.Register(std::make_unique<turmeric::gateway::SettingsService>());
+  kernel.Register(
+      std::make_unique<turmeric::gateway::MembershipService>(settings));
   auto* gateway =
       static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
           std::make_unique<turmeric::gateway::GatewayService>(settings)));
