--- a/libs/gateway/include/turmeric/gateway/claim_table.h
+++ b/libs/gateway/include/turmeric/gateway/claim_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -68,8 +69,16 @@
   /** Retries completions and releases the store could not take. */
   void Recover();
   /**
-   * Deletes claims past their time. Run by one instance at a time, but safe
-   * if two do: deletes are conditional on the version read.
+   * Deletes the claims completed here that are past their time, without
+   * reading the store.
+   * @param now_unix_ms the time. @param most deletes at most.
+   * @return claims deleted.
+   */
+  int SweepOwn(int64_t now_unix_ms, int most);
+  /**
+   * Lists all claims and deletes those past their time: what instances that
+   * are gone left behind. Run by one instance at a time, but safe if two do:
+   * deletes are conditional on the version read.
    * @param now_unix_ms the time. @param most deletes at most.
    * @return claims deleted, or the store's error.
    */
@@ -89,6 +98,12 @@
   std::string NewToken() const;
   Claim Judge(Claim mine, const store::StoredObject& found);
   Claim Resolve(Claim mine, const std::string& value);
+  /** A claim completed here, until it is swept. */
+  struct Completed {
+    std::string key;
+    int64_t version = 0;
+    int64_t keep_until_unix_ms = 0;
+  };
   bool TryComplete(const Pending& p);
   bool TryRelease(const Claim& claim);
   void Keep(Pending p);
@@ -97,6 +112,7 @@
   std::string instance_;
   mutable std::mutex mu_;
   std::vector<Pending> pending_;
+  std::deque<Completed> completed_;  ///< Oldest first.
   ClaimCounts counts_;
 };
 
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -51,7 +51,8 @@
  private:
   void AddRoutes();
   void WatchInstanceList();
-  void SweepClaims();
+  /** @param all list all claims, else only those completed here. */
+  void SweepClaims(bool all);
   int LiveInstances() const;
 
   config::InstanceSettings settings_;
@@ -68,6 +69,7 @@
   std::unique_ptr<store::DutyLease> sweep_duty_;
   QTimer recover_;
   QTimer sweep_;
+  QTimer sweep_all_;
   uint16_t port_ = 0;
   bool leaving_ = false;  ///< A planned stop has begun.
 };
--- a/libs/gateway/src/claim_table.cc
+++ b/libs/gateway/src/claim_table.cc
@@ -115,7 +115,12 @@
   const std::string value = EncodeClaim({ClaimPhase::kDone, p.claim.token,
                                          instance_, p.claim.subject.fingerprint,
                                          p.keep_until_unix_ms, p.result});
-  if (store_.Put(p.claim.subject.key, value, p.claim.version)) return true;
+  if (auto put = store_.Put(p.claim.subject.key, value, p.claim.version)) {
+    std::lock_guard lock(mu_);
+    completed_.push_back(
+        {p.claim.subject.key, put.value().version, p.keep_until_unix_ms});
+    return true;
+  }
   auto got = store_.Get(p.claim.subject.key);
   if (!got) return got.error().code == Errc::kStoreNotFound;  // swept
   // A lost answer: the write is there if the record is ours and done.
@@ -181,6 +186,27 @@
   pending_.insert(pending_.end(), again.begin(), again.end());
 }
 
+int ClaimTable::SweepOwn(int64_t now_unix_ms, int most) {
+  int swept = 0;
+  for (int i = 0; i < most; ++i) {
+    Completed oldest;
+    {
+      std::lock_guard lock(mu_);
+      if (completed_.empty() ||
+          completed_.front().keep_until_unix_ms >= now_unix_ms) {
+        break;
+      }
+      oldest = std::move(completed_.front());
+      completed_.pop_front();
+    }
+    // One that fails is left to the sweep of all claims.
+    if (store_.Delete(oldest.key, oldest.version)) ++swept;
+  }
+  std::lock_guard lock(mu_);
+  counts_.swept += swept;
+  return swept;
+}
+
 utils::Result<int> ClaimTable::Sweep(int64_t now_unix_ms, int most) {
   auto all = store_.List(kClaimPrefix);
   if (!all) return all.error();
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -23,8 +23,12 @@
 constexpr std::string_view kInstanceListPrefix = "upstreams/";
 constexpr std::chrono::milliseconds kRecoverEvery{1000};
 constexpr std::chrono::milliseconds kDrainPollEvery{20};
-/** One instance at a time deletes old claims, this often and this many. */
+/** Every instance deletes the old claims it completed, this often. */
 constexpr std::chrono::seconds kSweepEvery{60};
+/** One at a time lists all claims for what others left behind: megabytes at
+ * a time, so rarely. */
+constexpr std::chrono::hours kSweepAllEvery{6};
+/** Claims deleted at one go: 10/s. */
 constexpr int kSweepMost = 600;
 constexpr int64_t kSweepLeaseMs = 90'000;
 /** Clocks of instances may differ by this much. */
@@ -70,8 +74,11 @@
       settings_.name + "#" + utils::RandomHex(16), kSweepLeaseMs);
   QObject::connect(&recover_, &QTimer::timeout, [this] { runs_->Recover(); });
   recover_.start(kRecoverEvery);
-  QObject::connect(&sweep_, &QTimer::timeout, [this] { SweepClaims(); });
+  QObject::connect(&sweep_, &QTimer::timeout, [this] { SweepClaims(false); });
   sweep_.start(kSweepEvery);
+  QObject::connect(&sweep_all_, &QTimer::timeout,
+                   [this] { SweepClaims(true); });
+  sweep_all_.start(kSweepAllEvery);
   LOG(INFO) << "event=serving instance=" << settings_.name
             << " zone=" << settings_.zone << " port=" << port_;
   return boost::outcome_v2::success();
@@ -142,12 +149,13 @@
   instance_list_keeper_->Start();
 }
 
-void GatewayService::SweepClaims() {
+void GatewayService::SweepClaims(bool all) {
   store_->executor().Run(
       runs_.get(),
-      [this] {
+      [this, all] {
         constexpr int64_t kMicrosPerMs = 1000;
         const int64_t now = utils::NowUnixMicros() / kMicrosPerMs;
+        if (!all) return claims().SweepOwn(now - kClockMarginMs, kSweepMost);
         if (!sweep_duty_->Hold(now)) return 0;
         auto swept = claims().Sweep(now - kClockMarginMs, kSweepMost);
         return swept ? swept.value() : 0;
@@ -162,6 +170,7 @@
 void GatewayService::Stop() {
   recover_.stop();
   sweep_.stop();
+  sweep_all_.stop();
   instance_list_keeper_.reset();
   store_->executor().WaitIdle();
   instance_list_.reset();
--- a/libs/gateway/src/membership_service.cc
+++ b/libs/gateway/src/membership_service.cc
@@ -25,10 +25,12 @@
 
 constexpr std::string_view kRosterPrefix = "instances/";
 constexpr std::chrono::milliseconds kTickEvery{100};
-/** Until the roster is written and read; then rarely: 1,100 instances at
- * 60 s are 18 reads/s. */
+/** Until the roster is written and read. */
 constexpr std::chrono::milliseconds kRosterRetry{2000};
+/** Then rarely, and the more so the larger the roster: listing 1,100 entries
+ * every minute would alone take half of a node's control traffic. */
 constexpr std::chrono::milliseconds kRosterEvery{60000};
+constexpr std::chrono::milliseconds kRosterEveryPerEntry{500};
 
 std::string EncodeEntry(const Member& m) {
   const QJsonObject o{{"zone", QString::fromStdString(m.zone)},
@@ -118,7 +120,10 @@
         std::ranges::transform(list.value().objects, std::back_inserter(roster),
                                DecodeEntry);
         membership_->SetRoster(std::move(roster), Membership::Clock::now());
-        if (registered_) roster_.start(kRosterEvery);
+        if (registered_) {
+          const auto entries = static_cast<int>(list.value().objects.size());
+          roster_.start(std::max(kRosterEvery, kRosterEveryPerEntry * entries));
+        }
       });
 }
 
--- a/libs/gateway/test/claim_table_test.cc
+++ b/libs/gateway/test/claim_table_test.cc
@@ -167,6 +167,24 @@
   CHECK(table.Lookup(Subject("done")).state == ClaimState::kDone);
 }
 
+TEST_CASE("an instance sweeps its own claims without listing the store") {
+  // Listing every claim each minute moved megabytes; the instance knows what
+  // it completed. A claim it no longer owns (swept, made anew) is left alone.
+  MemoryStore store;
+  ClaimTable table(store, "entry-1");
+  for (const char* key : {"a", "b"}) {
+    const Claim c = table.Acquire(Subject(key), kKeepUntil);
+    REQUIRE(table.Complete(c, "{}", kKeepUntil));
+  }
+  REQUIRE(store.Put(Subject("b").key, "someone else's", 2));
+  const auto reads = store.counts().reads;
+  CHECK(table.SweepOwn(kKeepUntil, 10) == 0);
+  CHECK(table.SweepOwn(kKeepUntil + 1, 10) == 1);
+  CHECK(store.counts().reads == reads);
+  CHECK(table.Lookup(Subject("a")).state == ClaimState::kFree);
+  CHECK(store.Get(Subject("b").key).value().value == "someone else's");
+}
+
 TEST_CASE("qualified keys of different requests never meet") {
   // "a/b" as an organisation's name or a caller's key must not make two
   // requests look like one.
