--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -68,7 +68,7 @@
     const size_t before = HeapInUse();
     auto tree = std::make_unique<SettingsTree>(store);
     benchmark::DoNotOptimize(tree->Arm());
-    bytes_per_org = double(HeapInUse() - before) / n;
+    bytes_per_org = static_cast<double>(HeapInUse() - before) / n;
     state.PauseTiming();
     tree.reset();
     state.ResumeTiming();
@@ -126,12 +126,13 @@
   const auto after = store.counts();
   state.counters["instances"] = instances;
   state.counters["store_calls_per_change"] =
-      double(after.reads + after.watches + after.writes - before.reads -
-             before.watches - before.writes) /
-      double(changes);
-  state.counters["event_bytes_per_instance"] = double(bytes) / double(changes);
+      static_cast<double>(after.reads + after.watches + after.writes -
+                          before.reads - before.watches - before.writes) /
+      static_cast<double>(changes);
+  state.counters["event_bytes_per_instance"] =
+      static_cast<double>(bytes) / static_cast<double>(changes);
   state.counters["ns_per_instance_apply"] = benchmark::Counter(
-      double(changes) * instances,
+      static_cast<double>(changes) * instances,
       benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
 }
 BENCHMARK(BM_ConfigChangeFanout)->Arg(1)->Arg(8)->Arg(64);
@@ -172,12 +173,14 @@
         0);
   }
   auto list = store.List("claims/");
-  for (const auto& o : list.value().objects)
+  for (const auto& o : list.value().objects) {
     value_bytes += o.key.size() + o.value.size();
+  }
   const auto c = store.counts();
-  state.counters["writes_per_request"] = double(c.writes) / n;
-  state.counters["reads_per_request"] = double(c.reads - 1) / n;
-  state.counters["stored_bytes_per_claim"] = double(value_bytes) / n;
+  state.counters["writes_per_request"] = static_cast<double>(c.writes) / n;
+  state.counters["reads_per_request"] = static_cast<double>(c.reads - 1) / n;
+  state.counters["stored_bytes_per_claim"] =
+      static_cast<double>(value_bytes) / n;
 }
 BENCHMARK(BM_ClaimPerNonIdempotentRequest);
 
--- a/libs/config/src/settings_layer.cc
+++ b/libs/config/src/settings_layer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <regex>
 
 namespace turmeric::config {
@@ -16,8 +17,8 @@
 struct KeyRule {
   std::regex pattern;
   ValueKind kind;
-  long lo = 0;
-  long hi = 0;
+  int64_t lo = 0;
+  int64_t hi = 0;
 };
 
 const std::vector<KeyRule>& Rules() {
@@ -52,7 +53,7 @@
       "(,[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5})*");
   switch (rule.kind) {
     case ValueKind::kInt: {
-      long n = 0;
+      int64_t n = 0;
       auto [end, ec] = std::from_chars(v.data(), v.data() + v.size(), n);
       return ec == std::errc() && end == v.data() + v.size() && n >= rule.lo &&
              n <= rule.hi;
@@ -107,10 +108,10 @@
   std::ranges::stable_sort(layer.entries, {},
                            &std::pair<std::string, std::string>::first);
   // A key stated twice: the later line wins, as operators read top-down.
-  auto dup = std::ranges::unique(
+  const auto kept = std::unique(
       layer.entries.rbegin(), layer.entries.rend(),
       [](const auto& a, const auto& b) { return a.first == b.first; });
-  layer.entries.erase(layer.entries.begin(), dup.begin().base());
+  layer.entries.erase(layer.entries.begin(), kept.base());
   return layer;
 }
 
--- a/libs/gateway/include/turmeric/gateway/latency_quantile.h
+++ b/libs/gateway/include/turmeric/gateway/latency_quantile.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 namespace turmeric::gateway {
 
 /**
@@ -28,7 +30,7 @@
  private:
   double quantile_;
   double estimate_ms_ = 0;
-  long samples_ = 0;
+  int64_t samples_ = 0;
 };
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/embedded_platform.cc
+++ b/libs/gateway/src/embedded_platform.cc
@@ -34,8 +34,9 @@
 
 utils::Result<void> EmbeddedPlatform::Start(kernel::Kernel& kernel) {
   auto* store_service = kernel.Find<StoreService>("store");
-  if (!store_service)
+  if (!store_service) {
     return utils::Fail(Errc::kConfigInvalid, "no store service");
+  }
   store::ObjectStore& store = store_service->store();
   store_ = &store;
   std::string failed;
@@ -110,8 +111,9 @@
       {config::SettingsKey("organisation", "arvoredo", "parish-bonfim"),
        "max_inflight = 16\n"},
   };
-  if (!failed.empty())
+  if (!failed.empty()) {
     return utils::Fail(Errc::kIniInvalid, "cannot listen: " + failed);
+  }
   for (const auto& [key, value] : seed) {
     // Seeding is a conditional create: an operator's newer value stays.
     auto put = store.Put(key, value, store::kAbsent);
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -84,8 +84,9 @@
             {"state", std::string(state)},
             {"code", std::string(code)}})
       .Increment();
-  if (in_deadline)
+  if (in_deadline) {
     in_deadline_.Add({{"business", b}, {"pipeline", p}}).Increment();
+  }
   static const prometheus::Histogram::BucketBoundaries kBuckets = {
       0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 6, 10};
   latency_.Add({{"business", b}}, kBuckets).Observe(seconds);
--- a/libs/gateway/test/caller_connection_test.cc
+++ b/libs/gateway/test/caller_connection_test.cc
@@ -8,7 +8,10 @@
 #include "turmeric/standins/engine_standin.h"
 
 using turmeric::gateway::EmbeddedStack;
-using namespace turmeric::gateway::testing;
+using turmeric::gateway::testing::Body;
+using turmeric::gateway::testing::Json;
+using turmeric::gateway::testing::RunUrl;
+using turmeric::gateway::testing::Wait;
 
 namespace {
 
@@ -56,8 +59,9 @@
   // must not go on through rerank and generate at the business's cost.
   EmbeddedStack stack;
   REQUIRE(stack.Start(1));
-  for (const auto& s : stack.embedded->services())
+  for (const auto& s : stack.embedded->services()) {
     s->SetFaults({.slow_factor = 30});
+  }
   QTcpSocket page;
   Connect(page, stack);
   page.write(RawRun("translate-notice", Body("nile-hotels", "long summary")));
--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -19,9 +19,13 @@
 #include "turmeric/store/memory_store.h"
 
 using turmeric::gateway::EmbeddedStack;
+using turmeric::gateway::testing::Body;
+using turmeric::gateway::testing::Executions;
+using turmeric::gateway::testing::Json;
+using turmeric::gateway::testing::RunUrl;
+using turmeric::gateway::testing::Wait;
 using turmeric::http::HttpAnswer;
 using turmeric::http::HttpCall;
-using namespace turmeric::gateway::testing;
 
 TEST_CASE("a planned stop cuts nothing in flight") {
   // An operator stops an entry instance while receptionists' requests are
@@ -29,8 +33,9 @@
   // answer; only requests arriving after the stop are refused, as not run.
   EmbeddedStack stack;
   REQUIRE(stack.Start(1));
-  for (const auto& e : stack.embedded->engines())
+  for (const auto& e : stack.embedded->engines()) {
     e->SetFaults({.slow_factor = 10});
+  }
   QNetworkAccessManager network;
   std::vector<QNetworkReply*> replies;
   for (int i = 0; i < 5; ++i) {
--- a/libs/gateway/test/stage_call_test.cc
+++ b/libs/gateway/test/stage_call_test.cc
@@ -9,7 +9,7 @@
 
 #include "path_helpers.h"
 
-using namespace turmeric::gateway;
+namespace turmeric::gateway {
 using turmeric::gateway::testing::Wait;
 
 namespace {
@@ -123,3 +123,5 @@
         CallResult::kFailed);
   CHECK(tokens == "a ");
 }
+
+}  // namespace turmeric::gateway
--- a/libs/gateway/test/upstream_pool_test.cc
+++ b/libs/gateway/test/upstream_pool_test.cc
@@ -7,7 +7,7 @@
 #include "turmeric/gateway/upstream_pools.h"
 
 using turmeric::config::StageSpec;
-using namespace turmeric::gateway;
+namespace turmeric::gateway {
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -47,8 +47,9 @@
              members[k % size]->listed_leaving = true;
              if (others_fail) {
                for (const auto& m : members) m->failures = 5;
-               for (const auto& m : members)
+               for (const auto& m : members) {
                  m->ejected_till = kStart + seconds(9);
+               }
              }
              std::mt19937_64 rng(k);
              for (int i = 0; i < 200; ++i) {
@@ -163,3 +164,5 @@
   CHECK(pools.For("b", after).Pick(RoutingPolicy::kPowerOfTwo, rng, kStart) ==
         nullptr);
 }
+
+}  // namespace turmeric::gateway
--- a/libs/http/test/sse_test.cc
+++ b/libs/http/test/sse_test.cc
@@ -12,8 +12,9 @@
   // must never be lost or glued to its neighbour.
   rc::prop("any split", [](std::vector<uint8_t> cuts) {
     QByteArray stream;
-    for (int i = 0; i < 20; ++i)
+    for (int i = 0; i < 20; ++i) {
       stream += SseEvent("tok" + QByteArray::number(i));
+    }
     SseParser parser;
     std::vector<QByteArray> got;
     qsizetype pos = 0;
--- a/libs/membership/test/membership_test.cc
+++ b/libs/membership/test/membership_test.cc
@@ -7,7 +7,7 @@
 #include "details/codec.h"
 #include "fake_network.h"
 
-using namespace turmeric::membership;
+namespace turmeric::membership {
 using turmeric::membership::testing::FakeNetwork;
 
 namespace {
@@ -153,3 +153,5 @@
     RC_ASSERT(node.live_count() <= 4);
   });
 }
+
+}  // namespace turmeric::membership
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -114,7 +114,8 @@
             http::SseEvent(QJsonDocument(ev).toJson(QJsonDocument::Compact)));
       }
       ++c->emitted;
-      const double batch = 1.0 + double(active_) / model_.batch_capacity;
+      const double batch =
+          1.0 + static_cast<double>(active_) / model_.batch_capacity;
       const int delay =
           static_cast<int>(model_.token_ms * batch * faults_.slow_factor + 0.5);
       QTimer::singleShot(delay, this, *step);
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -14,8 +14,8 @@
                 });
   server_.Route(QHttpServerRequest::Method::Get, "/admin/stats",
                 [this](const QHttpServerRequest&, http::Responder&& w) {
-                  QJsonObject o{{"executed", double(executed_)},
-                                {"doubled", double(doubled_)}};
+                  QJsonObject o{{"executed", static_cast<double>(executed_)},
+                                {"doubled", static_cast<double>(doubled_)}};
                   http::WriteJson(w, 200, QJsonDocument(o).toJson());
                 });
   server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
--- a/libs/standins/test/remote_store_test.cc
+++ b/libs/standins/test/remote_store_test.cc
@@ -12,7 +12,7 @@
 #include "turmeric/store/held_revisions.h"
 #include "turmeric/store/resumable_watch.h"
 
-using namespace turmeric::store;
+namespace turmeric::store {
 using turmeric::standins::PlatformFaults;
 using turmeric::standins::PlatformStandin;
 using turmeric::utils::Errc;
@@ -150,3 +150,5 @@
   REQUIRE(platform.memory->Put("config/e", "1", kAbsent));
   CHECK(Eventually([&] { return held.Held().size() == 3; }));
 }
+
+}  // namespace turmeric::store
--- a/libs/utils/src/trace.cc
+++ b/libs/utils/src/trace.cc
@@ -64,8 +64,9 @@
   std::lock_guard lock(mu_);
   std::ofstream out(path_, std::ios::app);
   out << head;
-  if (!span.attributes.empty())
+  if (!span.attributes.empty()) {
     out << ",\"attributes\":{" << span.attributes << "}";
+  }
   out << "}\n";
   ++exported_;
 }
--- a/tools/turmericctl/load_runner.cc
+++ b/tools/turmericctl/load_runner.cc
@@ -135,23 +135,24 @@
     ++s.count;
     s.whole_in_time += r.whole_in_time;
     s.misdelivered += r.misdelivered;
-    if (r.state == "ran")
+    if (r.state == "ran") {
       ++s.ran;
-    else if (r.state == "not_run")
+    } else if (r.state == "not_run") {
       ++s.not_run;
-    else if (r.state == "failed")
+    } else if (r.state == "failed") {
       ++s.failed;
-    else if (r.state == "unknown")
+    } else if (r.state == "unknown") {
       ++s.unknown;
-    else
+    } else {
       ++s.no_answer;
+    }
     if (r.state != "ran") ++s.errors[r.error.empty() ? "no_answer" : r.error];
     if (r.state == "ran") latencies.push_back(r.latency_ms);
   }
   auto quantile = [&](double q) {
     if (latencies.empty()) return 0.0;
-    const size_t k =
-        std::min(latencies.size() - 1, size_t(q * latencies.size()));
+    const size_t k = std::min(latencies.size() - 1,
+                              static_cast<size_t>(q * latencies.size()));
     std::ranges::nth_element(latencies, latencies.begin() + k);
     return latencies[k];
   };
--- a/tools/turmericctl/load_runner.h
+++ b/tools/turmericctl/load_runner.h
@@ -93,7 +93,7 @@
   double p50_ms = 0, p99_ms = 0;
   /** @return share answered whole within deadline. */
   double attainment() const {
-    return count ? double(whole_in_time) / count : 0;
+    return count ? static_cast<double>(whole_in_time) / count : 0;
   }
 };
 
--- a/tools/turmericctl/main.cc
+++ b/tools/turmericctl/main.cc
@@ -35,8 +35,9 @@
   }
   const std::string command = words[0];
   words.erase(words.begin());
-  if (command == "config")
+  if (command == "config") {
     return turmeric::ctl::RunConfigCommand(FLAGS_target, words);
+  }
   if (command == "run") return turmeric::ctl::RunPipelineCommand(FLAGS_target);
   if (command == "load") return turmeric::ctl::RunLoadCommand();
   std::cerr << "unknown command " << command << "\n"
--- a/tools/turmericctl/verdict.cc
+++ b/tools/turmericctl/verdict.cc
@@ -45,12 +45,12 @@
 }
 
 QJsonObject VerdictJson(const Verdict& v) {
-  return {{"doubled", double(v.doubled)},
-          {"not_run_but_ran", double(v.not_run_but_ran)},
-          {"ran_but_not_run", double(v.ran_but_not_run)},
-          {"misdelivered", double(v.misdelivered)},
-          {"sent_to_leaving", double(v.sent_to_leaving)},
-          {"leaving_refusals", double(v.leaving_refusals)}};
+  return {{"doubled", static_cast<double>(v.doubled)},
+          {"not_run_but_ran", static_cast<double>(v.not_run_but_ran)},
+          {"ran_but_not_run", static_cast<double>(v.ran_but_not_run)},
+          {"misdelivered", static_cast<double>(v.misdelivered)},
+          {"sent_to_leaving", static_cast<double>(v.sent_to_leaving)},
+          {"leaving_refusals", static_cast<double>(v.leaving_refusals)}};
 }
 
 }  // namespace turmeric::ctl
