Only the claim's holder says "not run"; a marked request never repeats

Late claiming opened two holes, and a third stood before it: (1) an attempt that ended before its claim said "not run" or "failed" while an older attempt with the key could still run it; (2) an older, slow attempt could take over a key that a newer one had released after saying "not run"; (3) a request the caller marked non-idempotent on a pipeline of repeatable stages was still retried, hedged and, once failed, released and run again. Also the wait told while the store is down grew only at the lookup, not at the claim.

Change: an attempt without the claim says "unknown"; Acquire takes what Lookup saw and succeeds only if nobody has held the key since; marked requests have all stages treated as non-idempotent (which removes the special case in ClaimStage). One RetryAfterMs serves both answers.

Conclusion: "not run" is now said by the one attempt that can know it.

--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -166,8 +166,7 @@
   for (auto _ : state) {
     const turmeric::gateway::ClaimSubject subject{
         "claims/b/o/p/key-" + std::to_string(n++), "0123456789abcdef"};
-    benchmark::DoNotOptimize(table.Lookup(subject));
-    auto c = table.Acquire(subject, 0);
+    auto c = table.Acquire(table.Lookup(subject), 0);
     table.Complete(
         c, R"({"state":"ran","output":"a short answer of about this size"})",
         0);
--- a/libs/gateway/include/turmeric/gateway/answer_json.h
+++ b/libs/gateway/include/turmeric/gateway/answer_json.h
@@ -29,11 +29,12 @@
 /**
  * @param request_id the request. @param settings its settings.
  * @param answer how it ended.
+ * @param retry_after_ms when to come back, -1: not at all.
  * @return the answer's JSON body.
  */
 QByteArray AnswerJson(std::string_view request_id,
                       const config::ResolvedSettings& settings,
-                      const RunAnswer& answer);
+                      const RunAnswer& answer, int retry_after_ms);
 
 /**
  * @param request_id the request.
--- a/libs/gateway/include/turmeric/gateway/claim_table.h
+++ b/libs/gateway/include/turmeric/gateway/claim_table.h
@@ -46,11 +46,12 @@
   Claim Lookup(const ClaimSubject& subject);
   /**
    * Claims the request, just before its first non-idempotent call.
-   * @param subject the request.
+   * Succeeds only if nobody has held the key since `seen`.
+   * @param seen what Lookup found when this attempt began (kFree).
    * @param keep_until_unix_ms when the claim may be swept away.
    * @return the claim as found or made.
    */
-  Claim Acquire(const ClaimSubject& subject, int64_t keep_until_unix_ms);
+  Claim Acquire(const Claim& seen, int64_t keep_until_unix_ms);
   /**
    * Records the answer of an owned claim, so a retry replays it.
    * @param claim an owned claim.
--- a/libs/gateway/src/answer_json.cc
+++ b/libs/gateway/src/answer_json.cc
@@ -40,7 +40,7 @@
 
 QByteArray AnswerJson(std::string_view request_id,
                       const config::ResolvedSettings& settings,
-                      const RunAnswer& answer) {
+                      const RunAnswer& answer, int retry_after_ms) {
   QJsonArray stages;
   for (const StageRecord& r : answer.stages) {
     constexpr double kMsPerSecond = 1000.0;
@@ -50,8 +50,7 @@
                               {"tokens", r.tokens},
                               {"attempts", r.attempts}});
   }
-  QJsonObject o = Head(request_id, answer.code, answer.state,
-                       utils::RetryAfterMs(answer.code));
+  QJsonObject o = Head(request_id, answer.code, answer.state, retry_after_ms);
   o["business"] = Text(settings.business);
   o["pipeline"] = Text(settings.pipeline);
   o["organisation"] = Text(settings.organisation);
--- a/libs/gateway/src/claim_table.cc
+++ b/libs/gateway/src/claim_table.cc
@@ -70,23 +70,22 @@
   return mine;
 }
 
-Claim ClaimTable::Acquire(const ClaimSubject& subject,
-                          int64_t keep_until_unix_ms) {
-  Claim mine;
-  mine.subject = subject;
+Claim ClaimTable::Acquire(const Claim& seen, int64_t keep_until_unix_ms) {
+  Claim mine = seen;
   mine.token = NewToken();
   const std::string value =
       EncodeClaim({ClaimPhase::kClaimed, mine.token, instance_,
-                   subject.fingerprint, keep_until_unix_ms, ""});
+                   seen.subject.fingerprint, keep_until_unix_ms, ""});
   Claim claim = Resolve(std::move(mine), value);
   std::lock_guard lock(mu_);
   if (claim.state == ClaimState::kOwned) ++counts_.acquired;
   return claim;
 }
 
-/** Writes `value` where the key is free, until it is clear whose it is. */
+/** Writes `value` if the key is as `mine.version` has it, until it is clear
+ * whose it is. */
 Claim ClaimTable::Resolve(Claim mine, const std::string& value) {
-  int64_t expected = store::kAbsent;
+  const int64_t expected = mine.version;  // kAbsent, or a released record
   for (int i = 0; i < kResolveAttempts; ++i) {
     auto put = store_.Put(mine.subject.key, value, expected);
     if (put) {
@@ -96,13 +95,15 @@
     }
     // A conflict or an answer not to be trusted: the store's state decides.
     auto got = store_.Get(mine.subject.key);
-    if (!got) {
-      expected = store::kAbsent;
-      continue;
-    }
+    if (!got) continue;
     mine = Judge(std::move(mine), got.value());
     if (mine.state != ClaimState::kFree) return mine;
-    expected = mine.version;  // a released record: take it over
+    if (mine.version != expected) {
+      // Guard: another attempt held the key since this one began, did not run
+      // and told its caller so. Running now would make that untrue.
+      mine.state = ClaimState::kInFlightElsewhere;
+      return mine;
+    }
   }
   // Unknown whether our write applied, or will. Nothing was sent; a release
   // is kept so that a claim we may hold does not block the caller's retry.
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -69,13 +69,14 @@
   const auto& stages = req_.settings.stages;
   const auto first =
       std::ranges::find(stages, false, &config::StageSpec::idempotent);
-  // A request the caller marked, through stages that may all be repeated, is
-  // claimed before it starts.
-  return first == stages.end() ? 0 : first - stages.begin();
+  return first - stages.begin();
 }
 
 RunState PipelineRun::UnfinishedState() const {
-  if (non_idempotent_sent_) return RunState::kUnknown;
+  // Guard: an attempt that does not hold the claim cannot speak for the
+  // request: an older attempt with the key may still run it.
+  const bool unclaimed = req_.acquire_claim && !claimed_;
+  if (non_idempotent_sent_ || unclaimed) return RunState::kUnknown;
   return any_sent_ ? RunState::kFailed : RunState::kNotRun;
 }
 
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -37,6 +37,7 @@
   Clock::time_point received;
   int64_t start_us = 0;
   bool run_ended = false;
+  Claim seen;  ///< What the claim was on arrival, if not idempotent.
   std::optional<Claim> owned;  ///< Held until completed or released.
 
   const config::ResolvedSettings& settings() const {
@@ -170,6 +171,7 @@
         switch (claim.state) {
           case ClaimState::kFree:
           case ClaimState::kOwned:
+            exchange->seen = claim;
             StartRun(exchange);
             return;
           case ClaimState::kDone:
@@ -242,10 +244,11 @@
 
 void RunHandler::AcquireClaim(const ExchangeRef& exchange,
                               std::function<void(const Claim&)> done) {
-  OnStore([this, subject = exchange->parsed.subject,
-           keep = KeepUntilUnixMs()] { return claims_.Acquire(subject, keep); },
+  OnStore([this, seen = exchange->seen,
+           keep = KeepUntilUnixMs()] { return claims_.Acquire(seen, keep); },
           [this, exchange, done = std::move(done)](const Claim& claim) {
             if (killed_) return;
+            NoteStore(claim.state != ClaimState::kStoreDown);
             if (claim.state == ClaimState::kOwned) {
               exchange->owned = claim;
               // The run ended (deadline, caller gone) while the claim was on
@@ -321,7 +324,8 @@
   }
   const QByteArray body =
       answer.replay.empty()
-          ? AnswerJson(exchange->request_id, exchange->settings(), answer)
+          ? AnswerJson(exchange->request_id, exchange->settings(), answer,
+                       RetryAfterMs(answer.code))
           : QByteArray::fromStdString(answer.replay);
   SettleClaim(*exchange, answer, body);
   Record(*exchange, answer);
@@ -331,7 +335,7 @@
   } else {
     http::WriteJson(
         *exchange->responder, utils::HttpStatus(answer.code), body,
-        AnswerHeaders(exchange->request_id, utils::RetryAfterMs(answer.code)));
+        AnswerHeaders(exchange->request_id, RetryAfterMs(answer.code)));
   }
   exchange->responder.reset();
 }
--- a/libs/gateway/src/run_parser.cc
+++ b/libs/gateway/src/run_parser.cc
@@ -70,6 +70,13 @@
   parsed.idempotent =
       stages_repeatable && body.value("idempotent").toBool(true);
   if (parsed.idempotent) return parsed;
+  if (stages_repeatable) {
+    // Guard: what the caller marked must not run twice, although the
+    // settings would let its stages be retried and hedged.
+    std::ranges::for_each(run.settings.stages, [](config::StageSpec& stage) {
+      stage.idempotent = false;
+    });
+  }
   const QByteArray key = raw.idempotency_key.isEmpty()
                              ? body.value("idempotency_key").toString().toUtf8()
                              : raw.idempotency_key;
--- a/libs/gateway/test/claim_table_test.cc
+++ b/libs/gateway/test/claim_table_test.cc
@@ -24,6 +24,13 @@
 
 constexpr int64_t kKeepUntil = 10'000;
 
+/** A whole attempt: what it sees on arrival, then its claim. */
+Claim BeginAndAcquire(ClaimTable& table, const ClaimSubject& subject) {
+  const Claim seen = table.Lookup(subject);
+  return seen.state == ClaimState::kFree ? table.Acquire(seen, kKeepUntil)
+                                         : seen;
+}
+
 }  // namespace
 
 TEST_CASE("at most one attempt runs a key, whatever the store does") {
@@ -46,7 +53,7 @@
                        .seed = seed++});
       ClaimTable& t = *instances[step % 4];
       const std::string key = "k" + std::to_string((step >> 2) % 3);
-      Claim c = t.Acquire(Subject(key), kKeepUntil);
+      Claim c = BeginAndAcquire(t, Subject(key));
       if (c.state == ClaimState::kOwned) {
         ++runs[key];
         RC_ASSERT(runs[key] <= 1);
@@ -70,8 +77,9 @@
   // held by a ghost claim for ever.
   MemoryStore store;
   ClaimTable table(store, "entry-1");
+  const Claim seen = table.Lookup(Subject("notice-42"));
   store.SetFaults({.outage = false, .lose_answer_rate = 1.0, .seed = 3});
-  Claim c = table.Acquire(Subject("notice-42"), kKeepUntil);
+  Claim c = table.Acquire(seen, kKeepUntil);
   CHECK(c.state == ClaimState::kOwned);
   CHECK(table.counts().lost_answers_resolved == 1);
 }
@@ -80,12 +88,12 @@
   MemoryStore store;
   ClaimTable a(store, "entry-1");
   ClaimTable b(store, "entry-2");
-  Claim c = a.Acquire(Subject("notice-7"), kKeepUntil);
+  Claim c = BeginAndAcquire(a, Subject("notice-7"));
   REQUIRE(c.state == ClaimState::kOwned);
-  CHECK(b.Acquire(Subject("notice-7"), kKeepUntil).state ==
+  CHECK(BeginAndAcquire(b, Subject("notice-7")).state ==
         ClaimState::kInFlightElsewhere);
   REQUIRE(a.Complete(c, "{\"output\":\"printed\"}", kKeepUntil));
-  Claim replay = b.Acquire(Subject("notice-7"), kKeepUntil);
+  Claim replay = BeginAndAcquire(b, Subject("notice-7"));
   CHECK(replay.state == ClaimState::kDone);
   CHECK(replay.result == "{\"output\":\"printed\"}");
 }
@@ -97,12 +105,11 @@
   MemoryStore store;
   ClaimTable table(store, "entry-1");
   store.SetFaults({.outage = true});
-  CHECK(table.Acquire(Subject("k"), kKeepUntil).state ==
-        ClaimState::kStoreDown);
+  CHECK(BeginAndAcquire(table, Subject("k")).state == ClaimState::kStoreDown);
   store.SetFaults({});
   table.Recover();
   CHECK(table.pending() == 0);
-  CHECK(table.Acquire(Subject("k"), kKeepUntil).state == ClaimState::kOwned);
+  CHECK(BeginAndAcquire(table, Subject("k")).state == ClaimState::kOwned);
 }
 
 TEST_CASE("a restarted instance does not take its dead predecessor's claim") {
@@ -113,11 +120,11 @@
   MemoryStore store;
   {
     ClaimTable before(store, "entry-1");
-    REQUIRE(before.Acquire(Subject("tree-5"), kKeepUntil).state ==
+    REQUIRE(BeginAndAcquire(before, Subject("tree-5")).state ==
             ClaimState::kOwned);
   }
   ClaimTable after(store, "entry-1");
-  CHECK(after.Acquire(Subject("tree-5"), kKeepUntil).state ==
+  CHECK(BeginAndAcquire(after, Subject("tree-5")).state ==
         ClaimState::kInFlightElsewhere);
 }
 
@@ -143,13 +150,29 @@
   LateStore store;
   ClaimTable table(store, "entry-1");
   store.hold = true;
-  REQUIRE(table.Acquire(Subject("k"), kKeepUntil).state ==
-          ClaimState::kStoreDown);
+  REQUIRE(BeginAndAcquire(table, Subject("k")).state == ClaimState::kStoreDown);
   store.hold = false;
   table.Recover();
   CHECK_FALSE(
       store.Put(store.late_key, store.late_value, turmeric::store::kAbsent));
-  CHECK(table.Acquire(Subject("k"), kKeepUntil).state == ClaimState::kOwned);
+  CHECK(BeginAndAcquire(table, Subject("k")).state == ClaimState::kOwned);
+}
+
+TEST_CASE("an older attempt cannot run what was told not to have run") {
+  // A crew's first attempt is slow in its idempotent stages. Its resend
+  // claims the key, finds no upstream, releases it and is told "not run".
+  // The first attempt then reaches its claim: taking the released key, it
+  // would print after all. Only an attempt begun after the release may.
+  MemoryStore store;
+  ClaimTable slow(store, "entry-1");
+  ClaimTable resend(store, "entry-2");
+  const Claim seen_by_slow = slow.Lookup(Subject("k"));
+  const Claim claim = BeginAndAcquire(resend, Subject("k"));
+  REQUIRE(claim.state == ClaimState::kOwned);
+  resend.Release(claim);
+  CHECK(slow.Acquire(seen_by_slow, kKeepUntil).state ==
+        ClaimState::kInFlightElsewhere);
+  CHECK(BeginAndAcquire(slow, Subject("k")).state == ClaimState::kOwned);
 }
 
 TEST_CASE("claims are swept once past their time, and not before") {
@@ -157,10 +180,9 @@
   // print again.
   MemoryStore store;
   ClaimTable table(store, "entry-1");
-  const Claim done = table.Acquire(Subject("done"), kKeepUntil);
+  const Claim done = BeginAndAcquire(table, Subject("done"));
   REQUIRE(table.Complete(done, "{}", 2 * kKeepUntil));
-  REQUIRE(table.Acquire(Subject("open"), kKeepUntil).state ==
-          ClaimState::kOwned);
+  REQUIRE(BeginAndAcquire(table, Subject("open")).state == ClaimState::kOwned);
   CHECK(table.Sweep(kKeepUntil, 10).value() == 0);
   CHECK(table.Sweep(kKeepUntil + 1, 10).value() == 1);
   CHECK(table.Lookup(Subject("open")).state == ClaimState::kFree);
@@ -173,7 +195,7 @@
   MemoryStore store;
   ClaimTable table(store, "entry-1");
   for (const char* key : {"a", "b"}) {
-    const Claim c = table.Acquire(Subject(key), kKeepUntil);
+    const Claim c = BeginAndAcquire(table, Subject(key));
     REQUIRE(table.Complete(c, "{}", kKeepUntil));
   }
   REQUIRE(store.Put(Subject("b").key, "someone else's", 2));
--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -323,3 +323,39 @@
   for (const auto& s : stack.embedded->services()) executed += s->executed();
   CHECK(executed == 0);
 }
+
+TEST_CASE("a request marked non-idempotent runs once on repeatable stages") {
+  // A franchisee marks a generation as not to be repeated. Its engine fails
+  // after taking it. Retried or hedged inside, or released and run again for
+  // a resend, it would have run twice.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(2));
+  for (const auto& e : stack.embedded->engines()) {
+    e->SetFaults({.fail_rate = 1.0});
+  }
+  QNetworkAccessManager network;
+  for (int instance : {0, 1}) {
+    const HttpAnswer a = HttpCall(
+        network, "POST", RunUrl(stack, instance, "nilelight", "generate"),
+        Body("nile-hotels", "draft", false), {{"Idempotency-Key", "draft-1"}});
+    CHECK(Json(a).value("state").toString() == "unknown");
+  }
+  int64_t received = 0;
+  for (const auto& e : stack.embedded->engines()) received += e->received();
+  CHECK(received == 1);
+}
+
+TEST_CASE("an attempt without the claim never says not run") {
+  // A resend finds no generator and ends before its claim, while the first
+  // attempt with its key may be under way elsewhere and print.
+  EmbeddedStack stack;
+  REQUIRE(stack.Start(1));
+  for (const auto& e : stack.embedded->engines()) {
+    e->SetFaults({.leaving = true});
+  }
+  QNetworkAccessManager network;
+  const HttpAnswer a = HttpCall(
+      network, "POST", RunUrl(stack, 0, "nilelight", "print-notice"),
+      Body("nile-hotels", "room 8", false), {{"Idempotency-Key", "notice-8"}});
+  CHECK(Json(a).value("state").toString() == "unknown");
+}
