--- /dev/null
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "turmeric/config/entry_settings.h"
+#include "turmeric/entry/retry_budgets.h"
+#include "turmeric/entry/stage_client.h"
+#include "turmeric/entry/upstream_client.h"
+#include "turmeric/entry/wire_format.h"
+#include "turmeric/routing/route_table.h"
+#include "turmeric/routing/upstream_table.h"
+
+namespace turmeric::entry {
+
+class EntryMetrics;
+
+/** What one instance knows and shares among its requests. */
+struct EntryContext {
+  EntryContext(config::EntrySettings s, WireFormat w)
+      : settings(std::move(s)),
+        wire(std::move(w)),
+        retries({settings.retry_ratio, settings.retry_slack,
+                 settings.retry_window}) {}
+
+  config::EntrySettings settings;
+  WireFormat wire;
+  routing::RouteTablePtr table;  ///< Null until the first is read.
+  routing::UpstreamTable upstreams;
+  bool upstreams_known = false;  ///< Their list was read at least once.
+  UpstreamClient client;
+  RetryBudgets retries;
+  StageClient* stages = nullptr;
+  EntryMetrics* metrics = nullptr;
+};
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/platform_link.h"
+#include "turmeric/http/listener.h"
+#include "turmeric/kernel/service.h"
+
+namespace turmeric::entry {
+
+class StageDispatcher;
+class TopologyFeed;
+
+/**
+ * Service "entry": an instance on the platform, between callers and
+ * upstreams. Serves callers on the front address, the balancer's probes on
+ * the readiness address and its metrics.
+ */
+class EntryService : public QObject, public kernel::Service {
+ public:
+  /** @param settings this instance's. @param link the platform. */
+  EntryService(config::EntrySettings settings, PlatformLink link);
+  ~EntryService() override;
+
+  std::string_view name() const override { return "entry"; }
+  utils::Result<void> Start(kernel::Kernel& kernel) override;
+  void Stop() override;
+  /**
+   * A planned stop: not ready at once, serves on until the balancer has
+   * noticed and the open requests have ended, at most for the stop grace.
+   * @param done called once, when the process may exit.
+   */
+  void Drain(std::function<void()> done);
+  /** @param settings read anew; addresses stay as they are. */
+  void Reload(const config::EntrySettings& settings);
+  /** @return bound port for callers. */
+  uint16_t front_port() const { return front_->port(); }
+  /** @return bound port for probes. */
+  uint16_t readiness_port() const { return readiness_->port(); }
+
+ private:
+  void AcceptCaller(int fd);
+  void AcceptProbe(int fd);
+  void OnRequest(http::ServerConnection& connection,
+                 http::RequestMessage&& message);
+  void OnProbe(http::ServerConnection& connection,
+               const http::RequestMessage& message);
+  void CheckDrained();
+  http::ServerLimits Limits() const;
+  bool ready() const;
+  int open_requests() const;
+
+  PlatformLink link_;
+  EntryMetrics metrics_;
+  EntryContext context_;
+  std::unique_ptr<StageDispatcher> dispatcher_;
+  std::unique_ptr<TopologyFeed> feed_;
+  std::unique_ptr<http::Listener> front_;
+  std::unique_ptr<http::Listener> readiness_;
+  std::unique_ptr<http::Listener> metrics_listener_;
+  std::set<http::ServerConnection*> callers_;
+  bool draining_ = false;
+  std::chrono::steady_clock::time_point drain_began_;
+  std::function<void()> on_drained_;
+  QTimer drain_check_;
+};
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <QObject>
+#include <QPointer>
+#include <QTimer>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmeric/entry/event_splitter.h"
+#include "turmeric/entry/wire_format.h"
+#include "turmeric/http/client_connection.h"
+#include "turmeric/http/server_connection.h"
+#include "turmeric/routing/route_table.h"
+#include "turmeric/routing/upstream.h"
+#include "turmeric/stages/stage_progress.h"
+
+namespace turmeric::entry {
+
+struct EntryContext;
+class UpstreamExchange;
+
+/**
+ * One request from its arrival to its final answer: route and key, stages,
+ * the send to an upstream, repeats where the route allows them, and the
+ * answer. Deletes itself when the answer is out or the caller has gone.
+ */
+class RequestRun : public QObject {
+ public:
+  /**
+   * @param context the instance's state; must outlive this.
+   * @param connection the caller's. @param request what it sent.
+   * @param parent Qt owner.
+   */
+  RequestRun(EntryContext& context, http::ServerConnection& connection,
+             CallerRequest request, QObject* parent);
+  ~RequestRun() override;
+
+  /** Decides what to do with the request, and begins. */
+  void Start();
+
+ private:
+  using Clock = routing::Clock;
+
+  bool Admit();
+  // Stages.
+  void StartStages();
+  void SubmitStage(int stage);
+  void OnPiece(int stage, int index, const stages::PieceResult& result);
+  void CancelPieces();
+  void ReleaseUnneeded();
+  void ReleaseAll();
+  // One send.
+  void SendToUpstream();
+  routing::UpstreamPtr Choose();
+  http::ExchangeEvents AnswerEvents();
+  bool OnHead(const http::ResponseHead& head);
+  void OnBody(std::string_view bytes);
+  void OnEnd();
+  void OnFailure(http::ExchangeFailure failure);
+  void EndSend(routing::Outcome outcome);
+  void OnNotRun();
+  void OnBroken(std::string_view why);
+  bool MaySendAgain(bool certainly_not_run);
+  void SendAgain();
+  void OnStreamBytes(std::string_view bytes);
+  void ForwardEvents(const std::vector<StreamEvent>& events);
+  void PassHead();
+  // The final answer.
+  void PassAnswer();
+  void Refuse(std::string_view why, std::chrono::milliseconds come_back);
+  void Fail(int status, std::string_view why);
+  void OnTimeLimit();
+  void OnCallerGone();
+  void Finish(int status, std::string_view outcome);
+  std::chrono::milliseconds TimeLeft() const;
+  double MsSinceArrival() const;
+
+  EntryContext& context_;
+  QPointer<http::ServerConnection> connection_;
+  CallerRequest request_;
+  routing::RouteTablePtr table_;  ///< Keeps `route_` alive.
+  const routing::Route* route_ = nullptr;
+  std::string organisation_;
+  std::string service_;
+  int rank_ = 0;
+  Clock::time_point arrived_;
+  Clock::time_point limit_;  ///< Final answer due: deadline or timeout.
+  QTimer limit_timer_;
+
+  std::optional<stages::StageProgress> stages_;
+  struct OpenPiece {
+    std::string service;
+    uint64_t ticket = 0;
+  };
+  std::vector<OpenPiece> open_pieces_;
+  std::vector<std::string> inputs_;
+
+  std::shared_ptr<UpstreamExchange> exchange_;
+  routing::UpstreamPtr upstream_;
+  std::vector<std::string> tried_;
+  double prompt_ms_ = 0;  ///< Charged to the upstream till first byte.
+  Clock::time_point sent_at_;
+  int sends_ = 0;
+  bool may_have_run_ = false;
+  http::ResponseHead head_;
+  AnswerInfo info_;
+  bool has_head_ = false;
+  std::string body_;
+  std::optional<http::ResponseMessage> last_error_;  ///< An upstream's own.
+
+  bool streaming_ = false;  ///< The head has been passed on.
+  bool paused_ = false;
+  EventSplitter splitter_;
+  std::optional<int64_t> last_event_;  ///< Last one passed on.
+  int64_t events_ = 0;
+  bool finished_ = false;
+};
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/stage_client.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "turmeric/stages/piece_queue.h"
+
+namespace turmeric::entry {
+
+/** Gets pieces of stages made, here or at another instance. */
+class StageClient {
+ public:
+  virtual ~StageClient() = default;
+  /**
+   * @param service the stage's service. @param piece the piece.
+   * @param done told once, never from inside this call.
+   * @return a ticket for Cancel.
+   */
+  virtual uint64_t Submit(const std::string& service, stages::Piece piece,
+                          stages::PieceCallback done) = 0;
+  /** The piece is no longer wanted. It is dropped unless a call with it is
+   * in progress; then `done` is still called.
+   * @param service as submitted. @param ticket from Submit. */
+  virtual void Cancel(const std::string& service, uint64_t ticket) = 0;
+  /** @param service the results' service. @param handles results that
+   * nothing needs any more. */
+  virtual void Release(const std::string& service,
+                       std::vector<std::string> handles) = 0;
+};
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "turmeric/entry/stage_client.h"
+#include "turmeric/entry/upstream_client.h"
+#include "turmeric/routing/route_table.h"
+
+namespace turmeric::entry {
+
+struct EntryContext;
+
+/**
+ * Makes pieces by calls to the upstreams of the stage services: one queue a
+ * service, a call whenever an upstream is free, as many pieces in it as fit.
+ * Holds no more results at an upstream than it has room for.
+ */
+class StageDispatcher : public QObject, public StageClient {
+ public:
+  /** @param context the instance's state; must outlive this. */
+  explicit StageDispatcher(EntryContext& context);
+  ~StageDispatcher() override;
+
+  uint64_t Submit(const std::string& service, stages::Piece piece,
+                  stages::PieceCallback done) override;
+  void Cancel(const std::string& service, uint64_t ticket) override;
+  void Release(const std::string& service,
+               std::vector<std::string> handles) override;
+  /** @param service a stage service. @return pieces waiting here for it. */
+  size_t waiting(const std::string& service) const;
+
+ private:
+  struct Call;
+  struct Worker;
+  struct Queue;
+
+  Queue& QueueOf(const std::string& service);
+  Worker& WorkerOf(Queue& queue, const routing::UpstreamPtr& upstream);
+  void SchedulePump();
+  void Pump();
+  void PumpQueue(const std::string& service, Queue& queue);
+  void FailHopeless(Queue& queue, std::chrono::milliseconds call_time);
+  void FailAll(Queue& queue, stages::PieceFailure failure);
+  void SendCall(const std::string& service, Queue& queue, Worker& worker,
+                std::vector<stages::QueuedPiece> pieces,
+                const routing::StageCallLimits& limits);
+  void OnCallEnd(const std::shared_ptr<Call>& call);
+  void OnCallFailed(const std::shared_ptr<Call>& call,
+                    routing::Outcome outcome);
+  void Deliver(Call& call, const std::vector<stages::PieceResult>& results);
+  void Retry(Call& call, bool certainly_not_run);
+  void FlushReleases();
+
+  EntryContext& context_;
+  std::map<std::string, std::unique_ptr<Queue>> queues_;
+  /** Results to be released, by the address that holds them. */
+  std::map<std::string, std::vector<std::string>> releases_;
+  QTimer pump_;
+  QTimer retry_pump_;
+  QTimer release_;
+};
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/entry_metrics.cc
@@ -0,0 +1,69 @@
+#include "turmeric/entry/entry_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+namespace {
+
+/** Upper bounds of the latency histogram, s: around the usual latency
+ * targets and deadlines. */
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 1.6, 2.0, 3.0, 6.0, 20.0};
+
+}  // namespace
+
+EntryMetrics::EntryMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(prometheus::BuildCounter()
+                    .Name("turmeric_entry_requests_total")
+                    .Help("Requests by route, status and outcome")
+                    .Register(*registry_)),
+      repeats_(prometheus::BuildCounter()
+                   .Name("turmeric_entry_repeats_total")
+                   .Help("Sends beyond a request's first, by service")
+                   .Register(*registry_)),
+      store_calls_(prometheus::BuildCounter()
+                       .Name("turmeric_entry_store_calls_total")
+                       .Help("Calls to the platform's store by outcome")
+                       .Register(*registry_)),
+      latency_(prometheus::BuildHistogram()
+                   .Name("turmeric_entry_latency_seconds")
+                   .Help("Time from arrival to the final answer")
+                   .Register(*registry_)),
+      dropped_lines_(prometheus::BuildCounter()
+                         .Name("turmeric_log_lines_dropped_total")
+                         .Help("Log lines dropped to bound their volume")
+                         .Register(*registry_)
+                         .Add({})) {}
+
+void EntryMetrics::OnRequest(std::string_view route, int status,
+                             std::string_view outcome, double seconds) {
+  const std::string name(route);
+  requests_
+      .Add({{"route", name},
+            {"status", std::to_string(status)},
+            {"outcome", std::string(outcome)}})
+      .Increment();
+  latency_.Add({{"route", name}}, kLatencyBounds).Observe(seconds);
+}
+
+void EntryMetrics::OnRepeat(std::string_view service) {
+  repeats_.Add({{"service", std::string(service)}}).Increment();
+}
+
+void EntryMetrics::OnStoreCall(std::string_view outcome) {
+  store_calls_.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+std::string EntryMetrics::Render() {
+  const double seen = static_cast<double>(utils::DecisionLog::dropped());
+  dropped_lines_.Increment(seen - dropped_lines_.Value());
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/entry_service.cc
@@ -0,0 +1,175 @@
+#include "turmeric/entry/entry_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "turmeric/entry/request_run.h"
+#include "turmeric/entry/stage_dispatcher.h"
+#include "turmeric/entry/topology_feed.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kMetricsPath = "/metrics";
+
+/** The balancer probes once a second and takes two misses; after this it
+ * sends no new connection to an instance that is not ready. */
+constexpr milliseconds kBalancerNotices{2600};
+/** Time kept of the stop grace for the process to exit. */
+constexpr milliseconds kExitMargin{300};
+constexpr milliseconds kDrainCheck{50};
+
+http::Endpoint EndpointOf(const std::string& address) {
+  return http::ParseEndpoint(address);
+}
+
+}  // namespace
+
+EntryService::EntryService(config::EntrySettings settings, PlatformLink link)
+    : link_(std::move(link)),
+      context_(std::move(settings), link_.wire),
+      dispatcher_(std::make_unique<StageDispatcher>(context_)),
+      feed_(std::make_unique<TopologyFeed>(context_, link_)) {
+  context_.metrics = &metrics_;
+  context_.stages = dispatcher_.get();
+  front_ =
+      std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
+  readiness_ =
+      std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
+  metrics_listener_ =
+      std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
+  drain_check_.setInterval(kDrainCheck);
+  connect(&drain_check_, &QTimer::timeout, this, [this] { CheckDrained(); });
+}
+
+EntryService::~EntryService() = default;
+
+utils::Result<void> EntryService::Start(kernel::Kernel& /*kernel*/) {
+  const config::EntrySettings& s = context_.settings;
+  if (auto up = front_->Listen(EndpointOf(s.front_address)); !up) return up;
+  if (!s.readiness_address.empty()) {
+    auto up = readiness_->Listen(EndpointOf(s.readiness_address));
+    if (!up) return up;
+  }
+  if (!s.metrics_address.empty()) {
+    auto up = metrics_listener_->Listen(EndpointOf(s.metrics_address));
+    if (!up) return up;
+  }
+  feed_->set_on_complete([] { utils::DecisionLog("ready"); });
+  feed_->Start();
+  utils::DecisionLog("started")
+      .Add("instance", s.name)
+      .Add("zone", s.zone)
+      .Add("front", s.front_address)
+      .Add("store", s.store_address);
+  return boost::outcome_v2::success();
+}
+
+void EntryService::Stop() {
+  front_->Close();
+  readiness_->Close();
+  metrics_listener_->Close();
+}
+
+bool EntryService::ready() const { return feed_->complete() && !draining_; }
+
+http::ServerLimits EntryService::Limits() const {
+  const routing::CallerLimits limits =
+      context_.table ? context_.table->limits : routing::CallerLimits{};
+  return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+          limits.idle_timeout};
+}
+
+void EntryService::AcceptCaller(int fd) {
+  auto* connection = new http::ServerConnection(
+      fd, [this] { return Limits(); },
+      [this](http::ServerConnection& c, http::RequestMessage&& message) {
+        OnRequest(c, std::move(message));
+      },
+      this);
+  callers_.insert(connection);
+  connect(connection, &QObject::destroyed, this,
+          [this, connection] { callers_.erase(connection); });
+}
+
+void EntryService::AcceptProbe(int fd) {
+  new http::ServerConnection(
+      fd, [] { return http::ServerLimits{}; },
+      [this](http::ServerConnection& c, http::RequestMessage&& message) {
+        OnProbe(c, message);
+      },
+      this);
+}
+
+void EntryService::OnProbe(http::ServerConnection& connection,
+                           const http::RequestMessage& message) {
+  if (message.target == link_.wire.readiness_path) {
+    return connection.Respond(
+        {.status = ready() ? kOk : kUnavailable, .headers = {}, .body = {}});
+  }
+  if (message.target == kMetricsPath) {
+    return connection.Respond({.status = kOk,
+                               .headers = {{"Content-Type", "text/plain"}},
+                               .body = metrics_.Render()});
+  }
+  connection.Respond({.status = kNotFound, .headers = {}, .body = {}});
+}
+
+void EntryService::OnRequest(http::ServerConnection& connection,
+                             http::RequestMessage&& message) {
+  // The balancer's probe may come to the callers' address too.
+  if (message.target == link_.wire.readiness_path) {
+    return OnProbe(connection, message);
+  }
+  if (draining_) connection.CloseWhenIdle();
+  auto* run =
+      new RequestRun(context_, connection,
+                     link_.wire.decode_request(std::move(message)), this);
+  run->Start();
+}
+
+int EntryService::open_requests() const {
+  return static_cast<int>(
+      std::ranges::count_if(callers_, &http::ServerConnection::busy));
+}
+
+void EntryService::Drain(std::function<void()> done) {
+  if (std::exchange(draining_, true)) return;
+  on_drained_ = std::move(done);
+  drain_began_ = std::chrono::steady_clock::now();
+  utils::DecisionLog("stop_begins")
+      .Add("open_requests", open_requests())
+      .Add("connections", callers_.size());
+  drain_check_.start();
+}
+
+void EntryService::CheckDrained() {
+  const auto since = std::chrono::steady_clock::now() - drain_began_;
+  if (since < kBalancerNotices) return;
+  const auto open = callers_;
+  std::ranges::for_each(open, [](auto* c) { c->CloseWhenIdle(); });
+  const bool out_of_time = since >= context_.settings.stop_grace - kExitMargin;
+  if (!callers_.empty() && !out_of_time) return;
+  drain_check_.stop();
+  utils::DecisionLog("stopped")
+      .Add("open_requests", open_requests())
+      .Add("ms", std::chrono::duration_cast<milliseconds>(since).count());
+  if (auto callback = std::exchange(on_drained_, nullptr)) callback();
+}
+
+void EntryService::Reload(const config::EntrySettings& settings) {
+  context_.settings.stop_grace = settings.stop_grace;
+  context_.settings.lapsed_grace = settings.lapsed_grace;
+  context_.retries.set_limits(
+      {settings.retry_ratio, settings.retry_slack, settings.retry_window});
+  utils::DecisionLog("reloaded").Add("instance", settings.name);
+}
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/request_run.cc
@@ -0,0 +1,513 @@
+#include "turmeric/entry/request_run.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/entry_metrics.h"
+#include "turmeric/routing/choice.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using routing::Outcome;
+using routing::RequestKind;
+using stages::PieceFailure;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/** Tokens of a prompt that an engine reads in a millisecond, for load
+ * estimates where it has not been measured. */
+constexpr double kPromptTokensPerMs = 38;
+/** An answer given so long before the caller's deadline still reaches it. */
+constexpr milliseconds kAnswerMargin{15};
+/** Least time left for a repeat to be worth sending. */
+constexpr milliseconds kLeastForRepeat{50};
+/** Longest answer held in memory, bytes; a larger one is an error. */
+constexpr size_t kMaxAnswer = 8 * 1024 * 1024;
+/** Unsent bytes of a slow reader at which its upstream is held back, and
+ * below which it goes on. */
+constexpr size_t kPauseAt = 256 * 1024;
+/** When to come back after a refusal: long enough for a queue to move on,
+ * spread so that the refused do not all return at once. */
+constexpr milliseconds kComeBackSoon{150};
+constexpr milliseconds kComeBackLater{500};
+/** Waiting that a large stage result in another zone is worth, ms. */
+constexpr double kLargeInputZoneMs = 150;
+/** Waiting that another zone is worth otherwise, ms: the way there and
+ * back. */
+constexpr double kOtherZoneMs = 2;
+/** Time an engine needs from a prompt's end to the first event, ms. */
+constexpr milliseconds kFirstEvent{60};
+/** Estimate of one stage call with its wait, for planning chains. */
+constexpr milliseconds kStageStep{300};
+
+double Uniform() {
+  static std::mt19937_64 engine{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(engine);
+}
+
+milliseconds Spread(milliseconds base) {
+  return milliseconds(static_cast<int64_t>(static_cast<double>(base.count()) *
+                                           (0.75 + 0.5 * Uniform())));
+}
+
+}  // namespace
+
+RequestRun::RequestRun(EntryContext& context,
+                       http::ServerConnection& connection,
+                       CallerRequest request, QObject* parent)
+    : QObject(parent),
+      context_(context),
+      connection_(&connection),
+      request_(std::move(request)),
+      arrived_(Clock::now()) {
+  connection.set_on_gone([this] { OnCallerGone(); });
+}
+
+RequestRun::~RequestRun() = default;
+
+milliseconds RequestRun::TimeLeft() const {
+  return std::chrono::duration_cast<milliseconds>(limit_ - Clock::now());
+}
+
+double RequestRun::MsSinceArrival() const {
+  return std::chrono::duration<double, std::milli>(Clock::now() - arrived_)
+      .count();
+}
+
+void RequestRun::Start() {
+  if (!Admit()) return;
+  limit_timer_.setSingleShot(true);
+  connect(&limit_timer_, &QTimer::timeout, this, [this] { OnTimeLimit(); });
+  limit_timer_.start(std::max(milliseconds(1), TimeLeft()));
+  const auto now = Clock::now();
+  service_ = routing::PickTarget(route_->targets, Uniform());
+  context_.retries.OnRequest(service_, now);
+  stages_.emplace(route_->stages, request_.stage_pieces);
+  if (stages_->done()) return SendToUpstream();
+  StartStages();
+}
+
+bool RequestRun::Admit() {
+  table_ = context_.table;
+  if (!table_ || !context_.upstreams_known) {
+    Refuse("not_ready", kComeBackLater);
+    return false;
+  }
+  route_ = table_->Match(request_.host, request_.target);
+  if (route_ == nullptr) {
+    Fail(kNotFound, "no_route");
+    return false;
+  }
+  rank_ = route_->priority;
+  const auto holder = table_->organisation_by_key.find(request_.key);
+  if (holder != table_->organisation_by_key.end()) {
+    organisation_ = holder->second.name;
+    rank_ = holder->second.priority.value_or(rank_);
+  } else if (table_->has_organisations && !route_->is_public) {
+    Fail(kUnauthorized, "unknown_key");
+    return false;
+  }
+  limit_ = arrived_ + route_->timeout;
+  if (request_.deadline) {
+    limit_ = std::min(limit_, arrived_ + *request_.deadline - kAnswerMargin);
+  }
+  return true;
+}
+
+// Stages.
+
+void RequestRun::StartStages() {
+  for (const int stage : stages_->TakeReady()) SubmitStage(stage);
+}
+
+void RequestRun::SubmitStage(int stage) {
+  const routing::StageSpec& spec = route_->stages[static_cast<size_t>(stage)];
+  const std::vector<std::string> inputs = stages_->Inputs(stage);
+  const auto prompt_time = milliseconds(
+      static_cast<int64_t>(request_.prompt_tokens / kPromptTokensPerMs));
+  const auto rest =
+      stages_->StagesAfter(stage) * kStageStep + prompt_time + kFirstEvent;
+  for (int index = 0; index < stages_->pieces(stage); ++index) {
+    stages::Piece piece;
+    piece.request_id = request_.attempt_id;
+    piece.stage = stage;
+    piece.index = index;
+    piece.inputs = inputs;
+    if (inputs.empty()) piece.key = request_.piece_key;
+    piece.result_bytes = spec.result_bytes;
+    piece.rank = rank_;
+    piece.due = arrived_ + route_->latency_target - rest;
+    piece.deadline = limit_ - rest;
+    piece.zone = context_.settings.zone;
+    const uint64_t ticket = context_.stages->Submit(
+        spec.service, std::move(piece),
+        [self = QPointer<RequestRun>(this), &context = context_,
+         service = spec.service, stage,
+         index](const stages::PieceResult& result) {
+          if (self && !self->finished_) {
+            return self->OnPiece(stage, index, result);
+          }
+          // The request has ended meanwhile; its result only takes up room.
+          if (result.failure == PieceFailure::kNone) {
+            context.stages->Release(service, {result.handle});
+          }
+        });
+    open_pieces_.push_back({spec.service, ticket});
+  }
+}
+
+void RequestRun::OnPiece(int stage, int index,
+                         const stages::PieceResult& result) {
+  if (result.failure != PieceFailure::kNone) {
+    utils::DecisionLog("piece_failed")
+        .Add("request", request_.attempt_id)
+        .Add("stage", stage)
+        .Add("piece", index)
+        .Add("failure", static_cast<int>(result.failure));
+    return Refuse("stage_failed", kComeBackSoon);
+  }
+  stages_->Complete(stage, index, result);
+  ReleaseUnneeded();
+  if (!stages_->done()) return StartStages();
+  open_pieces_.clear();
+  inputs_ = stages_->FinalInputs();
+  SendToUpstream();
+}
+
+void RequestRun::CancelPieces() {
+  for (const OpenPiece& open : std::exchange(open_pieces_, {})) {
+    context_.stages->Cancel(open.service, open.ticket);
+  }
+}
+
+void RequestRun::ReleaseUnneeded() {
+  for (auto& [service, handles] : stages_->TakeUnneeded()) {
+    context_.stages->Release(service, std::move(handles));
+  }
+}
+
+void RequestRun::ReleaseAll() {
+  if (!stages_) return;
+  for (auto& [service, handles] : stages_->TakeAll()) {
+    context_.stages->Release(service, std::move(handles));
+  }
+}
+
+// One send.
+
+routing::UpstreamPtr RequestRun::Choose() {
+  const std::string zone = stages_->LargestResultZone();
+  routing::ChoiceRequest wanted;
+  std::string affinity;
+  if (route_->carries_prompt && !request_.prompt.empty()) {
+    // The last part is the request's own; the one before it is its session.
+    const size_t parts = request_.prompt.size();
+    affinity = request_.prompt[parts > 1 ? parts - 2 : 0].id;
+    wanted.affinity_key = affinity;
+    wanted.prompt_ms = request_.prompt_tokens / kPromptTokensPerMs;
+  }
+  wanted.zone = zone.empty() ? context_.settings.zone : zone;
+  wanted.zone_cost_ms = zone.empty() ? kOtherZoneMs : kLargeInputZoneMs;
+  if (route_->carries_prompt && zone.empty()) wanted.zone = {};
+  wanted.tried = tried_;
+  return ChooseUpstream(context_.upstreams.ForService(service_), wanted,
+                        Clock::now());
+}
+
+void RequestRun::SendToUpstream() {
+  if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
+  upstream_ = Choose();
+  const routing::ServiceSpec* spec = table_->FindService(service_);
+  const int connection_limit =
+      spec == nullptr ? 0
+                      : std::max(1, spec->max_connections /
+                                        context_.retries.live_instances());
+  if (!upstream_) {
+    if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
+    return Refuse("no_upstream", kComeBackLater);
+  }
+  if (!context_.client.HasConnection(*upstream_, connection_limit)) {
+    if (may_have_run_) return Fail(kBadGateway, "no_connection_left");
+    return Refuse("connections_used_up", kComeBackSoon);
+  }
+  ++sends_;
+  tried_.push_back(upstream_->entry.id);
+  has_head_ = false;
+  body_.clear();
+  sent_at_ = Clock::now();
+  prompt_ms_ =
+      route_->carries_prompt ? request_.prompt_tokens / kPromptTokensPerMs : 0;
+  upstream_->pending_prompt_ms += prompt_ms_;
+  UpstreamCall call{
+      .request = request_,
+      .time_left = TimeLeft(),
+      .upstream_id = upstream_->entry.id,
+      .organisation = organisation_,
+      .last_event_id = last_event_ ? last_event_ : request_.last_event_id,
+      .inputs = inputs_,
+      .engine_priority = {}};
+  if (route_->carries_prompt) call.engine_priority = std::clamp(rank_, 0, 9);
+  exchange_ = context_.client.Send(upstream_, context_.wire.encode_call(call),
+                                   AnswerEvents(), {.fresh_connection = false});
+}
+
+http::ExchangeEvents RequestRun::AnswerEvents() {
+  http::ExchangeEvents events;
+  events.on_head = [this](const http::ResponseHead& head) {
+    return OnHead(head);
+  };
+  events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
+  events.on_end = [this] { OnEnd(); };
+  events.on_failure = [this](http::ExchangeFailure failure) {
+    OnFailure(failure);
+  };
+  return events;
+}
+
+void RequestRun::EndSend(Outcome outcome) {
+  upstream_->pending_prompt_ms -= std::exchange(prompt_ms_, 0);
+  const double ms =
+      std::chrono::duration<double, std::milli>(Clock::now() - sent_at_)
+          .count();
+  NoteOutcome(*upstream_, outcome, ms, Clock::now());
+  exchange_.reset();
+}
+
+bool RequestRun::OnHead(const http::ResponseHead& head) {
+  const AnswerInfo info = context_.wire.decode_answer(head);
+  if (!info.attempt_id.empty() && info.attempt_id != request_.attempt_id) {
+    // Guard: an upstream may send a second, late answer to an earlier
+    // request where ours is due. Passed on, it would be another request's
+    // answer; ours follows it.
+    utils::DecisionLog("foreign_answer_skipped")
+        .Add("request", request_.attempt_id)
+        .Add("answer_to", info.attempt_id)
+        .Add("upstream", upstream_->entry.id);
+    return false;
+  }
+  head_ = head;
+  std::erase_if(head_.headers, [](const http::HeaderField& field) {
+    return http::IsHopByHop(field.name);
+  });
+  info_ = info;
+  has_head_ = true;
+  return true;
+}
+
+void RequestRun::OnBody(std::string_view bytes) {
+  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
+    return OnStreamBytes(bytes);
+  }
+  body_.append(bytes);
+  if (body_.size() > kMaxAnswer) {
+    exchange_->Cancel();
+    may_have_run_ = true;
+    EndSend(Outcome::kBroken);
+    OnBroken("answer_too_large");
+  }
+}
+
+void RequestRun::OnStreamBytes(std::string_view bytes) {
+  if (!info_.sealed || info_.attempt_id.empty()) return;
+  ForwardEvents(splitter_.Feed(bytes));
+}
+
+void RequestRun::ForwardEvents(const std::vector<StreamEvent>& events) {
+  if (events.empty() || !connection_) return;
+  if (!streaming_) PassHead();
+  upstream_->pending_prompt_ms -= std::exchange(prompt_ms_, 0);
+  std::string out;
+  for (const StreamEvent& event : events) {
+    // Guard: a run that goes on at another upstream may begin with events
+    // that were passed on already; twice in a stream, they would be doubled
+    // text.
+    if (event.id && last_event_ && *event.id <= *last_event_) continue;
+    if (event.id) last_event_ = event.id;
+    ++events_;
+    out.append(event.bytes);
+  }
+  connection_->WriteChunk(out);
+  if (connection_->unsent() > kPauseAt && !paused_ && exchange_) {
+    paused_ = true;
+    exchange_->PauseReading(true);
+    connection_->set_on_drained([this] {
+      paused_ = false;
+      if (exchange_) exchange_->PauseReading(false);
+    });
+  }
+}
+
+void RequestRun::PassHead() {
+  streaming_ = true;
+  ReleaseAll();
+  connection_->StartChunked(head_.status, head_.headers);
+}
+
+void RequestRun::OnEnd() {
+  if (!has_head_) return OnFailure(http::ExchangeFailure::kMalformed);
+  if (info_.not_run) {
+    EndSend(Outcome::kRefused);
+    return OnNotRun();
+  }
+  may_have_run_ = true;
+  const bool own = info_.sealed && !info_.attempt_id.empty() && !info_.encoded;
+  if (head_.status == kOk && !own) {
+    EndSend(Outcome::kBroken);
+    return OnBroken("answer_without_receipt");
+  }
+  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
+    if (splitter_.has_tail()) {
+      EndSend(Outcome::kBroken);
+      return OnBroken("stream_cut_in_event");
+    }
+    EndSend(Outcome::kAnswered);
+    return PassAnswer();
+  }
+  const bool upstream_error = head_.status >= kServerError;
+  EndSend(upstream_error ? Outcome::kError : Outcome::kAnswered);
+  if (upstream_error && route_->repeatable() && MaySendAgain(false)) {
+    last_error_ = http::ResponseMessage{head_.status, head_.headers, body_};
+    return SendAgain();
+  }
+  PassAnswer();
+}
+
+void RequestRun::OnFailure(http::ExchangeFailure failure) {
+  if (failure == http::ExchangeFailure::kNotSent) {
+    EndSend(Outcome::kNotSent);
+    return OnNotRun();
+  }
+  may_have_run_ = true;
+  EndSend(Outcome::kBroken);
+  OnBroken(failure == http::ExchangeFailure::kNoAnswer    ? "no_answer"
+           : failure == http::ExchangeFailure::kTruncated ? "answer_cut"
+                                                          : "malformed_answer");
+}
+
+void RequestRun::OnNotRun() {
+  utils::DecisionLog("upstream_did_not_run")
+      .Add("request", request_.attempt_id)
+      .Add("upstream", upstream_->entry.id)
+      .Add("status", has_head_ ? head_.status : 0)
+      .Add("sends", sends_)
+      .Add("left_ms", TimeLeft().count());
+  if (MaySendAgain(true)) return SendAgain();
+  if (streaming_) return Fail(kBadGateway, "stream_not_resumed");
+  if (may_have_run_) return Fail(kBadGateway, "not_repeated");
+  Refuse("upstreams_full", kComeBackSoon);
+}
+
+void RequestRun::OnBroken(std::string_view why) {
+  utils::DecisionLog("upstream_broke_off")
+      .Add("request", request_.attempt_id)
+      .Add("upstream", upstream_->entry.id)
+      .Add("why", why)
+      .Add("events", events_)
+      .Add("sends", sends_)
+      .Add("left_ms", TimeLeft().count());
+  splitter_.Reset();
+  if (route_->repeatable() && MaySendAgain(false)) return SendAgain();
+  Fail(kBadGateway, why);
+}
+
+bool RequestRun::MaySendAgain(bool certainly_not_run) {
+  if (!connection_ || TimeLeft() < kLeastForRepeat) return false;
+  // A refused send is bounded by the service's upstreams, a repeat of what
+  // may have run by the route.
+  if (!certainly_not_run && sends_ >= route_->max_attempts) return false;
+  return context_.retries.TrySpend(service_, Clock::now());
+}
+
+void RequestRun::SendAgain() {
+  context_.metrics->OnRepeat(service_);
+  SendToUpstream();
+}
+
+// The final answer.
+
+void RequestRun::PassAnswer() {
+  if (!connection_) return;
+  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
+    if (!streaming_) PassHead();
+    connection_->EndChunked();
+  } else {
+    connection_->Respond({head_.status, head_.headers, std::move(body_)});
+  }
+  Finish(head_.status, "answered");
+}
+
+void RequestRun::Refuse(std::string_view why, milliseconds come_back) {
+  if (!connection_) return;
+  connection_->Respond(context_.wire.encode_own_answer(
+      kUnavailable, request_.attempt_id, Spread(come_back)));
+  Finish(kUnavailable, why);
+}
+
+void RequestRun::Fail(int status, std::string_view why) {
+  if (!connection_) return;
+  if (streaming_) {
+    connection_->Abort();
+  } else if (last_error_ && status >= kServerError) {
+    connection_->Respond(*last_error_);
+  } else {
+    connection_->Respond(context_.wire.encode_own_answer(
+        status, request_.attempt_id, milliseconds(0)));
+  }
+  Finish(status, why);
+}
+
+void RequestRun::OnTimeLimit() {
+  if (finished_) return;
+  const bool sent = exchange_ != nullptr || may_have_run_;
+  if (exchange_) {
+    exchange_->Cancel();
+    EndSend(Outcome::kTimeout);
+  }
+  if (sent) return Fail(kGatewayTimeout, "time_limit");
+  Refuse("time_limit_before_send", kComeBackLater);
+}
+
+void RequestRun::OnCallerGone() {
+  if (finished_) return;
+  if (exchange_) {
+    exchange_->Cancel();
+    upstream_->pending_prompt_ms -= std::exchange(prompt_ms_, 0);
+    exchange_.reset();
+  }
+  Finish(0, "caller_gone");
+}
+
+void RequestRun::Finish(int status, std::string_view outcome) {
+  if (std::exchange(finished_, true)) return;
+  limit_timer_.stop();
+  CancelPieces();
+  ReleaseAll();
+  const double ms = MsSinceArrival();
+  context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
+                              outcome, ms / 1000);
+  utils::DecisionLog("request_end")
+      .Add("request", request_.attempt_id)
+      .Add("route", route_ ? route_->name : "-")
+      .Add("config", table_ ? table_->version : 0)
+      .Add("status", status)
+      .Add("outcome", outcome)
+      .Add("upstream", upstream_ ? upstream_->entry.id : "-")
+      .Add("sends", sends_)
+      .Add("events", events_)
+      .Add("ms", static_cast<int64_t>(ms));
+  deleteLater();
+}
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -0,0 +1,368 @@
+#include "turmeric/entry/stage_dispatcher.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using routing::Clock;
+using routing::Outcome;
+using routing::StageCallLimits;
+using routing::UpstreamPtr;
+using stages::PieceFailure;
+using stages::PieceResult;
+using stages::QueuedPiece;
+
+namespace {
+
+constexpr int kOk = 200;
+/** Part of an upstream's room that is filled: results are larger or smaller
+ * than configured. */
+constexpr double kRoomShare = 0.9;
+/** A call is given up after so many times its estimate plus kCallGrace; slow
+ * upstreams take four to five times as long and still deliver. */
+constexpr int kCallTimeoutFactor = 5;
+constexpr std::chrono::milliseconds kCallGrace{500};
+/** Calls that one piece may be part of before it counts as failed. */
+constexpr int kMaxSends = 3;
+/** Results are released together, this long after the first. */
+constexpr std::chrono::milliseconds kReleaseDelay{60};
+/** A queue whose upstreams are all avoided is looked at again after this. */
+constexpr std::chrono::milliseconds kRepump{50};
+
+std::chrono::milliseconds CallTime(const StageCallLimits& limits,
+                                   size_t pieces) {
+  return std::chrono::milliseconds(static_cast<int64_t>(
+      limits.call_ms + limits.piece_ms * static_cast<double>(pieces)));
+}
+
+}  // namespace
+
+/** One call in progress. */
+struct StageDispatcher::Call {
+  std::string service;
+  UpstreamPtr upstream;
+  std::vector<QueuedPiece> pieces;
+  std::shared_ptr<UpstreamExchange> exchange;
+  QTimer timeout;
+  std::string body;
+  int status = 0;
+  bool not_run = false;
+  bool ended = false;
+  Clock::time_point started;
+  int64_t bytes = 0;
+};
+
+/** What is known of one upstream's calls and results. */
+struct StageDispatcher::Worker {
+  UpstreamPtr upstream;
+  int calls = 0;
+  int64_t reserved_bytes = 0;  ///< Results of calls in progress.
+  struct Held {
+    int64_t bytes = 0;
+    Clock::time_point till;
+  };
+  std::unordered_map<std::string, Held> held;  ///< Results, by handle.
+
+  int64_t HeldBytes(Clock::time_point now) {
+    std::erase_if(held, [&](const auto& h) { return h.second.till < now; });
+    return std::accumulate(
+        held.begin(), held.end(), int64_t{0},
+        [](int64_t sum, const auto& h) { return sum + h.second.bytes; });
+  }
+};
+
+struct StageDispatcher::Queue {
+  stages::PieceQueue pieces;
+  std::map<std::string, Worker> workers;  ///< By upstream id.
+};
+
+StageDispatcher::StageDispatcher(EntryContext& context) : context_(context) {
+  for (QTimer* timer : {&pump_, &retry_pump_, &release_}) {
+    timer->setSingleShot(true);
+  }
+  connect(&pump_, &QTimer::timeout, this, [this] { Pump(); });
+  connect(&retry_pump_, &QTimer::timeout, this, [this] { Pump(); });
+  connect(&release_, &QTimer::timeout, this, [this] { FlushReleases(); });
+}
+
+StageDispatcher::~StageDispatcher() = default;
+
+StageDispatcher::Queue& StageDispatcher::QueueOf(const std::string& service) {
+  auto& queue = queues_[service];
+  if (!queue) queue = std::make_unique<Queue>();
+  return *queue;
+}
+
+StageDispatcher::Worker& StageDispatcher::WorkerOf(
+    Queue& queue, const UpstreamPtr& upstream) {
+  Worker& worker = queue.workers[upstream->entry.id];
+  worker.upstream = upstream;
+  return worker;
+}
+
+size_t StageDispatcher::waiting(const std::string& service) const {
+  const auto it = queues_.find(service);
+  return it == queues_.end() ? 0 : it->second->pieces.size();
+}
+
+uint64_t StageDispatcher::Submit(const std::string& service,
+                                 stages::Piece piece,
+                                 stages::PieceCallback done) {
+  const uint64_t ticket =
+      QueueOf(service).pieces.Push(std::move(piece), std::move(done));
+  SchedulePump();
+  return ticket;
+}
+
+void StageDispatcher::Cancel(const std::string& service, uint64_t ticket) {
+  const auto it = queues_.find(service);
+  if (it == queues_.end()) return;
+  it->second->pieces.Cancel(ticket);
+}
+
+// One pump for all that one turn of the event loop brings, so that the
+// pieces of a stage, which arrive together, leave in one call.
+void StageDispatcher::SchedulePump() {
+  if (!pump_.isActive()) pump_.start(0);
+}
+
+void StageDispatcher::Pump() {
+  for (auto& [service, queue] : queues_) PumpQueue(service, *queue);
+}
+
+void StageDispatcher::FailHopeless(Queue& queue,
+                                   std::chrono::milliseconds call_time) {
+  for (QueuedPiece& piece :
+       queue.pieces.TakeHopeless(call_time, Clock::now())) {
+    piece.done({.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
+  }
+}
+
+void StageDispatcher::FailAll(Queue& queue, PieceFailure failure) {
+  const auto everything = std::chrono::hours(1);
+  for (QueuedPiece& piece :
+       queue.pieces.TakeHopeless(everything, Clock::now())) {
+    piece.done({.failure = failure, .handle = {}, .zone = {}});
+  }
+}
+
+void StageDispatcher::PumpQueue(const std::string& service, Queue& queue) {
+  if (queue.pieces.size() == 0) return;
+  const routing::ServiceSpec* spec =
+      context_.table ? context_.table->FindService(service) : nullptr;
+  if (spec == nullptr || !spec->stage) {
+    return FailAll(queue, PieceFailure::kNoUpstream);
+  }
+  const StageCallLimits& limits = *spec->stage;
+  FailHopeless(queue, CallTime(limits, 1));
+  const Clock::time_point now = Clock::now();
+  std::vector<UpstreamPtr> free;
+  bool any_listed = false;
+  for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
+    if (!IsListed(*u, now)) continue;
+    any_listed = true;
+    if (IsAvoided(*u, now)) continue;
+    if (WorkerOf(queue, u).calls < limits.slots) free.push_back(u);
+  }
+  if (!any_listed) return FailAll(queue, PieceFailure::kNoUpstream);
+  std::ranges::sort(free, {}, [](const UpstreamPtr& u) {
+    return std::pair(u->latency_ms, u->entry.id);
+  });
+  for (const UpstreamPtr& u : free) {
+    if (queue.pieces.size() == 0) return;
+    Worker& worker = WorkerOf(queue, u);
+    const int64_t room =
+        static_cast<int64_t>(kRoomShare *
+                             static_cast<double>(limits.room_bytes)) -
+        worker.HeldBytes(now) - worker.reserved_bytes;
+    std::vector<QueuedPiece> call = queue.pieces.TakeCall(
+        {.pieces = limits.batch,
+         .room_bytes = room,
+         .zone = u->entry.zone,
+         .call_time = CallTime(limits, static_cast<size_t>(limits.batch) / 2)},
+        now);
+    if (!call.empty()) {
+      SendCall(service, queue, worker, std::move(call), limits);
+    }
+  }
+  if (queue.pieces.size() > 0 && !retry_pump_.isActive()) {
+    retry_pump_.start(kRepump);
+  }
+}
+
+void StageDispatcher::SendCall(const std::string& service, Queue& queue,
+                               Worker& worker, std::vector<QueuedPiece> pieces,
+                               const StageCallLimits& limits) {
+  (void)queue;
+  auto call = std::make_shared<Call>();
+  call->service = service;
+  call->upstream = worker.upstream;
+  call->pieces = std::move(pieces);
+  call->started = Clock::now();
+  std::vector<stages::Piece> bodies;
+  for (QueuedPiece& q : call->pieces) {
+    ++q.sends;
+    call->bytes += q.piece.result_bytes;
+    bodies.push_back(q.piece);
+  }
+  worker.reserved_bytes += call->bytes;
+  ++worker.calls;
+  const std::string request =
+      context_.wire.encode_stage_call({.upstream_id = call->upstream->entry.id,
+                                       .address = call->upstream->entry.address,
+                                       .pieces = bodies,
+                                       .now = call->started});
+  http::ExchangeEvents events;
+  events.on_head = [this, call](const http::ResponseHead& head) {
+    call->status = head.status;
+    call->not_run = context_.wire.decode_answer(head).not_run;
+    return true;
+  };
+  events.on_body = [call](std::string_view bytes) { call->body.append(bytes); };
+  events.on_end = [this, call] { OnCallEnd(call); };
+  events.on_failure = [this, call](http::ExchangeFailure failure) {
+    OnCallFailed(call, failure == http::ExchangeFailure::kNotSent
+                           ? Outcome::kNotSent
+                           : Outcome::kBroken);
+  };
+  const auto timeout =
+      CallTime(limits, call->pieces.size()) * kCallTimeoutFactor + kCallGrace;
+  call->timeout.setSingleShot(true);
+  const std::weak_ptr<Call> weak = call;
+  connect(&call->timeout, &QTimer::timeout, this, [this, weak] {
+    const auto open = weak.lock();
+    if (!open || open->ended) return;
+    open->exchange->Cancel();
+    OnCallFailed(open, Outcome::kTimeout);
+  });
+  call->timeout.start(timeout);
+  call->exchange =
+      context_.client.Send(call->upstream, request, std::move(events));
+}
+
+void StageDispatcher::OnCallEnd(const std::shared_ptr<Call>& call) {
+  if (call->status != kOk) {
+    return OnCallFailed(call,
+                        call->not_run ? Outcome::kRefused : Outcome::kError);
+  }
+  const std::vector<PieceResult> results =
+      context_.wire.decode_stage_answer(call->body);
+  if (results.size() != call->pieces.size()) {
+    return OnCallFailed(call, Outcome::kBroken);
+  }
+  if (std::exchange(call->ended, true)) return;
+  call->timeout.stop();
+  const double ms =
+      std::chrono::duration<double, std::milli>(Clock::now() - call->started)
+          .count();
+  NoteOutcome(*call->upstream, Outcome::kAnswered, ms, Clock::now());
+  Deliver(*call, results);
+  call->exchange.reset();
+  SchedulePump();
+}
+
+void StageDispatcher::Deliver(Call& call,
+                              const std::vector<PieceResult>& results) {
+  Queue& queue = QueueOf(call.service);
+  Worker& worker = WorkerOf(queue, call.upstream);
+  --worker.calls;
+  worker.reserved_bytes -= call.bytes;
+  const routing::ServiceSpec* spec = context_.table->FindService(call.service);
+  const double keep_s = spec && spec->stage ? spec->stage->keep_s : 0;
+  const auto till =
+      Clock::now() + std::chrono::milliseconds(int64_t(keep_s * 1000));
+  for (size_t i = 0; i < results.size(); ++i) {
+    QueuedPiece& piece = call.pieces[i];
+    PieceResult result = results[i];
+    result.zone = call.upstream->entry.zone;
+    if (result.failure == PieceFailure::kNone) {
+      worker.held[result.handle] = {piece.piece.result_bytes, till};
+    }
+    const bool again = result.failure == PieceFailure::kNoRoom ||
+                       result.failure == PieceFailure::kFailed;
+    if (again && piece.sends < kMaxSends &&
+        context_.retries.TrySpend(call.service, Clock::now())) {
+      queue.pieces.PushBack(std::move(piece));
+      continue;
+    }
+    piece.done(result);
+  }
+}
+
+void StageDispatcher::OnCallFailed(const std::shared_ptr<Call>& call,
+                                   Outcome outcome) {
+  if (std::exchange(call->ended, true)) return;
+  call->timeout.stop();
+  NoteOutcome(*call->upstream, outcome, 0, Clock::now());
+  Worker& worker = WorkerOf(QueueOf(call->service), call->upstream);
+  --worker.calls;
+  worker.reserved_bytes -= call->bytes;
+  utils::DecisionLog("stage_call_failed")
+      .Add("service", call->service)
+      .Add("upstream", call->upstream->entry.id)
+      .Add("outcome", static_cast<int>(outcome))
+      .Add("status", call->status)
+      .Add("pieces", call->pieces.size())
+      .Add("first_request", call->pieces.front().piece.request_id);
+  Retry(*call, outcome == Outcome::kNotSent);
+  call->exchange.reset();
+  SchedulePump();
+}
+
+void StageDispatcher::Retry(Call& call, bool certainly_not_run) {
+  Queue& queue = QueueOf(call.service);
+  for (QueuedPiece& piece : call.pieces) {
+    const bool may = certainly_not_run ||
+                     (piece.sends < kMaxSends &&
+                      context_.retries.TrySpend(call.service, Clock::now()));
+    if (may) {
+      queue.pieces.PushBack(std::move(piece));
+    } else {
+      piece.done({.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
+    }
+  }
+}
+
+void StageDispatcher::Release(const std::string& service,
+                              std::vector<std::string> handles) {
+  Queue& queue = QueueOf(service);
+  for (std::string& handle : handles) {
+    for (auto& [id, worker] : queue.workers) worker.held.erase(handle);
+    releases_[context_.wire.handle_address(handle)].push_back(
+        std::move(handle));
+  }
+  if (!release_.isActive()) release_.start(kReleaseDelay);
+  SchedulePump();
+}
+
+void StageDispatcher::FlushReleases() {
+  for (auto& [address, handles] : std::exchange(releases_, {})) {
+    UpstreamPtr holder;
+    for (auto& [service, queue] : queues_) {
+      for (auto& [id, worker] : queue->workers) {
+        if (worker.upstream->listed &&
+            worker.upstream->entry.address == address) {
+          holder = worker.upstream;
+        }
+      }
+    }
+    // A result does not outlive its maker: nothing to release then.
+    if (!holder) continue;
+    auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
+    http::ExchangeEvents events;
+    events.on_end = [exchange] { exchange->reset(); };
+    events.on_failure = [exchange](http::ExchangeFailure) {
+      exchange->reset();
+    };
+    *exchange = context_.client.Send(
+        holder, context_.wire.encode_release(address, handles),
+        std::move(events));
+  }
+}
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/upstream_client.cc
@@ -0,0 +1,133 @@
+#include "turmeric/entry/upstream_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::entry {
+
+using http::ClientConnection;
+using routing::Upstream;
+using routing::UpstreamPtr;
+
+namespace {
+
+/** Longest handshake: one lost packet is sent again after a second, and by
+ * then another upstream has answered. */
+constexpr std::chrono::milliseconds kConnectTimeout{600};
+/** A kept connection is not used in the last part of its idle time: the
+ * upstream may be closing it while our request is on its way. */
+constexpr std::chrono::milliseconds kIdleMargin{1000};
+/** Kept connections to one upstream. */
+constexpr size_t kMaxIdle = 16;
+
+}  // namespace
+
+void UpstreamExchange::Cancel() {
+  if (connection_ == nullptr) return;
+  std::exchange(connection_, nullptr)->Cancel();
+  release_();
+}
+
+void UpstreamExchange::PauseReading(bool paused) {
+  if (connection_ != nullptr) connection_->PauseReading(paused);
+}
+
+void UpstreamExchange::Finish() {
+  if (connection_ == nullptr) return;
+  connection_ = nullptr;
+  release_();
+}
+
+UpstreamClient::UpstreamClient() = default;
+UpstreamClient::~UpstreamClient() = default;
+
+bool UpstreamClient::HasConnection(const Upstream& upstream, int limit) const {
+  if (limit <= 0 || upstream.connections < limit) return true;
+  const auto it = pools_.find(upstream.entry.id);
+  return it != pools_.end() && !it->second.idle.empty();
+}
+
+ClientConnection* UpstreamClient::TakeIdle(Pool& pool, Upstream& upstream) {
+  const auto now = std::chrono::steady_clock::now();
+  while (!pool.idle.empty()) {
+    ClientConnection* connection = pool.idle.back();
+    pool.idle.pop_back();
+    const auto usable_till =
+        connection->idle_since() + connection->keep_alive() - kIdleMargin;
+    if (connection->reusable() && now < usable_till) return connection;
+    Discard(connection, upstream);
+  }
+  return nullptr;
+}
+
+ClientConnection* UpstreamClient::Open(const UpstreamPtr& upstream) {
+  ++upstream->connections;
+  return new ClientConnection(http::ParseEndpoint(upstream->entry.address),
+                              kConnectTimeout, this);
+}
+
+void UpstreamClient::Discard(ClientConnection* connection, Upstream& upstream) {
+  connection->Cancel();
+  connection->deleteLater();
+  --upstream.connections;
+}
+
+void UpstreamClient::Return(ClientConnection* connection,
+                            const UpstreamPtr& upstream) {
+  Pool& pool = pools_[upstream->entry.id];
+  if (!connection->reusable() || pool.idle.size() >= kMaxIdle ||
+      !upstream->listed) {
+    return Discard(connection, *upstream);
+  }
+  pool.idle.push_back(connection);
+  connection->set_on_idle_end([this, connection, upstream] {
+    std::erase(pools_[upstream->entry.id].idle, connection);
+    Discard(connection, *upstream);
+  });
+}
+
+std::shared_ptr<UpstreamExchange> UpstreamClient::Send(
+    UpstreamPtr upstream, std::string_view bytes, http::ExchangeEvents events,
+    ExchangeOptions options) {
+  ClientConnection* connection =
+      options.fresh_connection
+          ? nullptr
+          : TakeIdle(pools_[upstream->entry.id], *upstream);
+  if (connection == nullptr) connection = Open(upstream);
+  connection->set_on_idle_end(nullptr);
+  ++upstream->in_flight;
+  auto exchange = std::make_shared<UpstreamExchange>(
+      connection, [this, connection, upstream] {
+        --upstream->in_flight;
+        Return(connection, upstream);
+      });
+  // The connection's events hold the exchange weakly: its owner may drop it
+  // at any time, which cancels.
+  const std::weak_ptr<UpstreamExchange> weak = exchange;
+  http::ExchangeEvents wrapped;
+  wrapped.on_head = std::move(events.on_head);
+  wrapped.on_body = std::move(events.on_body);
+  wrapped.on_end = [weak, on_end = std::move(events.on_end)] {
+    if (const auto open = weak.lock()) open->Finish();
+    on_end();
+  };
+  wrapped.on_failure = [weak, on_failure = std::move(events.on_failure)](
+                           http::ExchangeFailure failure) {
+    if (const auto open = weak.lock()) open->Finish();
+    on_failure(failure);
+  };
+  connection->Send(bytes, std::move(wrapped));
+  return exchange;
+}
+
+void UpstreamClient::Forget(const std::string& upstream_id) {
+  const auto it = pools_.find(upstream_id);
+  if (it == pools_.end()) return;
+  for (ClientConnection* connection : it->second.idle) {
+    connection->Cancel();
+    connection->deleteLater();
+  }
+  pools_.erase(it);
+}
+
+}  // namespace turmeric::entry
--- /dev/null
+++ b/libs/http/src/listener.cc
@@ -0,0 +1,76 @@
+#include "turmeric/http/listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+
+namespace turmeric::http {
+
+namespace {
+
+/** Connections that may wait to be accepted: a herd of returning clients. */
+constexpr int kBacklog = 512;
+/** Connections accepted in one turn of the event loop. */
+constexpr int kAcceptsPerTurn = 16;
+
+}  // namespace
+
+Listener::Listener(std::function<void(int fd)> on_accept)
+    : on_accept_(std::move(on_accept)) {}
+
+Listener::~Listener() { Close(); }
+
+utils::Result<void> Listener::Listen(const Endpoint& address) {
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in bound{};
+  bound.sin_family = AF_INET;
+  bound.sin_port = htons(address.port);
+  const bool ok =
+      ::inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr) == 1 &&
+      ::bind(fd_, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0 &&
+      ::listen(fd_, kBacklog) == 0;
+  if (!ok) {
+    const std::string why = std::strerror(errno);
+    Close();
+    return utils::Fail(utils::Errc::kIniInvalid,
+                       "cannot listen on " + address.ip + ":" +
+                           std::to_string(address.port) + ": " + why);
+  }
+  notifier_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Read);
+  connect(notifier_.get(), &QSocketNotifier::activated, this,
+          [this] { Accept(); });
+  return boost::outcome_v2::success();
+}
+
+uint16_t Listener::port() const {
+  sockaddr_in bound{};
+  socklen_t size = sizeof(bound);
+  if (fd_ < 0 ||
+      ::getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
+    return 0;
+  }
+  return ntohs(bound.sin_port);
+}
+
+void Listener::Accept() {
+  for (int i = 0; i < kAcceptsPerTurn && fd_ >= 0; ++i) {
+    const int fd =
+        ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    on_accept_(fd);
+  }
+}
+
+void Listener::Close() {
+  if (notifier_) notifier_->setEnabled(false);
+  if (notifier_) notifier_.release()->deleteLater();
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/http/src/message.cc
@@ -0,0 +1,57 @@
+#include "turmeric/http/message.h"
+
+#include <algorithm>
+#include <array>
+// clang-format off: Beast's status header needs a complete std::ostream.
+#include <boost/beast/http/status.hpp>
+#include <ostream>
+// clang-format on
+
+namespace turmeric::http {
+
+namespace {
+
+char Lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
+
+}  // namespace
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return std::ranges::equal(a, b, {}, Lower, Lower);
+}
+
+bool HasHeader(std::span<const HeaderField> headers, std::string_view name) {
+  return std::ranges::any_of(headers, [&](const HeaderField& h) {
+    return EqualsIgnoringCase(h.name, name);
+  });
+}
+
+std::string_view HeaderValue(std::span<const HeaderField> headers,
+                             std::string_view name) {
+  const auto it = std::ranges::find_if(headers, [&](const HeaderField& h) {
+    return EqualsIgnoringCase(h.name, name);
+  });
+  return it == headers.end() ? std::string_view() : it->value;
+}
+
+bool IsHopByHop(std::string_view name) {
+  constexpr std::array<std::string_view, 10> kNames = {
+      "Connection",          "Keep-Alive", "Proxy-Connection", "TE",
+      "Transfer-Encoding",   "Trailer",    "Upgrade",          "Content-Length",
+      "Proxy-Authorization", "Expect"};
+  return std::ranges::any_of(kNames, [&](std::string_view known) {
+    return EqualsIgnoringCase(known, name);
+  });
+}
+
+std::string_view ReasonPhrase(int status) {
+  const auto phrase = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {phrase.data(), phrase.size()};
+}
+
+void AppendHeader(std::string& out, std::string_view name,
+                  std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/http/src/message_parser.cc
@@ -0,0 +1,176 @@
+#include "turmeric/http/message_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+#include <utility>
+
+namespace turmeric::http {
+
+namespace {
+
+namespace beast = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+/** Longest head of an answer accepted from an upstream, bytes. */
+constexpr uint32_t kMaxResponseHeader = 64 * 1024;
+
+std::string_view View(string_view text) { return {text.data(), text.size()}; }
+
+/** Translates one put() of a Beast parser. */
+template <class Parser>
+ParseOutcome FeedTo(Parser& parser, std::string_view bytes) {
+  ParseOutcome outcome;
+  while (!parser.is_done() && outcome.consumed < bytes.size()) {
+    error_code ec;
+    const size_t taken =
+        parser.put(boost::asio::const_buffer(bytes.data() + outcome.consumed,
+                                             bytes.size() - outcome.consumed),
+                   ec);
+    outcome.consumed += taken;
+    if (ec == beast::error::need_more) return outcome;
+    if (ec == beast::error::header_limit) {
+      outcome.status = ParseStatus::kHeaderTooLarge;
+      return outcome;
+    }
+    if (ec == beast::error::body_limit) {
+      outcome.status = ParseStatus::kBodyTooLarge;
+      return outcome;
+    }
+    if (ec) {
+      outcome.status = ParseStatus::kMalformed;
+      return outcome;
+    }
+    if (taken == 0) return outcome;
+  }
+  if (parser.is_done()) outcome.status = ParseStatus::kDone;
+  return outcome;
+}
+
+}  // namespace
+
+struct RequestParser::Impl : beast::basic_parser<true> {
+  RequestMessage message;
+
+  void on_request_impl(beast::verb /*method*/, string_view method,
+                       string_view target, int /*version*/,
+                       error_code& /*ec*/) override {
+    message.method = View(method);
+    message.target = View(target);
+  }
+  void on_response_impl(int, string_view, int, error_code&) override {}
+  void on_field_impl(beast::field, string_view name, string_view value,
+                     error_code&) override {
+    message.headers.push_back(
+        {std::string(View(name)), std::string(View(value))});
+  }
+  void on_header_impl(error_code& ec) override {
+    // Guard: Beast reads a body with an unknown transfer coding as empty,
+    // and what follows as the next request; an upstream that reads it
+    // otherwise would run a request that nobody sent. Two Host fields can
+    // likewise be read as two different requests.
+    for (const HeaderField& field : message.headers) {
+      if (EqualsIgnoringCase(field.name, "Transfer-Encoding") &&
+          !EqualsIgnoringCase(field.value, "chunked")) {
+        ec = beast::error::bad_transfer_encoding;
+      }
+    }
+    const auto hosts =
+        std::ranges::count_if(message.headers, [](const HeaderField& field) {
+          return EqualsIgnoringCase(field.name, "Host");
+        });
+    if (hosts > 1) ec = beast::error::bad_field;
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const& length,
+                         error_code&) override {
+    if (length) message.body.reserve(static_cast<size_t>(*length));
+  }
+  size_t on_body_impl(string_view body, error_code&) override {
+    message.body.append(View(body));
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  size_t on_chunk_body_impl(std::uint64_t, string_view body,
+                            error_code&) override {
+    message.body.append(View(body));
+    return body.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+RequestParser::RequestParser(size_t max_header_bytes, size_t max_body_bytes)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->header_limit(static_cast<uint32_t>(max_header_bytes));
+  impl_->body_limit(max_body_bytes);
+}
+
+RequestParser::~RequestParser() = default;
+
+ParseOutcome RequestParser::Feed(std::string_view bytes) {
+  return FeedTo(*impl_, bytes);
+}
+
+bool RequestParser::head_done() const { return impl_->is_header_done(); }
+
+bool RequestParser::keep_alive() const { return impl_->keep_alive(); }
+
+RequestMessage& RequestParser::message() { return impl_->message; }
+
+struct ResponseParser::Impl : beast::basic_parser<false> {
+  ResponseSink sink;
+  ResponseHead head;
+
+  void on_request_impl(beast::verb, string_view, string_view, int,
+                       error_code&) override {}
+  void on_response_impl(int code, string_view, int, error_code&) override {
+    head.status = code;
+  }
+  void on_field_impl(beast::field, string_view name, string_view value,
+                     error_code&) override {
+    head.headers.push_back({std::string(View(name)), std::string(View(value))});
+  }
+  void on_header_impl(error_code&) override { sink.on_head(std::move(head)); }
+  void on_body_init_impl(boost::optional<std::uint64_t> const&,
+                         error_code&) override {}
+  size_t on_body_impl(string_view body, error_code&) override {
+    sink.on_body(View(body));
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  size_t on_chunk_body_impl(std::uint64_t, string_view body,
+                            error_code&) override {
+    if (!body.empty()) sink.on_body(View(body));
+    return body.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+ResponseParser::ResponseParser(ResponseSink sink)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->sink = std::move(sink);
+  impl_->header_limit(kMaxResponseHeader);
+  // Beast 1.74 takes boost::none for a limit that every body exceeds.
+  impl_->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+ResponseParser::~ResponseParser() = default;
+
+ParseOutcome ResponseParser::Feed(std::string_view bytes) {
+  return FeedTo(*impl_, bytes);
+}
+
+bool ResponseParser::FeedEnd() {
+  if (!impl_->got_some() || !impl_->is_header_done()) return false;
+  if (!impl_->need_eof()) return false;
+  error_code ec;
+  impl_->put_eof(ec);
+  return !ec;
+}
+
+bool ResponseParser::started() const { return impl_->got_some(); }
+
+bool ResponseParser::keep_alive() const { return impl_->keep_alive(); }
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/http/src/server_connection.cc
@@ -0,0 +1,205 @@
+#include "turmeric/http/server_connection.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "turmeric/http/tcp_socket.h"
+
+namespace turmeric::http {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+
+std::string HexSize(size_t size) {
+  std::array<char, 2 * sizeof(size)> digits;
+  const auto end =
+      std::to_chars(digits.data(), digits.data() + digits.size(), size, 16);
+  return {digits.data(), end.ptr};
+}
+
+int StatusFor(ParseStatus status) {
+  if (status == ParseStatus::kHeaderTooLarge) return kHeaderTooLarge;
+  if (status == ParseStatus::kBodyTooLarge) return kPayloadTooLarge;
+  return kBadRequest;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(int fd, LimitsSource limits,
+                                   RequestHandler handler, QObject* parent)
+    : QObject(parent),
+      limits_source_(std::move(limits)),
+      handler_(std::move(handler)),
+      socket_(new TcpSocket(fd, this)) {
+  socket_->set_events(
+      {.on_connected = {},
+       .on_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
+       .on_end = [this](SocketEnd) { OnEnd(); },
+       .on_drained =
+           [this] {
+             if (on_drained_) on_drained_();
+           }});
+  timer_.setSingleShot(true);
+  connect(&timer_, &QTimer::timeout, this, [this] {
+    if (busy_) return;
+    if (reading_) return Reject(kRequestTimeout);
+    Close();
+  });
+  timer_.start(limits_source_().idle_timeout);
+}
+
+ServerConnection::~ServerConnection() = default;
+
+size_t ServerConnection::unsent() const {
+  return socket_ == nullptr ? 0 : socket_->unsent();
+}
+
+void ServerConnection::OnBytes(std::string_view bytes) {
+  pending_.append(bytes);
+  if (!busy_) return ParseNext();
+  // A client that sends ahead of its answers is held back by the socket.
+  if (pending_.size() > limits_source_().max_header_bytes) {
+    socket_->PauseReading(true);
+  }
+}
+
+void ServerConnection::ParseNext() {
+  const ServerLimits limits = limits_source_();
+  if (!reading_) {
+    if (pending_.empty()) {
+      timer_.start(limits.idle_timeout);
+      return;
+    }
+    reading_ = true;
+    parser_ = std::make_unique<RequestParser>(limits.max_header_bytes,
+                                              limits.max_body_bytes);
+    timer_.start(limits.header_timeout);
+  }
+  const ParseOutcome outcome = parser_->Feed(pending_);
+  pending_.erase(0, outcome.consumed);
+  if (outcome.status == ParseStatus::kNeedMore) {
+    // Guard: a body may take as long as an idle connection; only a head
+    // that trickles in is cut by the shorter timeout.
+    if (parser_->head_done()) timer_.start(limits.idle_timeout);
+    if (!parser_->head_done() && pending_.size() > limits.max_header_bytes) {
+      Reject(kHeaderTooLarge);
+    }
+    return;
+  }
+  if (outcome.status != ParseStatus::kDone) {
+    return Reject(StatusFor(outcome.status));
+  }
+  timer_.stop();
+  reading_ = false;
+  busy_ = true;
+  keep_alive_ = parser_->keep_alive();
+  RequestMessage message = std::move(parser_->message());
+  handler_(*this, std::move(message));
+}
+
+void ServerConnection::Reject(int status) {
+  busy_ = true;
+  keep_alive_ = false;
+  reading_ = false;
+  Respond({.status = status, .headers = {}, .body = {}});
+}
+
+void ServerConnection::WriteHead(int status,
+                                 std::span<const HeaderField> headers,
+                                 std::string& out) {
+  out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+  out.append(ReasonPhrase(status)).append("\r\n");
+  for (const HeaderField& h : headers) AppendHeader(out, h.name, h.value);
+  if (!keep_alive_ || close_when_idle_) {
+    AppendHeader(out, "Connection", "close");
+  }
+}
+
+void ServerConnection::Respond(const ResponseMessage& response) {
+  if (socket_ == nullptr || !busy_) return;
+  std::string out;
+  out.reserve(512 + response.body.size());
+  if (close_when_idle_) keep_alive_ = false;
+  WriteHead(response.status, response.headers, out);
+  AppendHeader(out, "Content-Length", std::to_string(response.body.size()));
+  out.append("\r\n").append(response.body);
+  socket_->Write(out);
+  FinishAnswer();
+}
+
+void ServerConnection::StartChunked(int status,
+                                    std::span<const HeaderField> headers) {
+  if (socket_ == nullptr || !busy_) return;
+  std::string out;
+  if (close_when_idle_) keep_alive_ = false;
+  WriteHead(status, headers, out);
+  AppendHeader(out, "Transfer-Encoding", "chunked");
+  out.append("\r\n");
+  socket_->Write(out);
+}
+
+void ServerConnection::WriteChunk(std::string_view bytes) {
+  if (socket_ == nullptr || !busy_ || bytes.empty()) return;
+  std::string out = HexSize(bytes.size());
+  out.append("\r\n").append(bytes).append("\r\n");
+  socket_->Write(out);
+}
+
+void ServerConnection::EndChunked() {
+  if (socket_ == nullptr || !busy_) return;
+  socket_->Write("0\r\n\r\n");
+  FinishAnswer();
+}
+
+void ServerConnection::FinishAnswer() {
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  busy_ = false;
+  if (!keep_alive_) return Close();
+  socket_->PauseReading(false);
+  // The next request is parsed from the event loop, so that a handler which
+  // answers at once does not recurse.
+  timer_.start(limits_source_().idle_timeout);
+  if (!pending_.empty()) {
+    QTimer::singleShot(0, this, [this] {
+      if (!busy_ && socket_ != nullptr) ParseNext();
+    });
+  }
+}
+
+void ServerConnection::NotifyGone() {
+  if (auto callback = std::exchange(on_gone_, nullptr)) callback();
+}
+
+void ServerConnection::OnEnd() {
+  socket_ = nullptr;
+  NotifyGone();
+  deleteLater();
+}
+
+void ServerConnection::Close() {
+  if (socket_ == nullptr) return;
+  timer_.stop();
+  std::exchange(socket_, nullptr)->CloseAfterFlush();
+  deleteLater();
+}
+
+void ServerConnection::Abort() {
+  if (socket_ == nullptr) return;
+  timer_.stop();
+  on_gone_ = nullptr;
+  std::exchange(socket_, nullptr)->Abort();
+  deleteLater();
+}
+
+void ServerConnection::CloseWhenIdle() {
+  close_when_idle_ = true;
+  if (!busy_ && !reading_ && pending_.empty()) Close();
+}
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/http/src/tcp_socket.cc
@@ -0,0 +1,230 @@
+#include "turmeric/http/tcp_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <QTimer>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+namespace turmeric::http {
+
+namespace {
+
+/** Unacknowledged bytes or a silent peer end a connection after this, ms.
+ * Above three retransmissions on a lossy link, below the three seconds in
+ * which a machine is expected to be well again. */
+constexpr int kUserTimeoutMs = 2500;
+/** Idle time before keep-alive probes, their distance, and how many, s. */
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+/** Longest wait for the peer to close after us, and for unsent bytes. */
+constexpr std::chrono::milliseconds kCloseWait{1000};
+/** One read; a few large prompts' worth, bytes. */
+constexpr size_t kReadBytes = 32 * 1024;
+
+void SetOption(int fd, int level, int name, int value) {
+  ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void SetTimeouts(int fd) {
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+}  // namespace
+
+Endpoint ParseEndpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return {};
+  Endpoint endpoint{std::string(text.substr(0, colon)), 0};
+  const std::string_view port = text.substr(colon + 1);
+  std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+  return endpoint;
+}
+
+TcpSocket::TcpSocket(const Endpoint& peer,
+                     std::chrono::milliseconds connect_timeout, QObject* parent)
+    : QObject(parent) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(peer.port);
+  const bool parsed =
+      ::inet_pton(AF_INET, peer.ip.c_str(), &address.sin_addr) == 1;
+  fd_ = parsed
+            ? ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
+            : -1;
+  if (fd_ >= 0) {
+    SetTimeouts(fd_);
+    const int rc =
+        ::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (rc != 0 && errno != EINPROGRESS) CloseFd();
+  }
+  if (fd_ < 0) {
+    QTimer::singleShot(0, this, [this] { End(SocketEnd::kConnectFailed); });
+    return;
+  }
+  writes_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Write);
+  connect(writes_.get(), &QSocketNotifier::activated, this,
+          [this] { OnWritable(); });
+  QTimer::singleShot(connect_timeout, this, [this] {
+    if (!connected_ && fd_ >= 0) End(SocketEnd::kConnectFailed);
+  });
+}
+
+TcpSocket::TcpSocket(int fd, QObject* parent)
+    : QObject(parent), fd_(fd), connected_(true) {
+  SetTimeouts(fd_);
+  Arm();
+}
+
+TcpSocket::~TcpSocket() { CloseFd(); }
+
+void TcpSocket::Arm() {
+  reads_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Read);
+  connect(reads_.get(), &QSocketNotifier::activated, this,
+          [this] { OnReadable(); });
+  if (!writes_) {
+    writes_ = std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Write);
+    connect(writes_.get(), &QSocketNotifier::activated, this,
+            [this] { OnWritable(); });
+  }
+  writes_->setEnabled(unsent() > 0);
+}
+
+void TcpSocket::FinishConnect() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) return End(SocketEnd::kConnectFailed);
+  connected_ = true;
+  Arm();
+  if (events_.on_connected) events_.on_connected();
+  if (fd_ >= 0 && unsent() > 0) OnWritable();
+}
+
+void TcpSocket::OnWritable() {
+  if (fd_ < 0) return;
+  if (!connected_) return FinishConnect();
+  if (!Flush()) return;
+  if (unsent() > 0) return writes_->setEnabled(true);
+  writes_->setEnabled(false);
+  if (closing_) return FinishClose();
+  if (events_.on_drained) events_.on_drained();
+}
+
+bool TcpSocket::Flush() {
+  while (unsent() > 0) {
+    const ssize_t sent = ::send(fd_, out_.data() + out_at_, unsent(),
+                                MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
+    if (sent < 0) {
+      End(SocketEnd::kReset);
+      return false;
+    }
+    out_at_ += static_cast<size_t>(sent);
+  }
+  if (out_at_ == out_.size()) {
+    out_.clear();
+    out_at_ = 0;
+  }
+  return true;
+}
+
+void TcpSocket::Write(std::string_view bytes) {
+  if (fd_ < 0 || closing_) return;
+  const bool was_empty = unsent() == 0;
+  out_.append(bytes);
+  if (!connected_ || !was_empty) return;
+  // Sent from the event loop's next turn if the system does not take all of
+  // it now: a callback for a failed write must not run inside this call.
+  const ssize_t sent =
+      ::send(fd_, out_.data() + out_at_, unsent(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent > 0) out_at_ += static_cast<size_t>(sent);
+  if (out_at_ == out_.size()) {
+    out_.clear();
+    out_at_ = 0;
+  }
+  if (unsent() > 0) writes_->setEnabled(true);
+}
+
+void TcpSocket::OnReadable() {
+  if (fd_ < 0) return;
+  static thread_local std::array<char, kReadBytes> buffer;
+  const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (got > 0) {
+    if (!closing_ && events_.on_bytes) {
+      events_.on_bytes({buffer.data(), static_cast<size_t>(got)});
+    }
+    return;
+  }
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    return;
+  }
+  End(got == 0 ? SocketEnd::kOrderly : SocketEnd::kReset);
+}
+
+void TcpSocket::PauseReading(bool paused) {
+  if (reads_ && fd_ >= 0) reads_->setEnabled(!paused);
+}
+
+void TcpSocket::End(SocketEnd end) {
+  CloseFd();
+  if (closing_) {
+    deleteLater();
+    return;
+  }
+  closing_ = true;
+  if (auto callback = std::exchange(events_.on_end, nullptr)) callback(end);
+}
+
+void TcpSocket::CloseAfterFlush() {
+  if (fd_ < 0 || closing_) return;
+  closing_ = true;
+  // The callbacks stay until the socket is deleted: one of them may be what
+  // called us.
+  setParent(nullptr);
+  if (unsent() == 0) FinishClose();
+  QTimer::singleShot(kCloseWait, this, [this] {
+    CloseFd();
+    deleteLater();
+  });
+}
+
+void TcpSocket::FinishClose() {
+  // Guard: closing a socket that holds unread bytes resets it, and the peer
+  // may then lose the answer just written. The write side closes first; the
+  // rest follows when the peer has closed too, or after kCloseWait.
+  if (fd_ >= 0) ::shutdown(fd_, SHUT_WR);
+}
+
+void TcpSocket::Abort() {
+  closing_ = true;
+  if (fd_ >= 0) {
+    const linger reset{1, 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+  CloseFd();
+}
+
+void TcpSocket::CloseFd() {
+  if (reads_) reads_->setEnabled(false);
+  if (writes_) writes_->setEnabled(false);
+  if (reads_) reads_.release()->deleteLater();
+  if (writes_) writes_.release()->deleteLater();
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+
+}  // namespace turmeric::http
--- /dev/null
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace turmeric::routing {
+
+/** The clock upstream state is kept by. */
+using Clock = std::chrono::steady_clock;
+
+/** What the platform's list says of one upstream process. */
+struct UpstreamEntry {
+  std::string id;  ///< One start of one process.
+  std::string service;
+  std::string address;  ///< "ip:port"; may be used again by another service.
+  std::string zone;
+  int slots = 1;
+  bool draining = false;
+};
+
+/** One upstream as this instance sees it: its entry and its own history. */
+struct Upstream {
+  UpstreamEntry entry;
+  bool listed = true;  ///< False once its entry is gone.
+  /** Its entry vanished with the store; kept till then, unless it returns. */
+  Clock::time_point lapses_at = Clock::time_point::max();
+
+  int in_flight = 0;               ///< Our requests open to it.
+  double pending_prompt_ms = 0;    ///< Prompt reading we have asked of it.
+  double latency_ms = 0;           ///< Moving average to the first byte.
+  int reported_load = 0;           ///< Its last report: running and waiting.
+  int failures = 0;                ///< Requests failed in a row.
+  double failure_rate = 0;         ///< Moving average, 0 to 1.
+  Clock::time_point ejected_till;  ///< Not chosen before, after failures.
+  Clock::time_point full_till;     ///< Refused as full; not chosen before.
+  int connections = 0;             ///< Ours open to it.
+};
+
+using UpstreamPtr = std::shared_ptr<Upstream>;
+
+/** How one exchange with an upstream ended, for its history. */
+enum class Outcome {
+  kAnswered,  ///< A whole answer that is its own.
+  kError,     ///< The upstream answered with a failure of its own.
+  kRefused,   ///< Said it did not run the request: full or leaving.
+  kNotSent,   ///< No connection.
+  kBroken,    ///< Cut, malformed, or another request's answer.
+  kTimeout,   ///< Silent until we gave up.
+};
+
+/**
+ * Updates an upstream's history; ejects one that fails in a row or more
+ * often than it answers.
+ * @param upstream the upstream. @param outcome how the exchange ended.
+ * @param ms time to the answer's first byte. @param now the time.
+ */
+void NoteOutcome(Upstream& upstream, Outcome outcome, double ms,
+                 Clock::time_point now);
+
+/**
+ * @param upstream an upstream. @param now the time.
+ * @return true if it may be given new work as far as its entry goes.
+ */
+bool IsListed(const Upstream& upstream, Clock::time_point now);
+
+/**
+ * @param upstream an upstream. @param now the time.
+ * @return true if its history speaks against giving it work now.
+ */
+bool IsAvoided(const Upstream& upstream, Clock::time_point now);
+
+}  // namespace turmeric::routing
--- /dev/null
+++ b/libs/routing/include/turmeric/routing/upstream_table.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "turmeric/routing/upstream.h"
+
+namespace turmeric::routing {
+
+/**
+ * The upstreams known to this instance, by id and by service. Fed by a list
+ * and its changes; keeps an upstream's history for as long as anyone holds
+ * it. Time is passed in.
+ */
+class UpstreamTable {
+ public:
+  /** Called when an upstream may get no more work (left or leaving). */
+  using LeaveCallback = std::function<void(const UpstreamPtr&)>;
+
+  /** @param callback see LeaveCallback. */
+  void set_on_leave(LeaveCallback callback) { on_leave_ = std::move(callback); }
+  /**
+   * Applies one entry.
+   * @param entry the entry, as listed.
+   */
+  void Put(const UpstreamEntry& entry);
+  /**
+   * An entry was removed.
+   * @param id its id. @param keep_till still used till then: an entry that
+   *     lapsed while the store was away may come back.
+   */
+  void Remove(std::string_view id, Clock::time_point keep_till);
+  /**
+   * Replaces everything by a full list.
+   * @param entries the list. @param keep_till as for Remove, for entries
+   *     that the list lacks.
+   */
+  void ReplaceAll(std::span<const UpstreamEntry> entries,
+                  Clock::time_point keep_till);
+  /** Drops entries whose time has run out. @param now the time. */
+  void Expire(Clock::time_point now);
+  /** @param service its name. @return its upstreams, leaving ones too. */
+  std::span<const UpstreamPtr> ForService(const std::string& service) const;
+  /** @param id an upstream. @return it, or nullptr. */
+  UpstreamPtr Find(std::string_view id) const;
+  /** @return entries held. */
+  size_t size() const { return by_id_.size(); }
+
+ private:
+  void Drop(const UpstreamPtr& upstream);
+
+  LeaveCallback on_leave_;
+  std::map<std::string, UpstreamPtr, std::less<>> by_id_;
+  std::unordered_map<std::string, std::vector<UpstreamPtr>> by_service_;
+};
+
+}  // namespace turmeric::routing
--- /dev/null
+++ b/libs/stages/include/turmeric/stages/piece_queue.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "turmeric/stages/piece.h"
+
+namespace turmeric::stages {
+
+/** Is told once what became of its piece. */
+using PieceCallback = std::function<void(const PieceResult&)>;
+
+/** A piece that waits for a call. */
+struct QueuedPiece {
+  uint64_t ticket = 0;
+  Piece piece;
+  PieceCallback done;
+  int sends = 0;  ///< Calls it was part of already.
+};
+
+/** What an upstream that is free can take in its next call. */
+struct CallSpace {
+  int pieces = 1;          ///< Most pieces in the call.
+  int64_t room_bytes = 0;  ///< Memory left for results.
+  std::string_view zone;   ///< The upstream's availability zone.
+  std::chrono::milliseconds call_time{0};  ///< Estimate for a whole call.
+};
+
+/**
+ * The pieces of one service that wait for a call, of all requests of all
+ * instances that send them here. Answers a burst: calls have a large fixed
+ * cost, so one common queue keeps them full, and when not all pieces can be
+ * made in time those that still can come first. Time is passed in.
+ */
+class PieceQueue {
+ public:
+  /** @param piece the piece. @param done told what became of it.
+   * @return a ticket for Cancel. */
+  uint64_t Push(Piece piece, PieceCallback done);
+  /** Puts back a piece that an upstream refused. */
+  void PushBack(QueuedPiece piece);
+  /** @param ticket from Push; unknown ones are ignored. */
+  void Cancel(uint64_t ticket);
+  /**
+   * Takes the pieces for one call, most urgent first.
+   * @param space what the upstream can take. @param now the time.
+   * @return the pieces, at least one if any fits.
+   */
+  std::vector<QueuedPiece> TakeCall(const CallSpace& space,
+                                    Clock::time_point now);
+  /**
+   * Takes the pieces that cannot be made before their deadline.
+   * @param call_time estimate for a whole call. @param now the time.
+   */
+  std::vector<QueuedPiece> TakeHopeless(std::chrono::milliseconds call_time,
+                                        Clock::time_point now);
+  /** @return pieces waiting. */
+  size_t size() const { return waiting_.size(); }
+  /**
+   * @param key an urgency as by Urgency().
+   * @return pieces waiting that come before it.
+   */
+  size_t CountBefore(Clock::time_point key, Clock::time_point now,
+                     std::chrono::milliseconds call_time) const;
+
+ private:
+  std::list<QueuedPiece> waiting_;
+  uint64_t next_ticket_ = 1;
+};
+
+/**
+ * The order of a queue: by when the piece is due, a lower rank counting as
+ * later, and pieces that can no longer meet their latency target behind
+ * those that can.
+ * @param piece the piece. @param call_time estimate for a whole call.
+ * @param now the time. @return its place, earlier is first.
+ */
+Clock::time_point Urgency(const Piece& piece,
+                          std::chrono::milliseconds call_time,
+                          Clock::time_point now);
+
+}  // namespace turmeric::stages
--- /dev/null
+++ b/libs/stages/include/turmeric/stages/stage_progress.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+#include "turmeric/routing/route_table.h"
+#include "turmeric/stages/piece.h"
+
+namespace turmeric::stages {
+
+/** Results of one service. */
+struct ServiceResults {
+  std::string service;
+  std::vector<std::string> handles;
+};
+
+/**
+ * One request's way through its stages: which are ready to start, what their
+ * pieces need, and which results the request itself needs at the end. A
+ * stage with no pieces is omitted, and what comes after it takes what it
+ * would have taken.
+ */
+class StageProgress {
+ public:
+  /**
+   * @param specs the route's stages; must outlive this.
+   * @param pieces how many pieces each has; missing ones count as 0.
+   */
+  StageProgress(std::span<const routing::StageSpec> specs,
+                std::span<const int> pieces);
+
+  /** @return stages ready to start and not yet started; marks them started. */
+  std::vector<int> TakeReady();
+  /** @param stage a stage. @return how many pieces it has. */
+  int pieces(int stage) const { return stages_[stage].pieces; }
+  /** @param stage a stage. @return handles its pieces need, in order. */
+  std::vector<std::string> Inputs(int stage) const;
+  /** @param stage a stage. @param index a piece. @param result its result. */
+  void Complete(int stage, int index, const PieceResult& result);
+  /** @return true once every stage is complete. */
+  bool done() const;
+  /** @return handles of all results that no other stage takes. */
+  std::vector<std::string> FinalInputs() const;
+  /**
+   * @return results that nothing needs any more and that were not returned
+   * before: those of stages whose followers are complete.
+   */
+  std::vector<ServiceResults> TakeUnneeded();
+  /** @return every result held, and forgets them. */
+  std::vector<ServiceResults> TakeAll();
+  /** @param stage a stage. @return stages that still must follow it. */
+  int StagesAfter(int stage) const;
+  /** @return zone of the largest results made, empty if none. */
+  std::string LargestResultZone() const;
+
+ private:
+  struct State {
+    int pieces = 0;
+    int missing = 0;
+    bool started = false;
+    bool released = false;
+    std::vector<std::string> handles;
+    std::string zone;
+  };
+  bool Complete(int stage) const;
+  bool HasFollower(int stage) const;
+  /** The stages with pieces that `stage` takes results of. */
+  std::vector<int> Sources(int stage) const;
+
+  std::span<const routing::StageSpec> specs_;
+  std::vector<State> stages_;
+};
+
+}  // namespace turmeric::stages
--- /dev/null
+++ b/libs/stages/src/piece_queue.cc
@@ -0,0 +1,95 @@
+#include "turmeric/stages/piece_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::stages {
+
+namespace {
+
+/** How much later a piece counts as due for each step down in rank. */
+constexpr std::chrono::milliseconds kRankStep{250};
+/** How much later a piece counts as due once its latency target is lost: a
+ * late answer is worth a seventh of one in time. */
+constexpr std::chrono::milliseconds kMissedTarget{3000};
+/** How much later a large result counts as due at an upstream of another
+ * zone than the one it is wanted in. */
+constexpr std::chrono::milliseconds kOtherZone{120};
+/** Results above this size are worth placing, bytes. */
+constexpr int64_t kLargeResult = 100 * 1000;
+
+}  // namespace
+
+Clock::time_point Urgency(const Piece& piece,
+                          std::chrono::milliseconds call_time,
+                          Clock::time_point now) {
+  Clock::time_point key = piece.due + kRankStep * piece.rank;
+  if (now + call_time > piece.due) key += kMissedTarget;
+  return key;
+}
+
+uint64_t PieceQueue::Push(Piece piece, PieceCallback done) {
+  const uint64_t ticket = next_ticket_++;
+  waiting_.push_back({ticket, std::move(piece), std::move(done), 0});
+  return ticket;
+}
+
+void PieceQueue::PushBack(QueuedPiece piece) {
+  waiting_.push_back(std::move(piece));
+}
+
+void PieceQueue::Cancel(uint64_t ticket) {
+  std::erase_if(waiting_,
+                [&](const QueuedPiece& q) { return q.ticket == ticket; });
+}
+
+std::vector<QueuedPiece> PieceQueue::TakeCall(const CallSpace& space,
+                                              Clock::time_point now) {
+  using Iterator = std::list<QueuedPiece>::iterator;
+  std::vector<std::pair<Clock::time_point, Iterator>> order;
+  order.reserve(waiting_.size());
+  for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+    Clock::time_point key = Urgency(it->piece, space.call_time, now);
+    if (it->piece.result_bytes > kLargeResult && !it->piece.zone.empty() &&
+        it->piece.zone != space.zone) {
+      key += kOtherZone;
+    }
+    order.emplace_back(key, it);
+  }
+  std::ranges::stable_sort(order, {},
+                           &std::pair<Clock::time_point, Iterator>::first);
+  std::vector<QueuedPiece> call;
+  int64_t room = space.room_bytes;
+  for (const auto& [key, it] : order) {
+    if (static_cast<int>(call.size()) >= space.pieces) break;
+    if (it->piece.result_bytes > room) continue;
+    room -= it->piece.result_bytes;
+    call.push_back(std::move(*it));
+    waiting_.erase(it);
+  }
+  return call;
+}
+
+std::vector<QueuedPiece> PieceQueue::TakeHopeless(
+    std::chrono::milliseconds call_time, Clock::time_point now) {
+  std::vector<QueuedPiece> hopeless;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (now + call_time <= it->piece.deadline) {
+      ++it;
+      continue;
+    }
+    hopeless.push_back(std::move(*it));
+    it = waiting_.erase(it);
+  }
+  return hopeless;
+}
+
+size_t PieceQueue::CountBefore(Clock::time_point key, Clock::time_point now,
+                               std::chrono::milliseconds call_time) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(waiting_, [&](const QueuedPiece& q) {
+        return Urgency(q.piece, call_time, now) <= key;
+      }));
+}
+
+}  // namespace turmeric::stages
--- /dev/null
+++ b/libs/stages/src/stage_progress.cc
@@ -0,0 +1,147 @@
+#include "turmeric/stages/stage_progress.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace turmeric::stages {
+
+StageProgress::StageProgress(std::span<const routing::StageSpec> specs,
+                             std::span<const int> pieces)
+    : specs_(specs), stages_(specs.size()) {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    stages_[i].pieces = i < pieces.size() ? std::max(0, pieces[i]) : 0;
+    stages_[i].missing = stages_[i].pieces;
+    stages_[i].handles.resize(static_cast<size_t>(stages_[i].pieces));
+  }
+}
+
+bool StageProgress::Complete(int stage) const {
+  return stages_[static_cast<size_t>(stage)].missing == 0;
+}
+
+std::vector<int> StageProgress::Sources(int stage) const {
+  std::set<int> sources;
+  for (const int before : specs_[static_cast<size_t>(stage)].after) {
+    if (before < 0 || before >= static_cast<int>(stages_.size())) continue;
+    if (stages_[static_cast<size_t>(before)].pieces > 0) {
+      sources.insert(before);
+    } else {
+      std::ranges::copy(Sources(before), std::inserter(sources, sources.end()));
+    }
+  }
+  return {sources.begin(), sources.end()};
+}
+
+std::vector<int> StageProgress::TakeReady() {
+  std::vector<int> ready;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    State& state = stages_[static_cast<size_t>(i)];
+    if (state.started || state.pieces == 0) continue;
+    const std::vector<int> sources = Sources(i);
+    if (!std::ranges::all_of(sources, [&](int s) { return Complete(s); })) {
+      continue;
+    }
+    state.started = true;
+    ready.push_back(i);
+  }
+  return ready;
+}
+
+std::vector<std::string> StageProgress::Inputs(int stage) const {
+  std::vector<std::string> inputs;
+  for (const int source : Sources(stage)) {
+    std::ranges::copy(stages_[static_cast<size_t>(source)].handles,
+                      std::back_inserter(inputs));
+  }
+  return inputs;
+}
+
+void StageProgress::Complete(int stage, int index, const PieceResult& result) {
+  State& state = stages_[static_cast<size_t>(stage)];
+  std::string& handle = state.handles[static_cast<size_t>(index)];
+  if (!handle.empty()) return;
+  handle = result.handle;
+  state.zone = result.zone;
+  --state.missing;
+}
+
+bool StageProgress::done() const {
+  return std::ranges::all_of(stages_,
+                             [](const State& s) { return s.missing == 0; });
+}
+
+bool StageProgress::HasFollower(int stage) const {
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (stages_[static_cast<size_t>(i)].pieces == 0) continue;
+    if (std::ranges::count(Sources(i), stage) > 0) return true;
+  }
+  return false;
+}
+
+std::vector<std::string> StageProgress::FinalInputs() const {
+  std::vector<std::string> inputs;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (HasFollower(i)) continue;
+    std::ranges::copy(stages_[static_cast<size_t>(i)].handles,
+                      std::back_inserter(inputs));
+  }
+  return inputs;
+}
+
+std::vector<ServiceResults> StageProgress::TakeUnneeded() {
+  std::vector<ServiceResults> unneeded;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    State& state = stages_[static_cast<size_t>(i)];
+    if (state.released || state.pieces == 0 || !HasFollower(i)) continue;
+    bool needed = false;
+    for (int j = 0; j < static_cast<int>(stages_.size()); ++j) {
+      if (stages_[static_cast<size_t>(j)].pieces == 0) continue;
+      if (std::ranges::count(Sources(j), i) > 0 && !Complete(j)) needed = true;
+    }
+    if (needed) continue;
+    state.released = true;
+    unneeded.push_back({specs_[static_cast<size_t>(i)].service, state.handles});
+  }
+  return unneeded;
+}
+
+std::vector<ServiceResults> StageProgress::TakeAll() {
+  std::vector<ServiceResults> all;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    State& state = stages_[i];
+    if (state.released) continue;
+    state.released = true;
+    ServiceResults held{specs_[i].service, {}};
+    std::ranges::copy_if(state.handles, std::back_inserter(held.handles),
+                         [](const std::string& h) { return !h.empty(); });
+    if (!held.handles.empty()) all.push_back(std::move(held));
+  }
+  return all;
+}
+
+int StageProgress::StagesAfter(int stage) const {
+  int longest = 0;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (i == stage || stages_[static_cast<size_t>(i)].pieces == 0) continue;
+    if (std::ranges::count(Sources(i), stage) > 0) {
+      longest = std::max(longest, 1 + StagesAfter(i));
+    }
+  }
+  return longest;
+}
+
+std::string StageProgress::LargestResultZone() const {
+  std::string zone;
+  int64_t largest = 0;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    const int64_t bytes = specs_[i].result_bytes * stages_[i].pieces;
+    if (bytes <= largest || stages_[i].zone.empty()) continue;
+    if (HasFollower(static_cast<int>(i))) continue;
+    largest = bytes;
+    zone = stages_[i].zone;
+  }
+  return zone;
+}
+
+}  // namespace turmeric::stages
--- /dev/null
+++ b/libs/store/src/reflector.cc
@@ -0,0 +1,102 @@
+#include "turmeric/store/reflector.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace turmeric::store {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+/** Longest wait of one watch. A connection can go silent without an end;
+ * the next watch then shows it. Short enough that a change is in force
+ * within five seconds of such a loss, long enough to be a few calls a
+ * minute. */
+constexpr milliseconds kWatchWait{3000};
+/** First pause after a failed call; doubles up to the longest, with a
+ * random part so that a fleet does not return in step. */
+constexpr milliseconds kFirstPause{100};
+constexpr milliseconds kLongestPause{800};
+
+milliseconds Jittered(milliseconds pause) {
+  static std::minstd_rand engine{std::random_device{}()};
+  std::uniform_real_distribution<double> part(0.6, 1.2);
+  return milliseconds(
+      static_cast<int64_t>(static_cast<double>(pause.count()) * part(engine)));
+}
+
+}  // namespace
+
+Reflector::Reflector(ObjectSource& source, std::string kind,
+                     ReflectorEvents events)
+    : source_(source), kind_(std::move(kind)), events_(std::move(events)) {
+  again_.setSingleShot(true);
+  connect(&again_, &QTimer::timeout, this,
+          [this] { list_next_ ? List() : Watch(); });
+}
+
+void Reflector::Start() { List(); }
+
+void Reflector::List() {
+  source_.List(kind_, ObjectSource::Freshness::kLinearizable,
+               [this](const auto& batch) { OnListed(batch); });
+}
+
+void Reflector::Watch() {
+  source_.Watch(kind_, revision_, kWatchWait,
+                [this](const auto& batch) { OnChanges(batch); });
+}
+
+milliseconds Reflector::Outage() const {
+  if (reachable_ || !synced_) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                  heard_at_);
+}
+
+void Reflector::Heard() {
+  failures_ = 0;
+  heard_at_ = steady_clock::now();
+  if (!std::exchange(reachable_, true)) events_.on_reachable(true, "answered");
+}
+
+void Reflector::OnListed(const utils::Result<SourceBatch>& batch) {
+  if (!batch) return OnError(batch.error());
+  const milliseconds outage = Outage();
+  Heard();
+  synced_ = true;
+  list_next_ = false;
+  revision_ = batch.value().revision;
+  events_.on_list(batch.value().objects, outage);
+  Watch();
+}
+
+void Reflector::OnChanges(const utils::Result<SourceBatch>& batch) {
+  if (!batch) return OnError(batch.error());
+  const milliseconds outage = Outage();
+  Heard();
+  revision_ = std::max(revision_, batch.value().revision);
+  for (const SourceObject& object : batch.value().objects) {
+    events_.on_change(object, outage);
+  }
+  Watch();
+}
+
+void Reflector::OnError(const utils::Error& error) {
+  if (error.code == utils::Errc::kStoreRevisionGone) {
+    list_next_ = true;
+    return List();
+  }
+  ++failures_;
+  const bool was_reachable = std::exchange(reachable_, false);
+  if (was_reachable || failures_ == 1) {
+    events_.on_reachable(false, error.detail);
+  }
+  const auto pause =
+      std::min(kFirstPause * (1 << std::min(failures_ - 1, 4)), kLongestPause);
+  again_.start(Jittered(pause));
+}
+
+}  // namespace turmeric::store
--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -3,11 +3,15 @@
 #include <gflags/gflags.h>
 
 #include <QCoreApplication>
-#include <QTimer>
-#include <atomic>
 #include <csignal>
-#include <iostream>
+#include <memory>
+#include <utility>
 
+#include "entry_main.h"
+#include "platform/settings_file.h"
+#include "report_error.h"
+#include "signal_pipe.h"
+#include "turmeric/config/entry_settings.h"
 #include "turmeric/config/instance_settings.h"
 #include "turmeric/gateway/embedded_platform.h"
 #include "turmeric/gateway/gateway_service.h"
@@ -34,9 +38,6 @@
 namespace {
 constexpr std::string_view kEmbeddedStore = "embedded";
 
-std::atomic<bool> g_stop{false};
-void OnSignal(int) { g_stop = true; }
-
 std::shared_ptr<turmeric::store::ObjectStore> OpenStore(
     const std::string& address) {
   if (address == kEmbeddedStore) {
@@ -53,13 +54,16 @@
       "turmericgated [--config=FILE] [--store=ip:port|embedded] [--port=N]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication app(argc, argv);
+  const std::string settings_file =
+      FLAGS_config.empty() ? turmeric::platform::SettingsFile() : FLAGS_config;
+  if (turmeric::config::HasEntrySettings(settings_file)) {
+    return turmeric::daemon::RunEntry(app, settings_file);
+  }
   turmeric::config::InstanceSettings settings;
   if (!FLAGS_config.empty()) {
     auto loaded = turmeric::config::LoadInstanceSettings(FLAGS_config);
     if (!loaded) {
-      std::cerr << "error " << static_cast<int>(loaded.error().code) << " "
-                << turmeric::utils::ErrcName(loaded.error().code) << ": "
-                << loaded.error().detail << "\n";
+      turmeric::daemon::ReportError(loaded.error());
       return 2;
     }
     settings = loaded.value();
@@ -83,22 +87,15 @@
       static_cast<turmeric::gateway::GatewayService*>(kernel.Register(
           std::make_unique<turmeric::gateway::GatewayService>(settings)));
   if (auto started = kernel.StartAll(); !started) {
-    std::cerr << "error " << static_cast<int>(started.error().code) << " "
-              << turmeric::utils::ErrcName(started.error().code) << ": "
-              << started.error().detail << "\n";
+    turmeric::daemon::ReportError(started.error());
     return 2;
   }
-  std::signal(SIGTERM, OnSignal);
-  std::signal(SIGINT, OnSignal);
-  QTimer watch_signal;
-  watch_signal.setInterval(50);
-  QObject::connect(&watch_signal, &QTimer::timeout, [&] {
-    if (!g_stop.exchange(false)) return;
-    watch_signal.stop();
+  bool stopping = false;
+  const turmeric::daemon::SignalPipe signals([&](int number) {
+    if (number == SIGHUP || std::exchange(stopping, true)) return;
     // Planned stop: take no new work, finish what is in flight, then quit.
     gateway->Drain([&] { app.quit(); });
   });
-  watch_signal.start();
   const int rc = app.exec();
   kernel.StopAll();
   LOG(INFO) << "event=stopped";
