Reflector: short watches while the store does not answer

Ruled out: decoding, version check (others had the version 2 ms after their own answer). Test: reflector_test, red before (3000 ms <= 200 ms), green after.

--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -16,6 +16,9 @@
  * within five seconds of such a loss, long enough to be a few calls a
  * minute. */
 constexpr milliseconds kWatchWait{3000};
+/** Wait of a watch while the store is not answering: it only asks whether
+ * the store is back, and its loss must cost little. */
+constexpr milliseconds kProbeWait{100};
 /** First pause after a failed call; doubles up to the longest, with a
  * random part so that a fleet does not return in step. */
 constexpr milliseconds kFirstPause{100};
@@ -46,7 +49,11 @@
 }
 
 void Reflector::Watch() {
-  source_.Watch(kind_, revision_, kWatchWait,
+  // Guard: a call sent just before a silent store returns is never answered.
+  // With the full wait it would be given up seconds after the return, and a
+  // configuration accepted meanwhile would come into force too late.
+  const milliseconds wait = reachable_ ? kWatchWait : kProbeWait;
+  source_.Watch(kind_, revision_, wait,
                 [this](const auto& batch) { OnChanges(batch); });
 }
 
--- /dev/null
+++ b/libs/store/test/reflector_test.cc
@@ -0,0 +1,117 @@
+#include "turmeric/store/reflector.h"
+
+#include <QEventLoop>
+#include <QTimer>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::store::ObjectSource;
+using turmeric::store::Reflector;
+using turmeric::store::SourceBatch;
+using turmeric::store::SourceCallback;
+using turmeric::store::SourceObject;
+using turmeric::utils::Errc;
+using turmeric::utils::Error;
+
+namespace {
+
+/** A store whose calls the test answers one by one. */
+class ScriptedSource : public ObjectSource {
+ public:
+  void List(const std::string&, Freshness, SourceCallback done) override {
+    ++lists;
+    pending = std::move(done);
+  }
+  void Watch(const std::string&, int64_t after, std::chrono::milliseconds wait,
+             SourceCallback done) override {
+    watched_after.push_back(after);
+    waits.push_back(wait);
+    pending = std::move(done);
+  }
+  void Put(const std::string&, const std::string&, const QJsonObject&,
+           SourceCallback) override {}
+
+  void Answer(SourceBatch batch) { Take()(std::move(batch)); }
+  void Fail(Errc code) {
+    Take()(boost::outcome_v2::failure(Error{code, "scripted"}));
+  }
+
+  int lists = 0;
+  std::vector<int64_t> watched_after;
+  std::vector<std::chrono::milliseconds> waits;
+  SourceCallback pending;
+
+ private:
+  SourceCallback Take() { return std::exchange(pending, nullptr); }
+};
+
+void RunLoop(std::chrono::milliseconds time) {
+  QEventLoop loop;
+  QTimer::singleShot(time, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+struct Seen {
+  int lists = 0;
+  std::vector<std::string> changes;
+  std::vector<bool> reachable;
+};
+
+turmeric::store::ReflectorEvents Into(Seen& seen) {
+  return {
+      .on_list = [&](auto, auto) { ++seen.lists; },
+      .on_change = [&](const SourceObject& o,
+                       auto) { seen.changes.push_back(o.name); },
+      .on_reachable =
+          [&](bool on, const std::string&) { seen.reachable.push_back(on); }};
+}
+
+}  // namespace
+
+TEST_CASE("a reflector lists, then watches from the list's revision") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  REQUIRE(seen.lists == 1);
+  REQUIRE(source.watched_after.back() == 7);
+  source.Answer(
+      {.objects = {{.name = "a", .spec = {}, .revision = 9}}, .revision = 9});
+  REQUIRE(seen.changes == std::vector<std::string>{"a"});
+  REQUIRE(source.watched_after.back() == 9);
+}
+
+TEST_CASE("a reflector lists anew when the history is gone") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  source.Fail(Errc::kStoreRevisionGone);
+  REQUIRE(source.lists == 2);
+  source.Answer({.objects = {}, .revision = 30});
+  REQUIRE(source.watched_after.back() == 30);
+}
+
+// Story: the store falls silent for some seconds. A watch that is sent just
+// before it returns is lost with the silence. If that watch were a long one,
+// a configuration accepted right after the return would come into force only
+// when it is given up, seconds late, and callers of new routes would get 404.
+TEST_CASE("while the store does not answer, watches are short") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  const auto usual = source.waits.back();
+  source.Fail(Errc::kStoreUnavailable);
+  RunLoop(300ms);
+  REQUIRE(source.waits.size() == 2);
+  REQUIRE(source.waits.back() <= 200ms);
+  REQUIRE(source.waits.back() < usual);
+  source.Answer({.objects = {}, .revision = 7});
+  REQUIRE(source.waits.back() == usual);
+  REQUIRE(seen.reachable == std::vector<bool>{true, false, true});
+}
