One queue per stage service over all instances (libs/peer, StageRouter)

Ruled out: admission alone (refusing cannot fill calls); static worker ownership (one owner a service keeps one order of urgency and is enough for 4-5 workers).

--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -14,7 +14,9 @@
 
 namespace turmeric::entry {
 
+class InstanceDirectory;
 class StageDispatcher;
+class StageRouter;
 class TopologyFeed;
 
 /**
@@ -45,6 +47,7 @@
   uint16_t readiness_port() const { return readiness_->port(); }
 
  private:
+  utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
   void AcceptProbe(int fd);
   void OnRequest(http::ServerConnection& connection,
@@ -60,6 +63,8 @@
   EntryMetrics metrics_;
   EntryContext context_;
   std::unique_ptr<StageDispatcher> dispatcher_;
+  std::unique_ptr<StageRouter> router_;
+  std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
   std::unique_ptr<http::Listener> front_;
   std::unique_ptr<http::Listener> readiness_;
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -42,6 +42,8 @@
 
   Queue& QueueOf(const std::string& service);
   Worker& WorkerOf(Queue& queue, const routing::UpstreamPtr& upstream);
+  bool CannotBeInTime(const std::string& service, Queue& queue,
+                      const stages::Piece& piece);
   void SchedulePump();
   void Pump();
   void PumpQueue(const std::string& service, Queue& queue);
@@ -59,8 +61,9 @@
 
   EntryContext& context_;
   std::map<std::string, std::unique_ptr<Queue>> queues_;
-  /** Results to be released, by the address that holds them. */
-  std::map<std::string, std::vector<std::string>> releases_;
+  /** Results to be released, by service and the address that holds them. */
+  std::map<std::pair<std::string, std::string>, std::vector<std::string>>
+      releases_;
   QTimer pump_;
   QTimer retry_pump_;
   QTimer release_;
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <QObject>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "turmeric/entry/instance_directory.h"
+#include "turmeric/entry/stage_client.h"
+#include "turmeric/http/listener.h"
+#include "turmeric/peer/peer_link.h"
+
+namespace turmeric::entry {
+
+struct EntryContext;
+class StageDispatcher;
+
+/**
+ * Brings the pieces of all instances together: each stage service has one
+ * owner among the live instances (rendezvous hashing), whose dispatcher
+ * fills the calls. Instances may disagree on who that is: a piece may be
+ * made again, so that costs only full calls. Without the owner, pieces are
+ * dispatched by the next in order, at last here.
+ */
+class StageRouter : public QObject, public StageClient {
+ public:
+  /** @param context the instance's state. @param local our dispatcher;
+   * both must outlive this. */
+  StageRouter(EntryContext& context, StageDispatcher& local);
+  ~StageRouter() override;
+
+  /** @param address where other instances reach us.
+   * @return kIniInvalid if it cannot be bound. */
+  utils::Result<void> Listen(const std::string& address);
+  /** @param addresses the fleet, ourselves included. */
+  void SetInstances(const InstanceAddresses& addresses);
+  /** A planned stop: others take over what we own. */
+  void Leave();
+
+  uint64_t Submit(const std::string& service, stages::Piece piece,
+                  stages::PieceCallback done) override;
+  void Cancel(const std::string& service, uint64_t ticket) override;
+  void Release(const std::string& service,
+               std::vector<std::string> handles) override;
+
+ private:
+  using Clock = stages::Clock;
+  struct Pending;
+  struct Instance;
+  struct Guest;
+
+  Instance* Owner(const std::string& service);
+  peer::PeerLink& LinkTo(Instance& instance);
+  void Place(uint64_t ticket);
+  void Done(uint64_t ticket, const stages::PieceResult& result);
+  void OnInstanceFrame(const std::string& name, peer::Frame&& frame);
+  void OnInstanceLost(const std::string& name, std::string_view why);
+  void AcceptGuest(int fd);
+  void OnGuestFrame(uint64_t guest_id, peer::Frame&& frame);
+  void OnGuestLost(uint64_t guest_id);
+
+  EntryContext& context_;
+  StageDispatcher& local_;
+  std::unique_ptr<http::Listener> listener_;
+  std::map<std::string, Instance> instances_;  ///< By name, without us.
+  std::unordered_map<uint64_t, Pending> pending_;
+  std::unordered_map<uint64_t, std::unique_ptr<Guest>> guests_;
+  uint64_t next_ticket_ = 1;
+  uint64_t next_guest_ = 1;
+  bool leaving_ = false;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
+#include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/topology_feed.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -36,9 +38,10 @@
     : link_(std::move(link)),
       context_(std::move(settings), link_.wire),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
+      router_(std::make_unique<StageRouter>(context_, *dispatcher_)),
       feed_(std::make_unique<TopologyFeed>(context_, link_)) {
   context_.metrics = &metrics_;
-  context_.stages = dispatcher_.get();
+  context_.stages = router_.get();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
   readiness_ =
@@ -62,6 +65,7 @@
     auto up = metrics_listener_->Listen(EndpointOf(s.metrics_address));
     if (!up) return up;
   }
+  if (auto up = StartPeers(); !up) return up;
   feed_->set_on_complete([] { utils::DecisionLog("ready"); });
   feed_->Start();
   utils::DecisionLog("started")
@@ -72,6 +76,22 @@
   return boost::outcome_v2::success();
 }
 
+utils::Result<void> EntryService::StartPeers() {
+  const config::EntrySettings& s = context_.settings;
+  if (s.peer_address.empty()) {
+    context_.retries.set_live_instances(1);
+    return boost::outcome_v2::success();
+  }
+  if (auto up = router_->Listen(s.peer_address); !up) return up;
+  directory_ = std::make_unique<InstanceDirectory>(
+      *link_.source, link_.instances_kind, s.name, s.peer_address,
+      [this](const InstanceAddresses& addresses) {
+        router_->SetInstances(addresses);
+      });
+  directory_->Start();
+  return boost::outcome_v2::success();
+}
+
 void EntryService::Stop() {
   front_->Close();
   readiness_->Close();
@@ -144,6 +164,7 @@
   if (std::exchange(draining_, true)) return;
   on_drained_ = std::move(done);
   drain_began_ = std::chrono::steady_clock::now();
+  router_->Leave();
   utils::DecisionLog("stop_begins")
       .Add("open_requests", open_requests())
       .Add("connections", callers_.size());
--- /dev/null
+++ b/libs/entry/src/instance_directory.cc
@@ -0,0 +1,73 @@
+#include "turmeric/entry/instance_directory.h"
+
+#include <utility>
+
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Pause before entering again after the store did not answer. */
+constexpr milliseconds kEnterAgain{1000};
+/** Reads while a fleet is starting, in this distance; its instances enter
+ * within a second of each other. */
+constexpr milliseconds kEarlyRead{1500};
+constexpr int kEarlyReads = 3;
+/** Later reads; a stale one costs a tenth of a call. */
+constexpr milliseconds kLateRead{10000};
+
+constexpr auto kAddressField = "peer_address";
+
+}  // namespace
+
+InstanceDirectory::InstanceDirectory(store::ObjectSource& source,
+                                     std::string kind, std::string name,
+                                     std::string address,
+                                     ChangeCallback on_change)
+    : source_(source),
+      kind_(std::move(kind)),
+      name_(std::move(name)),
+      address_(std::move(address)),
+      on_change_(std::move(on_change)) {
+  next_.setSingleShot(true);
+  connect(&next_, &QTimer::timeout, this, [this] {
+    if (!entered_) return Enter();
+    Read(store::ObjectSource::Freshness::kMayBeStale);
+  });
+}
+
+void InstanceDirectory::Start() { Enter(); }
+
+void InstanceDirectory::Enter() {
+  const QJsonObject spec{{kAddressField, QString::fromStdString(address_)}};
+  source_.Put(kind_, name_, spec, [this](const auto& written) {
+    if (!written) {
+      utils::DecisionLog("instance_not_entered")
+          .Add("why", written.error().detail);
+      return next_.start(kEnterAgain);
+    }
+    entered_ = true;
+    Read(store::ObjectSource::Freshness::kLinearizable);
+  });
+}
+
+void InstanceDirectory::Read(store::ObjectSource::Freshness freshness) {
+  source_.List(kind_, freshness, [this](const auto& batch) {
+    next_.start(++reads_ <= kEarlyReads ? kEarlyRead : kLateRead);
+    if (!batch) {
+      utils::DecisionLog("instances_not_read").Add("why", batch.error().detail);
+      return;
+    }
+    InstanceAddresses addresses{{name_, address_}};
+    for (const store::SourceObject& object : batch.value().objects) {
+      addresses[object.name] =
+          object.spec[kAddressField].toString().toStdString();
+    }
+    on_change_(addresses);
+  });
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -110,9 +110,38 @@
   return it == queues_.end() ? 0 : it->second->pieces.size();
 }
 
+bool StageDispatcher::CannotBeInTime(const std::string& service, Queue& queue,
+                                     const stages::Piece& piece) {
+  const routing::ServiceSpec* spec =
+      context_.table ? context_.table->FindService(service) : nullptr;
+  if (spec == nullptr || !spec->stage) return false;
+  const StageCallLimits& limits = *spec->stage;
+  const Clock::time_point now = Clock::now();
+  const auto upstreams = context_.upstreams.ForService(service);
+  const auto usable = static_cast<size_t>(
+      std::ranges::count_if(upstreams, [&](const UpstreamPtr& u) {
+        return IsListed(*u, now) && !IsAvoided(*u, now);
+      }));
+  if (usable == 0) return false;
+  const auto full = CallTime(limits, static_cast<size_t>(limits.batch));
+  const size_t before =
+      queue.pieces.CountBefore(Urgency(piece, full, now), now, full);
+  const size_t rounds = before / (usable * static_cast<size_t>(limits.batch));
+  return now + full * rounds + CallTime(limits, 1) > piece.deadline;
+}
+
 uint64_t StageDispatcher::Submit(const std::string& service,
                                  stages::Piece piece,
                                  stages::PieceCallback done) {
+  Queue& queue = QueueOf(service);
+  if (CannotBeInTime(service, queue, piece)) {
+    // Refused now rather than when its time has run out: the caller can
+    // still come back, and the queue serves those that it can.
+    QTimer::singleShot(0, this, [done = std::move(done)] {
+      done({.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
+    });
+    return 0;
+  }
   const uint64_t ticket =
       QueueOf(service).pieces.Push(std::move(piece), std::move(done));
   SchedulePump();
@@ -333,7 +362,7 @@
   Queue& queue = QueueOf(service);
   for (std::string& handle : handles) {
     for (auto& [id, worker] : queue.workers) worker.held.erase(handle);
-    releases_[context_.wire.handle_address(handle)].push_back(
+    releases_[{service, context_.wire.handle_address(handle)}].push_back(
         std::move(handle));
   }
   if (!release_.isActive()) release_.start(kReleaseDelay);
@@ -341,16 +370,14 @@
 }
 
 void StageDispatcher::FlushReleases() {
-  for (auto& [address, handles] : std::exchange(releases_, {})) {
-    UpstreamPtr holder;
-    for (auto& [service, queue] : queues_) {
-      for (auto& [id, worker] : queue->workers) {
-        if (worker.upstream->listed &&
-            worker.upstream->entry.address == address) {
-          holder = worker.upstream;
-        }
-      }
-    }
+  for (auto& [place, handles] : std::exchange(releases_, {})) {
+    const auto& [service, address] = place;
+    const auto upstreams = context_.upstreams.ForService(service);
+    const auto it = std::ranges::find(
+        upstreams, address, [](const UpstreamPtr& u) -> const std::string& {
+          return u->entry.address;
+        });
+    const UpstreamPtr holder = it == upstreams.end() ? nullptr : *it;
     // A result does not outlive its maker: nothing to release then.
     if (!holder) continue;
     auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
--- /dev/null
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "turmeric/stages/piece.h"
+
+namespace turmeric::peer {
+
+/** A piece handed to another instance. */
+struct PieceOrder {
+  uint64_t ticket = 0;  ///< Unique on its connection.
+  std::string service;
+  stages::Piece piece;
+};
+
+/** What became of a piece, told to the instance that ordered it. */
+struct PieceDone {
+  uint64_t ticket = 0;
+  stages::PieceResult result;
+};
+
+/** Results of one service that nothing needs any more. */
+struct ReleaseOrder {
+  std::string service;
+  std::vector<std::string> handles;
+};
+
+/** One message between two instances. */
+struct Frame {
+  std::string sender;         ///< Set in the first frame only.
+  uint64_t sequence = 0;      ///< Not 0: wants an acknowledgement.
+  uint64_t acknowledged = 0;  ///< Highest sequence seen.
+  bool leaving = false;       ///< The sender has begun a planned stop.
+  std::vector<PieceOrder> pieces;
+  std::vector<PieceDone> done;
+  std::vector<uint64_t> cancelled;
+  std::vector<ReleaseOrder> releases;
+};
+
+/**
+ * @param frame a message. @param now times in it are sent relative to this,
+ *     as clocks differ between instances.
+ * @return its bytes, without the length before them.
+ */
+std::vector<uint8_t> Encode(const Frame& frame, stages::Clock::time_point now);
+
+/**
+ * @param bytes one message. @param now times in it are counted from this.
+ * @return the message, or nullopt if the bytes are none.
+ */
+std::optional<Frame> Decode(std::span<const uint8_t> bytes,
+                            stages::Clock::time_point now);
+
+}  // namespace turmeric::peer
--- /dev/null
+++ b/libs/peer/src/frame.cc
@@ -0,0 +1,146 @@
+#include "turmeric/peer/frame.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "details/peer_generated.h"
+
+namespace turmeric::peer {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+using stages::Clock;
+using stages::PieceFailure;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Largest relative time that is sent, ms; a day. */
+constexpr int64_t kMaxRelativeMs = 24LL * 3600 * 1000;
+
+int32_t RelativeMs(Clock::time_point at, Clock::time_point now) {
+  const auto ms = std::chrono::duration_cast<milliseconds>(at - now).count();
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(ms, -kMaxRelativeMs, kMaxRelativeMs));
+}
+
+std::string Text(const flatbuffers::String* s) { return s ? s->str() : ""; }
+
+using TextList = flatbuffers::Vector<Offset<flatbuffers::String>>;
+
+std::vector<std::string> Texts(const TextList* list) {
+  std::vector<std::string> out;
+  if (list == nullptr) return out;
+  std::ranges::transform(*list, std::back_inserter(out),
+                         [](const auto* s) { return Text(s); });
+  return out;
+}
+
+Offset<TextList> WriteTexts(FlatBufferBuilder& builder,
+                            const std::vector<std::string>& texts) {
+  return builder.CreateVectorOfStrings(texts);
+}
+
+Offset<wire::Piece> Write(FlatBufferBuilder& b, const PieceOrder& order,
+                          Clock::time_point now) {
+  const stages::Piece& p = order.piece;
+  return wire::CreatePiece(b, order.ticket, b.CreateSharedString(order.service),
+                           b.CreateSharedString(p.request_id), p.stage, p.index,
+                           b.CreateSharedString(p.key), WriteTexts(b, p.inputs),
+                           p.result_bytes, p.rank, RelativeMs(p.due, now),
+                           RelativeMs(p.deadline, now),
+                           b.CreateSharedString(p.zone));
+}
+
+Offset<wire::PieceDone> Write(FlatBufferBuilder& b, const PieceDone& done) {
+  return wire::CreatePieceDone(b, done.ticket,
+                               static_cast<int8_t>(done.result.failure),
+                               b.CreateString(done.result.handle),
+                               b.CreateSharedString(done.result.zone));
+}
+
+Offset<wire::Release> Write(FlatBufferBuilder& b, const ReleaseOrder& order) {
+  return wire::CreateRelease(b, b.CreateSharedString(order.service),
+                             WriteTexts(b, order.handles));
+}
+
+PieceOrder Read(const wire::Piece& p, Clock::time_point now) {
+  PieceOrder order;
+  order.ticket = p.ticket();
+  order.service = Text(p.service());
+  order.piece = {.request_id = Text(p.request_id()),
+                 .stage = p.stage(),
+                 .index = p.index(),
+                 .key = Text(p.key()),
+                 .inputs = Texts(p.inputs()),
+                 .result_bytes = p.result_bytes(),
+                 .rank = p.rank(),
+                 .due = now + milliseconds(p.due_in_ms()),
+                 .deadline = now + milliseconds(p.deadline_in_ms()),
+                 .zone = Text(p.zone())};
+  return order;
+}
+
+PieceDone Read(const wire::PieceDone& d) {
+  const bool known =
+      d.failure() >= 0 &&
+      d.failure() <= static_cast<int8_t>(PieceFailure::kNoUpstream);
+  return {d.ticket(),
+          {.failure = known ? static_cast<PieceFailure>(d.failure())
+                            : PieceFailure::kFailed,
+           .handle = Text(d.handle()),
+           .zone = Text(d.zone())}};
+}
+
+}  // namespace
+
+std::vector<uint8_t> Encode(const Frame& frame, Clock::time_point now) {
+  FlatBufferBuilder b(1024);
+  std::vector<Offset<wire::Piece>> pieces;
+  for (const PieceOrder& p : frame.pieces) pieces.push_back(Write(b, p, now));
+  std::vector<Offset<wire::PieceDone>> done;
+  for (const PieceDone& d : frame.done) done.push_back(Write(b, d));
+  std::vector<Offset<wire::Release>> releases;
+  for (const ReleaseOrder& r : frame.releases) releases.push_back(Write(b, r));
+  const auto sender = b.CreateString(frame.sender);
+  const auto piece_list = b.CreateVector(pieces);
+  const auto done_list = b.CreateVector(done);
+  const auto cancelled = b.CreateVector(frame.cancelled);
+  const auto release_list = b.CreateVector(releases);
+  wire::FinishFrameBuffer(
+      b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
+                           frame.leaving, piece_list, done_list, cancelled,
+                           release_list));
+  return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
+}
+
+std::optional<Frame> Decode(std::span<const uint8_t> bytes,
+                            Clock::time_point now) {
+  // Guard: anyone on the network can connect to this port. The verifier
+  // checks every offset before it is followed.
+  flatbuffers::Verifier verifier(bytes.data(), bytes.size());
+  if (!wire::VerifyFrameBuffer(verifier)) return std::nullopt;
+  const wire::Frame& f = *wire::GetFrame(bytes.data());
+  Frame frame;
+  frame.sender = Text(f.sender());
+  frame.sequence = f.sequence();
+  frame.acknowledged = f.acknowledged();
+  frame.leaving = f.leaving();
+  if (f.pieces() != nullptr) {
+    for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
+  }
+  if (f.done() != nullptr) {
+    for (const auto* d : *f.done()) frame.done.push_back(Read(*d));
+  }
+  if (f.cancelled() != nullptr) {
+    std::ranges::copy(*f.cancelled(), std::back_inserter(frame.cancelled));
+  }
+  if (f.releases() != nullptr) {
+    for (const auto* r : *f.releases()) {
+      frame.releases.push_back({Text(r->service()), Texts(r->handles())});
+    }
+  }
+  return frame;
+}
+
+}  // namespace turmeric::peer
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/.."
 flatc --cpp --scoped-enums --filename-suffix _generated \
   -o libs/membership/src/details libs/membership/schema/membership.fbs
+flatc --cpp --scoped-enums --filename-suffix _generated \
+  -o libs/peer/src/details libs/peer/schema/peer.fbs
