Stages: a large result is made as late as the chain beside it allows

Ruled out: too few upstreams (calls were short of room, not of time). Change: StageProgress starts a stage with large results only when no longer chain is left; one log line a stage call.

--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -290,6 +290,13 @@
       std::chrono::duration<double, std::milli>(Clock::now() - call->started)
           .count();
   NoteOutcome(*call->upstream, Outcome::kAnswered, ms, Clock::now());
+  utils::DecisionLog("stage_call_done")
+      .Add("service", call->service)
+      .Add("upstream", call->upstream->entry.id)
+      .Add("pieces", call->pieces.size())
+      .Add("bytes", call->bytes)
+      .Add("waiting", QueueOf(call->service).pieces.size())
+      .Add("ms", static_cast<int64_t>(ms));
   Deliver(*call, results);
   call->exchange.reset();
   SchedulePump();
--- a/libs/stages/include/turmeric/stages/stage_progress.h
+++ b/libs/stages/include/turmeric/stages/stage_progress.h
@@ -51,6 +51,8 @@
   std::vector<ServiceResults> TakeAll();
   /** @param stage a stage. @return stages that still must follow it. */
   int StagesAfter(int stage) const;
+  /** @return length of the longest chain of stages not complete. */
+  int StagesLeft() const;
   /** @return zone of the largest results made, empty if none. */
   std::string LargestResultZone() const;
 
--- a/libs/stages/src/stage_progress.cc
+++ b/libs/stages/src/stage_progress.cc
@@ -6,6 +6,13 @@
 
 namespace turmeric::stages {
 
+namespace {
+
+/** Results of this size fill an upstream's memory, bytes. */
+constexpr int64_t kLarge = 500 * 1000;
+
+}  // namespace
+
 StageProgress::StageProgress(std::span<const routing::StageSpec> specs,
                              std::span<const int> pieces)
     : specs_(specs), stages_(specs.size()) {
@@ -33,8 +40,17 @@
   return {sources.begin(), sources.end()};
 }
 
+int StageProgress::StagesLeft() const {
+  int longest = 0;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (!Complete(i)) longest = std::max(longest, 1 + StagesAfter(i));
+  }
+  return longest;
+}
+
 std::vector<int> StageProgress::TakeReady() {
   std::vector<int> ready;
+  const int stages_left = StagesLeft();
   for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
     State& state = stages_[static_cast<size_t>(i)];
     if (state.started || state.pieces == 0) continue;
@@ -42,6 +58,11 @@
     if (!std::ranges::all_of(sources, [&](int s) { return Complete(s); })) {
       continue;
     }
+    // Large results are made as late as the longest chain beside them
+    // allows: memory for a dozen of them is all an upstream has, and one that
+    // waits for the chain keeps other requests' pieces out.
+    const bool large = specs_[static_cast<size_t>(i)].result_bytes >= kLarge;
+    if (large && 1 + StagesAfter(i) < stages_left) continue;
     state.started = true;
     ready.push_back(i);
   }
--- /dev/null
+++ b/libs/stages/test/piece_queue_test.cc
@@ -0,0 +1,110 @@
+#include "turmeric/stages/piece_queue.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::stages::CallSpace;
+using turmeric::stages::Clock;
+using turmeric::stages::Piece;
+using turmeric::stages::PieceQueue;
+using turmeric::stages::QueuedPiece;
+
+namespace {
+
+const Clock::time_point kNow = Clock::time_point(100s);
+
+Piece MakePiece(std::string id, std::chrono::milliseconds due_in, int rank = 0,
+                int64_t bytes = 1000) {
+  Piece piece;
+  piece.request_id = std::move(id);
+  piece.due = kNow + due_in;
+  piece.deadline = kNow + 5s;
+  piece.rank = rank;
+  piece.result_bytes = bytes;
+  return piece;
+}
+
+CallSpace Space(int pieces, int64_t room = 1000000) {
+  return {.pieces = pieces,
+          .room_bytes = room,
+          .zone = "zone-a",
+          .call_time = 300ms};
+}
+
+std::vector<std::string> Ids(const std::vector<QueuedPiece>& call) {
+  std::vector<std::string> ids;
+  for (const QueuedPiece& q : call) ids.push_back(q.piece.request_id);
+  return ids;
+}
+
+}  // namespace
+
+TEST_CASE("a call takes what is due first, as many as fit") {
+  PieceQueue queue;
+  queue.Push(MakePiece("later", 900ms), nullptr);
+  queue.Push(MakePiece("sooner", 500ms), nullptr);
+  queue.Push(MakePiece("last", 1200ms), nullptr);
+  REQUIRE(Ids(queue.TakeCall(Space(2), kNow)) ==
+          std::vector<std::string>{"sooner", "later"});
+  REQUIRE(queue.size() == 1);
+}
+
+TEST_CASE("a lower rank waits behind a higher one that is due a little later") {
+  PieceQueue queue;
+  queue.Push(MakePiece("chat", 600ms, 2), nullptr);
+  queue.Push(MakePiece("notice", 800ms, 0), nullptr);
+  REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
+          std::vector<std::string>{"notice"});
+}
+
+// Story: in a burst the queue is longer than can be served in time. Ordered
+// by due time alone, each piece is served just too late, and no caller gets
+// its answer in time. Those that have missed their target yield.
+TEST_CASE("a piece that has missed its target yields to one that has not") {
+  PieceQueue queue;
+  queue.Push(MakePiece("missed", 100ms), nullptr);
+  queue.Push(MakePiece("in time", 900ms), nullptr);
+  REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
+          std::vector<std::string>{"in time"});
+}
+
+TEST_CASE("a result that does not fit is passed over, a smaller one goes") {
+  PieceQueue queue;
+  queue.Push(MakePiece("large", 500ms, 0, 5000), nullptr);
+  queue.Push(MakePiece("small", 900ms, 0, 100), nullptr);
+  REQUIRE(Ids(queue.TakeCall(Space(8, 1000), kNow)) ==
+          std::vector<std::string>{"small"});
+  REQUIRE(queue.size() == 1);
+}
+
+TEST_CASE("a large result waits a little for an upstream of its zone") {
+  PieceQueue queue;
+  Piece wanted_elsewhere = MakePiece("elsewhere", 600ms, 0, 200000);
+  wanted_elsewhere.zone = "zone-b";
+  Piece wanted_here = MakePiece("here", 650ms, 0, 200000);
+  wanted_here.zone = "zone-a";
+  queue.Push(wanted_elsewhere, nullptr);
+  queue.Push(wanted_here, nullptr);
+  REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
+          std::vector<std::string>{"here"});
+}
+
+TEST_CASE("what cannot end before its deadline is taken out") {
+  PieceQueue queue;
+  Piece hopeless = MakePiece("hopeless", -4800ms);
+  hopeless.deadline = kNow + 200ms;
+  queue.Push(hopeless, nullptr);
+  queue.Push(MakePiece("fine", 500ms), nullptr);
+  REQUIRE(Ids(queue.TakeHopeless(300ms, kNow)) ==
+          std::vector<std::string>{"hopeless"});
+  REQUIRE(queue.size() == 1);
+}
+
+TEST_CASE("a cancelled piece is in no call") {
+  PieceQueue queue;
+  const auto ticket = queue.Push(MakePiece("gone", 500ms), nullptr);
+  queue.Cancel(ticket);
+  REQUIRE(queue.TakeCall(Space(8), kNow).empty());
+}
