Stages: results are given up once fetched; stages done again when a result is lost

Also found: a resumed or repeated request sent results that were released already (409). Change: owners report when a call has fetched its inputs (80 ms after its start); the request gives its inputs up 120 ms after its send; a piece or request whose inputs are gone does its stages again, at most twice. Tests: stage_progress_test, frame_test (rapidcheck on spoiled frames).

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -16,6 +16,7 @@
 #include "turmeric/http/server_connection.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
+#include "turmeric/stages/piece_queue.h"
 #include "turmeric/stages/stage_progress.h"
 
 namespace turmeric::entry {
@@ -49,7 +50,10 @@
   // Stages.
   void StartStages();
   void SubmitStage(int stage);
+  stages::PieceEvents PieceEventsFor(int stage, int index);
   void OnPiece(int stage, int index, const stages::PieceResult& result);
+  void OnInputsTaken(int stage);
+  bool RestartStages(std::string_view why);
   void CancelPieces();
   void ReleaseUnneeded();
   void ReleaseAll();
@@ -98,6 +102,9 @@
   };
   std::vector<OpenPiece> open_pieces_;
   std::vector<std::string> inputs_;
+  bool inputs_released_ = false;
+  int restarts_ = 0;
+  uint64_t stage_round_ = 0;  ///< Tells late pieces of an earlier round.
 
   std::shared_ptr<UpstreamExchange> exchange_;
   routing::UpstreamPtr upstream_;
--- a/libs/entry/include/turmeric/entry/stage_client.h
+++ b/libs/entry/include/turmeric/entry/stage_client.h
@@ -14,13 +14,13 @@
   virtual ~StageClient() = default;
   /**
    * @param service the stage's service. @param piece the piece.
-   * @param done told once, never from inside this call.
+   * @param events told of its progress, never from inside this call.
    * @return a ticket for Cancel.
    */
   virtual uint64_t Submit(const std::string& service, stages::Piece piece,
-                          stages::PieceCallback done) = 0;
+                          stages::PieceEvents events) = 0;
   /** The piece is no longer wanted. It is dropped unless a call with it is
-   * in progress; then `done` is still called.
+   * in progress; then it still ends.
    * @param service as submitted. @param ticket from Submit. */
   virtual void Cancel(const std::string& service, uint64_t ticket) = 0;
   /** @param service the results' service. @param handles results that
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -28,7 +28,7 @@
   ~StageDispatcher() override;
 
   uint64_t Submit(const std::string& service, stages::Piece piece,
-                  stages::PieceCallback done) override;
+                  stages::PieceEvents events) override;
   void Cancel(const std::string& service, uint64_t ticket) override;
   void Release(const std::string& service,
                std::vector<std::string> handles) override;
@@ -58,6 +58,9 @@
   void Deliver(Call& call, const std::vector<stages::PieceResult>& results);
   void Retry(Call& call, bool certainly_not_run);
   void FlushReleases();
+  void OnInputsTaken(const std::shared_ptr<Call>& call);
+  void ForgetHeld(const std::string& service,
+                  const std::vector<std::string>& handles);
 
   EntryContext& context_;
   std::map<std::string, std::unique_ptr<Queue>> queues_;
--- a/libs/entry/include/turmeric/entry/stage_router.h
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -40,7 +40,7 @@
   void Leave();
 
   uint64_t Submit(const std::string& service, stages::Piece piece,
-                  stages::PieceCallback done) override;
+                  stages::PieceEvents events) override;
   void Cancel(const std::string& service, uint64_t ticket) override;
   void Release(const std::string& service,
                std::vector<std::string> handles) override;
@@ -54,11 +54,14 @@
   Instance* Owner(const std::string& service);
   peer::PeerLink& LinkTo(Instance& instance);
   void Place(uint64_t ticket);
+  void Taken(uint64_t ticket);
   void Done(uint64_t ticket, const stages::PieceResult& result);
   void OnInstanceFrame(const std::string& name, peer::Frame&& frame);
   void OnInstanceLost(const std::string& name, std::string_view why);
   void AcceptGuest(int fd);
   void OnGuestFrame(uint64_t guest_id, peer::Frame&& frame);
+  void GuestDone(uint64_t guest_id, uint64_t ticket, const std::string& service,
+                 const stages::PieceResult& result);
   void OnGuestLost(uint64_t guest_id);
 
   EntryContext& context_;
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -21,6 +21,7 @@
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
 constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -33,6 +34,13 @@
 constexpr milliseconds kAnswerMargin{15};
 /** Least time left for a repeat to be worth sending. */
 constexpr milliseconds kLeastForRepeat{50};
+/** Times that a request's stages are done again after a result was lost, and
+ * the least time left for that: one call of each stage and the prompt. */
+constexpr int kMaxRestarts = 2;
+constexpr milliseconds kLeastForRestart{800};
+/** An engine has fetched a request's inputs so long after the request was
+ * sent; it fetches them before it reads the prompt. */
+constexpr milliseconds kInputFetchTime{120};
 /** Longest answer held in memory, bytes; a larger one is an error. */
 constexpr size_t kMaxAnswer = 8 * 1024 * 1024;
 /** Unsent bytes of a slow reader at which its upstream is held back, and
@@ -152,22 +160,56 @@
     piece.deadline = limit_ - rest;
     piece.zone = context_.settings.zone;
     const uint64_t ticket = context_.stages->Submit(
-        spec.service, std::move(piece),
-        [self = QPointer<RequestRun>(this), &context = context_,
-         service = spec.service, stage,
-         index](const stages::PieceResult& result) {
-          if (self && !self->finished_) {
-            return self->OnPiece(stage, index, result);
-          }
-          // The request has ended meanwhile; its result only takes up room.
-          if (result.failure == PieceFailure::kNone) {
-            context.stages->Release(service, {result.handle});
-          }
-        });
+        spec.service, std::move(piece), PieceEventsFor(stage, index));
     open_pieces_.push_back({spec.service, ticket});
   }
 }
 
+stages::PieceEvents RequestRun::PieceEventsFor(int stage, int index) {
+  const QPointer<RequestRun> self(this);
+  const uint64_t round = stage_round_;
+  const auto wanted = [self, round] {
+    return self && !self->finished_ && self->stage_round_ == round;
+  };
+  const std::string& service =
+      route_->stages[static_cast<size_t>(stage)].service;
+  return {.on_inputs_taken =
+              [self, wanted, stage] {
+                if (wanted()) self->OnInputsTaken(stage);
+              },
+          .on_done =
+              [self, wanted, &context = context_, service, stage,
+               index](const stages::PieceResult& result) {
+                if (wanted()) return self->OnPiece(stage, index, result);
+                // The request has ended or begun again meanwhile; the result
+                // only takes up room.
+                if (result.failure == PieceFailure::kNone) {
+                  context.stages->Release(service, {result.handle});
+                }
+              }};
+}
+
+void RequestRun::OnInputsTaken(int stage) {
+  stages_->InputsTaken(stage);
+  ReleaseUnneeded();
+}
+
+bool RequestRun::RestartStages(std::string_view why) {
+  if (restarts_ >= kMaxRestarts || TimeLeft() < kLeastForRestart) return false;
+  ++restarts_;
+  utils::DecisionLog("stages_again")
+      .Add("request", request_.attempt_id)
+      .Add("why", why)
+      .Add("left_ms", TimeLeft().count());
+  CancelPieces();
+  ReleaseAll();
+  ++stage_round_;
+  inputs_released_ = false;
+  stages_->Restart();
+  StartStages();
+  return true;
+}
+
 void RequestRun::OnPiece(int stage, int index,
                          const stages::PieceResult& result) {
   if (result.failure != PieceFailure::kNone) {
@@ -176,6 +218,10 @@
         .Add("stage", stage)
         .Add("piece", index)
         .Add("failure", static_cast<int>(result.failure));
+    if (result.failure == PieceFailure::kInputGone && RestartStages("gone")) {
+      return;
+    }
+    if (may_have_run_) return Fail(kBadGateway, "stage_failed");
     return Refuse("stage_failed", kComeBackSoon);
   }
   stages_->Complete(stage, index, result);
@@ -200,6 +246,7 @@
 
 void RequestRun::ReleaseAll() {
   if (!stages_) return;
+  inputs_released_ = !inputs_.empty();
   for (auto& [service, handles] : stages_->TakeAll()) {
     context_.stages->Release(service, std::move(handles));
   }
@@ -261,6 +308,12 @@
   if (route_->carries_prompt) call.engine_priority = std::clamp(rank_, 0, 9);
   exchange_ = context_.client.Send(upstream_, context_.wire.encode_call(call),
                                    AnswerEvents(), {.fresh_connection = false});
+  if (inputs_.empty()) return;
+  // Room for results is what stage upstreams run out of first: they are given
+  // up once fetched, not when the answer begins.
+  QTimer::singleShot(kInputFetchTime, this, [this, send = sends_] {
+    if (!finished_ && exchange_ && sends_ == send) ReleaseAll();
+  });
 }
 
 http::ExchangeEvents RequestRun::AnswerEvents() {
@@ -351,14 +404,18 @@
 
 void RequestRun::PassHead() {
   streaming_ = true;
-  ReleaseAll();
   connection_->StartChunked(head_.status, head_.headers);
 }
 
 void RequestRun::OnEnd() {
   if (!has_head_) return OnFailure(http::ExchangeFailure::kMalformed);
   if (info_.not_run) {
-    EndSend(Outcome::kRefused);
+    const bool inputs_gone = head_.status == kConflict && !inputs_.empty();
+    EndSend(inputs_gone ? Outcome::kAnswered : Outcome::kRefused);
+    if (inputs_gone) {
+      tried_.pop_back();
+      if (MaySendAgain(true) && RestartStages("inputs_gone")) return;
+    }
     return OnNotRun();
   }
   may_have_run_ = true;
@@ -432,7 +489,10 @@
 
 void RequestRun::SendAgain() {
   context_.metrics->OnRepeat(service_);
-  SendToUpstream();
+  if (!inputs_released_) return SendToUpstream();
+  if (RestartStages("send_again")) return;
+  if (may_have_run_) return Fail(kBadGateway, "no_time_for_stages");
+  Refuse("no_time_for_stages", kComeBackSoon);
 }
 
 // The final answer.
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -30,7 +30,10 @@
 /** Calls that one piece may be part of before it counts as failed. */
 constexpr int kMaxSends = 3;
 /** Results are released together, this long after the first. */
-constexpr std::chrono::milliseconds kReleaseDelay{60};
+constexpr std::chrono::milliseconds kReleaseDelay{10};
+/** Time after a call's start by which its upstream has fetched the inputs:
+ * some megabytes over links of 10 Gbit/s, and the way there. */
+constexpr std::chrono::milliseconds kFetchTime{80};
 /** A queue whose upstreams are all avoided is looked at again after this. */
 constexpr std::chrono::milliseconds kRepump{50};
 
@@ -132,18 +135,18 @@
 
 uint64_t StageDispatcher::Submit(const std::string& service,
                                  stages::Piece piece,
-                                 stages::PieceCallback done) {
+                                 stages::PieceEvents events) {
   Queue& queue = QueueOf(service);
   if (CannotBeInTime(service, queue, piece)) {
     // Refused now rather than when its time has run out: the caller can
     // still come back, and the queue serves those that it can.
-    QTimer::singleShot(0, this, [done = std::move(done)] {
+    QTimer::singleShot(0, this, [done = std::move(events.on_done)] {
       done({.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
     });
     return 0;
   }
   const uint64_t ticket =
-      QueueOf(service).pieces.Push(std::move(piece), std::move(done));
+      queue.pieces.Push(std::move(piece), std::move(events));
   SchedulePump();
   return ticket;
 }
@@ -168,7 +171,8 @@
                                    std::chrono::milliseconds call_time) {
   for (QueuedPiece& piece :
        queue.pieces.TakeHopeless(call_time, Clock::now())) {
-    piece.done({.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
+    piece.events.on_done(
+        {.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
   }
 }
 
@@ -176,7 +180,7 @@
   const auto everything = std::chrono::hours(1);
   for (QueuedPiece& piece :
        queue.pieces.TakeHopeless(everything, Clock::now())) {
-    piece.done({.failure = failure, .handle = {}, .zone = {}});
+    piece.events.on_done({.failure = failure, .handle = {}, .zone = {}});
   }
 }
 
@@ -270,6 +274,9 @@
     OnCallFailed(open, Outcome::kTimeout);
   });
   call->timeout.start(timeout);
+  QTimer::singleShot(kFetchTime, this, [this, weak] {
+    if (const auto open = weak.lock()) OnInputsTaken(open);
+  });
   call->exchange =
       context_.client.Send(call->upstream, request, std::move(events));
 }
@@ -326,7 +333,7 @@
       queue.pieces.PushBack(std::move(piece));
       continue;
     }
-    piece.done(result);
+    piece.events.on_done(result);
   }
 }
 
@@ -359,23 +366,37 @@
     if (may) {
       queue.pieces.PushBack(std::move(piece));
     } else {
-      piece.done({.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
+      piece.events.on_done(
+          {.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
     }
   }
 }
 
 void StageDispatcher::Release(const std::string& service,
                               std::vector<std::string> handles) {
-  Queue& queue = QueueOf(service);
   for (std::string& handle : handles) {
-    for (auto& [id, worker] : queue.workers) worker.held.erase(handle);
     releases_[{service, context_.wire.handle_address(handle)}].push_back(
         std::move(handle));
   }
   if (!release_.isActive()) release_.start(kReleaseDelay);
+}
+
+void StageDispatcher::ForgetHeld(const std::string& service,
+                                 const std::vector<std::string>& handles) {
+  Queue& queue = QueueOf(service);
+  for (auto& [id, worker] : queue.workers) {
+    for (const std::string& handle : handles) worker.held.erase(handle);
+  }
   SchedulePump();
 }
 
+void StageDispatcher::OnInputsTaken(const std::shared_ptr<Call>& call) {
+  if (call->ended) return;
+  for (const QueuedPiece& piece : call->pieces) {
+    if (piece.events.on_inputs_taken) piece.events.on_inputs_taken();
+  }
+}
+
 void StageDispatcher::FlushReleases() {
   for (auto& [place, handles] : std::exchange(releases_, {})) {
     const auto& [service, address] = place;
@@ -389,10 +410,13 @@
     if (!holder) continue;
     auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
     http::ExchangeEvents events;
-    events.on_end = [exchange] { exchange->reset(); };
-    events.on_failure = [exchange](http::ExchangeFailure) {
+    // Their room counts as taken until the holder has answered.
+    const auto end = [this, exchange, service = service, handles = handles] {
       exchange->reset();
+      ForgetHeld(service, handles);
     };
+    events.on_end = end;
+    events.on_failure = [end](http::ExchangeFailure) { end(); };
     *exchange = context_.client.Send(
         holder, context_.wire.encode_release(address, handles),
         std::move(events));
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -30,7 +30,7 @@
 struct StageRouter::Pending {
   std::string service;
   stages::Piece piece;
-  stages::PieceCallback done;
+  stages::PieceEvents events;
   std::string owner;  ///< Empty: our own dispatcher.
   uint64_t local_ticket = 0;
 };
@@ -112,11 +112,11 @@
 }
 
 uint64_t StageRouter::Submit(const std::string& service, stages::Piece piece,
-                             stages::PieceCallback done) {
+                             stages::PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
   pending_.emplace(ticket, Pending{.service = service,
                                    .piece = std::move(piece),
-                                   .done = std::move(done),
+                                   .events = std::move(events),
                                    .owner = {},
                                    .local_ticket = 0});
   Place(ticket);
@@ -135,15 +135,24 @@
   pending.owner.clear();
   pending.local_ticket = local_.Submit(
       pending.service, pending.piece,
-      [this, ticket](const PieceResult& result) { Done(ticket, result); });
+      {.on_inputs_taken = [this, ticket] { Taken(ticket); },
+       .on_done = [this, ticket](
+                      const PieceResult& result) { Done(ticket, result); }});
+}
+
+void StageRouter::Taken(uint64_t ticket) {
+  const auto it = pending_.find(ticket);
+  if (it == pending_.end()) return;
+  const auto callback = it->second.events.on_inputs_taken;
+  if (callback) callback();
 }
 
 void StageRouter::Done(uint64_t ticket, const PieceResult& result) {
   const auto it = pending_.find(ticket);
   if (it == pending_.end()) return;
-  const stages::PieceCallback done = std::move(it->second.done);
+  const auto callback = std::move(it->second.events.on_done);
   pending_.erase(it);
-  done(result);
+  callback(result);
 }
 
 void StageRouter::Cancel(const std::string& service, uint64_t ticket) {
@@ -172,6 +181,7 @@
                                   peer::Frame&& frame) {
   Instance& instance = instances_[name];
   instance.leaving = frame.leaving || instance.leaving;
+  for (const uint64_t ticket : frame.taken) Taken(ticket);
   for (const peer::PieceDone& done : frame.done) Done(done.ticket, done.result);
 }
 
@@ -237,15 +247,16 @@
     const std::string service = order.service;
     const uint64_t local_ticket = local_.Submit(
         service, std::move(order.piece),
-        [this, guest_id, ticket, service](const PieceResult& result) {
-          const auto it = guests_.find(guest_id);
-          if (it != guests_.end()) {
-            it->second->orders.erase(ticket);
-            it->second->link->outgoing().done.push_back({ticket, result});
-          } else if (result.failure == PieceFailure::kNone) {
-            local_.Release(service, {result.handle});
-          }
-        });
+        {.on_inputs_taken =
+             [this, guest_id, ticket] {
+               const auto it = guests_.find(guest_id);
+               if (it == guests_.end()) return;
+               it->second->link->outgoing().taken.push_back(ticket);
+             },
+         .on_done =
+             [this, guest_id, ticket, service](const PieceResult& result) {
+               GuestDone(guest_id, ticket, service, result);
+             }});
     guest.orders[ticket] = {service, local_ticket};
   }
   for (const uint64_t ticket : frame.cancelled) {
@@ -258,6 +269,19 @@
   }
 }
 
+void StageRouter::GuestDone(uint64_t guest_id, uint64_t ticket,
+                            const std::string& service,
+                            const PieceResult& result) {
+  const auto it = guests_.find(guest_id);
+  if (it != guests_.end()) {
+    it->second->orders.erase(ticket);
+    it->second->link->outgoing().done.push_back({ticket, result});
+  } else if (result.failure == PieceFailure::kNone) {
+    // Nobody is left who would use the result or release it.
+    local_.Release(service, {result.handle});
+  }
+}
+
 void StageRouter::OnGuestLost(uint64_t guest_id) {
   const auto it = guests_.find(guest_id);
   if (it == guests_.end()) return;
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -36,6 +36,7 @@
   uint64_t acknowledged = 0;  ///< Highest sequence seen.
   bool leaving = false;       ///< The sender has begun a planned stop.
   std::vector<PieceOrder> pieces;
+  std::vector<uint64_t> taken;  ///< Pieces whose inputs were fetched.
   std::vector<PieceDone> done;
   std::vector<uint64_t> cancelled;
   std::vector<ReleaseOrder> releases;
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -384,9 +384,10 @@
     VT_ACKNOWLEDGED = 8,
     VT_LEAVING = 10,
     VT_PIECES = 12,
-    VT_DONE = 14,
-    VT_CANCELLED = 16,
-    VT_RELEASES = 18
+    VT_TAKEN = 14,
+    VT_DONE = 16,
+    VT_CANCELLED = 18,
+    VT_RELEASES = 20
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -403,6 +404,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Piece>> *pieces() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Piece>> *>(VT_PIECES);
   }
+  const flatbuffers::Vector<uint64_t> *taken() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_TAKEN);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>> *done() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>> *>(VT_DONE);
   }
@@ -422,6 +426,8 @@
            VerifyOffset(verifier, VT_PIECES) &&
            verifier.VerifyVector(pieces()) &&
            verifier.VerifyVectorOfTables(pieces()) &&
+           VerifyOffset(verifier, VT_TAKEN) &&
+           verifier.VerifyVector(taken()) &&
            VerifyOffset(verifier, VT_DONE) &&
            verifier.VerifyVector(done()) &&
            verifier.VerifyVectorOfTables(done()) &&
@@ -453,6 +459,9 @@
   void add_pieces(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Piece>>> pieces) {
     fbb_.AddOffset(Frame::VT_PIECES, pieces);
   }
+  void add_taken(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> taken) {
+    fbb_.AddOffset(Frame::VT_TAKEN, taken);
+  }
   void add_done(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>> done) {
     fbb_.AddOffset(Frame::VT_DONE, done);
   }
@@ -480,6 +489,7 @@
     uint64_t acknowledged = 0,
     bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Piece>>> pieces = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> taken = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>> done = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cancelled = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>>> releases = 0) {
@@ -489,6 +499,7 @@
   builder_.add_releases(releases);
   builder_.add_cancelled(cancelled);
   builder_.add_done(done);
+  builder_.add_taken(taken);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
   builder_.add_leaving(leaving);
@@ -502,11 +513,13 @@
     uint64_t acknowledged = 0,
     bool leaving = false,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Piece>> *pieces = nullptr,
+    const std::vector<uint64_t> *taken = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>> *done = nullptr,
     const std::vector<uint64_t> *cancelled = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *releases = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
+  auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
   auto done__ = done ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>(*done) : 0;
   auto cancelled__ = cancelled ? _fbb.CreateVector<uint64_t>(*cancelled) : 0;
   auto releases__ = releases ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Release>>(*releases) : 0;
@@ -517,6 +530,7 @@
       acknowledged,
       leaving,
       pieces__,
+      taken__,
       done__,
       cancelled__,
       releases__);
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -104,13 +104,14 @@
   for (const ReleaseOrder& r : frame.releases) releases.push_back(Write(b, r));
   const auto sender = b.CreateString(frame.sender);
   const auto piece_list = b.CreateVector(pieces);
+  const auto taken = b.CreateVector(frame.taken);
   const auto done_list = b.CreateVector(done);
   const auto cancelled = b.CreateVector(frame.cancelled);
   const auto release_list = b.CreateVector(releases);
   wire::FinishFrameBuffer(
       b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
-                           frame.leaving, piece_list, done_list, cancelled,
-                           release_list));
+                           frame.leaving, piece_list, taken, done_list,
+                           cancelled, release_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -129,6 +130,9 @@
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
+  if (f.taken() != nullptr) {
+    std::ranges::copy(*f.taken(), std::back_inserter(frame.taken));
+  }
   if (f.done() != nullptr) {
     for (const auto* d : *f.done()) frame.done.push_back(Read(*d));
   }
--- /dev/null
+++ b/libs/peer/test/frame_test.cc
@@ -0,0 +1,88 @@
+#include "turmeric/peer/frame.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::peer::Decode;
+using turmeric::peer::Encode;
+using turmeric::peer::Frame;
+using turmeric::stages::Clock;
+using turmeric::stages::PieceFailure;
+
+namespace {
+
+Frame MakeFrame(Clock::time_point now) {
+  Frame frame;
+  frame.sender = "entry-1";
+  frame.sequence = 3;
+  frame.acknowledged = 2;
+  frame.pieces.push_back({.ticket = 7,
+                          .service = "registry",
+                          .piece = {.request_id = "r",
+                                    .stage = 2,
+                                    .index = 1,
+                                    .key = {},
+                                    .inputs = {"1.2.3.4:1/a", "1.2.3.4:1/b"},
+                                    .result_bytes = 6000,
+                                    .rank = 1,
+                                    .due = now + 900ms,
+                                    .deadline = now + 5000ms,
+                                    .zone = "zone-a"}});
+  frame.taken = {7};
+  frame.done.push_back(
+      {.ticket = 8,
+       .result = {
+           .failure = PieceFailure::kNoRoom, .handle = "h", .zone = "zone-b"}});
+  frame.cancelled = {9, 10};
+  frame.releases.push_back({.service = "portal", .handles = {"x", "y"}});
+  return frame;
+}
+
+}  // namespace
+
+TEST_CASE("a frame is read as it was written") {
+  const Clock::time_point now = Clock::now();
+  const auto frame = Decode(Encode(MakeFrame(now), now), now);
+  REQUIRE(frame);
+  REQUIRE(frame->sender == "entry-1");
+  REQUIRE(frame->sequence == 3);
+  REQUIRE(frame->acknowledged == 2);
+  REQUIRE(frame->pieces.size() == 1);
+  REQUIRE(frame->pieces[0].piece.inputs.size() == 2);
+  REQUIRE(frame->pieces[0].piece.due == now + 900ms);
+  REQUIRE(frame->taken == std::vector<uint64_t>{7});
+  REQUIRE(frame->done[0].result.failure == PieceFailure::kNoRoom);
+  REQUIRE(frame->cancelled == std::vector<uint64_t>{9, 10});
+  REQUIRE(frame->releases[0].handles == std::vector<std::string>{"x", "y"});
+}
+
+// Story: two instances' clocks differ by any amount. Times cross as what is
+// left, so a piece is due at the same distance on both.
+TEST_CASE("times are counted from when a frame arrives") {
+  const Clock::time_point now = Clock::now();
+  const auto later = now + 1h;
+  const auto frame = Decode(Encode(MakeFrame(now), now), later);
+  REQUIRE(frame);
+  REQUIRE(frame->pieces[0].piece.due == later + 900ms);
+}
+
+// Story: something that is no instance connects to the peer port, or bytes
+// are spoiled on the way. Whatever arrives, the process does not read beyond
+// it and does not end.
+TEST_CASE("spoiled frames are refused or read, never more") {
+  rc::prop("any change of a frame", [] {
+    const Clock::time_point now = Clock::now();
+    std::vector<uint8_t> bytes = Encode(MakeFrame(now), now);
+    const auto changes = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < changes; ++i) {
+      const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<uint8_t>();
+    }
+    const auto size = *rc::gen::inRange<size_t>(0, bytes.size() + 1);
+    (void)Decode(std::span(bytes).first(size), now);
+  });
+}
--- a/libs/stages/include/turmeric/stages/piece_queue.h
+++ b/libs/stages/include/turmeric/stages/piece_queue.h
@@ -11,14 +11,20 @@
 
 namespace turmeric::stages {
 
-/** Is told once what became of its piece. */
-using PieceCallback = std::function<void(const PieceResult&)>;
+/** Told of one piece's progress. */
+struct PieceEvents {
+  /** Its call has fetched its inputs; they need not be kept for it. May come
+   * more than once, if a call fails. */
+  std::function<void()> on_inputs_taken;
+  /** What became of it; once. */
+  std::function<void(const PieceResult&)> on_done;
+};
 
 /** A piece that waits for a call. */
 struct QueuedPiece {
   uint64_t ticket = 0;
   Piece piece;
-  PieceCallback done;
+  PieceEvents events;
   int sends = 0;  ///< Calls it was part of already.
 };
 
@@ -38,9 +44,9 @@
  */
 class PieceQueue {
  public:
-  /** @param piece the piece. @param done told what became of it.
+  /** @param piece the piece. @param events told of its progress.
    * @return a ticket for Cancel. */
-  uint64_t Push(Piece piece, PieceCallback done);
+  uint64_t Push(Piece piece, PieceEvents events);
   /** Puts back a piece that an upstream refused. */
   void PushBack(QueuedPiece piece);
   /** @param ticket from Push; unknown ones are ignored. */
--- a/libs/stages/include/turmeric/stages/stage_progress.h
+++ b/libs/stages/include/turmeric/stages/stage_progress.h
@@ -38,13 +38,18 @@
   std::vector<std::string> Inputs(int stage) const;
   /** @param stage a stage. @param index a piece. @param result its result. */
   void Complete(int stage, int index, const PieceResult& result);
+  /** A piece's call has taken its inputs. @param stage a stage. */
+  void InputsTaken(int stage) { ++stages_[static_cast<size_t>(stage)].taken; }
+  /** Begins again from the first stage; results held are forgotten. */
+  void Restart();
   /** @return true once every stage is complete. */
   bool done() const;
   /** @return handles of all results that no other stage takes. */
   std::vector<std::string> FinalInputs() const;
   /**
    * @return results that nothing needs any more and that were not returned
-   * before: those of stages whose followers are complete.
+   * before: those of stages whose followers are complete, or have taken
+   * them.
    */
   std::vector<ServiceResults> TakeUnneeded();
   /** @return every result held, and forgets them. */
@@ -60,12 +65,14 @@
   struct State {
     int pieces = 0;
     int missing = 0;
+    int taken = 0;  ///< Pieces whose inputs were taken by their call.
     bool started = false;
     bool released = false;
     std::vector<std::string> handles;
     std::string zone;
   };
   bool Complete(int stage) const;
+  bool NeedsInputs(int stage) const;
   bool HasFollower(int stage) const;
   /** The stages with pieces that `stage` takes results of. */
   std::vector<int> Sources(int stage) const;
--- a/libs/stages/src/piece_queue.cc
+++ b/libs/stages/src/piece_queue.cc
@@ -28,9 +28,9 @@
   return key;
 }
 
-uint64_t PieceQueue::Push(Piece piece, PieceCallback done) {
+uint64_t PieceQueue::Push(Piece piece, PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
-  waiting_.push_back({ticket, std::move(piece), std::move(done), 0});
+  waiting_.push_back({ticket, std::move(piece), std::move(events), 0});
   return ticket;
 }
 
--- a/libs/stages/src/stage_progress.cc
+++ b/libs/stages/src/stage_progress.cc
@@ -27,6 +27,21 @@
   return stages_[static_cast<size_t>(stage)].missing == 0;
 }
 
+bool StageProgress::NeedsInputs(int stage) const {
+  const State& state = stages_[static_cast<size_t>(stage)];
+  return state.missing > 0 && state.taken < state.pieces;
+}
+
+void StageProgress::Restart() {
+  for (State& state : stages_) {
+    const int pieces = state.pieces;
+    state = {};
+    state.pieces = pieces;
+    state.missing = pieces;
+    state.handles.resize(static_cast<size_t>(pieces));
+  }
+}
+
 std::vector<int> StageProgress::Sources(int stage) const {
   std::set<int> sources;
   for (const int before : specs_[static_cast<size_t>(stage)].after) {
@@ -118,7 +133,9 @@
     bool needed = false;
     for (int j = 0; j < static_cast<int>(stages_.size()); ++j) {
       if (stages_[static_cast<size_t>(j)].pieces == 0) continue;
-      if (std::ranges::count(Sources(j), i) > 0 && !Complete(j)) needed = true;
+      if (std::ranges::count(Sources(j), i) > 0 && NeedsInputs(j)) {
+        needed = true;
+      }
     }
     if (needed) continue;
     state.released = true;
--- a/libs/stages/test/piece_queue_test.cc
+++ b/libs/stages/test/piece_queue_test.cc
@@ -43,9 +43,9 @@
 
 TEST_CASE("a call takes what is due first, as many as fit") {
   PieceQueue queue;
-  queue.Push(MakePiece("later", 900ms), nullptr);
-  queue.Push(MakePiece("sooner", 500ms), nullptr);
-  queue.Push(MakePiece("last", 1200ms), nullptr);
+  queue.Push(MakePiece("later", 900ms), {});
+  queue.Push(MakePiece("sooner", 500ms), {});
+  queue.Push(MakePiece("last", 1200ms), {});
   REQUIRE(Ids(queue.TakeCall(Space(2), kNow)) ==
           std::vector<std::string>{"sooner", "later"});
   REQUIRE(queue.size() == 1);
@@ -53,8 +53,8 @@
 
 TEST_CASE("a lower rank waits behind a higher one that is due a little later") {
   PieceQueue queue;
-  queue.Push(MakePiece("chat", 600ms, 2), nullptr);
-  queue.Push(MakePiece("notice", 800ms, 0), nullptr);
+  queue.Push(MakePiece("chat", 600ms, 2), {});
+  queue.Push(MakePiece("notice", 800ms, 0), {});
   REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
           std::vector<std::string>{"notice"});
 }
@@ -64,16 +64,16 @@
 // its answer in time. Those that have missed their target yield.
 TEST_CASE("a piece that has missed its target yields to one that has not") {
   PieceQueue queue;
-  queue.Push(MakePiece("missed", 100ms), nullptr);
-  queue.Push(MakePiece("in time", 900ms), nullptr);
+  queue.Push(MakePiece("missed", 100ms), {});
+  queue.Push(MakePiece("in time", 900ms), {});
   REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
           std::vector<std::string>{"in time"});
 }
 
 TEST_CASE("a result that does not fit is passed over, a smaller one goes") {
   PieceQueue queue;
-  queue.Push(MakePiece("large", 500ms, 0, 5000), nullptr);
-  queue.Push(MakePiece("small", 900ms, 0, 100), nullptr);
+  queue.Push(MakePiece("large", 500ms, 0, 5000), {});
+  queue.Push(MakePiece("small", 900ms, 0, 100), {});
   REQUIRE(Ids(queue.TakeCall(Space(8, 1000), kNow)) ==
           std::vector<std::string>{"small"});
   REQUIRE(queue.size() == 1);
@@ -85,8 +85,8 @@
   wanted_elsewhere.zone = "zone-b";
   Piece wanted_here = MakePiece("here", 650ms, 0, 200000);
   wanted_here.zone = "zone-a";
-  queue.Push(wanted_elsewhere, nullptr);
-  queue.Push(wanted_here, nullptr);
+  queue.Push(wanted_elsewhere, {});
+  queue.Push(wanted_here, {});
   REQUIRE(Ids(queue.TakeCall(Space(1), kNow)) ==
           std::vector<std::string>{"here"});
 }
@@ -95,8 +95,8 @@
   PieceQueue queue;
   Piece hopeless = MakePiece("hopeless", -4800ms);
   hopeless.deadline = kNow + 200ms;
-  queue.Push(hopeless, nullptr);
-  queue.Push(MakePiece("fine", 500ms), nullptr);
+  queue.Push(hopeless, {});
+  queue.Push(MakePiece("fine", 500ms), {});
   REQUIRE(Ids(queue.TakeHopeless(300ms, kNow)) ==
           std::vector<std::string>{"hopeless"});
   REQUIRE(queue.size() == 1);
@@ -104,7 +104,7 @@
 
 TEST_CASE("a cancelled piece is in no call") {
   PieceQueue queue;
-  const auto ticket = queue.Push(MakePiece("gone", 500ms), nullptr);
+  const auto ticket = queue.Push(MakePiece("gone", 500ms), {});
   queue.Cancel(ticket);
   REQUIRE(queue.TakeCall(Space(8), kNow).empty());
 }
--- a/libs/stages/test/stage_progress_test.cc
+++ b/libs/stages/test/stage_progress_test.cc
@@ -100,3 +100,30 @@
   progress.Complete(3, 0, Made("i", "zone-c"));
   REQUIRE(progress.LargestResultZone() == "zone-b");
 }
+
+// Story: in a burst, calls carry half of what they could, though hundreds of
+// pieces wait: the upstreams' memory is full of results that were fetched
+// long ago. Results must be given up as soon as every call that needs them
+// has fetched them, not when those calls end.
+TEST_CASE("results are released once their followers have fetched them") {
+  const std::vector<int> pieces = {1, 2, 1};
+  StageProgress progress(kChain, pieces);
+  progress.TakeReady();
+  CompleteAll(progress, 0);
+  progress.TakeReady();
+  progress.InputsTaken(1);
+  REQUIRE(progress.TakeUnneeded().empty());
+  progress.InputsTaken(1);
+  REQUIRE(progress.TakeUnneeded().size() == 1);
+}
+
+TEST_CASE("a restart begins with the first stage and no results") {
+  const std::vector<int> pieces = {1, 1, 1};
+  StageProgress progress(kChain, pieces);
+  progress.TakeReady();
+  CompleteAll(progress, 0);
+  progress.Restart();
+  REQUIRE(progress.TakeReady() == std::vector<int>{0});
+  REQUIRE(progress.TakeAll().empty());
+  REQUIRE_FALSE(progress.done());
+}
