--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -40,7 +40,7 @@
 constexpr milliseconds kLeastForRestart{800};
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
-constexpr milliseconds kInputFetchTime{120};
+constexpr milliseconds kInputFetchTime{50};
 /** Longest answer held in memory, bytes; a larger one is an error. */
 constexpr size_t kMaxAnswer = 8 * 1024 * 1024;
 /** Unsent bytes of a slow reader at which its upstream is held back, and
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -33,7 +33,7 @@
 constexpr std::chrono::milliseconds kReleaseDelay{10};
 /** Time after a call's start by which its upstream has fetched the inputs:
  * some megabytes over links of 10 Gbit/s, and the way there. */
-constexpr std::chrono::milliseconds kFetchTime{80};
+constexpr std::chrono::milliseconds kFetchTime{50};
 /** A queue whose upstreams are all avoided is looked at again after this. */
 constexpr std::chrono::milliseconds kRepump{50};
 
