Placement: sessions of one shared part on few engines, pieces in the zone of their inputs

Change: 6 engines a shared part, reading again counts twice; a piece prefers the zone of its inputs, a large result the zone of its engine, and waits for it while it has a call's time to spare and no more wait than one call holds.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -14,6 +14,7 @@
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
 #include "turmeric/http/server_connection.h"
+#include "turmeric/routing/choice.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece_queue.h"
@@ -59,7 +60,10 @@
   void ReleaseAll();
   // One send.
   void SendToUpstream();
+  routing::ChoiceRequest Wanted() const;
   routing::UpstreamPtr Choose();
+  /** Where a stage's pieces are best made; empty: anywhere. */
+  std::string ZoneFor(int stage) const;
   http::ExchangeEvents AnswerEvents();
   bool OnHead(const http::ResponseHead& head);
   void OnBody(std::string_view bytes);
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -52,6 +52,8 @@
 constexpr milliseconds kComeBackLater{500};
 /** Waiting that a large stage result in another zone is worth, ms. */
 constexpr double kLargeInputZoneMs = 150;
+/** Results of this size are made in the zone of the engine, bytes. */
+constexpr int64_t kPlacedResult = 500 * 1000;
 /** Waiting that another zone is worth otherwise, ms: the way there and
  * back. */
 constexpr double kOtherZoneMs = 2;
@@ -147,6 +149,7 @@
       static_cast<int64_t>(request_.prompt_tokens / kPromptTokensPerMs));
   const auto rest =
       stages_->StagesAfter(stage) * kStageStep + prompt_time + kFirstEvent;
+  const std::string zone = ZoneFor(stage);
   for (int index = 0; index < stages_->pieces(stage); ++index) {
     stages::Piece piece;
     piece.request_id = request_.attempt_id;
@@ -158,7 +161,7 @@
     piece.rank = rank_;
     piece.due = arrived_ + route_->latency_target - rest;
     piece.deadline = limit_ - rest;
-    piece.zone = context_.settings.zone;
+    piece.zone = zone;
     const uint64_t ticket = context_.stages->Submit(
         spec.service, std::move(piece), PieceEventsFor(stage, index));
     open_pieces_.push_back({spec.service, ticket});
@@ -254,25 +257,48 @@
 
 // One send.
 
-routing::UpstreamPtr RequestRun::Choose() {
-  const std::string zone = stages_->LargestResultZone();
+routing::ChoiceRequest RequestRun::Wanted() const {
   routing::ChoiceRequest wanted;
-  std::string affinity;
-  if (route_->carries_prompt && !request_.prompt.empty()) {
-    // The last part is the request's own; the one before it is its session.
-    const size_t parts = request_.prompt.size();
-    affinity = request_.prompt[parts > 1 ? parts - 2 : 0].id;
-    wanted.affinity_key = affinity;
-    wanted.prompt_ms = request_.prompt_tokens / kPromptTokensPerMs;
-  }
-  wanted.zone = zone.empty() ? context_.settings.zone : zone;
-  wanted.zone_cost_ms = zone.empty() ? kOtherZoneMs : kLargeInputZoneMs;
-  if (route_->carries_prompt && zone.empty()) wanted.zone = {};
   wanted.tried = tried_;
+  if (!route_->carries_prompt) return wanted;
+  wanted.has_prompt = true;
+  // Parts in order: shared by many, by a session, the request's own.
+  const std::vector<PromptPart>& prompt = request_.prompt;
+  if (prompt.empty()) return wanted;
+  wanted.shared_part = prompt.front().id;
+  wanted.session_part = prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
+  wanted.shared_ms = prompt.front().tokens / kPromptTokensPerMs;
+  for (size_t i = 1; i + 1 < prompt.size(); ++i) {
+    wanted.session_ms += prompt[i].tokens / kPromptTokensPerMs;
+  }
+  return wanted;
+}
+
+routing::UpstreamPtr RequestRun::Choose() {
+  routing::ChoiceRequest wanted = Wanted();
+  const std::string results_zone = stages_->FinalInputsZone();
+  if (!results_zone.empty()) {
+    wanted.zone = results_zone;
+    wanted.zone_cost_ms = kLargeInputZoneMs;
+  } else if (!route_->carries_prompt) {
+    wanted.zone = context_.settings.zone;
+    wanted.zone_cost_ms = kOtherZoneMs;
+  }
   return ChooseUpstream(context_.upstreams.ForService(service_), wanted,
                         Clock::now());
 }
 
+std::string RequestRun::ZoneFor(int stage) const {
+  const std::string inputs_zone = stages_->InputsZone(stage);
+  if (!inputs_zone.empty()) return inputs_zone;
+  const routing::StageSpec& spec = route_->stages[static_cast<size_t>(stage)];
+  if (spec.result_bytes < kPlacedResult) return {};
+  // Large results are best made where the engine that will read them is.
+  const auto home = HomeUpstream(context_.upstreams.ForService(service_),
+                                 Wanted(), Clock::now());
+  return home ? home->entry.zone : context_.settings.zone;
+}
+
 void RequestRun::SendToUpstream() {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   upstream_ = Choose();
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -195,11 +195,13 @@
   FailHopeless(queue, CallTime(limits, 1));
   const Clock::time_point now = Clock::now();
   std::vector<UpstreamPtr> free;
+  std::vector<std::string> zones;
   bool any_listed = false;
   for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
     if (!IsListed(*u, now)) continue;
     any_listed = true;
     if (IsAvoided(*u, now)) continue;
+    zones.push_back(u->entry.zone);
     if (WorkerOf(queue, u).calls < limits.slots) free.push_back(u);
   }
   if (!any_listed) return FailAll(queue, PieceFailure::kNoUpstream);
@@ -216,6 +218,7 @@
     std::vector<QueuedPiece> call = queue.pieces.TakeCall(
         {.pieces = limits.batch,
          .room_bytes = room,
+         .other_zones = zones,
          .zone = u->entry.zone,
          .call_time = CallTime(limits, static_cast<size_t>(limits.batch) / 2)},
         now);
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -13,10 +13,16 @@
 
 /** What is known of a request when its upstream is chosen. */
 struct ChoiceRequest {
-  /** Groups requests that share cached prompt parts; empty: no affinity. */
-  std::string_view affinity_key;
-  /** Expected time to read its prompt if nothing is cached, ms. */
-  double prompt_ms = 0;
+  /** The first part of its prompt, which many requests share; empty: no
+   * affinity. */
+  std::string_view shared_part;
+  /** The part it shares with its session only; empty: none. */
+  std::string_view session_part;
+  /** Time to read the shared part and the session part if not cached, ms. */
+  double shared_ms = 0;
+  double session_ms = 0;
+  /** True for requests with a prompt: load is prompt reading. */
+  bool has_prompt = false;
   /** Preferred availability zone; empty: none. */
   std::string_view zone;
   /** Cost of serving from another zone, in ms of waiting it is worth. */
@@ -26,10 +32,11 @@
 };
 
 /**
- * Chooses an upstream for a request. Requests with the same affinity key go
- * to the same upstream while it is not much more loaded than the best other
- * (rendezvous hashing with a bounded load); others go to the least loaded.
- * Avoided upstreams are used only when no other is left.
+ * Chooses an upstream for a request. Requests of one session go to the same
+ * upstream, and those that share the first part of their prompt to a few,
+ * while these are not much more loaded than the others (rendezvous hashing
+ * with a bounded load); others go to the least loaded. Avoided upstreams are
+ * used only when no other is left.
  * @param upstreams of the service. @param request what is known of it.
  * @param now the time.
  * @return the choice, or nullptr if no listed upstream is left.
@@ -37,6 +44,15 @@
 UpstreamPtr ChooseUpstream(std::span<const UpstreamPtr> upstreams,
                            const ChoiceRequest& request, Clock::time_point now);
 
+/**
+ * @param upstreams of the service. @param request what is known of it.
+ * @param now the time.
+ * @return the upstream that would serve the request if all were idle, or
+ *     nullptr if it has no affinity or none is usable.
+ */
+UpstreamPtr HomeUpstream(std::span<const UpstreamPtr> upstreams,
+                         const ChoiceRequest& request, Clock::time_point now);
+
 /**
  * @param key any key. @param member one of the candidates.
  * @return the member's rendezvous weight for the key; the highest wins.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -1,15 +1,20 @@
 #include "turmeric/routing/choice.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 
 namespace turmeric::routing {
 
 namespace {
 
-/** Share of a prompt that an upstream with the cached prefix still reads,
- * estimated: the request's own part of a typical prompt. */
-constexpr double kColdShare = 0.6;
+/** How much dearer reading a part again is than the time it takes: the
+ * engine's other requests wait for it too. Measured: at 1, 6 % of all prompt
+ * tokens were shared parts read again. */
+constexpr double kReadAgainFactor = 2.0;
+/** Upstreams that share a first part: enough for a burst of its requests,
+ * few enough that not every engine reads every part. */
+constexpr size_t kGroupSize = 6;
 /** Waiting that one open request adds for a new one on an engine, ms: the
  * engine's step grows a little with each. */
 constexpr double kInFlightMs = 2.0;
@@ -34,7 +39,7 @@
 /** Waiting a request would meet, in ms; also used for plain services, where
  * an open request costs its share of the measured latency. */
 double LoadCost(const Upstream& u, const ChoiceRequest& request) {
-  if (request.prompt_ms > 0) {
+  if (request.has_prompt) {
     return u.pending_prompt_ms + kInFlightMs * u.in_flight;
   }
   const double busy =
@@ -48,55 +53,77 @@
   return Hash(member, Hash(key, 0));
 }
 
-UpstreamPtr ChooseUpstream(std::span<const UpstreamPtr> upstreams,
-                           const ChoiceRequest& request,
-                           Clock::time_point now) {
+namespace {
+
+/** What may be chosen from, and who holds the request's prompt parts. */
+struct Candidates {
   std::vector<UpstreamPtr> usable;
+  std::vector<UpstreamPtr> group;  ///< Hold the shared part.
+  UpstreamPtr home;                ///< Holds the session's part.
+};
+
+Candidates FindCandidates(std::span<const UpstreamPtr> upstreams,
+                          const ChoiceRequest& request, Clock::time_point now) {
+  Candidates found;
   std::vector<UpstreamPtr> avoided;
   for (const UpstreamPtr& u : upstreams) {
     if (!IsListed(*u, now) || Tried(request.tried, u->entry.id)) continue;
-    (IsAvoided(*u, now) ? avoided : usable).push_back(u);
-  }
-  if (usable.empty()) usable = std::move(avoided);
-  if (usable.empty()) return nullptr;
-  const UpstreamPtr* home = nullptr;
-  uint64_t best_weight = 0;
-  if (!request.affinity_key.empty()) {
-    // Homes are drawn within the preferred zone where there is one.
-    for (const bool same_zone : {true, false}) {
-      for (const UpstreamPtr& u : usable) {
-        if (same_zone && !request.zone.empty() &&
-            u->entry.zone != request.zone) {
-          continue;
-        }
-        const uint64_t w = RendezvousWeight(request.affinity_key, u->entry.id);
-        if (home == nullptr || w > best_weight) {
-          home = &u;
-          best_weight = w;
-        }
-      }
-      if (home != nullptr) break;
-    }
+    (IsAvoided(*u, now) ? avoided : found.usable).push_back(u);
   }
-  const UpstreamPtr* best = nullptr;
+  if (found.usable.empty()) found.usable = std::move(avoided);
+  if (request.shared_part.empty()) return found;
+  found.group = found.usable;
+  const auto weight = [&](std::string_view key) {
+    return [key](const UpstreamPtr& u) {
+      return RendezvousWeight(key, u->entry.id);
+    };
+  };
+  std::ranges::sort(found.group, std::ranges::greater(),
+                    weight(request.shared_part));
+  if (found.group.size() > kGroupSize) found.group.resize(kGroupSize);
+  const auto home =
+      std::ranges::max_element(found.group, {}, weight(request.session_part));
+  if (home != found.group.end()) found.home = *home;
+  return found;
+}
+
+double ReadCost(const Candidates& found, const ChoiceRequest& request,
+                const UpstreamPtr& upstream) {
+  if (!found.home || upstream == found.home) return 0;
+  const bool in_group = std::ranges::count(found.group, upstream) > 0;
+  return kReadAgainFactor *
+         (request.session_ms + (in_group ? 0 : request.shared_ms));
+}
+
+}  // namespace
+
+UpstreamPtr HomeUpstream(std::span<const UpstreamPtr> upstreams,
+                         const ChoiceRequest& request, Clock::time_point now) {
+  return FindCandidates(upstreams, request, now).home;
+}
+
+UpstreamPtr ChooseUpstream(std::span<const UpstreamPtr> upstreams,
+                           const ChoiceRequest& request,
+                           Clock::time_point now) {
+  const Candidates found = FindCandidates(upstreams, request, now);
+  UpstreamPtr best;
   double best_cost = std::numeric_limits<double>::max();
   uint64_t best_tie = 0;
-  for (const UpstreamPtr& u : usable) {
-    double cost = LoadCost(*u, request);
-    if (home != nullptr && u != *home) cost += kColdShare * request.prompt_ms;
+  for (const UpstreamPtr& u : found.usable) {
+    double cost = LoadCost(*u, request) + ReadCost(found, request, u);
     if (!request.zone.empty() && u->entry.zone != request.zone) {
       cost += request.zone_cost_ms;
     }
-    // Ties are broken differently for each upstream history, not by order.
+    // Ties are broken by a hash that changes with the load, not by order.
     const uint64_t tie =
         RendezvousWeight(std::to_string(u->in_flight), u->entry.id);
     if (cost < best_cost || (cost == best_cost && tie > best_tie)) {
-      best = &u;
+      best = u;
       best_cost = cost;
       best_tie = tie;
     }
   }
-  return *best;
+  return best;
 }
 
 }  // namespace turmeric::routing
--- a/libs/stages/include/turmeric/stages/piece.h
+++ b/libs/stages/include/turmeric/stages/piece.h
@@ -21,7 +21,9 @@
   int rank = 0;                     ///< Urgency class, 0 first.
   Clock::time_point due;       ///< When it should end for the latency target.
   Clock::time_point deadline;  ///< After this its result is worthless.
-  std::string zone;            ///< Where its result is best made; may be empty.
+  /** Where it is best made, by the bytes that would cross zones otherwise;
+   * empty: anywhere. */
+  std::string zone;
 };
 
 /** Why a piece was not made. */
--- a/libs/stages/include/turmeric/stages/piece_queue.h
+++ b/libs/stages/include/turmeric/stages/piece_queue.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <span>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -32,7 +33,9 @@
 struct CallSpace {
   int pieces = 1;          ///< Most pieces in the call.
   int64_t room_bytes = 0;  ///< Memory left for results.
-  std::string_view zone;   ///< The upstream's availability zone.
+  /** Zones in which other upstreams could take a piece. */
+  std::span<const std::string> other_zones;
+  std::string_view zone;  ///< The upstream's availability zone.
   std::chrono::milliseconds call_time{0};  ///< Estimate for a whole call.
 };
 
--- a/libs/stages/include/turmeric/stages/stage_progress.h
+++ b/libs/stages/include/turmeric/stages/stage_progress.h
@@ -58,8 +58,12 @@
   int StagesAfter(int stage) const;
   /** @return length of the longest chain of stages not complete. */
   int StagesLeft() const;
-  /** @return zone of the largest results made, empty if none. */
-  std::string LargestResultZone() const;
+  /** @param stage a stage. @return where most of the bytes that its pieces
+   * need were made; empty if there are few. */
+  std::string InputsZone(int stage) const;
+  /** @return where most of the bytes that the request needs were made; empty
+   * if there are few. */
+  std::string FinalInputsZone() const;
 
  private:
   struct State {
@@ -74,6 +78,7 @@
   bool Complete(int stage) const;
   bool NeedsInputs(int stage) const;
   bool HasFollower(int stage) const;
+  std::string LargestZone(std::span<const int> stages) const;
   /** The stages with pieces that `stage` takes results of. */
   std::vector<int> Sources(int stage) const;
 
--- a/libs/stages/src/piece_queue.cc
+++ b/libs/stages/src/piece_queue.cc
@@ -12,11 +12,20 @@
 /** How much later a piece counts as due once its latency target is lost: a
  * late answer is worth a seventh of one in time. */
 constexpr std::chrono::milliseconds kMissedTarget{3000};
-/** How much later a large result counts as due at an upstream of another
- * zone than the one it is wanted in. */
+/** How much later a piece counts as due at an upstream of another zone than
+ * the one it is wanted in. */
 constexpr std::chrono::milliseconds kOtherZone{120};
-/** Results above this size are worth placing, bytes. */
-constexpr int64_t kLargeResult = 100 * 1000;
+/** A piece waits for an upstream of its zone while it has so much time to
+ * spare beyond a call: about one more call. */
+constexpr std::chrono::milliseconds kZoneWait{300};
+
+/** @return true if the piece had better wait for an upstream of its zone. */
+bool WaitsForItsZone(const Piece& piece, const CallSpace& space,
+                     Clock::time_point now) {
+  if (piece.zone.empty() || piece.zone == space.zone) return false;
+  if (std::ranges::count(space.other_zones, piece.zone) == 0) return false;
+  return now + space.call_time + kZoneWait < piece.due;
+}
 
 }  // namespace
 
@@ -48,10 +57,13 @@
   using Iterator = std::list<QueuedPiece>::iterator;
   std::vector<std::pair<Clock::time_point, Iterator>> order;
   order.reserve(waiting_.size());
+  // With more waiting than one call holds, an upstream that idles for the
+  // sake of zones costs more than it saves.
+  const bool may_wait = static_cast<int>(waiting_.size()) <= space.pieces;
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+    if (may_wait && WaitsForItsZone(it->piece, space, now)) continue;
     Clock::time_point key = Urgency(it->piece, space.call_time, now);
-    if (it->piece.result_bytes > kLargeResult && !it->piece.zone.empty() &&
-        it->piece.zone != space.zone) {
+    if (!it->piece.zone.empty() && it->piece.zone != space.zone) {
       key += kOtherZone;
     }
     order.emplace_back(key, it);
--- a/libs/stages/src/stage_progress.cc
+++ b/libs/stages/src/stage_progress.cc
@@ -10,6 +10,9 @@
 
 /** Results of this size fill an upstream's memory, bytes. */
 constexpr int64_t kLarge = 500 * 1000;
+/** Results that together are smaller than this are not worth placing: moving
+ * them between zones costs less than waiting for an upstream, bytes. */
+constexpr int64_t kWorthPlacing = 100 * 1000;
 
 }  // namespace
 
@@ -169,17 +172,30 @@
   return longest;
 }
 
-std::string StageProgress::LargestResultZone() const {
+std::string StageProgress::LargestZone(std::span<const int> stages) const {
   std::string zone;
-  int64_t largest = 0;
-  for (size_t i = 0; i < stages_.size(); ++i) {
-    const int64_t bytes = specs_[i].result_bytes * stages_[i].pieces;
-    if (bytes <= largest || stages_[i].zone.empty()) continue;
-    if (HasFollower(static_cast<int>(i))) continue;
+  int64_t largest = kWorthPlacing;
+  for (const int stage : stages) {
+    const State& state = stages_[static_cast<size_t>(stage)];
+    const int64_t bytes =
+        specs_[static_cast<size_t>(stage)].result_bytes * state.pieces;
+    if (bytes < largest || state.zone.empty()) continue;
     largest = bytes;
-    zone = stages_[i].zone;
+    zone = state.zone;
   }
   return zone;
 }
 
+std::string StageProgress::InputsZone(int stage) const {
+  return LargestZone(Sources(stage));
+}
+
+std::string StageProgress::FinalInputsZone() const {
+  std::vector<int> last;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (!HasFollower(i)) last.push_back(i);
+  }
+  return LargestZone(last);
+}
+
 }  // namespace turmeric::stages
--- a/libs/stages/test/piece_queue_test.cc
+++ b/libs/stages/test/piece_queue_test.cc
@@ -79,6 +79,27 @@
   REQUIRE(queue.size() == 1);
 }
 
+// Story: a piece whose inputs lie in another zone is taken by the first
+// upstream that is free, and its inputs cross zones, though an upstream of
+// their zone would have been free in time. In a hurry it goes anywhere.
+TEST_CASE("a piece with time to spare waits for an upstream of its zone") {
+  const std::vector<std::string> zones = {"zone-a", "zone-b"};
+  CallSpace space = Space(8);
+  space.other_zones = zones;
+  for (const auto due : {2000ms, 400ms}) {
+    PieceQueue queue;
+    Piece piece = MakePiece("p", due);
+    piece.zone = "zone-b";
+    queue.Push(piece, {});
+    REQUIRE(queue.TakeCall(space, kNow).empty() == (due == 2000ms));
+  }
+  PieceQueue queue;
+  Piece piece = MakePiece("p", 2000ms);
+  piece.zone = "zone-without-upstreams";
+  queue.Push(piece, {});
+  REQUIRE(queue.TakeCall(space, kNow).size() == 1);
+}
+
 TEST_CASE("a large result waits a little for an upstream of its zone") {
   PieceQueue queue;
   Piece wanted_elsewhere = MakePiece("elsewhere", 600ms, 0, 200000);
@@ -108,3 +129,19 @@
   queue.Cancel(ticket);
   REQUIRE(queue.TakeCall(Space(8), kNow).empty());
 }
+
+// Story: one of four upstreams of a service has crashed in a burst. Pieces
+// wait for upstreams of their zone while others idle, the queue grows, and
+// the callers get late answers. With a queue, nobody idles.
+TEST_CASE("no upstream idles for zones while a queue waits") {
+  const std::vector<std::string> zones = {"zone-a", "zone-b"};
+  CallSpace space = Space(4);
+  space.other_zones = zones;
+  PieceQueue queue;
+  for (int i = 0; i < 6; ++i) {
+    Piece piece = MakePiece("p" + std::to_string(i), 2000ms);
+    piece.zone = "zone-b";
+    queue.Push(piece, {});
+  }
+  REQUIRE(queue.TakeCall(space, kNow).size() == 4);
+}
--- a/libs/stages/test/stage_progress_test.cc
+++ b/libs/stages/test/stage_progress_test.cc
@@ -93,12 +93,24 @@
   REQUIRE(progress.TakeReady() == std::vector<int>{0, 3});
 }
 
+// Story: each piece of the last stage fetches all results of the stage before,
+// a few hundred kilobytes. Made in another zone, they cross it once a piece,
+// and the bill for bytes between zones exceeds that for everything else.
+TEST_CASE("the zone of a stage's inputs is known if they are many bytes") {
+  const std::vector<int> pieces = {1, 6, 3};
+  StageProgress progress(kChain, pieces);
+  progress.Complete(0, 0, Made("p", "zone-a"));
+  for (int i = 0; i < 6; ++i) progress.Complete(1, i, Made("b", "zone-b"));
+  REQUIRE(progress.InputsZone(1).empty());
+  REQUIRE(progress.InputsZone(2) == "zone-b");
+}
+
 TEST_CASE("the zone of the largest results is known") {
   const std::vector<int> pieces = {2, 1, 1, 1};
   StageProgress progress(kChainBesideLarge, pieces);
   progress.Complete(0, 0, Made("h", "zone-b"));
   progress.Complete(3, 0, Made("i", "zone-c"));
-  REQUIRE(progress.LargestResultZone() == "zone-b");
+  REQUIRE(progress.FinalInputsZone() == "zone-b");
 }
 
 // Story: in a burst, calls carry half of what they could, though hundreds of
