--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "turmeric/config/entry_settings.h"
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
@@ -27,6 +29,8 @@
   bool upstreams_known = false;  ///< Their list was read at least once.
   UpstreamClient client;
   RetryBudgets retries;
+  /** When a planned stop began; none: it has not. */
+  std::optional<routing::Clock::time_point> stopping_since;
   StageClient* stages = nullptr;
   EntryMetrics* metrics = nullptr;
 };
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -48,6 +48,7 @@
   using Clock = routing::Clock;
 
   bool Admit();
+  bool TakesNow() const;
   // Stages.
   void StartStages();
   void SubmitStage(int stage);
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -164,6 +164,7 @@
   if (std::exchange(draining_, true)) return;
   on_drained_ = std::move(done);
   drain_began_ = std::chrono::steady_clock::now();
+  context_.stopping_since = drain_began_;
   router_->Leave();
   utils::DecisionLog("stop_begins")
       .Add("open_requests", open_requests())
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "turmeric/entry/drain_policy.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/routing/choice.h"
@@ -48,6 +49,7 @@
 constexpr size_t kPauseAt = 256 * 1024;
 /** When to come back after a refusal: long enough for a queue to move on,
  * spread so that the refused do not all return at once. */
+constexpr milliseconds kComeBackAtOnce{10};
 constexpr milliseconds kComeBackSoon{150};
 constexpr milliseconds kComeBackLater{500};
 /** Waiting that a large stage result in another zone is worth, ms. */
@@ -120,6 +122,10 @@
     Fail(kNotFound, "no_route");
     return false;
   }
+  if (!TakesNow()) {
+    Refuse("stopping", kComeBackAtOnce);
+    return false;
+  }
   rank_ = route_->priority;
   const auto holder = table_->organisation_by_key.find(request_.key);
   if (holder != table_->organisation_by_key.end()) {
@@ -136,6 +142,15 @@
   return true;
 }
 
+bool RequestRun::TakesNow() const {
+  if (!context_.stopping_since) return true;
+  const bool is_long =
+      route_->kind == RequestKind::kStream || !route_->stages.empty();
+  const auto since = std::chrono::duration_cast<milliseconds>(
+      arrived_ - *context_.stopping_since);
+  return TakesWhileStopping(is_long, since, context_.settings.stop_grace);
+}
+
 // Stages.
 
 void RequestRun::StartStages() {
--- /dev/null
+++ b/libs/entry/test/drain_policy_test.cc
@@ -0,0 +1,24 @@
+#include "turmeric/entry/drain_policy.h"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::entry::TakesWhileStopping;
+
+// Story: an instance got SIGTERM seven seconds ago; a caller's connection is
+// still open, and a stream begins on it. A second later the process exits in
+// the middle of the stream. Refused at once, the caller goes elsewhere.
+TEST_CASE("a stream is not begun shortly before the process ends") {
+  REQUIRE_FALSE(TakesWhileStopping(true, 6600ms, 8000ms));
+  REQUIRE_FALSE(TakesWhileStopping(true, 3100ms, 8000ms));
+}
+
+TEST_CASE("right after the signal everything is taken") {
+  REQUIRE(TakesWhileStopping(true, 0ms, 8000ms));
+  REQUIRE(TakesWhileStopping(true, 2000ms, 8000ms));
+  REQUIRE(TakesWhileStopping(false, 5000ms, 8000ms));
+}
+
+TEST_CASE("a short request is taken for longer, but not to the end") {
+  REQUIRE_FALSE(TakesWhileStopping(false, 7000ms, 8000ms));
+}
