Peers: a reset link is tried again; no work is begun where the next stage is backed up

Ruled out: clock steps (all times are from the steady clock). Change: PieceHost (split from StageRouter) keeps a guest's pieces for 1 s under its name and start; a link that was heard is tried again before the next owner; owners tell their backlog on every frame, and a piece whose following services have 3 calls waiting for each upstream is not begun.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "turmeric/config/entry_settings.h"
+#include "turmeric/entry/backlog_board.h"
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
 #include "turmeric/entry/upstream_client.h"
@@ -29,6 +30,7 @@
   bool upstreams_known = false;  ///< Their list was read at least once.
   UpstreamClient client;
   RetryBudgets retries;
+  BacklogBoard backlogs;  ///< Of stage services that others own.
   /** When a planned stop began; none: it has not. */
   std::optional<routing::Clock::time_point> stopping_since;
   StageClient* stages = nullptr;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -15,6 +15,7 @@
 namespace turmeric::entry {
 
 class InstanceDirectory;
+class PieceHost;
 class StageDispatcher;
 class StageRouter;
 class TopologyFeed;
@@ -64,6 +65,7 @@
   EntryContext context_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
+  std::unique_ptr<PieceHost> host_;
   std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
   std::unique_ptr<http::Listener> front_;
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "turmeric/http/listener.h"
+#include "turmeric/peer/peer_link.h"
+
+namespace turmeric::entry {
+
+class StageDispatcher;
+
+/**
+ * Takes pieces from other instances and has our dispatcher make them. An
+ * instance whose connection breaks may come back within a moment and finds
+ * its pieces where they were: a reset does not make them anew.
+ */
+class PieceHost : public QObject {
+ public:
+  /** Told that an instance has connected or said that it is leaving. */
+  using SeenCallback =
+      std::function<void(const std::string& name, bool leaving)>;
+
+  /** @param local our dispatcher; must outlive this. @param on_seen see
+   * SeenCallback. */
+  PieceHost(StageDispatcher& local, SeenCallback on_seen);
+  ~PieceHost() override;
+
+  /** @param address "ip:port" where other instances reach us.
+   * @return kIniInvalid if it cannot be bound. */
+  utils::Result<void> Listen(const std::string& address);
+  /** A planned stop: guests are told to go elsewhere. */
+  void Leave();
+
+ private:
+  struct Guest;
+
+  void Accept(int fd);
+  void OnFrame(peer::PeerLink* link, peer::Frame&& frame);
+  void OnLost(peer::PeerLink* link);
+  Guest& GuestOf(peer::PeerLink* link, const std::string& identity);
+  void Take(const std::string& identity, Guest& guest,
+            peer::PieceOrder&& order);
+  void CancelOrder(Guest& guest, uint64_t ticket);
+  void OnDone(const std::string& identity, uint64_t ticket,
+              const std::string& service, const stages::PieceResult& result);
+  void DropAbsent();
+  void AddBacklogs(peer::Frame& frame) const;
+
+  StageDispatcher& local_;
+  SeenCallback on_seen_;
+  std::unique_ptr<http::Listener> listener_;
+  std::map<std::string, std::unique_ptr<Guest>> guests_;  ///< By identity.
+  std::unordered_map<peer::PeerLink*, std::string> identity_of_;
+  QTimer drop_absent_;
+  bool leaving_ = false;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/stage_client.h
+++ b/libs/entry/include/turmeric/entry/stage_client.h
@@ -19,10 +19,13 @@
    */
   virtual uint64_t Submit(const std::string& service, stages::Piece piece,
                           stages::PieceEvents events) = 0;
-  /** The piece is no longer wanted. It is dropped unless a call with it is
-   * in progress; then it still ends.
-   * @param service as submitted. @param ticket from Submit. */
-  virtual void Cancel(const std::string& service, uint64_t ticket) = 0;
+  /**
+   * The piece is no longer wanted. A call with it that is in progress goes on.
+   * @param service as submitted. @param ticket from Submit.
+   * @return true if it ends here without another event; false if its end is
+   *     still told, and its result must then be released.
+   */
+  virtual bool Cancel(const std::string& service, uint64_t ticket) = 0;
   /** @param service the results' service. @param handles results that
    * nothing needs any more. */
   virtual void Release(const std::string& service,
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -29,11 +29,14 @@
 
   uint64_t Submit(const std::string& service, stages::Piece piece,
                   stages::PieceEvents events) override;
-  void Cancel(const std::string& service, uint64_t ticket) override;
+  bool Cancel(const std::string& service, uint64_t ticket) override;
   void Release(const std::string& service,
                std::vector<std::string> handles) override;
-  /** @param service a stage service. @return pieces waiting here for it. */
-  size_t waiting(const std::string& service) const;
+  /**
+   * @return for each service with a queue here, the calls that wait for each
+   *     of its upstreams.
+   */
+  std::map<std::string, double> Backlogs() const;
 
  private:
   struct Call;
@@ -44,6 +47,7 @@
   Worker& WorkerOf(Queue& queue, const routing::UpstreamPtr& upstream);
   bool CannotBeInTime(const std::string& service, Queue& queue,
                       const stages::Piece& piece);
+  std::vector<std::string> BackedUp() const;
   void SchedulePump();
   void Pump();
   void PumpQueue(const std::string& service, Queue& queue);
--- a/libs/entry/include/turmeric/entry/stage_router.h
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -9,7 +9,6 @@
 
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/stage_client.h"
-#include "turmeric/http/listener.h"
 #include "turmeric/peer/peer_link.h"
 
 namespace turmeric::entry {
@@ -31,17 +30,17 @@
   StageRouter(EntryContext& context, StageDispatcher& local);
   ~StageRouter() override;
 
-  /** @param address where other instances reach us.
-   * @return kIniInvalid if it cannot be bound. */
-  utils::Result<void> Listen(const std::string& address);
   /** @param addresses the fleet, ourselves included. */
   void SetInstances(const InstanceAddresses& addresses);
+  /** An instance has connected to us, or told that it leaves.
+   * @param name its name. @param leaving see above. */
+  void OnSeen(const std::string& name, bool leaving);
   /** A planned stop: others take over what we own. */
   void Leave();
 
   uint64_t Submit(const std::string& service, stages::Piece piece,
                   stages::PieceEvents events) override;
-  void Cancel(const std::string& service, uint64_t ticket) override;
+  bool Cancel(const std::string& service, uint64_t ticket) override;
   void Release(const std::string& service,
                std::vector<std::string> handles) override;
 
@@ -49,7 +48,6 @@
   using Clock = stages::Clock;
   struct Pending;
   struct Instance;
-  struct Guest;
 
   Instance* Owner(const std::string& service);
   peer::PeerLink& LinkTo(Instance& instance);
@@ -58,20 +56,14 @@
   void Done(uint64_t ticket, const stages::PieceResult& result);
   void OnInstanceFrame(const std::string& name, peer::Frame&& frame);
   void OnInstanceLost(const std::string& name, std::string_view why);
-  void AcceptGuest(int fd);
-  void OnGuestFrame(uint64_t guest_id, peer::Frame&& frame);
-  void GuestDone(uint64_t guest_id, uint64_t ticket, const std::string& service,
-                 const stages::PieceResult& result);
-  void OnGuestLost(uint64_t guest_id);
+  void MoveOn(const std::string& name, bool again_there);
 
   EntryContext& context_;
+  std::string identity_;  ///< Our name and which start of it this is.
   StageDispatcher& local_;
-  std::unique_ptr<http::Listener> listener_;
   std::map<std::string, Instance> instances_;  ///< By name, without us.
   std::unordered_map<uint64_t, Pending> pending_;
-  std::unordered_map<uint64_t, std::unique_ptr<Guest>> guests_;
   uint64_t next_ticket_ = 1;
-  uint64_t next_guest_ = 1;
   bool leaving_ = false;
 };
 
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "turmeric/entry/instance_directory.h"
+#include "turmeric/entry/piece_host.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
@@ -39,6 +40,11 @@
       context_(std::move(settings), link_.wire),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *dispatcher_)),
+      host_(std::make_unique<PieceHost>(
+          *dispatcher_,
+          [this](const std::string& name, bool leaving) {
+            router_->OnSeen(name, leaving);
+          })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)) {
   context_.metrics = &metrics_;
   context_.stages = router_.get();
@@ -82,7 +88,7 @@
     context_.retries.set_live_instances(1);
     return boost::outcome_v2::success();
   }
-  if (auto up = router_->Listen(s.peer_address); !up) return up;
+  if (auto up = host_->Listen(s.peer_address); !up) return up;
   directory_ = std::make_unique<InstanceDirectory>(
       *link_.source, link_.instances_kind, s.name, s.peer_address,
       [this](const InstanceAddresses& addresses) {
@@ -166,6 +172,7 @@
   drain_began_ = std::chrono::steady_clock::now();
   context_.stopping_since = drain_began_;
   router_->Leave();
+  host_->Leave();
   utils::DecisionLog("stop_begins")
       .Add("open_requests", open_requests())
       .Add("connections", callers_.size());
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -165,6 +165,7 @@
   const auto rest =
       stages_->StagesAfter(stage) * kStageStep + prompt_time + kFirstEvent;
   const std::string zone = ZoneFor(stage);
+  const auto next_services = stages_->ServicesAfter(stage);
   for (int index = 0; index < stages_->pieces(stage); ++index) {
     stages::Piece piece;
     piece.request_id = request_.attempt_id;
@@ -177,6 +178,7 @@
     piece.due = arrived_ + route_->latency_target - rest;
     piece.deadline = limit_ - rest;
     piece.zone = zone;
+    piece.next_services = next_services;
     const uint64_t ticket = context_.stages->Submit(
         spec.service, std::move(piece), PieceEventsFor(stage, index));
     open_pieces_.push_back({spec.service, ticket});
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -34,6 +34,10 @@
 /** Time after a call's start by which its upstream has fetched the inputs:
  * some megabytes over links of 10 Gbit/s, and the way there. */
 constexpr std::chrono::milliseconds kFetchTime{50};
+/** Calls waiting for each upstream of a service at which no more work for it
+ * is begun: what waits is then served within about a second, and
+ * results do not lie in memory for longer than they are kept. */
+constexpr double kBackedUpCalls = 3.0;
 /** A queue whose upstreams are all avoided is looked at again after this. */
 constexpr std::chrono::milliseconds kRepump{50};
 
@@ -108,9 +112,31 @@
   return worker;
 }
 
-size_t StageDispatcher::waiting(const std::string& service) const {
-  const auto it = queues_.find(service);
-  return it == queues_.end() ? 0 : it->second->pieces.size();
+std::map<std::string, double> StageDispatcher::Backlogs() const {
+  std::map<std::string, double> backlogs;
+  if (!context_.table) return backlogs;
+  for (const auto& [service, queue] : queues_) {
+    const routing::ServiceSpec* spec = context_.table->FindService(service);
+    const auto upstreams = context_.upstreams.ForService(service).size();
+    if (spec == nullptr || !spec->stage || upstreams == 0) continue;
+    const double a_call_each = static_cast<double>(
+        upstreams * static_cast<size_t>(spec->stage->batch));
+    backlogs[service] = static_cast<double>(queue->pieces.size()) / a_call_each;
+  }
+  return backlogs;
+}
+
+std::vector<std::string> StageDispatcher::BackedUp() const {
+  std::map<std::string, double> backlogs =
+      context_.backlogs.Fresh(Clock::now());
+  for (const auto& [service, calls] : Backlogs()) {
+    backlogs[service] = std::max(backlogs[service], calls);
+  }
+  std::vector<std::string> backed_up;
+  for (const auto& [service, calls] : backlogs) {
+    if (calls > kBackedUpCalls) backed_up.push_back(service);
+  }
+  return backed_up;
 }
 
 bool StageDispatcher::CannotBeInTime(const std::string& service, Queue& queue,
@@ -151,10 +177,9 @@
   return ticket;
 }
 
-void StageDispatcher::Cancel(const std::string& service, uint64_t ticket) {
+bool StageDispatcher::Cancel(const std::string& service, uint64_t ticket) {
   const auto it = queues_.find(service);
-  if (it == queues_.end()) return;
-  it->second->pieces.Cancel(ticket);
+  return it != queues_.end() && it->second->pieces.Cancel(ticket);
 }
 
 // One pump for all that one turn of the event loop brings, so that the
@@ -208,6 +233,7 @@
   std::ranges::sort(free, {}, [](const UpstreamPtr& u) {
     return std::pair(u->latency_ms, u->entry.id);
   });
+  const std::vector<std::string> backed_up = BackedUp();
   for (const UpstreamPtr& u : free) {
     if (queue.pieces.size() == 0) return;
     Worker& worker = WorkerOf(queue, u);
@@ -219,6 +245,7 @@
         {.pieces = limits.batch,
          .room_bytes = room,
          .other_zones = zones,
+         .backed_up = backed_up,
          .zone = u->entry.zone,
          .call_time = CallTime(limits, static_cast<size_t>(limits.batch) / 2)},
         now);
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
+#include "turmeric/utils/random_id.h"
 
 namespace turmeric::entry {
 
@@ -23,6 +24,8 @@
 /** Fleet size assumed for the retry budget before the list is read: above
  * the fleets in use, so that too little is spent, not too much. */
 constexpr int kUnknownFleet = 16;
+/** Enough to tell two starts of one instance apart. */
+constexpr size_t kIdentityDigits = 8;
 
 }  // namespace
 
@@ -31,7 +34,8 @@
   std::string service;
   stages::Piece piece;
   stages::PieceEvents events;
-  std::string owner;  ///< Empty: our own dispatcher.
+  std::string owner;     ///< Empty: our own dispatcher.
+  bool reached = false;  ///< It was handed to an instance that answered.
   uint64_t local_ticket = 0;
 };
 
@@ -44,30 +48,16 @@
   bool leaving = false;
 };
 
-/** An instance that has connected to us, and its pieces here. */
-struct StageRouter::Guest {
-  peer::PeerLink* link = nullptr;
-  std::string name;
-  struct Order {
-    std::string service;
-    uint64_t local_ticket = 0;
-  };
-  std::unordered_map<uint64_t, Order> orders;  ///< By its ticket.
-};
-
 StageRouter::StageRouter(EntryContext& context, StageDispatcher& local)
-    : context_(context), local_(local) {
+    : context_(context),
+      local_(local),
+      identity_(context.settings.name + "#" +
+                utils::RandomHex(kIdentityDigits)) {
   context_.retries.set_live_instances(kUnknownFleet);
 }
 
 StageRouter::~StageRouter() = default;
 
-utils::Result<void> StageRouter::Listen(const std::string& address) {
-  listener_ =
-      std::make_unique<http::Listener>([this](int fd) { AcceptGuest(fd); });
-  return listener_->Listen(http::ParseEndpoint(address));
-}
-
 void StageRouter::SetInstances(const InstanceAddresses& addresses) {
   for (const auto& [name, address] : addresses) {
     if (name == context_.settings.name) continue;
@@ -99,7 +89,7 @@
 peer::PeerLink& StageRouter::LinkTo(Instance& instance) {
   if (instance.link == nullptr) {
     instance.link = new peer::PeerLink(
-        http::ParseEndpoint(instance.address), context_.settings.name,
+        http::ParseEndpoint(instance.address), identity_,
         {.on_frame =
              [this, name = instance.name](peer::Frame&& frame) {
                OnInstanceFrame(name, std::move(frame));
@@ -118,6 +108,7 @@
                                    .piece = std::move(piece),
                                    .events = std::move(events),
                                    .owner = {},
+                                   .reached = false,
                                    .local_ticket = 0});
   Place(ticket);
   return ticket;
@@ -128,8 +119,9 @@
   Instance* owner = Owner(pending.service);
   if (owner != nullptr) {
     pending.owner = owner->name;
-    LinkTo(*owner).outgoing().pieces.push_back(
-        {ticket, pending.service, pending.piece});
+    peer::PeerLink& link = LinkTo(*owner);
+    pending.reached = pending.reached || link.heard();
+    link.outgoing().pieces.push_back({ticket, pending.service, pending.piece});
     return;
   }
   pending.owner.clear();
@@ -155,19 +147,20 @@
   callback(result);
 }
 
-void StageRouter::Cancel(const std::string& service, uint64_t ticket) {
+bool StageRouter::Cancel(const std::string& service, uint64_t ticket) {
   const auto it = pending_.find(ticket);
-  if (it == pending_.end()) return;
-  const Pending& pending = it->second;
-  if (pending.owner.empty()) {
-    // One that is part of a call still ends through Done, which releases
-    // its result.
-    return local_.Cancel(service, pending.local_ticket);
-  }
-  const auto owner = instances_.find(pending.owner);
-  if (owner != instances_.end() && owner->second.link != nullptr) {
-    owner->second.link->outgoing().cancelled.push_back(ticket);
+  if (it == pending_.end()) return true;
+  if (it->second.owner.empty()) {
+    if (!local_.Cancel(service, it->second.local_ticket)) return false;
+  } else {
+    // The owner releases the result, should a call with it be in progress.
+    const auto owner = instances_.find(it->second.owner);
+    if (owner != instances_.end() && owner->second.link != nullptr) {
+      owner->second.link->outgoing().cancelled.push_back(ticket);
+    }
   }
+  pending_.erase(it);
+  return true;
 }
 
 void StageRouter::Release(const std::string& service,
@@ -181,6 +174,9 @@
                                   peer::Frame&& frame) {
   Instance& instance = instances_[name];
   instance.leaving = frame.leaving || instance.leaving;
+  for (const peer::Backlog& backlog : frame.backlogs) {
+    context_.backlogs.Note(backlog.service, backlog.calls, Clock::now());
+  }
   for (const uint64_t ticket : frame.taken) Taken(ticket);
   for (const peer::PieceDone& done : frame.done) Done(done.ticket, done.result);
 }
@@ -188,108 +184,49 @@
 void StageRouter::OnInstanceLost(const std::string& name,
                                  std::string_view why) {
   Instance& instance = instances_[name];
-  const bool reached = instance.link->heard();
+  const bool heard = instance.link->heard();
+  const bool silent = instance.link->silent();
   std::exchange(instance.link, nullptr)->deleteLater();
   instance.leaving = false;
-  instance.down_till = Clock::now() + kDownFor;
+  // Guard: a reset of a connection says nothing of the instance behind it.
+  // Taken as its loss, its pieces would be made twice, and for seconds two
+  // owners would fill half calls each. It is tried once more.
+  const bool again_there = heard && !silent;
+  if (!again_there) instance.down_till = Clock::now() + kDownFor;
+  utils::DecisionLog("peer_lost")
+      .Add("peer", name)
+      .Add("why", why)
+      .Add("tried_again", again_there);
+  MoveOn(name, again_there);
+}
+
+void StageRouter::MoveOn(const std::string& name, bool again_there) {
   std::vector<uint64_t> there;
   for (const auto& [ticket, pending] : pending_) {
     if (pending.owner == name) there.push_back(ticket);
   }
-  utils::DecisionLog("peer_lost")
-      .Add("peer", name)
-      .Add("why", why)
-      .Add("reached", reached)
-      .Add("pieces", there.size());
   std::ranges::sort(there);
   for (const uint64_t ticket : there) {
-    // What never reached it is no repeat; the rest may have been sent.
-    const bool may = !reached || context_.retries.TrySpend(
-                                     pending_.at(ticket).service, Clock::now());
-    if (may) {
-      Place(ticket);
-    } else {
+    // The end of one piece may end its request, and with it others of these.
+    const auto it = pending_.find(ticket);
+    if (it == pending_.end()) continue;
+    Pending& pending = it->second;
+    // What may have been in a call already is a repeat elsewhere.
+    const bool repeat = !again_there && pending.reached;
+    if (repeat && !context_.retries.TrySpend(pending.service, Clock::now())) {
       Done(ticket,
            {.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
+      continue;
     }
+    Place(ticket);
   }
 }
 
-void StageRouter::AcceptGuest(int fd) {
-  const uint64_t id = next_guest_++;
-  auto guest = std::make_unique<Guest>();
-  guest->link = new peer::PeerLink(
-      fd,
-      {.on_frame =
-           [this, id](peer::Frame&& frame) {
-             OnGuestFrame(id, std::move(frame));
-           },
-       .on_end = [this, id](std::string_view) { OnGuestLost(id); }},
-      this);
-  if (leaving_) guest->link->outgoing().leaving = true;
-  guests_.emplace(id, std::move(guest));
-}
-
-void StageRouter::OnGuestFrame(uint64_t guest_id, peer::Frame&& frame) {
-  Guest& guest = *guests_.at(guest_id);
-  if (!frame.sender.empty()) {
-    guest.name = frame.sender;
-    // It has just started, or can reach us again.
-    const auto it = instances_.find(guest.name);
-    if (it != instances_.end() && it->second.link == nullptr) {
-      it->second.down_till = {};
-    }
-  }
-  const auto known = instances_.find(guest.name);
-  if (frame.leaving && known != instances_.end()) known->second.leaving = true;
-  for (peer::PieceOrder& order : frame.pieces) {
-    const uint64_t ticket = order.ticket;
-    const std::string service = order.service;
-    const uint64_t local_ticket = local_.Submit(
-        service, std::move(order.piece),
-        {.on_inputs_taken =
-             [this, guest_id, ticket] {
-               const auto it = guests_.find(guest_id);
-               if (it == guests_.end()) return;
-               it->second->link->outgoing().taken.push_back(ticket);
-             },
-         .on_done =
-             [this, guest_id, ticket, service](const PieceResult& result) {
-               GuestDone(guest_id, ticket, service, result);
-             }});
-    guest.orders[ticket] = {service, local_ticket};
-  }
-  for (const uint64_t ticket : frame.cancelled) {
-    const auto it = guest.orders.find(ticket);
-    if (it == guest.orders.end()) continue;
-    local_.Cancel(it->second.service, it->second.local_ticket);
-  }
-  for (peer::ReleaseOrder& release : frame.releases) {
-    local_.Release(release.service, std::move(release.handles));
-  }
-}
-
-void StageRouter::GuestDone(uint64_t guest_id, uint64_t ticket,
-                            const std::string& service,
-                            const PieceResult& result) {
-  const auto it = guests_.find(guest_id);
-  if (it != guests_.end()) {
-    it->second->orders.erase(ticket);
-    it->second->link->outgoing().done.push_back({ticket, result});
-  } else if (result.failure == PieceFailure::kNone) {
-    // Nobody is left who would use the result or release it.
-    local_.Release(service, {result.handle});
-  }
-}
-
-void StageRouter::OnGuestLost(uint64_t guest_id) {
-  const auto it = guests_.find(guest_id);
-  if (it == guests_.end()) return;
-  for (const auto& [ticket, order] : it->second->orders) {
-    local_.Cancel(order.service, order.local_ticket);
-  }
-  it->second->link->deleteLater();
-  guests_.erase(it);
+void StageRouter::OnSeen(const std::string& name, bool leaving) {
+  const auto it = instances_.find(name);
+  if (it == instances_.end()) return;
+  it->second.leaving = leaving;
+  it->second.down_till = {};
 }
 
 void StageRouter::Leave() {
@@ -297,7 +234,6 @@
   for (auto& [name, instance] : instances_) {
     if (instance.link != nullptr) instance.link->outgoing().leaving = true;
   }
-  for (auto& [id, guest] : guests_) guest->link->outgoing().leaving = true;
 }
 
 }  // namespace turmeric::entry
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -29,6 +29,12 @@
   std::vector<std::string> handles;
 };
 
+/** How long the queue of one service is at the sender. */
+struct Backlog {
+  std::string service;
+  double calls = 0;  ///< Waiting for each of its upstreams.
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Set in the first frame only.
@@ -40,6 +46,7 @@
   std::vector<PieceDone> done;
   std::vector<uint64_t> cancelled;
   std::vector<ReleaseOrder> releases;
+  std::vector<Backlog> backlogs;
 };
 
 /**
--- a/libs/peer/include/turmeric/peer/peer_link.h
+++ b/libs/peer/include/turmeric/peer/peer_link.h
@@ -23,6 +23,8 @@
   /** Called with each frame, and once at the end. */
   struct Events {
     std::function<void(Frame&&)> on_frame;
+    /** Lets the owner add to a frame that leaves now; may be empty. */
+    std::function<void(Frame&)> on_flush;
     std::function<void(std::string_view why)> on_end;
   };
 
@@ -43,6 +45,8 @@
   bool alive() const { return alive_; }
   /** @return true once the other side has sent a frame. */
   bool heard() const { return heard_; }
+  /** @return true if the link ended because the other side was silent. */
+  bool silent() const { return silent_; }
 
  private:
   void Attach();
@@ -63,6 +67,7 @@
   uint64_t seen_sequence_ = 0;
   bool alive_ = true;
   bool heard_ = false;
+  bool silent_ = false;
 };
 
 }  // namespace turmeric::peer
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -26,6 +26,9 @@
 struct Release;
 struct ReleaseBuilder;
 
+struct Backlog;
+struct BacklogBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -43,7 +46,8 @@
     VT_RANK = 20,
     VT_DUE_IN_MS = 22,
     VT_DEADLINE_IN_MS = 24,
-    VT_ZONE = 26
+    VT_ZONE = 26,
+    VT_NEXT_SERVICES = 28
   };
   uint64_t ticket() const {
     return GetField<uint64_t>(VT_TICKET, 0);
@@ -81,6 +85,9 @@
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *next_services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NEXT_SERVICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
@@ -101,6 +108,9 @@
            VerifyField<int32_t>(verifier, VT_DEADLINE_IN_MS, 4) &&
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_NEXT_SERVICES) &&
+           verifier.VerifyVector(next_services()) &&
+           verifier.VerifyVectorOfStrings(next_services()) &&
            verifier.EndTable();
   }
 };
@@ -145,6 +155,9 @@
   void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
     fbb_.AddOffset(Piece::VT_ZONE, zone);
   }
+  void add_next_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> next_services) {
+    fbb_.AddOffset(Piece::VT_NEXT_SERVICES, next_services);
+  }
   explicit PieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -169,10 +182,12 @@
     int32_t rank = 0,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> zone = 0) {
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> next_services = 0) {
   PieceBuilder builder_(_fbb);
   builder_.add_result_bytes(result_bytes);
   builder_.add_ticket(ticket);
+  builder_.add_next_services(next_services);
   builder_.add_zone(zone);
   builder_.add_deadline_in_ms(deadline_in_ms);
   builder_.add_due_in_ms(due_in_ms);
@@ -199,12 +214,14 @@
     int32_t rank = 0,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    const char *zone = nullptr) {
+    const char *zone = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *next_services = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto next_services__ = next_services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*next_services) : 0;
   return turmeric::peer::wire::CreatePiece(
       _fbb,
       ticket,
@@ -218,7 +235,8 @@
       rank,
       due_in_ms,
       deadline_in_ms,
-      zone__);
+      zone__,
+      next_services__);
 }
 
 struct PieceDone FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -376,6 +394,69 @@
       handles__);
 }
 
+struct Backlog FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BacklogBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_CALLS = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  double calls() const {
+    return GetField<double>(VT_CALLS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<double>(verifier, VT_CALLS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct BacklogBuilder {
+  typedef Backlog Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(Backlog::VT_SERVICE, service);
+  }
+  void add_calls(double calls) {
+    fbb_.AddElement<double>(Backlog::VT_CALLS, calls, 0.0);
+  }
+  explicit BacklogBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Backlog> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Backlog>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Backlog> CreateBacklog(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    double calls = 0.0) {
+  BacklogBuilder builder_(_fbb);
+  builder_.add_calls(calls);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Backlog> CreateBacklogDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    double calls = 0.0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return turmeric::peer::wire::CreateBacklog(
+      _fbb,
+      service__,
+      calls);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -387,7 +468,8 @@
     VT_TAKEN = 14,
     VT_DONE = 16,
     VT_CANCELLED = 18,
-    VT_RELEASES = 20
+    VT_RELEASES = 20,
+    VT_BACKLOGS = 22
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -416,6 +498,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *releases() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *>(VT_RELEASES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *backlogs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *>(VT_BACKLOGS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -436,6 +521,9 @@
            VerifyOffset(verifier, VT_RELEASES) &&
            verifier.VerifyVector(releases()) &&
            verifier.VerifyVectorOfTables(releases()) &&
+           VerifyOffset(verifier, VT_BACKLOGS) &&
+           verifier.VerifyVector(backlogs()) &&
+           verifier.VerifyVectorOfTables(backlogs()) &&
            verifier.EndTable();
   }
 };
@@ -471,6 +559,9 @@
   void add_releases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>>> releases) {
     fbb_.AddOffset(Frame::VT_RELEASES, releases);
   }
+  void add_backlogs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>> backlogs) {
+    fbb_.AddOffset(Frame::VT_BACKLOGS, backlogs);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -492,10 +583,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> taken = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>> done = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cancelled = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>>> releases = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>>> releases = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>> backlogs = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_backlogs(backlogs);
   builder_.add_releases(releases);
   builder_.add_cancelled(cancelled);
   builder_.add_done(done);
@@ -516,13 +609,15 @@
     const std::vector<uint64_t> *taken = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>> *done = nullptr,
     const std::vector<uint64_t> *cancelled = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *releases = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *releases = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *backlogs = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
   auto done__ = done ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>(*done) : 0;
   auto cancelled__ = cancelled ? _fbb.CreateVector<uint64_t>(*cancelled) : 0;
   auto releases__ = releases ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Release>>(*releases) : 0;
+  auto backlogs__ = backlogs ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>(*backlogs) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -533,7 +628,8 @@
       taken__,
       done__,
       cancelled__,
-      releases__);
+      releases__,
+      backlogs__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -44,12 +44,12 @@
 Offset<wire::Piece> Write(FlatBufferBuilder& b, const PieceOrder& order,
                           Clock::time_point now) {
   const stages::Piece& p = order.piece;
-  return wire::CreatePiece(b, order.ticket, b.CreateSharedString(order.service),
-                           b.CreateSharedString(p.request_id), p.stage, p.index,
-                           b.CreateSharedString(p.key), WriteTexts(b, p.inputs),
-                           p.result_bytes, p.rank, RelativeMs(p.due, now),
-                           RelativeMs(p.deadline, now),
-                           b.CreateSharedString(p.zone));
+  return wire::CreatePiece(
+      b, order.ticket, b.CreateSharedString(order.service),
+      b.CreateSharedString(p.request_id), p.stage, p.index,
+      b.CreateSharedString(p.key), WriteTexts(b, p.inputs), p.result_bytes,
+      p.rank, RelativeMs(p.due, now), RelativeMs(p.deadline, now),
+      b.CreateSharedString(p.zone), WriteTexts(b, p.next_services));
 }
 
 Offset<wire::PieceDone> Write(FlatBufferBuilder& b, const PieceDone& done) {
@@ -77,7 +77,8 @@
                  .rank = p.rank(),
                  .due = now + milliseconds(p.due_in_ms()),
                  .deadline = now + milliseconds(p.deadline_in_ms()),
-                 .zone = Text(p.zone())};
+                 .zone = Text(p.zone()),
+                 .next_services = Texts(p.next_services())};
   return order;
 }
 
@@ -102,16 +103,22 @@
   for (const PieceDone& d : frame.done) done.push_back(Write(b, d));
   std::vector<Offset<wire::Release>> releases;
   for (const ReleaseOrder& r : frame.releases) releases.push_back(Write(b, r));
+  std::vector<Offset<wire::Backlog>> backlogs;
+  for (const Backlog& backlog : frame.backlogs) {
+    backlogs.push_back(wire::CreateBacklog(
+        b, b.CreateSharedString(backlog.service), backlog.calls));
+  }
   const auto sender = b.CreateString(frame.sender);
   const auto piece_list = b.CreateVector(pieces);
   const auto taken = b.CreateVector(frame.taken);
   const auto done_list = b.CreateVector(done);
   const auto cancelled = b.CreateVector(frame.cancelled);
   const auto release_list = b.CreateVector(releases);
+  const auto backlog_list = b.CreateVector(backlogs);
   wire::FinishFrameBuffer(
       b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
                            frame.leaving, piece_list, taken, done_list,
-                           cancelled, release_list));
+                           cancelled, release_list, backlog_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -144,6 +151,11 @@
       frame.releases.push_back({Text(r->service()), Texts(r->handles())});
     }
   }
+  if (f.backlogs() != nullptr) {
+    for (const auto* b : *f.backlogs()) {
+      frame.backlogs.push_back({Text(b->service()), b->calls()});
+    }
+  }
   return frame;
 }
 
--- a/libs/peer/src/peer_link.cc
+++ b/libs/peer/src/peer_link.cc
@@ -67,8 +67,10 @@
        .on_drained = {}});
   for (QTimer* timer : {&flush_, &ack_timeout_}) timer->setSingleShot(true);
   connect(&flush_, &QTimer::timeout, this, [this] { Flush(); });
-  connect(&ack_timeout_, &QTimer::timeout, this,
-          [this] { End("no acknowledgement"); });
+  connect(&ack_timeout_, &QTimer::timeout, this, [this] {
+    silent_ = true;
+    End("no acknowledgement");
+  });
 }
 
 Frame& PeerLink::outgoing() {
@@ -85,6 +87,7 @@
     frame.sequence = ++sent_sequence_;
     if (!ack_timeout_.isActive()) ack_timeout_.start(kAckTimeout);
   }
+  if (events_.on_flush) events_.on_flush(frame);
   const std::vector<uint8_t> body = Encode(frame, stages::Clock::now());
   const LengthBytes length = EncodeLength(static_cast<uint32_t>(body.size()));
   std::string out;
--- a/libs/stages/include/turmeric/stages/piece.h
+++ b/libs/stages/include/turmeric/stages/piece.h
@@ -24,6 +24,8 @@
   /** Where it is best made, by the bytes that would cross zones otherwise;
    * empty: anywhere. */
   std::string zone;
+  /** Services of the stages that follow it, which its result waits for. */
+  std::vector<std::string> next_services;
 };
 
 /** Why a piece was not made. */
--- a/libs/stages/include/turmeric/stages/piece_queue.h
+++ b/libs/stages/include/turmeric/stages/piece_queue.h
@@ -35,6 +35,8 @@
   int64_t room_bytes = 0;  ///< Memory left for results.
   /** Zones in which other upstreams could take a piece. */
   std::span<const std::string> other_zones;
+  /** Services with work enough: pieces that lead to them are not started. */
+  std::span<const std::string> backed_up;
   std::string_view zone;  ///< The upstream's availability zone.
   std::chrono::milliseconds call_time{0};  ///< Estimate for a whole call.
 };
@@ -52,8 +54,8 @@
   uint64_t Push(Piece piece, PieceEvents events);
   /** Puts back a piece that an upstream refused. */
   void PushBack(QueuedPiece piece);
-  /** @param ticket from Push; unknown ones are ignored. */
-  void Cancel(uint64_t ticket);
+  /** @param ticket from Push. @return true if the piece was waiting. */
+  bool Cancel(uint64_t ticket);
   /**
    * Takes the pieces for one call, most urgent first.
    * @param space what the upstream can take. @param now the time.
--- a/libs/stages/include/turmeric/stages/stage_progress.h
+++ b/libs/stages/include/turmeric/stages/stage_progress.h
@@ -56,6 +56,8 @@
   std::vector<ServiceResults> TakeAll();
   /** @param stage a stage. @return stages that still must follow it. */
   int StagesAfter(int stage) const;
+  /** @param stage a stage. @return services of the stages that follow it. */
+  std::vector<std::string> ServicesAfter(int stage) const;
   /** @return length of the longest chain of stages not complete. */
   int StagesLeft() const;
   /** @param stage a stage. @return where most of the bytes that its pieces
--- a/libs/stages/src/piece_queue.cc
+++ b/libs/stages/src/piece_queue.cc
@@ -27,6 +27,14 @@
   return now + space.call_time + kZoneWait < piece.due;
 }
 
+/** @return true if what follows the piece has work enough for now. */
+bool IsBackedUp(const Piece& piece, const CallSpace& space) {
+  return std::ranges::any_of(
+      piece.next_services, [&](const std::string& service) {
+        return std::ranges::count(space.backed_up, service) > 0;
+      });
+}
+
 }  // namespace
 
 Clock::time_point Urgency(const Piece& piece,
@@ -47,9 +55,10 @@
   waiting_.push_back(std::move(piece));
 }
 
-void PieceQueue::Cancel(uint64_t ticket) {
-  std::erase_if(waiting_,
-                [&](const QueuedPiece& q) { return q.ticket == ticket; });
+bool PieceQueue::Cancel(uint64_t ticket) {
+  return std::erase_if(waiting_, [&](const QueuedPiece& q) {
+           return q.ticket == ticket;
+         }) > 0;
 }
 
 std::vector<QueuedPiece> PieceQueue::TakeCall(const CallSpace& space,
@@ -61,6 +70,7 @@
   // sake of zones costs more than it saves.
   const bool may_wait = static_cast<int>(waiting_.size()) <= space.pieces;
   for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+    if (IsBackedUp(it->piece, space)) continue;
     if (may_wait && WaitsForItsZone(it->piece, space, now)) continue;
     Clock::time_point key = Urgency(it->piece, space.call_time, now);
     if (!it->piece.zone.empty() && it->piece.zone != space.zone) {
--- a/libs/stages/src/stage_progress.cc
+++ b/libs/stages/src/stage_progress.cc
@@ -58,6 +58,17 @@
   return {sources.begin(), sources.end()};
 }
 
+std::vector<std::string> StageProgress::ServicesAfter(int stage) const {
+  std::vector<std::string> services;
+  for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
+    if (stages_[static_cast<size_t>(i)].pieces == 0) continue;
+    if (std::ranges::count(Sources(i), stage) == 0) continue;
+    services.push_back(specs_[static_cast<size_t>(i)].service);
+    std::ranges::copy(ServicesAfter(i), std::back_inserter(services));
+  }
+  return services;
+}
+
 int StageProgress::StagesLeft() const {
   int longest = 0;
   for (int i = 0; i < static_cast<int>(stages_.size()); ++i) {
