--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -39,7 +39,14 @@
 }
 
 UpstreamClient::UpstreamClient() = default;
-UpstreamClient::~UpstreamClient() = default;
+
+UpstreamClient::~UpstreamClient() {
+  // Open exchanges end while the pools they return to are still there.
+  const QObjectList connections = children();
+  for (QObject* child : connections) {
+    static_cast<ClientConnection*>(child)->Cancel();
+  }
+}
 
 bool UpstreamClient::HasConnection(const Upstream& upstream, int limit) const {
   if (limit <= 0 || upstream.connections < limit) return true;
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -136,9 +136,12 @@
 void ClientConnection::Cancel() {
   broken_ = true;
   busy_ = false;
-  events_ = {};
   on_idle_end_ = nullptr;
   socket_->Abort();
+  // Guard: the events may hold the last reference to the exchange that
+  // cancels here, and its end calls Cancel again. They are out of the way
+  // before they are destroyed.
+  const ExchangeEvents dropped = std::exchange(events_, {});
 }
 
 void ClientConnection::PauseReading(bool paused) {
