Shards of stage services; half of the engines share a first part; changes coalesced

Ruled out: capacity (stages at 31 % of their time, 13 engines without a request). Change: a service with more than six upstreams is split into shards, a request's pieces of a stage go to one; half of the engines (six at least) share a first part; after a change a watch pauses 400 ms.

--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -8,9 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "turmeric/entry/stage_client.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/routing/route_table.h"
+#include "turmeric/stages/piece_queue.h"
 
 namespace turmeric::entry {
 
@@ -18,22 +18,30 @@
 
 /**
  * Makes pieces by calls to the upstreams of the stage services: one queue a
- * service, a call whenever an upstream is free, as many pieces in it as fit.
+ * shard, a call whenever an upstream is free, as many pieces in it as fit.
  * Holds no more results at an upstream than it has room for.
  */
-class StageDispatcher : public QObject, public StageClient {
+class StageDispatcher : public QObject {
  public:
   /** @param context the instance's state; must outlive this. */
   explicit StageDispatcher(EntryContext& context);
   ~StageDispatcher() override;
 
-  uint64_t Submit(const std::string& service, stages::Piece piece,
-                  stages::PieceEvents events) override;
-  bool Cancel(const std::string& service, uint64_t ticket) override;
-  void Release(const std::string& service,
-               std::vector<std::string> handles) override;
   /**
-   * @return for each service with a queue here, the calls that wait for each
+   * @param shard name of a shard of a stage service. @param piece the piece.
+   * @param events told of its progress, never from inside this call.
+   * @return a ticket for Cancel.
+   */
+  uint64_t Submit(const std::string& shard, stages::Piece piece,
+                  stages::PieceEvents events);
+  /** @param shard as submitted. @param ticket from Submit.
+   * @return true if the piece was still waiting; it is dropped. */
+  bool Cancel(const std::string& shard, uint64_t ticket);
+  /** @param shard the results' shard. @param handles results that nothing
+   * needs any more. */
+  void Release(const std::string& shard, std::vector<std::string> handles);
+  /**
+   * @return for each shard with a queue here, the calls that wait for each
    *     of its upstreams.
    */
   std::map<std::string, double> Backlogs() const;
@@ -43,17 +51,18 @@
   struct Worker;
   struct Queue;
 
-  Queue& QueueOf(const std::string& service);
+  Queue& QueueOf(const std::string& shard);
+  std::vector<routing::UpstreamPtr> UpstreamsOf(const Queue& queue) const;
+  const routing::StageCallLimits* LimitsOf(const Queue& queue) const;
   Worker& WorkerOf(Queue& queue, const routing::UpstreamPtr& upstream);
-  bool CannotBeInTime(const std::string& service, Queue& queue,
-                      const stages::Piece& piece);
+  bool CannotBeInTime(const Queue& queue, const stages::Piece& piece) const;
   std::vector<std::string> BackedUp() const;
   void SchedulePump();
   void Pump();
-  void PumpQueue(const std::string& service, Queue& queue);
+  void PumpQueue(Queue& queue);
   void FailHopeless(Queue& queue, std::chrono::milliseconds call_time);
   void FailAll(Queue& queue, stages::PieceFailure failure);
-  void SendCall(const std::string& service, Queue& queue, Worker& worker,
+  void SendCall(Queue& queue, Worker& worker,
                 std::vector<stages::QueuedPiece> pieces,
                 const routing::StageCallLimits& limits);
   void OnCallEnd(const std::shared_ptr<Call>& call);
@@ -63,12 +72,12 @@
   void Retry(Call& call, bool certainly_not_run);
   void FlushReleases();
   void OnInputsTaken(const std::shared_ptr<Call>& call);
-  void ForgetHeld(const std::string& service,
+  void ForgetHeld(const std::string& shard,
                   const std::vector<std::string>& handles);
 
   EntryContext& context_;
   std::map<std::string, std::unique_ptr<Queue>> queues_;
-  /** Results to be released, by service and the address that holds them. */
+  /** Results to be released, by shard and the address that holds them. */
   std::map<std::pair<std::string, std::string>, std::vector<std::string>>
       releases_;
   QTimer pump_;
--- a/libs/entry/include/turmeric/entry/stage_router.h
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -17,8 +17,8 @@
 class StageDispatcher;
 
 /**
- * Brings the pieces of all instances together: each stage service has one
- * owner among the live instances (rendezvous hashing), whose dispatcher
+ * Brings the pieces of all instances together: each shard of a stage service
+ * has one owner among the live instances (rendezvous hashing), whose dispatcher
  * fills the calls. Instances may disagree on who that is: a piece may be
  * made again, so that costs only full calls. Without the owner, pieces are
  * dispatched by the next in order, at last here.
@@ -41,7 +41,7 @@
   uint64_t Submit(const std::string& service, stages::Piece piece,
                   stages::PieceEvents events) override;
   bool Cancel(const std::string& service, uint64_t ticket) override;
-  void Release(const std::string& service,
+  void Release(const std::string& service, const std::string& request_id,
                std::vector<std::string> handles) override;
 
  private:
@@ -49,7 +49,9 @@
   struct Pending;
   struct Instance;
 
-  Instance* Owner(const std::string& service);
+  std::string ShardOf(const std::string& service,
+                      const std::string& request_id) const;
+  Instance* Owner(const std::string& shard);
   peer::PeerLink& LinkTo(Instance& instance);
   void Place(uint64_t ticket);
   void Taken(uint64_t ticket);
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -198,13 +198,13 @@
                 if (wanted()) self->OnInputsTaken(stage);
               },
           .on_done =
-              [self, wanted, &context = context_, service, stage,
-               index](const stages::PieceResult& result) {
+              [self, wanted, &context = context_, service, stage, index,
+               id = request_.attempt_id](const stages::PieceResult& result) {
                 if (wanted()) return self->OnPiece(stage, index, result);
                 // The request has ended or begun again meanwhile; the result
                 // only takes up room.
                 if (result.failure == PieceFailure::kNone) {
-                  context.stages->Release(service, {result.handle});
+                  context.stages->Release(service, id, {result.handle});
                 }
               }};
 }
@@ -260,7 +260,7 @@
 
 void RequestRun::ReleaseUnneeded() {
   for (auto& [service, handles] : stages_->TakeUnneeded()) {
-    context_.stages->Release(service, std::move(handles));
+    context_.stages->Release(service, request_.attempt_id, std::move(handles));
   }
 }
 
@@ -268,7 +268,7 @@
   if (!stages_) return;
   inputs_released_ = !inputs_.empty();
   for (auto& [service, handles] : stages_->TakeAll()) {
-    context_.stages->Release(service, std::move(handles));
+    context_.stages->Release(service, request_.attempt_id, std::move(handles));
   }
 }
 
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -51,6 +52,7 @@
 
 /** One call in progress. */
 struct StageDispatcher::Call {
+  std::string shard;
   std::string service;
   UpstreamPtr upstream;
   std::vector<QueuedPiece> pieces;
@@ -84,6 +86,8 @@
 };
 
 struct StageDispatcher::Queue {
+  std::string name;  ///< The shard's.
+  stages::Shard shard;
   stages::PieceQueue pieces;
   std::map<std::string, Worker> workers;  ///< By upstream id.
 };
@@ -99,12 +103,40 @@
 
 StageDispatcher::~StageDispatcher() = default;
 
-StageDispatcher::Queue& StageDispatcher::QueueOf(const std::string& service) {
-  auto& queue = queues_[service];
-  if (!queue) queue = std::make_unique<Queue>();
+StageDispatcher::Queue& StageDispatcher::QueueOf(const std::string& shard) {
+  auto& queue = queues_[shard];
+  if (!queue) {
+    queue = std::make_unique<Queue>();
+    queue->name = shard;
+    queue->shard = stages::ParseShard(shard);
+  }
   return *queue;
 }
 
+const StageCallLimits* StageDispatcher::LimitsOf(const Queue& queue) const {
+  if (!context_.table) return nullptr;
+  const routing::ServiceSpec* spec =
+      context_.table->FindService(queue.shard.service);
+  return spec != nullptr && spec->stage ? &*spec->stage : nullptr;
+}
+
+std::vector<UpstreamPtr> StageDispatcher::UpstreamsOf(
+    const Queue& queue) const {
+  const auto all = context_.upstreams.ForService(queue.shard.service);
+  std::vector<UpstreamPtr> sorted(all.begin(), all.end());
+  if (queue.shard.count == 1) return sorted;
+  // In turn by id: shards of the same size on every instance.
+  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) -> const std::string& {
+    return u->entry.id;
+  });
+  std::vector<UpstreamPtr> own;
+  for (size_t i = queue.shard.index; i < sorted.size();
+       i += queue.shard.count) {
+    own.push_back(sorted[i]);
+  }
+  return own;
+}
+
 StageDispatcher::Worker& StageDispatcher::WorkerOf(
     Queue& queue, const UpstreamPtr& upstream) {
   Worker& worker = queue.workers[upstream->entry.id];
@@ -114,14 +146,13 @@
 
 std::map<std::string, double> StageDispatcher::Backlogs() const {
   std::map<std::string, double> backlogs;
-  if (!context_.table) return backlogs;
-  for (const auto& [service, queue] : queues_) {
-    const routing::ServiceSpec* spec = context_.table->FindService(service);
-    const auto upstreams = context_.upstreams.ForService(service).size();
-    if (spec == nullptr || !spec->stage || upstreams == 0) continue;
-    const double a_call_each = static_cast<double>(
-        upstreams * static_cast<size_t>(spec->stage->batch));
-    backlogs[service] = static_cast<double>(queue->pieces.size()) / a_call_each;
+  for (const auto& [name, queue] : queues_) {
+    const StageCallLimits* limits = LimitsOf(*queue);
+    const size_t upstreams = UpstreamsOf(*queue).size();
+    if (limits == nullptr || upstreams == 0) continue;
+    const double a_call_each =
+        static_cast<double>(upstreams * static_cast<size_t>(limits->batch));
+    backlogs[name] = static_cast<double>(queue->pieces.size()) / a_call_each;
   }
   return backlogs;
 }
@@ -129,24 +160,23 @@
 std::vector<std::string> StageDispatcher::BackedUp() const {
   std::map<std::string, double> backlogs =
       context_.backlogs.Fresh(Clock::now());
-  for (const auto& [service, calls] : Backlogs()) {
-    backlogs[service] = std::max(backlogs[service], calls);
+  for (const auto& [shard, calls] : Backlogs()) {
+    backlogs[shard] = std::max(backlogs[shard], calls);
   }
   std::vector<std::string> backed_up;
-  for (const auto& [service, calls] : backlogs) {
-    if (calls > kBackedUpCalls) backed_up.push_back(service);
+  for (const auto& [shard, calls] : backlogs) {
+    if (calls > kBackedUpCalls) backed_up.push_back(shard);
   }
   return backed_up;
 }
 
-bool StageDispatcher::CannotBeInTime(const std::string& service, Queue& queue,
-                                     const stages::Piece& piece) {
-  const routing::ServiceSpec* spec =
-      context_.table ? context_.table->FindService(service) : nullptr;
-  if (spec == nullptr || !spec->stage) return false;
-  const StageCallLimits& limits = *spec->stage;
+bool StageDispatcher::CannotBeInTime(const Queue& queue,
+                                     const stages::Piece& piece) const {
+  const StageCallLimits* found = LimitsOf(queue);
+  if (found == nullptr) return false;
+  const StageCallLimits& limits = *found;
   const Clock::time_point now = Clock::now();
-  const auto upstreams = context_.upstreams.ForService(service);
+  const auto upstreams = UpstreamsOf(queue);
   const auto usable = static_cast<size_t>(
       std::ranges::count_if(upstreams, [&](const UpstreamPtr& u) {
         return IsListed(*u, now) && !IsAvoided(*u, now);
@@ -159,11 +189,10 @@
   return now + full * rounds + CallTime(limits, 1) > piece.deadline;
 }
 
-uint64_t StageDispatcher::Submit(const std::string& service,
-                                 stages::Piece piece,
+uint64_t StageDispatcher::Submit(const std::string& shard, stages::Piece piece,
                                  stages::PieceEvents events) {
-  Queue& queue = QueueOf(service);
-  if (CannotBeInTime(service, queue, piece)) {
+  Queue& queue = QueueOf(shard);
+  if (CannotBeInTime(queue, piece)) {
     // Refused now rather than when its time has run out: the caller can
     // still come back, and the queue serves those that it can.
     QTimer::singleShot(0, this, [done = std::move(events.on_done)] {
@@ -177,8 +206,8 @@
   return ticket;
 }
 
-bool StageDispatcher::Cancel(const std::string& service, uint64_t ticket) {
-  const auto it = queues_.find(service);
+bool StageDispatcher::Cancel(const std::string& shard, uint64_t ticket) {
+  const auto it = queues_.find(shard);
   return it != queues_.end() && it->second->pieces.Cancel(ticket);
 }
 
@@ -189,7 +218,7 @@
 }
 
 void StageDispatcher::Pump() {
-  for (auto& [service, queue] : queues_) PumpQueue(service, *queue);
+  for (auto& [name, queue] : queues_) PumpQueue(*queue);
 }
 
 void StageDispatcher::FailHopeless(Queue& queue,
@@ -209,20 +238,17 @@
   }
 }
 
-void StageDispatcher::PumpQueue(const std::string& service, Queue& queue) {
+void StageDispatcher::PumpQueue(Queue& queue) {
   if (queue.pieces.size() == 0) return;
-  const routing::ServiceSpec* spec =
-      context_.table ? context_.table->FindService(service) : nullptr;
-  if (spec == nullptr || !spec->stage) {
-    return FailAll(queue, PieceFailure::kNoUpstream);
-  }
-  const StageCallLimits& limits = *spec->stage;
+  const StageCallLimits* found = LimitsOf(queue);
+  if (found == nullptr) return FailAll(queue, PieceFailure::kNoUpstream);
+  const StageCallLimits& limits = *found;
   FailHopeless(queue, CallTime(limits, 1));
   const Clock::time_point now = Clock::now();
   std::vector<UpstreamPtr> free;
   std::vector<std::string> zones;
   bool any_listed = false;
-  for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
+  for (const UpstreamPtr& u : UpstreamsOf(queue)) {
     if (!IsListed(*u, now)) continue;
     any_listed = true;
     if (IsAvoided(*u, now)) continue;
@@ -250,7 +276,7 @@
          .call_time = CallTime(limits, static_cast<size_t>(limits.batch) / 2)},
         now);
     if (!call.empty()) {
-      SendCall(service, queue, worker, std::move(call), limits);
+      SendCall(queue, worker, std::move(call), limits);
     }
   }
   if (queue.pieces.size() > 0 && !retry_pump_.isActive()) {
@@ -258,12 +284,12 @@
   }
 }
 
-void StageDispatcher::SendCall(const std::string& service, Queue& queue,
-                               Worker& worker, std::vector<QueuedPiece> pieces,
+void StageDispatcher::SendCall(Queue& queue, Worker& worker,
+                               std::vector<QueuedPiece> pieces,
                                const StageCallLimits& limits) {
-  (void)queue;
   auto call = std::make_shared<Call>();
-  call->service = service;
+  call->shard = queue.name;
+  call->service = queue.shard.service;
   call->upstream = worker.upstream;
   call->pieces = std::move(pieces);
   call->started = Clock::now();
@@ -332,7 +358,7 @@
       .Add("upstream", call->upstream->entry.id)
       .Add("pieces", call->pieces.size())
       .Add("bytes", call->bytes)
-      .Add("waiting", QueueOf(call->service).pieces.size())
+      .Add("waiting", QueueOf(call->shard).pieces.size())
       .Add("ms", static_cast<int64_t>(ms));
   Deliver(*call, results);
   call->exchange.reset();
@@ -341,7 +367,7 @@
 
 void StageDispatcher::Deliver(Call& call,
                               const std::vector<PieceResult>& results) {
-  Queue& queue = QueueOf(call.service);
+  Queue& queue = QueueOf(call.shard);
   Worker& worker = WorkerOf(queue, call.upstream);
   --worker.calls;
   worker.reserved_bytes -= call.bytes;
@@ -372,7 +398,7 @@
   if (std::exchange(call->ended, true)) return;
   call->timeout.stop();
   NoteOutcome(*call->upstream, outcome, 0, Clock::now());
-  Worker& worker = WorkerOf(QueueOf(call->service), call->upstream);
+  Worker& worker = WorkerOf(QueueOf(call->shard), call->upstream);
   --worker.calls;
   worker.reserved_bytes -= call->bytes;
   utils::DecisionLog("stage_call_failed")
@@ -388,7 +414,7 @@
 }
 
 void StageDispatcher::Retry(Call& call, bool certainly_not_run) {
-  Queue& queue = QueueOf(call.service);
+  Queue& queue = QueueOf(call.shard);
   for (QueuedPiece& piece : call.pieces) {
     const bool may = certainly_not_run ||
                      (piece.sends < kMaxSends &&
@@ -402,18 +428,18 @@
   }
 }
 
-void StageDispatcher::Release(const std::string& service,
+void StageDispatcher::Release(const std::string& shard,
                               std::vector<std::string> handles) {
   for (std::string& handle : handles) {
-    releases_[{service, context_.wire.handle_address(handle)}].push_back(
+    releases_[{shard, context_.wire.handle_address(handle)}].push_back(
         std::move(handle));
   }
   if (!release_.isActive()) release_.start(kReleaseDelay);
 }
 
-void StageDispatcher::ForgetHeld(const std::string& service,
+void StageDispatcher::ForgetHeld(const std::string& shard,
                                  const std::vector<std::string>& handles) {
-  Queue& queue = QueueOf(service);
+  Queue& queue = QueueOf(shard);
   for (auto& [id, worker] : queue.workers) {
     for (const std::string& handle : handles) worker.held.erase(handle);
   }
@@ -429,8 +455,9 @@
 
 void StageDispatcher::FlushReleases() {
   for (auto& [place, handles] : std::exchange(releases_, {})) {
-    const auto& [service, address] = place;
-    const auto upstreams = context_.upstreams.ForService(service);
+    const auto& [shard, address] = place;
+    const auto upstreams =
+        context_.upstreams.ForService(stages::ParseShard(shard).service);
     const auto it = std::ranges::find(
         upstreams, address, [](const UpstreamPtr& u) -> const std::string& {
           return u->entry.address;
@@ -441,9 +468,9 @@
     auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
     http::ExchangeEvents events;
     // Their room counts as taken until the holder has answered.
-    const auto end = [this, exchange, service = service, handles = handles] {
+    const auto end = [this, exchange, shard = shard, handles = handles] {
       exchange->reset();
-      ForgetHeld(service, handles);
+      ForgetHeld(shard, handles);
     };
     events.on_end = end;
     events.on_failure = [end](http::ExchangeFailure) { end(); };
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -7,6 +7,7 @@
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/routing/choice.h"
+#include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
 #include "turmeric/utils/random_id.h"
 
@@ -31,7 +32,7 @@
 
 /** A piece of a request of ours, wherever it waits. */
 struct StageRouter::Pending {
-  std::string service;
+  std::string shard;
   stages::Piece piece;
   stages::PieceEvents events;
   std::string owner;     ///< Empty: our own dispatcher.
@@ -71,14 +72,20 @@
   context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
 }
 
-StageRouter::Instance* StageRouter::Owner(const std::string& service) {
+std::string StageRouter::ShardOf(const std::string& service,
+                                 const std::string& request_id) const {
+  return stages::ShardName(service, request_id,
+                           context_.upstreams.ForService(service).size());
+}
+
+StageRouter::Instance* StageRouter::Owner(const std::string& shard) {
   const auto now = Clock::now();
   Instance* owner = nullptr;
   uint64_t best =
-      leaving_ ? 0 : routing::RendezvousWeight(service, context_.settings.name);
+      leaving_ ? 0 : routing::RendezvousWeight(shard, context_.settings.name);
   for (auto& [name, instance] : instances_) {
     if (instance.leaving || now < instance.down_till) continue;
-    const uint64_t weight = routing::RendezvousWeight(service, name);
+    const uint64_t weight = routing::RendezvousWeight(shard, name);
     if (weight <= best) continue;
     owner = &instance;
     best = weight;
@@ -104,7 +111,11 @@
 uint64_t StageRouter::Submit(const std::string& service, stages::Piece piece,
                              stages::PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
-  pending_.emplace(ticket, Pending{.service = service,
+  for (std::string& next : piece.next_services) {
+    next = ShardOf(next, piece.request_id);
+  }
+  std::string shard = ShardOf(service, piece.request_id);
+  pending_.emplace(ticket, Pending{.shard = std::move(shard),
                                    .piece = std::move(piece),
                                    .events = std::move(events),
                                    .owner = {},
@@ -116,17 +127,17 @@
 
 void StageRouter::Place(uint64_t ticket) {
   Pending& pending = pending_.at(ticket);
-  Instance* owner = Owner(pending.service);
+  Instance* owner = Owner(pending.shard);
   if (owner != nullptr) {
     pending.owner = owner->name;
     peer::PeerLink& link = LinkTo(*owner);
     pending.reached = pending.reached || link.heard();
-    link.outgoing().pieces.push_back({ticket, pending.service, pending.piece});
+    link.outgoing().pieces.push_back({ticket, pending.shard, pending.piece});
     return;
   }
   pending.owner.clear();
   pending.local_ticket = local_.Submit(
-      pending.service, pending.piece,
+      pending.shard, pending.piece,
       {.on_inputs_taken = [this, ticket] { Taken(ticket); },
        .on_done = [this, ticket](
                       const PieceResult& result) { Done(ticket, result); }});
@@ -147,11 +158,11 @@
   callback(result);
 }
 
-bool StageRouter::Cancel(const std::string& service, uint64_t ticket) {
+bool StageRouter::Cancel(const std::string& /*service*/, uint64_t ticket) {
   const auto it = pending_.find(ticket);
   if (it == pending_.end()) return true;
   if (it->second.owner.empty()) {
-    if (!local_.Cancel(service, it->second.local_ticket)) return false;
+    if (!local_.Cancel(it->second.shard, it->second.local_ticket)) return false;
   } else {
     // The owner releases the result, should a call with it be in progress.
     const auto owner = instances_.find(it->second.owner);
@@ -164,10 +175,12 @@
 }
 
 void StageRouter::Release(const std::string& service,
+                          const std::string& request_id,
                           std::vector<std::string> handles) {
-  Instance* owner = Owner(service);
-  if (owner == nullptr) return local_.Release(service, std::move(handles));
-  LinkTo(*owner).outgoing().releases.push_back({service, std::move(handles)});
+  const std::string shard = ShardOf(service, request_id);
+  Instance* owner = Owner(shard);
+  if (owner == nullptr) return local_.Release(shard, std::move(handles));
+  LinkTo(*owner).outgoing().releases.push_back({shard, std::move(handles)});
 }
 
 void StageRouter::OnInstanceFrame(const std::string& name,
@@ -213,7 +226,9 @@
     Pending& pending = it->second;
     // What may have been in a call already is a repeat elsewhere.
     const bool repeat = !again_there && pending.reached;
-    if (repeat && !context_.retries.TrySpend(pending.service, Clock::now())) {
+    if (repeat &&
+        !context_.retries.TrySpend(stages::ParseShard(pending.shard).service,
+                                   Clock::now())) {
       Done(ticket,
            {.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
       continue;
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -12,8 +12,8 @@
 
 /** A piece handed to another instance. */
 struct PieceOrder {
-  uint64_t ticket = 0;  ///< Unique on its connection.
-  std::string service;
+  uint64_t ticket = 0;  ///< Unique for one start of the sender.
+  std::string service;  ///< Name of a shard of a stage service.
   stages::Piece piece;
 };
 
@@ -23,13 +23,13 @@
   stages::PieceResult result;
 };
 
-/** Results of one service that nothing needs any more. */
+/** Results of one shard that nothing needs any more. */
 struct ReleaseOrder {
   std::string service;
   std::vector<std::string> handles;
 };
 
-/** How long the queue of one service is at the sender. */
+/** How long the queue of one shard is at the sender. */
 struct Backlog {
   std::string service;
   double calls = 0;  ///< Waiting for each of its upstreams.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -12,9 +12,10 @@
  * engine's other requests wait for it too. Measured: at 1, 6 % of all prompt
  * tokens were shared parts read again. */
 constexpr double kReadAgainFactor = 2.0;
-/** Upstreams that share a first part: enough for a burst of its requests,
- * few enough that not every engine reads every part. */
-constexpr size_t kGroupSize = 6;
+/** Upstreams that share a first part: half of them, and no fewer than this.
+ * Enough for a burst of its requests, few enough that not every engine reads
+ * every part; with 3 of 12, the worst seconds attained 0.66 instead of 0.90. */
+constexpr size_t kLeastGroup = 6;
 /** Waiting that one open request adds for a new one on an engine, ms: the
  * engine's step grows a little with each. */
 constexpr double kInFlightMs = 2.0;
@@ -80,7 +81,8 @@
   };
   std::ranges::sort(found.group, std::ranges::greater(),
                     weight(request.shared_part));
-  if (found.group.size() > kGroupSize) found.group.resize(kGroupSize);
+  const size_t size = std::max(kLeastGroup, found.group.size() / 2);
+  if (found.group.size() > size) found.group.resize(size);
   const auto home =
       std::ranges::max_element(found.group, {}, weight(request.session_part));
   if (home != found.group.end()) found.home = *home;
--- /dev/null
+++ b/libs/stages/include/turmeric/stages/shard.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace turmeric::stages {
+
+/**
+ * A part of a stage service: some of its upstreams, with a queue and an owner
+ * of their own. One owner can fill the calls of a handful of upstreams; with
+ * many, its processor would be what the fleet waits for.
+ */
+struct Shard {
+  std::string service;
+  size_t index = 0;
+  size_t count = 1;
+};
+
+/**
+ * @param service a stage service. @param request_id names the request, whose
+ * pieces of one stage all go to one shard.
+ * @param upstreams how many the service has.
+ * @return the shard's name; the service's own name if there is one shard.
+ */
+std::string ShardName(const std::string& service, std::string_view request_id,
+                      size_t upstreams);
+
+/** @param name from ShardName. @return what it names. */
+Shard ParseShard(std::string_view name);
+
+}  // namespace turmeric::stages
--- /dev/null
+++ b/libs/stages/src/shard.cc
@@ -0,0 +1,52 @@
+#include "turmeric/stages/shard.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "turmeric/routing/choice.h"
+
+namespace turmeric::stages {
+
+namespace {
+
+/** Upstreams that one owner serves. Measured: one owner of five fills calls
+ * to 60 % and more in a burst; one of fifteen on a slow machine was busy
+ * with frames while its upstreams idled. */
+constexpr size_t kUpstreamsPerShard = 6;
+constexpr char kSeparator = '|';
+
+size_t ParseCount(std::string_view text) {
+  size_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+std::string ShardName(const std::string& service, std::string_view request_id,
+                      size_t upstreams) {
+  const size_t count = std::max<size_t>(
+      1, (upstreams + kUpstreamsPerShard - 1) / kUpstreamsPerShard);
+  if (count == 1) return service;
+  const size_t index = routing::RendezvousWeight(service, request_id) % count;
+  return service + kSeparator + std::to_string(index) + kSeparator +
+         std::to_string(count);
+}
+
+Shard ParseShard(std::string_view name) {
+  const size_t first = name.find(kSeparator);
+  if (first == std::string_view::npos) return {std::string(name), 0, 1};
+  const size_t second = name.find(kSeparator, first + 1);
+  Shard shard;
+  shard.service = name.substr(0, first);
+  shard.index = ParseCount(name.substr(first + 1, second - first - 1));
+  shard.count = second == std::string_view::npos
+                    ? 1
+                    : ParseCount(name.substr(second + 1));
+  if (shard.count == 0 || shard.index >= shard.count) {
+    return {shard.service, 0, 1};
+  }
+  return shard;
+}
+
+}  // namespace turmeric::stages
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -19,6 +19,9 @@
 /** Wait of a watch while the store is not answering: it only asks whether
  * the store is back, and its loss must cost little. */
 constexpr milliseconds kProbeWait{100};
+/** Pause after a change before waiting for the next: well below the two
+ * seconds in which a change must be in force. */
+constexpr milliseconds kCoalesce{400};
 /** First pause after a failed call; doubles up to the longest, with a
  * random part so that a fleet does not return in step. */
 constexpr milliseconds kFirstPause{100};
@@ -88,7 +91,11 @@
   for (const SourceObject& object : batch.value().objects) {
     events_.on_change(object, outage);
   }
-  Watch();
+  // Changes come in series (upstreams replaced one after the other, stores of
+  // settings): what follows within the pause comes with one call instead of
+  // one each.
+  if (batch.value().objects.empty()) return Watch();
+  again_.start(kCoalesce);
 }
 
 void Reflector::OnError(const utils::Error& error) {
--- a/libs/store/test/reflector_test.cc
+++ b/libs/store/test/reflector_test.cc
@@ -80,6 +80,7 @@
   source.Answer(
       {.objects = {{.name = "a", .spec = {}, .revision = 9}}, .revision = 9});
   REQUIRE(seen.changes == std::vector<std::string>{"a"});
+  RunLoop(600ms);
   REQUIRE(source.watched_after.back() == 9);
 }
 
@@ -115,3 +116,20 @@
   REQUIRE(source.waits.back() == usual);
   REQUIRE(seen.reachable == std::vector<bool>{true, false, true});
 }
+
+// Story: ninety instances follow some two hundred upstreams that are replaced
+// in a series. With a call for each change on each instance, the fleet made
+// four times the calls that it is billed for when quiet.
+TEST_CASE("changes in a series share a call") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  source.Answer(
+      {.objects = {{.name = "a", .spec = {}, .revision = 8}}, .revision = 8});
+  RunLoop(100ms);
+  REQUIRE(source.waits.size() == 1);
+  RunLoop(600ms);
+  REQUIRE(source.waits.size() == 2);
+}
