--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -17,12 +17,12 @@
 #include "turmeric/routing/choice.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
-#include "turmeric/stages/piece_queue.h"
-#include "turmeric/stages/stage_progress.h"
+#include "turmeric/stages/piece.h"
 
 namespace turmeric::entry {
 
 struct EntryContext;
+class StageRun;
 class UpstreamExchange;
 
 /**
@@ -49,22 +49,13 @@
 
   bool Admit();
   bool TakesNow() const;
-  // Stages.
   void StartStages();
-  void SubmitStage(int stage);
-  stages::PieceEvents PieceEventsFor(int stage, int index);
-  void OnPiece(int stage, int index, const stages::PieceResult& result);
-  void OnInputsTaken(int stage);
-  bool RestartStages(std::string_view why);
-  void CancelPieces();
-  void ReleaseUnneeded();
-  void ReleaseAll();
+  void OnStageFailed(stages::PieceFailure failure);
   // One send.
   void SendToUpstream();
   routing::ChoiceRequest Wanted() const;
   routing::UpstreamPtr Choose();
-  /** Where a stage's pieces are best made; empty: anywhere. */
-  std::string ZoneFor(int stage) const;
+  std::string HomeZone() const;
   http::ExchangeEvents AnswerEvents();
   bool OnHead(const http::ResponseHead& head);
   void OnBody(std::string_view bytes);
@@ -100,16 +91,7 @@
   Clock::time_point limit_;  ///< Final answer due: deadline or timeout.
   QTimer limit_timer_;
 
-  std::optional<stages::StageProgress> stages_;
-  struct OpenPiece {
-    std::string service;
-    uint64_t ticket = 0;
-  };
-  std::vector<OpenPiece> open_pieces_;
-  std::vector<std::string> inputs_;
-  bool inputs_released_ = false;
-  int restarts_ = 0;
-  uint64_t stage_round_ = 0;  ///< Tells late pieces of an earlier round.
+  std::unique_ptr<StageRun> stages_;
 
   std::shared_ptr<UpstreamExchange> exchange_;
   routing::UpstreamPtr upstream_;
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/stage_run.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <QObject>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmeric/routing/route_table.h"
+#include "turmeric/stages/piece_queue.h"
+#include "turmeric/stages/stage_progress.h"
+
+namespace turmeric::entry {
+
+class StageClient;
+struct CallerRequest;
+
+/** What a request's stages are planned by; outlives the StageRun. */
+struct StagePlan {
+  const CallerRequest& request;
+  const routing::Route& route;
+  int rank = 0;
+  stages::Clock::time_point due;    ///< The answer, for the latency target.
+  stages::Clock::time_point limit;  ///< The final answer.
+  std::chrono::milliseconds prompt_time{0};  ///< Estimate, after the stages.
+};
+
+/** Told how the stages go; at most one call is open at a time. */
+struct StageRunEvents {
+  /** All are done; the results are StageRun::inputs(). */
+  std::function<void()> on_ready;
+  /** A piece could not be made, and the stages cannot be done again. */
+  std::function<void(stages::PieceFailure)> on_failed;
+  /** @return the zone of the engine that will read the results. */
+  std::function<std::string()> home_zone;
+};
+
+/**
+ * One request's stages: hands out the pieces of each stage as it becomes
+ * ready, gives results up when nothing needs them, and does all stages again
+ * when a result was lost.
+ */
+class StageRun : public QObject {
+ public:
+  /** @param client makes the pieces; must outlive this. @param plan see
+   * StagePlan. @param events see StageRunEvents. */
+  StageRun(StageClient& client, StagePlan plan, StageRunEvents events);
+  ~StageRun() override;
+
+  /** @return true if the request has no stage work (left). */
+  bool done() const { return progress_.done(); }
+  /** Begins. */
+  void Start();
+  /**
+   * Does all stages again, if their number of times and the time left allow.
+   * @param why for the log.
+   * @return false if not; nothing has happened then.
+   */
+  bool Restart(std::string_view why);
+  /** Drops pieces not yet made and gives all results up. */
+  void Stop();
+  /** Gives all results up: the upstream has fetched them. */
+  void ReleaseAll();
+  /** @return handles of the results that the request needs. */
+  const std::vector<std::string>& inputs() const { return inputs_; }
+  /** @return true once these were given up. */
+  bool inputs_released() const { return inputs_released_; }
+  /** @return where most of their bytes lie; empty if they are few. */
+  std::string inputs_zone() const { return progress_.FinalInputsZone(); }
+
+ private:
+  struct OpenPiece {
+    std::string service;
+    uint64_t ticket = 0;
+  };
+
+  void SubmitReady();
+  void SubmitStage(int stage);
+  stages::PieceEvents EventsFor(int stage, int index);
+  std::string ZoneFor(int stage) const;
+  void OnPiece(int stage, int index, const stages::PieceResult& result);
+  void CancelPieces();
+  void Release(std::vector<stages::ServiceResults> results);
+
+  StageClient& client_;
+  StagePlan plan_;
+  StageRunEvents events_;
+  stages::StageProgress progress_;
+  std::vector<OpenPiece> open_pieces_;
+  std::vector<std::string> inputs_;
+  bool inputs_released_ = false;
+  bool stopped_ = false;
+  int restarts_ = 0;
+  uint64_t round_ = 0;  ///< Tells late pieces of an earlier round.
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -7,6 +7,7 @@
 #include "turmeric/entry/drain_policy.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/stage_run.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -35,10 +36,6 @@
 constexpr milliseconds kAnswerMargin{15};
 /** Least time left for a repeat to be worth sending. */
 constexpr milliseconds kLeastForRepeat{50};
-/** Times that a request's stages are done again after a result was lost, and
- * the least time left for that: one call of each stage and the prompt. */
-constexpr int kMaxRestarts = 2;
-constexpr milliseconds kLeastForRestart{800};
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
 constexpr milliseconds kInputFetchTime{50};
@@ -47,6 +44,11 @@
 /** Unsent bytes of a slow reader at which its upstream is held back, and
  * below which it goes on. */
 constexpr size_t kPauseAt = 256 * 1024;
+/** Rank of an organisation that states none; 0 is first. */
+constexpr int kUsualOrganisation = 1;
+/** Ranks of routes told apart within one rank of organisations. With three,
+ * the usual organisations fill ranks 3 to 5 of an engine's 0 to 9. */
+constexpr int kRouteRanks = 3;
 /** When to come back after a refusal: long enough for a queue to move on,
  * spread so that the refused do not all return at once. */
 constexpr milliseconds kComeBackAtOnce{10};
@@ -54,15 +56,9 @@
 constexpr milliseconds kComeBackLater{500};
 /** Waiting that a large stage result in another zone is worth, ms. */
 constexpr double kLargeInputZoneMs = 150;
-/** Results of this size are made in the zone of the engine, bytes. */
-constexpr int64_t kPlacedResult = 500 * 1000;
 /** Waiting that another zone is worth otherwise, ms: the way there and
  * back. */
 constexpr double kOtherZoneMs = 2;
-/** Time an engine needs from a prompt's end to the first event, ms. */
-constexpr milliseconds kFirstEvent{60};
-/** Estimate of one stage call with its wait, for planning chains. */
-constexpr milliseconds kStageStep{300};
 
 double Uniform() {
   static std::mt19937_64 engine{std::random_device{}()};
@@ -106,8 +102,6 @@
   const auto now = Clock::now();
   service_ = routing::PickTarget(route_->targets, Uniform());
   context_.retries.OnRequest(service_, now);
-  stages_.emplace(route_->stages, request_.stage_pieces);
-  if (stages_->done()) return SendToUpstream();
   StartStages();
 }
 
@@ -126,15 +120,18 @@
     Refuse("stopping", kComeBackAtOnce);
     return false;
   }
-  rank_ = route_->priority;
+  int organisation_rank = kUsualOrganisation;
   const auto holder = table_->organisation_by_key.find(request_.key);
   if (holder != table_->organisation_by_key.end()) {
     organisation_ = holder->second.name;
-    rank_ = holder->second.priority.value_or(rank_);
+    organisation_rank = holder->second.priority.value_or(kUsualOrganisation);
   } else if (table_->has_organisations && !route_->is_public) {
     Fail(kUnauthorized, "unknown_key");
     return false;
   }
+  // The organisation's rank goes first, the route's second.
+  rank_ = organisation_rank * kRouteRanks +
+          std::min(route_->priority, kRouteRanks - 1);
   limit_ = arrived_ + route_->timeout;
   if (request_.deadline) {
     limit_ = std::min(limit_, arrived_ + *request_.deadline - kAnswerMargin);
@@ -151,125 +148,29 @@
   return TakesWhileStopping(is_long, since, context_.settings.stop_grace);
 }
 
-// Stages.
-
 void RequestRun::StartStages() {
-  for (const int stage : stages_->TakeReady()) SubmitStage(stage);
-}
-
-void RequestRun::SubmitStage(int stage) {
-  const routing::StageSpec& spec = route_->stages[static_cast<size_t>(stage)];
-  const std::vector<std::string> inputs = stages_->Inputs(stage);
   const auto prompt_time = milliseconds(
       static_cast<int64_t>(request_.prompt_tokens / kPromptTokensPerMs));
-  const auto rest =
-      stages_->StagesAfter(stage) * kStageStep + prompt_time + kFirstEvent;
-  const std::string zone = ZoneFor(stage);
-  const auto next_services = stages_->ServicesAfter(stage);
-  for (int index = 0; index < stages_->pieces(stage); ++index) {
-    stages::Piece piece;
-    piece.request_id = request_.attempt_id;
-    piece.stage = stage;
-    piece.index = index;
-    piece.inputs = inputs;
-    if (inputs.empty()) piece.key = request_.piece_key;
-    piece.result_bytes = spec.result_bytes;
-    piece.rank = rank_;
-    piece.due = arrived_ + route_->latency_target - rest;
-    piece.deadline = limit_ - rest;
-    piece.zone = zone;
-    piece.next_services = next_services;
-    const uint64_t ticket = context_.stages->Submit(
-        spec.service, std::move(piece), PieceEventsFor(stage, index));
-    open_pieces_.push_back({spec.service, ticket});
-  }
-}
-
-stages::PieceEvents RequestRun::PieceEventsFor(int stage, int index) {
-  const QPointer<RequestRun> self(this);
-  const uint64_t round = stage_round_;
-  const auto wanted = [self, round] {
-    return self && !self->finished_ && self->stage_round_ == round;
-  };
-  const std::string& service =
-      route_->stages[static_cast<size_t>(stage)].service;
-  return {.on_inputs_taken =
-              [self, wanted, stage] {
-                if (wanted()) self->OnInputsTaken(stage);
-              },
-          .on_done =
-              [self, wanted, &context = context_, service, stage, index,
-               id = request_.attempt_id](const stages::PieceResult& result) {
-                if (wanted()) return self->OnPiece(stage, index, result);
-                // The request has ended or begun again meanwhile; the result
-                // only takes up room.
-                if (result.failure == PieceFailure::kNone) {
-                  context.stages->Release(service, id, {result.handle});
-                }
-              }};
-}
-
-void RequestRun::OnInputsTaken(int stage) {
-  stages_->InputsTaken(stage);
-  ReleaseUnneeded();
-}
-
-bool RequestRun::RestartStages(std::string_view why) {
-  if (restarts_ >= kMaxRestarts || TimeLeft() < kLeastForRestart) return false;
-  ++restarts_;
-  utils::DecisionLog("stages_again")
-      .Add("request", request_.attempt_id)
-      .Add("why", why)
-      .Add("left_ms", TimeLeft().count());
-  CancelPieces();
-  ReleaseAll();
-  ++stage_round_;
-  inputs_released_ = false;
-  stages_->Restart();
-  StartStages();
-  return true;
-}
-
-void RequestRun::OnPiece(int stage, int index,
-                         const stages::PieceResult& result) {
-  if (result.failure != PieceFailure::kNone) {
-    utils::DecisionLog("piece_failed")
-        .Add("request", request_.attempt_id)
-        .Add("stage", stage)
-        .Add("piece", index)
-        .Add("failure", static_cast<int>(result.failure));
-    if (result.failure == PieceFailure::kInputGone && RestartStages("gone")) {
-      return;
-    }
-    if (may_have_run_) return Fail(kBadGateway, "stage_failed");
-    return Refuse("stage_failed", kComeBackSoon);
-  }
-  stages_->Complete(stage, index, result);
-  ReleaseUnneeded();
-  if (!stages_->done()) return StartStages();
-  open_pieces_.clear();
-  inputs_ = stages_->FinalInputs();
-  SendToUpstream();
-}
-
-void RequestRun::CancelPieces() {
-  for (const OpenPiece& open : std::exchange(open_pieces_, {})) {
-    context_.stages->Cancel(open.service, open.ticket);
-  }
-}
-
-void RequestRun::ReleaseUnneeded() {
-  for (auto& [service, handles] : stages_->TakeUnneeded()) {
-    context_.stages->Release(service, request_.attempt_id, std::move(handles));
-  }
+  stages_ = std::make_unique<StageRun>(
+      *context_.stages,
+      StagePlan{.request = request_,
+                .route = *route_,
+                .rank = rank_,
+                .due = arrived_ + route_->latency_target,
+                .limit = limit_,
+                .prompt_time = prompt_time},
+      StageRunEvents{
+          .on_ready = [this] { SendToUpstream(); },
+          .on_failed = [this](PieceFailure failure) { OnStageFailed(failure); },
+          .home_zone = [this] { return HomeZone(); }});
+  if (stages_->done()) return SendToUpstream();
+  stages_->Start();
 }
 
-void RequestRun::ReleaseAll() {
-  if (!stages_) return;
-  inputs_released_ = !inputs_.empty();
-  for (auto& [service, handles] : stages_->TakeAll()) {
-    context_.stages->Release(service, request_.attempt_id, std::move(handles));
-  }
+void RequestRun::OnStageFailed(PieceFailure failure) {
+  if (may_have_run_) return Fail(kBadGateway, "stage_failed");
+  const bool overloaded = failure == PieceFailure::kLate;
+  Refuse("stage_failed", overloaded ? kComeBackLater : kComeBackSoon);
 }
 
 // One send.
@@ -293,7 +194,7 @@
 
 routing::UpstreamPtr RequestRun::Choose() {
   routing::ChoiceRequest wanted = Wanted();
-  const std::string results_zone = stages_->FinalInputsZone();
+  const std::string results_zone = stages_->inputs_zone();
   if (!results_zone.empty()) {
     wanted.zone = results_zone;
     wanted.zone_cost_ms = kLargeInputZoneMs;
@@ -305,12 +206,7 @@
                         Clock::now());
 }
 
-std::string RequestRun::ZoneFor(int stage) const {
-  const std::string inputs_zone = stages_->InputsZone(stage);
-  if (!inputs_zone.empty()) return inputs_zone;
-  const routing::StageSpec& spec = route_->stages[static_cast<size_t>(stage)];
-  if (spec.result_bytes < kPlacedResult) return {};
-  // Large results are best made where the engine that will read them is.
+std::string RequestRun::HomeZone() const {
   const auto home = HomeUpstream(context_.upstreams.ForService(service_),
                                  Wanted(), Clock::now());
   return home ? home->entry.zone : context_.settings.zone;
@@ -346,16 +242,16 @@
       .upstream_id = upstream_->entry.id,
       .organisation = organisation_,
       .last_event_id = last_event_ ? last_event_ : request_.last_event_id,
-      .inputs = inputs_,
+      .inputs = stages_->inputs(),
       .engine_priority = {}};
   if (route_->carries_prompt) call.engine_priority = std::clamp(rank_, 0, 9);
   exchange_ = context_.client.Send(upstream_, context_.wire.encode_call(call),
                                    AnswerEvents(), {.fresh_connection = false});
-  if (inputs_.empty()) return;
+  if (stages_->inputs().empty()) return;
   // Room for results is what stage upstreams run out of first: they are given
   // up once fetched, not when the answer begins.
   QTimer::singleShot(kInputFetchTime, this, [this, send = sends_] {
-    if (!finished_ && exchange_ && sends_ == send) ReleaseAll();
+    if (!finished_ && exchange_ && sends_ == send) stages_->ReleaseAll();
   });
 }
 
@@ -453,11 +349,12 @@
 void RequestRun::OnEnd() {
   if (!has_head_) return OnFailure(http::ExchangeFailure::kMalformed);
   if (info_.not_run) {
-    const bool inputs_gone = head_.status == kConflict && !inputs_.empty();
+    const bool inputs_gone =
+        head_.status == kConflict && !stages_->inputs().empty();
     EndSend(inputs_gone ? Outcome::kAnswered : Outcome::kRefused);
     if (inputs_gone) {
       tried_.pop_back();
-      if (MaySendAgain(true) && RestartStages("inputs_gone")) return;
+      if (MaySendAgain(true) && stages_->Restart("inputs_gone")) return;
     }
     return OnNotRun();
   }
@@ -532,8 +429,8 @@
 
 void RequestRun::SendAgain() {
   context_.metrics->OnRepeat(service_);
-  if (!inputs_released_) return SendToUpstream();
-  if (RestartStages("send_again")) return;
+  if (!stages_->inputs_released()) return SendToUpstream();
+  if (stages_->Restart("send_again")) return;
   if (may_have_run_) return Fail(kBadGateway, "no_time_for_stages");
   Refuse("no_time_for_stages", kComeBackSoon);
 }
@@ -595,8 +492,7 @@
 void RequestRun::Finish(int status, std::string_view outcome) {
   if (std::exchange(finished_, true)) return;
   limit_timer_.stop();
-  CancelPieces();
-  ReleaseAll();
+  if (stages_) stages_->Stop();
   const double ms = MsSinceArrival();
   context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
                               outcome, ms / 1000);
--- /dev/null
+++ b/libs/entry/src/stage_run.cc
@@ -0,0 +1,165 @@
+#include "turmeric/entry/stage_run.h"
+
+#include <QPointer>
+#include <utility>
+
+#include "turmeric/entry/stage_client.h"
+#include "turmeric/entry/wire_format.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using stages::Clock;
+using stages::PieceFailure;
+using stages::PieceResult;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Times that a request's stages are done again after a result was lost, and
+ * the least time left for that: one call of each stage and the prompt. */
+constexpr int kMaxRestarts = 2;
+constexpr milliseconds kLeastForRestart{800};
+/** Time an engine needs from a prompt's end to the first event. */
+constexpr milliseconds kFirstEvent{60};
+/** Estimate of one stage call with its wait, for planning chains. */
+constexpr milliseconds kStageStep{300};
+/** Results of this size are made in the zone of the engine, bytes. */
+constexpr int64_t kPlacedResult = 500 * 1000;
+
+}  // namespace
+
+StageRun::StageRun(StageClient& client, StagePlan plan, StageRunEvents events)
+    : client_(client),
+      plan_(plan),
+      events_(std::move(events)),
+      progress_(plan.route.stages, plan.request.stage_pieces) {}
+
+StageRun::~StageRun() = default;
+
+void StageRun::Start() { SubmitReady(); }
+
+void StageRun::SubmitReady() {
+  for (const int stage : progress_.TakeReady()) SubmitStage(stage);
+}
+
+std::string StageRun::ZoneFor(int stage) const {
+  const std::string inputs_zone = progress_.InputsZone(stage);
+  if (!inputs_zone.empty()) return inputs_zone;
+  const routing::StageSpec& spec =
+      plan_.route.stages[static_cast<size_t>(stage)];
+  return spec.result_bytes < kPlacedResult ? std::string()
+                                           : events_.home_zone();
+}
+
+void StageRun::SubmitStage(int stage) {
+  const routing::StageSpec& spec =
+      plan_.route.stages[static_cast<size_t>(stage)];
+  const auto rest = progress_.StagesAfter(stage) * kStageStep +
+                    plan_.prompt_time + kFirstEvent;
+  stages::Piece piece;
+  piece.request_id = plan_.request.attempt_id;
+  piece.stage = stage;
+  piece.inputs = progress_.Inputs(stage);
+  if (piece.inputs.empty()) piece.key = plan_.request.piece_key;
+  piece.result_bytes = spec.result_bytes;
+  piece.rank = plan_.rank;
+  piece.due = plan_.due - rest;
+  piece.deadline = plan_.limit - rest;
+  piece.zone = ZoneFor(stage);
+  piece.next_services = progress_.ServicesAfter(stage);
+  for (int index = 0; index < progress_.pieces(stage); ++index) {
+    piece.index = index;
+    const uint64_t ticket =
+        client_.Submit(spec.service, piece, EventsFor(stage, index));
+    open_pieces_.push_back({spec.service, ticket});
+  }
+}
+
+stages::PieceEvents StageRun::EventsFor(int stage, int index) {
+  const QPointer<StageRun> self(this);
+  const uint64_t round = round_;
+  const auto wanted = [self, round] {
+    return self && !self->stopped_ && self->round_ == round;
+  };
+  const std::string& service =
+      plan_.route.stages[static_cast<size_t>(stage)].service;
+  return {.on_inputs_taken =
+              [self, wanted, stage] {
+                if (!wanted()) return;
+                self->progress_.InputsTaken(stage);
+                self->Release(self->progress_.TakeUnneeded());
+              },
+          .on_done =
+              [self, wanted, &client = client_, service, stage, index,
+               id = plan_.request.attempt_id](const PieceResult& result) {
+                if (wanted()) return self->OnPiece(stage, index, result);
+                // The request has ended or begun again meanwhile; the result
+                // only takes up room.
+                if (result.failure == PieceFailure::kNone) {
+                  client.Release(service, id, {result.handle});
+                }
+              }};
+}
+
+void StageRun::OnPiece(int stage, int index, const PieceResult& result) {
+  if (result.failure != PieceFailure::kNone) {
+    utils::DecisionLog("piece_failed")
+        .Add("request", plan_.request.attempt_id)
+        .Add("stage", stage)
+        .Add("piece", index)
+        .Add("failure", static_cast<int>(result.failure));
+    if (result.failure == PieceFailure::kInputGone && Restart("gone")) return;
+    return events_.on_failed(result.failure);
+  }
+  progress_.Complete(stage, index, result);
+  Release(progress_.TakeUnneeded());
+  if (!progress_.done()) return SubmitReady();
+  open_pieces_.clear();
+  inputs_ = progress_.FinalInputs();
+  events_.on_ready();
+}
+
+bool StageRun::Restart(std::string_view why) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(plan_.limit - Clock::now());
+  if (restarts_ >= kMaxRestarts || left < kLeastForRestart) return false;
+  ++restarts_;
+  utils::DecisionLog("stages_again")
+      .Add("request", plan_.request.attempt_id)
+      .Add("why", why)
+      .Add("left_ms", left.count());
+  CancelPieces();
+  ReleaseAll();
+  ++round_;
+  inputs_.clear();
+  inputs_released_ = false;
+  progress_.Restart();
+  SubmitReady();
+  return true;
+}
+
+void StageRun::Stop() {
+  stopped_ = true;
+  CancelPieces();
+  ReleaseAll();
+}
+
+void StageRun::CancelPieces() {
+  for (const OpenPiece& open : std::exchange(open_pieces_, {})) {
+    client_.Cancel(open.service, open.ticket);
+  }
+}
+
+void StageRun::ReleaseAll() {
+  inputs_released_ = !inputs_.empty();
+  Release(progress_.TakeAll());
+}
+
+void StageRun::Release(std::vector<stages::ServiceResults> results) {
+  for (auto& [service, handles] : results) {
+    client_.Release(service, plan_.request.attempt_id, std::move(handles));
+  }
+}
+
+}  // namespace turmeric::entry
