--- /dev/null
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "turmeric/routing/route_table.h"
+#include "turmeric/routing/upstream.h"
+
+namespace turmeric::entry {
+
+struct CallerRequest;
+
+/** Why a request is answered without being sent anywhere. */
+enum class AdmissionRefusal {
+  kNone,
+  kNotReady,    ///< No configuration or list of upstreams was read yet.
+  kNoRoute,     ///< No route of the host matches the path.
+  kStopping,    ///< It would outlast this process.
+  kUnknownKey,  ///< The route needs a key, and no organisation holds this one.
+};
+
+/** What this instance knows when a request arrives. */
+struct AdmissionState {
+  const routing::RouteTable* table = nullptr;
+  bool upstreams_known = false;
+  /** Time since a planned stop began; none: it has not. */
+  std::optional<std::chrono::milliseconds> since_stop;
+  std::chrono::milliseconds stop_grace{0};
+};
+
+/** The decision on one request. */
+struct Admission {
+  AdmissionRefusal refusal = AdmissionRefusal::kNone;
+  const routing::Route* route = nullptr;  ///< Lives as long as the table.
+  std::string organisation;               ///< Who calls; may be empty.
+  int rank = 0;                           ///< Urgency class, 0 first.
+  routing::Clock::time_point limit;       ///< Final answer due.
+};
+
+/**
+ * Decides on a request before anything is sent for it.
+ * @param request what arrived. @param state what is known.
+ * @param arrived when. @return the decision.
+ */
+Admission Admit(const CallerRequest& request, const AdmissionState& state,
+                routing::Clock::time_point arrived);
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -10,7 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "turmeric/entry/event_splitter.h"
+#include "turmeric/entry/request_admission.h"
+#include "turmeric/entry/stream_relay.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
 #include "turmeric/http/server_connection.h"
@@ -47,8 +48,7 @@
  private:
   using Clock = routing::Clock;
 
-  bool Admit();
-  bool TakesNow() const;
+  bool Admitted();
   void StartStages();
   void OnStageFailed(stages::PieceFailure failure);
   // One send.
@@ -67,7 +67,8 @@
   bool MaySendAgain(bool certainly_not_run);
   void SendAgain();
   void OnStreamBytes(std::string_view bytes);
-  void ForwardEvents(const std::vector<StreamEvent>& events);
+  void HoldBackIfSlow();
+  bool IsEventStream() const;
   void PassHead();
   // The final answer.
   void PassAnswer();
@@ -84,11 +85,9 @@
   CallerRequest request_;
   routing::RouteTablePtr table_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
-  std::string organisation_;
+  Admission admission_;
   std::string service_;
-  int rank_ = 0;
   Clock::time_point arrived_;
-  Clock::time_point limit_;  ///< Final answer due: deadline or timeout.
   QTimer limit_timer_;
 
   std::unique_ptr<StageRun> stages_;
@@ -108,9 +107,7 @@
 
   bool streaming_ = false;  ///< The head has been passed on.
   bool paused_ = false;
-  EventSplitter splitter_;
-  std::optional<int64_t> last_event_;  ///< Last one passed on.
-  int64_t events_ = 0;
+  StreamRelay relay_;
   bool finished_ = false;
 };
 
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -58,7 +58,12 @@
   connect(&drain_check_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
 
-EntryService::~EntryService() = default;
+EntryService::~EntryService() {
+  // Guard: open requests and connections are children of this object, and as
+  // such would be destroyed after the members that they use. A process told
+  // to stop with requests open could then crash, or hang until it is killed.
+  qDeleteAll(QObjectList(children()));
+}
 
 utils::Result<void> EntryService::Start(kernel::Kernel& /*kernel*/) {
   const config::EntrySettings& s = context_.settings;
--- /dev/null
+++ b/libs/entry/src/request_admission.cc
@@ -0,0 +1,70 @@
+#include "turmeric/entry/request_admission.h"
+
+#include <algorithm>
+
+#include "turmeric/entry/drain_policy.h"
+#include "turmeric/entry/wire_format.h"
+
+namespace turmeric::entry {
+
+using routing::RequestKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** An answer given so long before the caller's deadline still reaches it. */
+constexpr milliseconds kAnswerMargin{15};
+/** Rank of an organisation that states none; 0 is first. */
+constexpr int kUsualOrganisation = 1;
+/** Ranks of routes told apart within one rank of organisations. With three,
+ * the usual organisations fill ranks 3 to 5 of an engine's 0 to 9. */
+constexpr int kRouteRanks = 3;
+
+bool TakesNow(const routing::Route& route, const AdmissionState& state) {
+  if (!state.since_stop) return true;
+  const bool is_long =
+      route.kind == RequestKind::kStream || !route.stages.empty();
+  return TakesWhileStopping(is_long, *state.since_stop, state.stop_grace);
+}
+
+}  // namespace
+
+Admission Admit(const CallerRequest& request, const AdmissionState& state,
+                routing::Clock::time_point arrived) {
+  Admission admission;
+  if (state.table == nullptr || !state.upstreams_known) {
+    admission.refusal = AdmissionRefusal::kNotReady;
+    return admission;
+  }
+  const routing::RouteTable& table = *state.table;
+  admission.route = table.Match(request.host, request.target);
+  if (admission.route == nullptr) {
+    admission.refusal = AdmissionRefusal::kNoRoute;
+    return admission;
+  }
+  const routing::Route& route = *admission.route;
+  int organisation_rank = kUsualOrganisation;
+  const auto holder = table.organisation_by_key.find(request.key);
+  if (holder != table.organisation_by_key.end()) {
+    admission.organisation = holder->second.name;
+    organisation_rank = holder->second.priority.value_or(kUsualOrganisation);
+  } else if (table.has_organisations && !route.is_public) {
+    admission.refusal = AdmissionRefusal::kUnknownKey;
+    return admission;
+  }
+  if (!TakesNow(route, state)) {
+    admission.refusal = AdmissionRefusal::kStopping;
+    return admission;
+  }
+  // The organisation's rank goes first, the route's second.
+  admission.rank = organisation_rank * kRouteRanks +
+                   std::clamp(route.priority, 0, kRouteRanks - 1);
+  admission.limit = arrived + route.timeout;
+  if (request.deadline) {
+    admission.limit =
+        std::min(admission.limit, arrived + *request.deadline - kAnswerMargin);
+  }
+  return admission;
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -1,10 +1,10 @@
 #include "turmeric/entry/request_run.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
-#include "turmeric/entry/drain_policy.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/stage_run.h"
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kFirstRedirect = 300;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -32,8 +33,6 @@
 /** Tokens of a prompt that an engine reads in a millisecond, for load
  * estimates where it has not been measured. */
 constexpr double kPromptTokensPerMs = 38;
-/** An answer given so long before the caller's deadline still reaches it. */
-constexpr milliseconds kAnswerMargin{15};
 /** Least time left for a repeat to be worth sending. */
 constexpr milliseconds kLeastForRepeat{50};
 /** An engine has fetched a request's inputs so long after the request was
@@ -44,11 +43,6 @@
 /** Unsent bytes of a slow reader at which its upstream is held back, and
  * below which it goes on. */
 constexpr size_t kPauseAt = 256 * 1024;
-/** Rank of an organisation that states none; 0 is first. */
-constexpr int kUsualOrganisation = 1;
-/** Ranks of routes told apart within one rank of organisations. With three,
- * the usual organisations fill ranks 3 to 5 of an engine's 0 to 9. */
-constexpr int kRouteRanks = 3;
 /** When to come back after a refusal: long enough for a queue to move on,
  * spread so that the refused do not all return at once. */
 constexpr milliseconds kComeBackAtOnce{10};
@@ -60,6 +54,15 @@
  * back. */
 constexpr double kOtherZoneMs = 2;
 
+/** Engines take priorities from 0, first, to this. */
+constexpr int kLowestEnginePriority = 9;
+
+/** @return true for statuses that promise the request has not run. */
+bool SaysNotRun(int status) {
+  constexpr std::array<int, 4> kPromises = {408, 421, 429, kUnavailable};
+  return std::ranges::count(kPromises, status) > 0;
+}
+
 double Uniform() {
   static std::mt19937_64 engine{std::random_device{}()};
   return std::uniform_real_distribution<double>(0, 1)(engine);
@@ -86,7 +89,8 @@
 RequestRun::~RequestRun() = default;
 
 milliseconds RequestRun::TimeLeft() const {
-  return std::chrono::duration_cast<milliseconds>(limit_ - Clock::now());
+  return std::chrono::duration_cast<milliseconds>(admission_.limit -
+                                                  Clock::now());
 }
 
 double RequestRun::MsSinceArrival() const {
@@ -95,7 +99,7 @@
 }
 
 void RequestRun::Start() {
-  if (!Admit()) return;
+  if (!Admitted()) return;
   limit_timer_.setSingleShot(true);
   connect(&limit_timer_, &QTimer::timeout, this, [this] { OnTimeLimit(); });
   limit_timer_.start(std::max(milliseconds(1), TimeLeft()));
@@ -105,47 +109,35 @@
   StartStages();
 }
 
-bool RequestRun::Admit() {
+bool RequestRun::Admitted() {
   table_ = context_.table;
-  if (!table_ || !context_.upstreams_known) {
-    Refuse("not_ready", kComeBackLater);
-    return false;
-  }
-  route_ = table_->Match(request_.host, request_.target);
-  if (route_ == nullptr) {
-    Fail(kNotFound, "no_route");
-    return false;
+  AdmissionState state{.table = table_.get(),
+                       .upstreams_known = context_.upstreams_known,
+                       .since_stop = {},
+                       .stop_grace = context_.settings.stop_grace};
+  if (context_.stopping_since) {
+    state.since_stop = std::chrono::duration_cast<milliseconds>(
+        arrived_ - *context_.stopping_since);
   }
-  if (!TakesNow()) {
-    Refuse("stopping", kComeBackAtOnce);
-    return false;
-  }
-  int organisation_rank = kUsualOrganisation;
-  const auto holder = table_->organisation_by_key.find(request_.key);
-  if (holder != table_->organisation_by_key.end()) {
-    organisation_ = holder->second.name;
-    organisation_rank = holder->second.priority.value_or(kUsualOrganisation);
-  } else if (table_->has_organisations && !route_->is_public) {
-    Fail(kUnauthorized, "unknown_key");
-    return false;
+  admission_ = Admit(request_, state, arrived_);
+  route_ = admission_.route;
+  switch (admission_.refusal) {
+    case AdmissionRefusal::kNone:
+      return true;
+    case AdmissionRefusal::kNotReady:
+      Refuse("not_ready", kComeBackLater);
+      return false;
+    case AdmissionRefusal::kNoRoute:
+      Fail(kNotFound, "no_route");
+      return false;
+    case AdmissionRefusal::kStopping:
+      Refuse("stopping", kComeBackAtOnce);
+      return false;
+    case AdmissionRefusal::kUnknownKey:
+      Fail(kUnauthorized, "unknown_key");
+      return false;
   }
-  // The organisation's rank goes first, the route's second.
-  rank_ = organisation_rank * kRouteRanks +
-          std::min(route_->priority, kRouteRanks - 1);
-  limit_ = arrived_ + route_->timeout;
-  if (request_.deadline) {
-    limit_ = std::min(limit_, arrived_ + *request_.deadline - kAnswerMargin);
-  }
-  return true;
-}
-
-bool RequestRun::TakesNow() const {
-  if (!context_.stopping_since) return true;
-  const bool is_long =
-      route_->kind == RequestKind::kStream || !route_->stages.empty();
-  const auto since = std::chrono::duration_cast<milliseconds>(
-      arrived_ - *context_.stopping_since);
-  return TakesWhileStopping(is_long, since, context_.settings.stop_grace);
+  return false;
 }
 
 void RequestRun::StartStages() {
@@ -155,9 +147,9 @@
       *context_.stages,
       StagePlan{.request = request_,
                 .route = *route_,
-                .rank = rank_,
+                .rank = admission_.rank,
                 .due = arrived_ + route_->latency_target,
-                .limit = limit_,
+                .limit = admission_.limit,
                 .prompt_time = prompt_time},
       StageRunEvents{
           .on_ready = [this] { SendToUpstream(); },
@@ -236,15 +228,18 @@
   prompt_ms_ =
       route_->carries_prompt ? request_.prompt_tokens / kPromptTokensPerMs : 0;
   upstream_->pending_prompt_ms += prompt_ms_;
-  UpstreamCall call{
-      .request = request_,
-      .time_left = TimeLeft(),
-      .upstream_id = upstream_->entry.id,
-      .organisation = organisation_,
-      .last_event_id = last_event_ ? last_event_ : request_.last_event_id,
-      .inputs = stages_->inputs(),
-      .engine_priority = {}};
-  if (route_->carries_prompt) call.engine_priority = std::clamp(rank_, 0, 9);
+  UpstreamCall call{.request = request_,
+                    .time_left = TimeLeft(),
+                    .upstream_id = upstream_->entry.id,
+                    .organisation = admission_.organisation,
+                    .last_event_id = relay_.last_event()
+                                         ? relay_.last_event()
+                                         : request_.last_event_id,
+                    .inputs = stages_->inputs(),
+                    .engine_priority = {}};
+  if (route_->carries_prompt)
+    call.engine_priority =
+        std::clamp(admission_.rank, 0, kLowestEnginePriority);
   exchange_ = context_.client.Send(upstream_, context_.wire.encode_call(call),
                                    AnswerEvents(), {.fresh_connection = false});
   if (stages_->inputs().empty()) return;
@@ -299,9 +294,7 @@
 }
 
 void RequestRun::OnBody(std::string_view bytes) {
-  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
-    return OnStreamBytes(bytes);
-  }
+  if (IsEventStream()) return OnStreamBytes(bytes);
   body_.append(bytes);
   if (body_.size() > kMaxAnswer) {
     exchange_->Cancel();
@@ -311,34 +304,28 @@
   }
 }
 
-void RequestRun::OnStreamBytes(std::string_view bytes) {
-  if (!info_.sealed || info_.attempt_id.empty()) return;
-  ForwardEvents(splitter_.Feed(bytes));
+bool RequestRun::IsEventStream() const {
+  return route_->kind == RequestKind::kStream && head_.status == kOk;
 }
 
-void RequestRun::ForwardEvents(const std::vector<StreamEvent>& events) {
+void RequestRun::OnStreamBytes(std::string_view bytes) {
+  if (!info_.sealed || info_.attempt_id.empty()) return;
+  const std::string events = relay_.Feed(bytes);
   if (events.empty() || !connection_) return;
   if (!streaming_) PassHead();
   upstream_->pending_prompt_ms -= std::exchange(prompt_ms_, 0);
-  std::string out;
-  for (const StreamEvent& event : events) {
-    // Guard: a run that goes on at another upstream may begin with events
-    // that were passed on already; twice in a stream, they would be doubled
-    // text.
-    if (event.id && last_event_ && *event.id <= *last_event_) continue;
-    if (event.id) last_event_ = event.id;
-    ++events_;
-    out.append(event.bytes);
-  }
-  connection_->WriteChunk(out);
-  if (connection_->unsent() > kPauseAt && !paused_ && exchange_) {
-    paused_ = true;
-    exchange_->PauseReading(true);
-    connection_->set_on_drained([this] {
-      paused_ = false;
-      if (exchange_) exchange_->PauseReading(false);
-    });
-  }
+  connection_->WriteChunk(events);
+  HoldBackIfSlow();
+}
+
+void RequestRun::HoldBackIfSlow() {
+  if (connection_->unsent() <= kPauseAt || paused_ || !exchange_) return;
+  paused_ = true;
+  exchange_->PauseReading(true);
+  connection_->set_on_drained([this] {
+    paused_ = false;
+    if (exchange_) exchange_->PauseReading(false);
+  });
 }
 
 void RequestRun::PassHead() {
@@ -360,12 +347,16 @@
   }
   may_have_run_ = true;
   const bool own = info_.sealed && !info_.attempt_id.empty() && !info_.encoded;
-  if (head_.status == kOk && !own) {
+  // Guard: an answer that does not prove to be the upstream's own must not
+  // look like a success, nor like the promise that nothing ran.
+  const bool needs_receipt =
+      head_.status < kFirstRedirect || SaysNotRun(head_.status);
+  if (needs_receipt && !own) {
     EndSend(Outcome::kBroken);
     return OnBroken("answer_without_receipt");
   }
-  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
-    if (splitter_.has_tail()) {
+  if (IsEventStream()) {
+    if (relay_.inside_event()) {
       EndSend(Outcome::kBroken);
       return OnBroken("stream_cut_in_event");
     }
@@ -411,10 +402,10 @@
       .Add("request", request_.attempt_id)
       .Add("upstream", upstream_->entry.id)
       .Add("why", why)
-      .Add("events", events_)
+      .Add("events", relay_.events())
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
-  splitter_.Reset();
+  relay_.RunEnded();
   if (route_->repeatable() && MaySendAgain(false)) return SendAgain();
   Fail(kBadGateway, why);
 }
@@ -439,7 +430,7 @@
 
 void RequestRun::PassAnswer() {
   if (!connection_) return;
-  if (route_->kind == RequestKind::kStream && head_.status == kOk) {
+  if (IsEventStream()) {
     if (!streaming_) PassHead();
     connection_->EndChunked();
   } else {
@@ -504,7 +495,7 @@
       .Add("outcome", outcome)
       .Add("upstream", upstream_ ? upstream_->entry.id : "-")
       .Add("sends", sends_)
-      .Add("events", events_)
+      .Add("events", relay_.events())
       .Add("ms", static_cast<int64_t>(ms));
   deleteLater();
 }
--- /dev/null
+++ b/libs/entry/test/request_admission_test.cc
@@ -0,0 +1,118 @@
+#include "turmeric/entry/request_admission.h"
+
+#include <catch2/catch.hpp>
+
+#include "turmeric/entry/stream_relay.h"
+#include "turmeric/entry/wire_format.h"
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::entry::Admission;
+using turmeric::entry::AdmissionRefusal;
+using turmeric::entry::AdmissionState;
+using turmeric::entry::Admit;
+using turmeric::entry::CallerRequest;
+using turmeric::entry::StreamRelay;
+using turmeric::routing::Clock;
+using turmeric::routing::RequestKind;
+using turmeric::routing::Route;
+using turmeric::routing::RouteTable;
+
+namespace {
+
+const Clock::time_point kNow = Clock::time_point(100s);
+
+RouteTable MakeTable() {
+  RouteTable table;
+  for (const bool is_public : {false, true}) {
+    Route route;
+    route.host = "h";
+    route.path_prefix = is_public ? "/open/" : "/closed/";
+    route.kind = RequestKind::kStream;
+    route.timeout = 6000ms;
+    route.priority = 2;
+    route.is_public = is_public;
+    table.routes.push_back(route);
+  }
+  table.has_organisations = true;
+  table.organisation_by_key["key"] = {.name = "org", .priority = {}};
+  table.organisation_by_key["first"] = {.name = "org-0", .priority = 0};
+  return table;
+}
+
+CallerRequest MakeRequest(std::string target, std::string key) {
+  CallerRequest request;
+  request.host = "h";
+  request.target = std::move(target);
+  request.key = std::move(key);
+  return request;
+}
+
+AdmissionState Ready(const RouteTable& table) {
+  return {.table = &table,
+          .upstreams_known = true,
+          .since_stop = {},
+          .stop_grace = 8000ms};
+}
+
+}  // namespace
+
+TEST_CASE("nothing is known: not ready, whatever is asked") {
+  REQUIRE(Admit(MakeRequest("/closed/x", "key"), {}, kNow).refusal ==
+          AdmissionRefusal::kNotReady);
+}
+
+TEST_CASE("route and key decide") {
+  const RouteTable table = MakeTable();
+  const AdmissionState state = Ready(table);
+  const auto refusal = [&](const char* target, const char* key) {
+    return Admit(MakeRequest(target, key), state, kNow).refusal;
+  };
+  REQUIRE(refusal("/closed/x", "key") == AdmissionRefusal::kNone);
+  REQUIRE(refusal("/closed/x", "wrong") == AdmissionRefusal::kUnknownKey);
+  REQUIRE(refusal("/closed/x", "") == AdmissionRefusal::kUnknownKey);
+  REQUIRE(refusal("/open/x", "") == AdmissionRefusal::kNone);
+  REQUIRE(refusal("/none/x", "key") == AdmissionRefusal::kNoRoute);
+}
+
+TEST_CASE("the final answer is due at the timeout or before the deadline") {
+  const RouteTable table = MakeTable();
+  CallerRequest request = MakeRequest("/closed/x", "key");
+  REQUIRE(Admit(request, Ready(table), kNow).limit == kNow + 6000ms);
+  request.deadline = 1000ms;
+  const auto limit = Admit(request, Ready(table), kNow).limit;
+  REQUIRE(limit < kNow + 1000ms);
+  REQUIRE(limit > kNow + 900ms);
+}
+
+TEST_CASE("an organisation's rank goes before its route's") {
+  const RouteTable table = MakeTable();
+  const auto usual = Admit(MakeRequest("/closed/x", "key"), Ready(table), kNow);
+  const auto first =
+      Admit(MakeRequest("/closed/x", "first"), Ready(table), kNow);
+  REQUIRE(first.rank < usual.rank);
+  REQUIRE(usual.rank <= 9);
+}
+
+TEST_CASE("a stopping instance still says what it would not serve anyway") {
+  const RouteTable table = MakeTable();
+  AdmissionState state = Ready(table);
+  state.since_stop = 7000ms;
+  REQUIRE(Admit(MakeRequest("/closed/x", "key"), state, kNow).refusal ==
+          AdmissionRefusal::kStopping);
+  REQUIRE(Admit(MakeRequest("/none/x", "key"), state, kNow).refusal ==
+          AdmissionRefusal::kNoRoute);
+}
+
+// Story: an engine dies, and the engine that goes on repeats the last event
+// before the caller's place. The caller must see each event once.
+TEST_CASE("a relay passes each event once over several runs") {
+  StreamRelay relay;
+  REQUIRE(relay.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  REQUIRE(relay.inside_event());
+  relay.RunEnded();
+  REQUIRE(relay.last_event() == 1);
+  REQUIRE(relay.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") ==
+          "id: 2\ndata: b\n\n");
+  REQUIRE(relay.events() == 2);
+  REQUIRE_FALSE(relay.inside_event());
+}
