--- a/libs/entry/src/event_splitter.cc
+++ b/libs/entry/src/event_splitter.cc
@@ -43,7 +43,8 @@
   std::vector<StreamEvent> events;
   size_t taken = 0;
   for (;;) {
-    const std::string_view rest = std::string_view(tail_).substr(taken);
+    std::string_view rest = tail_;
+    rest.remove_prefix(taken);
     const size_t end = EventEnd(rest);
     if (end == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, end);
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -237,9 +237,10 @@
                                          : request_.last_event_id,
                     .inputs = stages_->inputs(),
                     .engine_priority = {}};
-  if (route_->carries_prompt)
+  if (route_->carries_prompt) {
     call.engine_priority =
         std::clamp(admission_.rank, 0, kLowestEnginePriority);
+  }
   exchange_ = context_.client.Send(upstream_, context_.wire.encode_call(call),
                                    AnswerEvents(), {.fresh_connection = false});
   if (stages_->inputs().empty()) return;
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -373,8 +373,8 @@
   worker.reserved_bytes -= call.bytes;
   const routing::ServiceSpec* spec = context_.table->FindService(call.service);
   const double keep_s = spec && spec->stage ? spec->stage->keep_s : 0;
-  const auto till =
-      Clock::now() + std::chrono::milliseconds(int64_t(keep_s * 1000));
+  const auto till = Clock::now() + std::chrono::milliseconds(
+                                       static_cast<int64_t>(keep_s * 1000));
   for (size_t i = 0; i < results.size(); ++i) {
     QueuedPiece& piece = call.pieces[i];
     PieceResult result = results[i];
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -11,7 +11,10 @@
 
 namespace {
 
-char Lower(char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; }
+char Lower(char c) {
+  const bool upper = c >= 'A' && c <= 'Z';
+  return upper ? static_cast<char>(c - 'A' + 'a') : c;
+}
 
 }  // namespace
 
--- a/libs/peer/src/peer_link.cc
+++ b/libs/peer/src/peer_link.cc
@@ -101,7 +101,8 @@
   pending_.append(bytes);
   size_t at = 0;
   while (alive_ && pending_.size() - at >= sizeof(uint32_t)) {
-    const std::string_view rest = std::string_view(pending_).substr(at);
+    std::string_view rest = pending_;
+    rest.remove_prefix(at);
     const uint32_t length = DecodeLength(rest);
     if (length > kMaxFrame) return End("frame too large");
     if (rest.size() < sizeof(uint32_t) + length) break;
--- a/scripts/tidy.sh
+++ b/scripts/tidy.sh
@@ -7,7 +7,7 @@
 trap 'rm -f "$out"' EXIT
 git ls-files '*.cc' | grep -v '_generated' |
   xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet \
-    --header-filter="/(libs|tools|bench)/" >"$out" 2>/dev/null || true
+    --header-filter="/(libs|tools|bench|platform)/" >"$out" 2>/dev/null || true
 if grep -E '(warning|error):' "$out" | sort -u; then
   echo "== clang-tidy: findings above"
   exit 1
