--- /dev/null
+++ b/libs/config/test/entry_settings_test.cc
@@ -0,0 +1,60 @@
+#include "turmeric/config/entry_settings.h"
+
+#include <QTemporaryFile>
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::config::EntrySettings;
+using turmeric::config::HasEntrySettings;
+using turmeric::config::LoadEntrySettings;
+using turmeric::utils::Errc;
+using turmeric::utils::Result;
+
+namespace {
+
+constexpr auto kGood =
+    "[entry]\nname=entry-1\nzone=zone-a\nfront_address=\"10.0.0.1:80\"\n"
+    "store_address=\"10.0.0.2:81\"\nstop_grace_ms=8000\nretry_ratio=0.2\n";
+
+Result<EntrySettings> Load(const std::string& text) {
+  QTemporaryFile file;
+  REQUIRE(file.open());
+  file.write(QByteArray::fromStdString(text));
+  file.flush();
+  return LoadEntrySettings(file.fileName().toStdString());
+}
+
+}  // namespace
+
+TEST_CASE("entry settings are read") {
+  const auto settings = Load(kGood);
+  REQUIRE(settings);
+  REQUIRE(settings.value().name == "entry-1");
+  REQUIRE(settings.value().front_address == "10.0.0.1:80");
+  REQUIRE(settings.value().stop_grace == 8000ms);
+  REQUIRE(settings.value().retry_ratio == 0.2);
+}
+
+TEST_CASE("a mistake names its key and value") {
+  const std::string good(kGood);
+  const auto mistake = [&](const std::string& line) {
+    const auto settings = Load(good + line);
+    REQUIRE_FALSE(settings);
+    REQUIRE(settings.error().code == Errc::kIniInvalid);
+    return settings.error().detail;
+  };
+  REQUIRE(mistake("peer_address=nowhere\n") ==
+          "peer_address=nowhere: want ip:port");
+  REQUIRE(mistake("lapsed_grace_ms=-1\n").starts_with("lapsed_grace_ms=-1"));
+  REQUIRE(mistake("retry_slack=many\n").starts_with("retry_slack=many"));
+  REQUIRE(mistake("no_such=1\n").find("no_such") != std::string::npos);
+}
+
+TEST_CASE("what must be set is missed by name") {
+  const auto settings = Load("[entry]\nname=entry-1\n");
+  REQUIRE_FALSE(settings);
+  REQUIRE(settings.error().detail.find("zone") != std::string::npos);
+  REQUIRE(LoadEntrySettings("/nowhere.ini").error().code == Errc::kIniMissing);
+  REQUIRE_FALSE(HasEntrySettings("/nowhere.ini"));
+}
--- a/libs/http/include/turmeric/http/client_connection.h
+++ b/libs/http/include/turmeric/http/client_connection.h
@@ -91,6 +91,7 @@
   bool busy_ = false;
   bool used_ = false;
   bool skipping_ = false;
+  bool answers_head_ = false;
   bool broken_ = false;
   std::chrono::milliseconds keep_alive_;
   std::chrono::steady_clock::time_point idle_since_;
--- a/libs/http/include/turmeric/http/message_parser.h
+++ b/libs/http/include/turmeric/http/message_parser.h
@@ -72,6 +72,8 @@
    * @return true if that completes the answer (a body without a length).
    */
   bool FeedEnd();
+  /** The answer has no body whatever its head says: it answers HEAD. */
+  void ExpectNoBody();
   /** @return true once any byte of the answer was taken. */
   bool started() const;
   /** @return true if the connection may carry another request. */
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -46,11 +46,13 @@
           [this](std::string_view bytes) {
             if (!skipping_ && events_.on_body) events_.on_body(bytes);
           }});
+  if (answers_head_) parser_->ExpectNoBody();
 }
 
 void ClientConnection::Send(std::string_view bytes, ExchangeEvents events) {
   events_ = std::move(events);
   busy_ = true;
+  answers_head_ = bytes.starts_with("HEAD ");
   NewParser();
   socket_->Write(bytes);
 }
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -169,6 +169,8 @@
   return !ec;
 }
 
+void ResponseParser::ExpectNoBody() { impl_->skip(true); }
+
 bool ResponseParser::started() const { return impl_->got_some(); }
 
 bool ResponseParser::keep_alive() const { return impl_->keep_alive(); }
--- a/libs/http/test/message_parser_test.cc
+++ b/libs/http/test/message_parser_test.cc
@@ -126,3 +126,13 @@
   REQUIRE(parser.message().target == "/a/b?q=1");
   REQUIRE(parser.message().body == "abc");
 }
+
+// Story: a caller sends HEAD. The answer states a length and has no body; an
+// instance that waits for one answers only at the route's timeout.
+TEST_CASE("the answer to HEAD ends with its head") {
+  Answer answer;
+  ResponseParser parser = ParserInto(answer);
+  parser.ExpectNoBody();
+  REQUIRE(parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").status ==
+          ParseStatus::kDone);
+}
