Read-through: what is remembered stays bounded

Found by reading: the retry allowance remembered every request of a service that needed no repeat, the dispatcher every upstream that had left, the client an empty pool for each; a spread without a name. Test: retry_allowance_test (10,000 requests remembered before, at most 102 after; the count before is by reading, OnRequest did not trim).

--- a/libs/entry/include/turmeric/entry/retry_budgets.h
+++ b/libs/entry/include/turmeric/entry/retry_budgets.h
@@ -20,7 +20,7 @@
   int live_instances() const { return live_instances_; }
   /** @param service a request for it arrived. @param now the time. */
   void OnRequest(const std::string& service, routing::Clock::time_point now) {
-    by_service_[service].OnRequest(now);
+    by_service_[service].OnRequest(limits_.window, now);
   }
   /** @return true, and counts it, if one more repeat may be sent.
    * @param service where to. @param now the time. */
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -48,6 +48,7 @@
 constexpr milliseconds kComeBackAtOnce{10};
 constexpr milliseconds kComeBackSoon{150};
 constexpr milliseconds kComeBackLater{500};
+constexpr double kSpread = 0.25;
 /** Waiting that a large stage result in another zone is worth, ms. */
 constexpr double kLargeInputZoneMs = 150;
 /** Waiting that another zone is worth otherwise, ms: the way there and
@@ -69,8 +70,9 @@
 }
 
 milliseconds Spread(milliseconds base) {
-  return milliseconds(static_cast<int64_t>(static_cast<double>(base.count()) *
-                                           (0.75 + 0.5 * Uniform())));
+  const double factor = 1 + kSpread * (2 * Uniform() - 1);
+  return milliseconds(
+      static_cast<int64_t>(static_cast<double>(base.count()) * factor));
 }
 
 }  // namespace
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -243,6 +243,9 @@
   const StageCallLimits* found = LimitsOf(queue);
   if (found == nullptr) return FailAll(queue, PieceFailure::kNoUpstream);
   const StageCallLimits& limits = *found;
+  std::erase_if(queue.workers, [](const auto& entry) {
+    return !entry.second.upstream->listed && entry.second.calls == 0;
+  });
   FailHopeless(queue, CallTime(limits, 1));
   const Clock::time_point now = Clock::now();
   std::vector<UpstreamPtr> free;
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -81,11 +81,11 @@
 
 void UpstreamClient::Return(ClientConnection* connection,
                             const UpstreamPtr& upstream) {
-  Pool& pool = pools_[upstream->entry.id];
-  if (!connection->reusable() || pool.idle.size() >= kMaxIdle ||
-      !upstream->listed) {
+  if (!upstream->listed || !connection->reusable()) {
     return Discard(connection, *upstream);
   }
+  Pool& pool = pools_[upstream->entry.id];
+  if (pool.idle.size() >= kMaxIdle) return Discard(connection, *upstream);
   pool.idle.push_back(connection);
   connection->set_on_idle_end([this, connection, upstream] {
     std::erase(pools_[upstream->entry.id].idle, connection);
--- a/libs/routing/include/turmeric/routing/retry_allowance.h
+++ b/libs/routing/include/turmeric/routing/retry_allowance.h
@@ -22,8 +22,9 @@
  */
 class RetryAllowance {
  public:
-  /** @param now when a request for the service arrived. */
-  void OnRequest(Clock::time_point now);
+  /** @param window how long it counts. @param now when a request for the
+   * service arrived. */
+  void OnRequest(std::chrono::milliseconds window, Clock::time_point now);
   /**
    * @param limits the fleet's bound. @param live_instances at least 1.
    * @param now the time.
@@ -32,6 +33,9 @@
   bool TrySpend(const RetryBudgetLimits& limits, int live_instances,
                 Clock::time_point now);
 
+  /** @return requests and repeats remembered. */
+  size_t remembered() const { return requests_.size() + repeats_.size(); }
+
  private:
   void Trim(std::chrono::milliseconds window, Clock::time_point now);
 
--- a/libs/routing/src/retry_allowance.cc
+++ b/libs/routing/src/retry_allowance.cc
@@ -12,7 +12,11 @@
 
 }  // namespace
 
-void RetryAllowance::OnRequest(Clock::time_point now) {
+void RetryAllowance::OnRequest(std::chrono::milliseconds window,
+                               Clock::time_point now) {
+  // Trimmed here too: a service that needs no repeats for days must not make
+  // the process remember every request of them.
+  Trim(window, now);
   requests_.push_back(now);
 }
 
--- a/libs/routing/test/retry_allowance_test.cc
+++ b/libs/routing/test/retry_allowance_test.cc
@@ -35,7 +35,7 @@
 
 TEST_CASE("requests earn repeats, at the ratio") {
   RetryAllowance allowance;
-  for (int i = 0; i < 100; ++i) allowance.OnRequest(kNow);
+  for (int i = 0; i < 100; ++i) allowance.OnRequest(kLimits.window, kNow);
   const int spent = SpendAll(allowance, 50, kNow);
   REQUIRE(spent <= 100 * kLimits.ratio + 1);
   REQUIRE(spent >= 10);
@@ -47,3 +47,13 @@
   REQUIRE(SpendAll(allowance, 7, kNow + 9s) == 0);
   REQUIRE(SpendAll(allowance, 7, kNow + 11s) == first);
 }
+
+// Story: a service runs for days without a repeat. What is remembered of its
+// requests must not grow until the process is over its memory limit.
+TEST_CASE("requests are forgotten once they no longer count") {
+  RetryAllowance allowance;
+  for (int i = 0; i < 10000; ++i) {
+    allowance.OnRequest(kLimits.window, kNow + i * 100ms);
+  }
+  REQUIRE(allowance.remembered() <= 102);
+}
