Calls to a silent store follow sooner; missing entries are kept two seconds

The instance had been cut off from the store; its path came back at 13.0 s, the entry went at 12.99 s, but the first call answered again only at 14.38 s (a connect given up after 700 ms, then a pause of up to 960 ms), and missing entries are kept 2 s from there. Ruled out: the hold itself (two seconds as agreed), the watch's wait (it is 100 ms while the store does not answer).

--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -63,6 +63,7 @@
   bool reachable_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
+  std::chrono::steady_clock::time_point called_at_;
   std::chrono::steady_clock::time_point heard_at_;
 };
 
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -4,6 +4,8 @@
 #include <random>
 #include <utility>
 
+#include "turmeric/store/backoff.h"
+
 namespace turmeric::store {
 
 using std::chrono::milliseconds;
@@ -22,16 +24,10 @@
 /** Pause after a change before waiting for the next: well below the two
  * seconds in which a change must be in force. */
 constexpr milliseconds kCoalesce{400};
-/** First pause after a failed call; doubles up to the longest, with a
- * random part so that a fleet does not return in step. */
-constexpr milliseconds kFirstPause{100};
-constexpr milliseconds kLongestPause{800};
 
-milliseconds Jittered(milliseconds pause) {
+double DrawSpread() {
   static std::minstd_rand engine{std::random_device{}()};
-  std::uniform_real_distribution<double> part(0.6, 1.2);
-  return milliseconds(
-      static_cast<int64_t>(static_cast<double>(pause.count()) * part(engine)));
+  return std::uniform_real_distribution<double>(0.6, 1.2)(engine);
 }
 
 }  // namespace
@@ -47,6 +43,7 @@
 void Reflector::Start() { List(); }
 
 void Reflector::List() {
+  called_at_ = steady_clock::now();
   source_.List(kind_, ObjectSource::Freshness::kLinearizable,
                [this](const auto& batch) { OnListed(batch); });
 }
@@ -56,6 +53,7 @@
   // With the full wait it would be given up seconds after the return, and a
   // configuration accepted meanwhile would come into force too late.
   const milliseconds wait = reachable_ ? kWatchWait : kProbeWait;
+  called_at_ = steady_clock::now();
   source_.Watch(kind_, revision_, wait,
                 [this](const auto& batch) { OnChanges(batch); });
 }
@@ -108,9 +106,9 @@
   if (was_reachable || failures_ == 1) {
     events_.on_reachable(false, error.detail);
   }
-  const auto pause =
-      std::min(kFirstPause * (1 << std::min(failures_ - 1, 4)), kLongestPause);
-  again_.start(Jittered(pause));
+  const auto call_took = std::chrono::duration_cast<milliseconds>(
+      steady_clock::now() - called_at_);
+  again_.start(PauseAfterFailure(failures_, call_took, DrawSpread()));
 }
 
 }  // namespace turmeric::store
