request_run and stage_dispatcher split by job

Cause: request_run.cc (506 lines) and stage_dispatcher.cc (486) each did several jobs. Change: out of the first, UpstreamSend (one send and its answer), AnswerFault (may an answer be passed on), ToChoice (what an upstream is chosen by), ComeBackAfter (Retry-After) and AnswerTo (refusals); out of the second, ResultRoom and call_plan (pure, in libs/stages), UpstreamsOfShard and ResultReleases, which now logs a release that failed. 403 and 408 lines are left. No change of behaviour meant.

--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 
+#include "turmeric/entry/come_back.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 
@@ -46,4 +48,15 @@
 Admission Admit(const CallerRequest& request, const AdmissionState& state,
                 routing::Clock::time_point arrived);
 
+/** How a request is answered that is not admitted. */
+struct RefusalAnswer {
+  int status = 0;  ///< HTTP status.
+  std::string_view why;
+  /** When the caller should return; none: the request will never be taken. */
+  std::optional<ComeBack> come_back;
+};
+
+/** @param refusal a refusal, not kNone. @return its answer. */
+RefusalAnswer AnswerTo(AdmissionRefusal refusal);
+
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -15,7 +15,6 @@
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
 #include "turmeric/http/server_connection.h"
-#include "turmeric/routing/choice.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -24,7 +23,10 @@
 
 struct EntryContext;
 class StageRun;
-class UpstreamExchange;
+enum class ComeBack;
+struct UpstreamSendEvents;
+struct WantedUpstream;
+class UpstreamSend;
 
 /**
  * One request from its arrival to its final answer: route and key, stages,
@@ -53,26 +55,25 @@
   void OnStageFailed(stages::PieceFailure failure);
   // One send.
   void SendToUpstream();
-  routing::ChoiceRequest Wanted() const;
+  WantedUpstream Wanted(std::string_view results_zone) const;
   routing::UpstreamPtr Choose();
   std::string HomeZone() const;
-  http::ExchangeEvents AnswerEvents();
-  bool OnHead(const http::ResponseHead& head);
-  void OnBody(std::string_view bytes);
+  int ConnectionLimit() const;
+  UpstreamCall CallTo(const routing::Upstream& upstream) const;
+  void ReleaseInputsOnceFetched();
+  UpstreamSendEvents SendEvents();
   void OnEnd();
   void OnFailure(http::ExchangeFailure failure);
-  void EndSend(routing::Outcome outcome);
   void OnNotRun();
   void OnBroken(std::string_view why);
   bool MaySendAgain(bool certainly_not_run);
   void SendAgain();
   void OnStreamBytes(std::string_view bytes);
   void HoldBackIfSlow();
-  bool IsEventStream() const;
   void PassHead();
   // The final answer.
   void PassAnswer();
-  void Refuse(std::string_view why, std::chrono::milliseconds come_back);
+  void Refuse(std::string_view why, ComeBack when);
   void Fail(int status, std::string_view why);
   void OnTimeLimit();
   void OnCallerGone();
@@ -92,17 +93,10 @@
 
   std::unique_ptr<StageRun> stages_;
 
-  std::shared_ptr<UpstreamExchange> exchange_;
-  routing::UpstreamPtr upstream_;
+  std::unique_ptr<UpstreamSend> send_;  ///< The last; null before the first.
   std::vector<std::string> tried_;
-  double prompt_ms_ = 0;  ///< Charged to the upstream till first byte.
-  Clock::time_point sent_at_;
   int sends_ = 0;
   bool may_have_run_ = false;
-  http::ResponseHead head_;
-  AnswerInfo info_;
-  bool has_head_ = false;
-  std::string body_;
   std::optional<http::ResponseMessage> last_error_;  ///< An upstream's own.
 
   bool streaming_ = false;  ///< The head has been passed on.
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -5,9 +5,10 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "turmeric/entry/result_releases.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/stages/piece_queue.h"
@@ -39,7 +40,9 @@
   bool Cancel(const std::string& shard, uint64_t ticket);
   /** @param shard the results' shard. @param handles results that nothing
    * needs any more. */
-  void Release(const std::string& shard, std::vector<std::string> handles);
+  void Release(const std::string& shard, std::vector<std::string> handles) {
+    releases_.Add(shard, std::move(handles));
+  }
   /**
    * @return for each shard with a queue here, the calls that wait for each
    *     of its upstreams.
@@ -60,8 +63,9 @@
   void SchedulePump();
   void Pump();
   void PumpQueue(Queue& queue);
-  void FailHopeless(Queue& queue, std::chrono::milliseconds call_time);
-  void FailAll(Queue& queue, stages::PieceFailure failure);
+  void FailEndingWithin(Queue& queue, std::chrono::milliseconds time,
+                        stages::PieceFailure failure);
+  void FailAll(Queue& queue);
   void SendCall(Queue& queue, Worker& worker,
                 std::vector<stages::QueuedPiece> pieces,
                 const routing::StageCallLimits& limits);
@@ -70,19 +74,15 @@
                     routing::Outcome outcome);
   void Deliver(Call& call, const std::vector<stages::PieceResult>& results);
   void Retry(Call& call, bool certainly_not_run);
-  void FlushReleases();
   void OnInputsTaken(const std::shared_ptr<Call>& call);
   void ForgetHeld(const std::string& shard,
                   const std::vector<std::string>& handles);
 
   EntryContext& context_;
   std::map<std::string, std::unique_ptr<Queue>> queues_;
-  /** Results to be released, by shard and the address that holds them. */
-  std::map<std::pair<std::string, std::string>, std::vector<std::string>>
-      releases_;
+  ResultReleases releases_;
   QTimer pump_;
   QTimer retry_pump_;
-  QTimer release_;
 };
 
 }  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/come_back.cc
@@ -0,0 +1,40 @@
+#include "turmeric/entry/come_back.h"
+
+#include <cstdint>
+
+namespace turmeric::entry {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** One turn of an event loop and the way there. */
+constexpr milliseconds kAtOnce{10};
+/** Half a stage call, or two plain requests. */
+constexpr milliseconds kSoon{150};
+/** The first ejection of a failing upstream ends by then. */
+constexpr milliseconds kLater{500};
+/** Part by which a pause is shortened or lengthened at most. */
+constexpr double kSpread = 0.25;
+
+milliseconds Pause(ComeBack when) {
+  switch (when) {
+    case ComeBack::kAtOnce:
+      return kAtOnce;
+    case ComeBack::kSoon:
+      return kSoon;
+    case ComeBack::kLater:
+      return kLater;
+  }
+  return kLater;
+}
+
+}  // namespace
+
+milliseconds ComeBackAfter(ComeBack when, double draw) {
+  const double factor = 1 + kSpread * (2 * draw - 1);
+  return milliseconds(
+      static_cast<int64_t>(static_cast<double>(Pause(when).count()) * factor));
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -12,6 +12,10 @@
 
 namespace {
 
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
 /** An answer given so long before the caller's deadline still reaches it. */
 constexpr milliseconds kAnswerMargin{15};
 /** Rank of an organisation that states none; 0 is first. */
@@ -67,4 +71,20 @@
   return admission;
 }
 
+RefusalAnswer AnswerTo(AdmissionRefusal refusal) {
+  switch (refusal) {
+    case AdmissionRefusal::kNone:
+      break;
+    case AdmissionRefusal::kNotReady:
+      return {kUnavailable, "not_ready", ComeBack::kLater};
+    case AdmissionRefusal::kNoRoute:
+      return {kNotFound, "no_route", std::nullopt};
+    case AdmissionRefusal::kStopping:
+      return {kUnavailable, "stopping", ComeBack::kAtOnce};
+    case AdmissionRefusal::kUnknownKey:
+      return {kUnauthorized, "unknown_key", std::nullopt};
+  }
+  return {kUnavailable, "refused", ComeBack::kLater};
+}
+
 }  // namespace turmeric::entry
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -1,10 +1,11 @@
 #include "turmeric/entry/stage_dispatcher.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/stages/call_plan.h"
+#include "turmeric/stages/result_room.h"
 #include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -14,6 +15,7 @@
 using routing::Outcome;
 using routing::StageCallLimits;
 using routing::UpstreamPtr;
+using stages::CallTime;
 using stages::PieceFailure;
 using stages::PieceResult;
 using stages::QueuedPiece;
@@ -21,33 +23,14 @@
 namespace {
 
 constexpr int kOk = 200;
-/** Part of an upstream's room that is filled: results are larger or smaller
- * than configured. */
-constexpr double kRoomShare = 0.9;
-/** A call is given up after so many times its estimate plus kCallGrace; slow
- * upstreams take four to five times as long and still deliver. */
-constexpr int kCallTimeoutFactor = 5;
-constexpr std::chrono::milliseconds kCallGrace{500};
 /** Calls that one piece may be part of before it counts as failed. */
 constexpr int kMaxSends = 3;
-/** Results are released together, this long after the first. */
-constexpr std::chrono::milliseconds kReleaseDelay{10};
 /** Time after a call's start by which its upstream has fetched the inputs:
  * some megabytes over links of 10 Gbit/s, and the way there. */
 constexpr std::chrono::milliseconds kFetchTime{50};
-/** Calls waiting for each upstream of a service at which no more work for it
- * is begun: what waits is then served within about a second, and
- * results do not lie in memory for longer than they are kept. */
-constexpr double kBackedUpCalls = 3.0;
 /** A queue whose upstreams are all avoided is looked at again after this. */
 constexpr std::chrono::milliseconds kRepump{50};
 
-std::chrono::milliseconds CallTime(const StageCallLimits& limits,
-                                   size_t pieces) {
-  return std::chrono::milliseconds(static_cast<int64_t>(
-      limits.call_ms + limits.piece_ms * static_cast<double>(pieces)));
-}
-
 }  // namespace
 
 /** One call in progress. */
@@ -70,19 +53,7 @@
 struct StageDispatcher::Worker {
   UpstreamPtr upstream;
   int calls = 0;
-  int64_t reserved_bytes = 0;  ///< Results of calls in progress.
-  struct Held {
-    int64_t bytes = 0;
-    Clock::time_point till;
-  };
-  std::unordered_map<std::string, Held> held;  ///< Results, by handle.
-
-  int64_t HeldBytes(Clock::time_point now) {
-    std::erase_if(held, [&](const auto& h) { return h.second.till < now; });
-    return std::accumulate(
-        held.begin(), held.end(), int64_t{0},
-        [](int64_t sum, const auto& h) { return sum + h.second.bytes; });
-  }
+  stages::ResultRoom room;
 };
 
 struct StageDispatcher::Queue {
@@ -92,13 +63,16 @@
   std::map<std::string, Worker> workers;  ///< By upstream id.
 };
 
-StageDispatcher::StageDispatcher(EntryContext& context) : context_(context) {
-  for (QTimer* timer : {&pump_, &retry_pump_, &release_}) {
-    timer->setSingleShot(true);
-  }
+StageDispatcher::StageDispatcher(EntryContext& context)
+    : context_(context),
+      releases_(context, [this](const std::string& shard,
+                                const std::vector<std::string>& handles) {
+        ForgetHeld(shard, handles);
+      }) {
+  pump_.setSingleShot(true);
+  retry_pump_.setSingleShot(true);
   connect(&pump_, &QTimer::timeout, this, [this] { Pump(); });
   connect(&retry_pump_, &QTimer::timeout, this, [this] { Pump(); });
-  connect(&release_, &QTimer::timeout, this, [this] { FlushReleases(); });
 }
 
 StageDispatcher::~StageDispatcher() = default;
@@ -122,19 +96,8 @@
 
 std::vector<UpstreamPtr> StageDispatcher::UpstreamsOf(
     const Queue& queue) const {
-  const auto all = context_.upstreams.ForService(queue.shard.service);
-  std::vector<UpstreamPtr> sorted(all.begin(), all.end());
-  if (queue.shard.count == 1) return sorted;
-  // In turn by id: shards of the same size on every instance.
-  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) -> const std::string& {
-    return u->entry.id;
-  });
-  std::vector<UpstreamPtr> own;
-  for (size_t i = queue.shard.index; i < sorted.size();
-       i += queue.shard.count) {
-    own.push_back(sorted[i]);
-  }
-  return own;
+  return stages::UpstreamsOfShard(
+      queue.shard, context_.upstreams.ForService(queue.shard.service));
 }
 
 StageDispatcher::Worker& StageDispatcher::WorkerOf(
@@ -150,9 +113,8 @@
     const StageCallLimits* limits = LimitsOf(*queue);
     const size_t upstreams = UpstreamsOf(*queue).size();
     if (limits == nullptr || upstreams == 0) continue;
-    const double a_call_each =
-        static_cast<double>(upstreams * static_cast<size_t>(limits->batch));
-    backlogs[name] = static_cast<double>(queue->pieces.size()) / a_call_each;
+    backlogs[name] =
+        stages::CallsWaiting(*limits, queue->pieces.size(), upstreams);
   }
   return backlogs;
 }
@@ -165,7 +127,7 @@
   }
   std::vector<std::string> backed_up;
   for (const auto& [shard, calls] : backlogs) {
-    if (calls > kBackedUpCalls) backed_up.push_back(shard);
+    if (stages::IsBackedUp(calls)) backed_up.push_back(shard);
   }
   return backed_up;
 }
@@ -185,8 +147,7 @@
   const auto full = CallTime(limits, static_cast<size_t>(limits.batch));
   const size_t before =
       queue.pieces.CountBefore(Urgency(piece, full, now), now, full);
-  const size_t rounds = before / (usable * static_cast<size_t>(limits.batch));
-  return now + full * rounds + CallTime(limits, 1) > piece.deadline;
+  return now + stages::LeastTime(limits, before, usable) > piece.deadline;
 }
 
 uint64_t StageDispatcher::Submit(const std::string& shard, stages::Piece piece,
@@ -221,32 +182,28 @@
   for (auto& [name, queue] : queues_) PumpQueue(*queue);
 }
 
-void StageDispatcher::FailHopeless(Queue& queue,
-                                   std::chrono::milliseconds call_time) {
-  for (QueuedPiece& piece :
-       queue.pieces.TakeHopeless(call_time, Clock::now())) {
-    piece.events.on_done(
-        {.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
+void StageDispatcher::FailEndingWithin(Queue& queue,
+                                       std::chrono::milliseconds time,
+                                       PieceFailure failure) {
+  for (QueuedPiece& piece : queue.pieces.TakeHopeless(time, Clock::now())) {
+    piece.events.on_done({.failure = failure, .handle = {}, .zone = {}});
   }
 }
 
-void StageDispatcher::FailAll(Queue& queue, PieceFailure failure) {
+void StageDispatcher::FailAll(Queue& queue) {
   const auto everything = std::chrono::hours(1);
-  for (QueuedPiece& piece :
-       queue.pieces.TakeHopeless(everything, Clock::now())) {
-    piece.events.on_done({.failure = failure, .handle = {}, .zone = {}});
-  }
+  FailEndingWithin(queue, everything, PieceFailure::kNoUpstream);
 }
 
 void StageDispatcher::PumpQueue(Queue& queue) {
   if (queue.pieces.size() == 0) return;
   const StageCallLimits* found = LimitsOf(queue);
-  if (found == nullptr) return FailAll(queue, PieceFailure::kNoUpstream);
+  if (found == nullptr) return FailAll(queue);
   const StageCallLimits& limits = *found;
   std::erase_if(queue.workers, [](const auto& entry) {
     return !entry.second.upstream->listed && entry.second.calls == 0;
   });
-  FailHopeless(queue, CallTime(limits, 1));
+  FailEndingWithin(queue, CallTime(limits, 1), PieceFailure::kLate);
   const Clock::time_point now = Clock::now();
   std::vector<UpstreamPtr> free;
   std::vector<std::string> zones;
@@ -258,7 +215,7 @@
     zones.push_back(u->entry.zone);
     if (WorkerOf(queue, u).calls < limits.slots) free.push_back(u);
   }
-  if (!any_listed) return FailAll(queue, PieceFailure::kNoUpstream);
+  if (!any_listed) return FailAll(queue);
   std::ranges::sort(free, {}, [](const UpstreamPtr& u) {
     return std::pair(u->latency_ms, u->entry.id);
   });
@@ -266,13 +223,9 @@
   for (const UpstreamPtr& u : free) {
     if (queue.pieces.size() == 0) return;
     Worker& worker = WorkerOf(queue, u);
-    const int64_t room =
-        static_cast<int64_t>(kRoomShare *
-                             static_cast<double>(limits.room_bytes)) -
-        worker.HeldBytes(now) - worker.reserved_bytes;
     std::vector<QueuedPiece> call = queue.pieces.TakeCall(
         {.pieces = limits.batch,
-         .room_bytes = room,
+         .room_bytes = stages::RoomLeft(limits, worker.room.Used(now)),
          .other_zones = zones,
          .backed_up = backed_up,
          .zone = u->entry.zone,
@@ -304,7 +257,7 @@
     call->bytes += q.piece.result_bytes;
     bodies.push_back(q.piece);
   }
-  worker.reserved_bytes += call->bytes;
+  worker.room.Reserve(call->bytes);
   ++worker.calls;
   const std::string request =
       context_.wire.encode_stage_call({.upstream_id = call->upstream->entry.id,
@@ -324,8 +277,6 @@
                            ? Outcome::kNotSent
                            : Outcome::kBroken);
   };
-  const auto timeout =
-      CallTime(limits, call->pieces.size()) * kCallTimeoutFactor + kCallGrace;
   call->timeout.setSingleShot(true);
   const std::weak_ptr<Call> weak = call;
   connect(&call->timeout, &QTimer::timeout, this, [this, weak] {
@@ -334,7 +285,7 @@
     open->exchange->Cancel();
     OnCallFailed(open, Outcome::kTimeout);
   });
-  call->timeout.start(timeout);
+  call->timeout.start(stages::CallTimeout(limits, call->pieces.size()));
   QTimer::singleShot(kFetchTime, this, [this, weak] {
     if (const auto open = weak.lock()) OnInputsTaken(open);
   });
@@ -375,7 +326,7 @@
   Queue& queue = QueueOf(call.shard);
   Worker& worker = WorkerOf(queue, call.upstream);
   --worker.calls;
-  worker.reserved_bytes -= call.bytes;
+  worker.room.Unreserve(call.bytes);
   const routing::ServiceSpec* spec = context_.table->FindService(call.service);
   const double keep_s = spec && spec->stage ? spec->stage->keep_s : 0;
   const auto till = Clock::now() + std::chrono::milliseconds(
@@ -385,7 +336,7 @@
     PieceResult result = results[i];
     result.zone = call.upstream->entry.zone;
     if (result.failure == PieceFailure::kNone) {
-      worker.held[result.handle] = {piece.piece.result_bytes, till};
+      worker.room.Hold(result.handle, piece.piece.result_bytes, till);
     }
     const bool again = result.failure == PieceFailure::kNoRoom ||
                        result.failure == PieceFailure::kFailed;
@@ -405,7 +356,7 @@
   NoteOutcome(*call->upstream, outcome, 0, Clock::now());
   Worker& worker = WorkerOf(QueueOf(call->shard), call->upstream);
   --worker.calls;
-  worker.reserved_bytes -= call->bytes;
+  worker.room.Unreserve(call->bytes);
   utils::DecisionLog("stage_call_failed")
       .Add("service", call->service)
       .Add("upstream", call->upstream->entry.id)
@@ -433,20 +384,11 @@
   }
 }
 
-void StageDispatcher::Release(const std::string& shard,
-                              std::vector<std::string> handles) {
-  for (std::string& handle : handles) {
-    releases_[{shard, context_.wire.handle_address(handle)}].push_back(
-        std::move(handle));
-  }
-  if (!release_.isActive()) release_.start(kReleaseDelay);
-}
-
 void StageDispatcher::ForgetHeld(const std::string& shard,
                                  const std::vector<std::string>& handles) {
   Queue& queue = QueueOf(shard);
   for (auto& [id, worker] : queue.workers) {
-    for (const std::string& handle : handles) worker.held.erase(handle);
+    for (const std::string& handle : handles) worker.room.Forget(handle);
   }
   SchedulePump();
 }
@@ -458,31 +400,4 @@
   }
 }
 
-void StageDispatcher::FlushReleases() {
-  for (auto& [place, handles] : std::exchange(releases_, {})) {
-    const auto& [shard, address] = place;
-    const auto upstreams =
-        context_.upstreams.ForService(stages::ParseShard(shard).service);
-    const auto it = std::ranges::find(
-        upstreams, address, [](const UpstreamPtr& u) -> const std::string& {
-          return u->entry.address;
-        });
-    const UpstreamPtr holder = it == upstreams.end() ? nullptr : *it;
-    // A result does not outlive its maker: nothing to release then.
-    if (!holder) continue;
-    auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
-    http::ExchangeEvents events;
-    // Their room counts as taken until the holder has answered.
-    const auto end = [this, exchange, shard = shard, handles = handles] {
-      exchange->reset();
-      ForgetHeld(shard, handles);
-    };
-    events.on_end = end;
-    events.on_failure = [end](http::ExchangeFailure) { end(); };
-    *exchange = context_.client.Send(
-        holder, context_.wire.encode_release(address, handles),
-        std::move(events));
-  }
-}
-
 }  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/src/upstream_send.cc
@@ -0,0 +1,117 @@
+#include "turmeric/entry/upstream_send.h"
+
+#include <chrono>
+#include <utility>
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using routing::Clock;
+using routing::Outcome;
+
+namespace {
+
+constexpr int kOk = 200;
+/** Longest answer held in memory, bytes; a larger one is an error. */
+constexpr size_t kMaxAnswer = 8 * 1024 * 1024;
+
+}  // namespace
+
+UpstreamSend::UpstreamSend(EntryContext& context, UpstreamSendSpec spec,
+                           UpstreamSendEvents events)
+    : context_(context), spec_(std::move(spec)), events_(std::move(events)) {
+  spec_.upstream->pending_prompt_ms += spec_.prompt_ms;
+}
+
+UpstreamSend::~UpstreamSend() { PromptRead(); }
+
+void UpstreamSend::Start(std::string_view bytes) {
+  sent_at_ = Clock::now();
+  exchange_ = context_.client.Send(spec_.upstream, bytes, AnswerEvents(),
+                                   {.fresh_connection = false});
+}
+
+http::ExchangeEvents UpstreamSend::AnswerEvents() {
+  // The callbacks are copied before they run: they may destroy this object.
+  return {.on_head = [this](const http::ResponseHead& h) { return OnHead(h); },
+          .on_body = [this](std::string_view bytes) { OnBody(bytes); },
+          .on_end =
+              [this] {
+                const auto on_end = events_.on_end;
+                on_end();
+              },
+          .on_failure =
+              [this](http::ExchangeFailure failure) {
+                const auto on_failure = events_.on_failure;
+                on_failure(failure);
+              }};
+}
+
+bool UpstreamSend::OnHead(const http::ResponseHead& head) {
+  const AnswerInfo info = context_.wire.decode_answer(head);
+  if (!info.attempt_id.empty() && info.attempt_id != spec_.attempt_id) {
+    // Guard: an upstream may send a second, late answer to an earlier
+    // request where ours is due. Passed on, it would be another request's
+    // answer; ours follows it.
+    utils::DecisionLog("foreign_answer_skipped")
+        .Add("request", spec_.attempt_id)
+        .Add("answer_to", info.attempt_id)
+        .Add("upstream", spec_.upstream->entry.id);
+    return false;
+  }
+  head_ = head;
+  std::erase_if(head_.headers, [](const http::HeaderField& field) {
+    return http::IsHopByHop(field.name);
+  });
+  info_ = info;
+  has_head_ = true;
+  return true;
+}
+
+bool UpstreamSend::IsEventStream() const {
+  return spec_.may_be_stream && head_.status == kOk;
+}
+
+void UpstreamSend::OnBody(std::string_view bytes) {
+  if (IsEventStream()) {
+    const auto on_stream_bytes = events_.on_stream_bytes;
+    return on_stream_bytes(bytes);
+  }
+  body_.append(bytes);
+  if (body_.size() <= kMaxAnswer) return;
+  Cancel(Outcome::kBroken);
+  const auto on_too_large = events_.on_too_large;
+  on_too_large();
+}
+
+void UpstreamSend::PromptRead() {
+  spec_.upstream->pending_prompt_ms -= std::exchange(spec_.prompt_ms, 0);
+}
+
+void UpstreamSend::End(Outcome outcome) {
+  PromptRead();
+  const double ms =
+      std::chrono::duration<double, std::milli>(Clock::now() - sent_at_)
+          .count();
+  NoteOutcome(*spec_.upstream, outcome, ms, Clock::now());
+  exchange_.reset();
+}
+
+void UpstreamSend::Cancel(Outcome outcome) {
+  if (exchange_) exchange_->Cancel();
+  End(outcome);
+}
+
+void UpstreamSend::Drop() {
+  if (exchange_) exchange_->Cancel();
+  PromptRead();
+  exchange_.reset();
+}
+
+void UpstreamSend::PauseReading(bool paused) {
+  if (exchange_) exchange_->PauseReading(paused);
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/test/request_admission_test.cc
+++ b/libs/entry/test/request_admission_test.cc
@@ -116,3 +116,14 @@
   REQUIRE(relay.events() == 2);
   REQUIRE_FALSE(relay.inside_event());
 }
+
+TEST_CASE("what may be taken elsewhere or later says when to return") {
+  using turmeric::entry::AnswerTo;
+  using turmeric::entry::ComeBack;
+  REQUIRE(AnswerTo(AdmissionRefusal::kStopping).come_back == ComeBack::kAtOnce);
+  REQUIRE(AnswerTo(AdmissionRefusal::kNotReady).come_back == ComeBack::kLater);
+  REQUIRE(AnswerTo(AdmissionRefusal::kNoRoute).status == 404);
+  REQUIRE_FALSE(AnswerTo(AdmissionRefusal::kNoRoute).come_back.has_value());
+  REQUIRE(AnswerTo(AdmissionRefusal::kUnknownKey).status == 401);
+  REQUIRE_FALSE(AnswerTo(AdmissionRefusal::kUnknownKey).come_back.has_value());
+}
--- /dev/null
+++ b/libs/entry/test/wanted_upstream_test.cc
@@ -0,0 +1,59 @@
+#include "turmeric/entry/wanted_upstream.h"
+
+#include <catch2/catch.hpp>
+
+#include "turmeric/entry/wire_format.h"
+
+using turmeric::entry::CallerRequest;
+using turmeric::entry::ToChoice;
+
+namespace {
+
+CallerRequest Digest() {
+  CallerRequest request;
+  request.prompt_tokens = 3800;
+  request.prompt = {{"shared", 1900}, {"session", 1140}, {"own", 760}};
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("engines are chosen by the parts that a prompt shares") {
+  const CallerRequest request = Digest();
+  const auto choice = ToChoice({.request = request,
+                                .carries_prompt = true,
+                                .tried = {},
+                                .own_zone = "zone-a",
+                                .results_zone = {}});
+  REQUIRE(choice.has_prompt);
+  REQUIRE(choice.shared_part == "shared");
+  REQUIRE(choice.session_part == "session");
+  REQUIRE(choice.shared_ms == Approx(50));
+  REQUIRE(choice.session_ms == Approx(30));
+  REQUIRE(choice.zone.empty());
+}
+
+TEST_CASE("a prompt of one part is its own session") {
+  CallerRequest request = Digest();
+  request.prompt = {{"only", 100}};
+  const auto choice = ToChoice({.request = request, .carries_prompt = true});
+  REQUIRE(choice.session_part == "only");
+  REQUIRE(choice.session_ms == 0);
+}
+
+TEST_CASE("large results draw a request to their zone, others stay at home") {
+  const CallerRequest request = Digest();
+  const auto drawn = ToChoice({.request = request,
+                               .carries_prompt = true,
+                               .tried = {},
+                               .own_zone = "zone-a",
+                               .results_zone = "zone-b"});
+  REQUIRE(drawn.zone == "zone-b");
+  const auto plain = ToChoice({.request = request,
+                               .carries_prompt = false,
+                               .tried = {},
+                               .own_zone = "zone-a",
+                               .results_zone = {}});
+  REQUIRE(plain.zone == "zone-a");
+  REQUIRE(plain.zone_cost_ms < drawn.zone_cost_ms);
+}
--- a/libs/stages/include/turmeric/stages/shard.h
+++ b/libs/stages/include/turmeric/stages/shard.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "turmeric/routing/upstream.h"
 
 namespace turmeric::stages {
 
@@ -29,4 +33,12 @@
 /** @param name from ShardName. @return what it names. */
 Shard ParseShard(std::string_view name);
 
+/**
+ * @param shard a shard. @param upstreams all of its service.
+ * @return those that serve it: dealt in turn by id, so that every instance
+ *     finds the same ones and shards differ by one at most.
+ */
+std::vector<routing::UpstreamPtr> UpstreamsOfShard(
+    const Shard& shard, std::span<const routing::UpstreamPtr> upstreams);
+
 }  // namespace turmeric::stages
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -48,4 +48,19 @@
   return shard;
 }
 
+std::vector<routing::UpstreamPtr> UpstreamsOfShard(
+    const Shard& shard, std::span<const routing::UpstreamPtr> upstreams) {
+  std::vector<routing::UpstreamPtr> sorted(upstreams.begin(), upstreams.end());
+  if (shard.count == 1) return sorted;
+  std::ranges::sort(sorted, {},
+                    [](const routing::UpstreamPtr& u) -> const std::string& {
+                      return u->entry.id;
+                    });
+  std::vector<routing::UpstreamPtr> own;
+  for (size_t i = shard.index; i < sorted.size(); i += shard.count) {
+    own.push_back(sorted[i]);
+  }
+  return own;
+}
+
 }  // namespace turmeric::stages
