Who is refused by an overload returns after 1.5 s

Change: a refusal because the stages cannot be in time asks for 1.5 s (1.1 to 1.9), within what callers honour of a deadline of 6 s. Test: come_back_test; the value is new, red before by its absence.

--- a/libs/entry/include/turmeric/entry/come_back.h
+++ b/libs/entry/include/turmeric/entry/come_back.h
@@ -8,7 +8,8 @@
 enum class ComeBack {
   kAtOnce,  ///< Another instance can take it.
   kSoon,    ///< A queue or connection is full and moves on within a call.
-  kLater,   ///< Nothing could serve it; upstreams or knowledge are missing.
+  kAfterOverload,  ///< More is asked for than can be served now.
+  kLater,  ///< Nothing could serve it; upstreams or knowledge are missing.
 };
 
 /**
--- a/libs/entry/src/come_back.cc
+++ b/libs/entry/src/come_back.cc
@@ -14,6 +14,10 @@
 constexpr milliseconds kSoon{150};
 /** The first ejection of a failing upstream ends by then. */
 constexpr milliseconds kLater{500};
+/** An overload lasts seconds, and a caller that returns into it is refused
+ * again. It can no longer meet its target either way; so it returns once, with
+ * most of its time still left. */
+constexpr milliseconds kAfterOverload{1500};
 /** Part by which a pause is shortened or lengthened at most. */
 constexpr double kSpread = 0.25;
 
@@ -23,6 +27,8 @@
       return kAtOnce;
     case ComeBack::kSoon:
       return kSoon;
+    case ComeBack::kAfterOverload:
+      return kAfterOverload;
     case ComeBack::kLater:
       return kLater;
   }
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -133,7 +133,8 @@
 void RequestRun::OnStageFailed(PieceFailure failure) {
   if (may_have_run_) return Fail(kBadGateway, "stage_failed");
   const bool overloaded = failure == PieceFailure::kLate;
-  Refuse("stage_failed", overloaded ? ComeBack::kLater : ComeBack::kSoon);
+  Refuse("stage_failed",
+         overloaded ? ComeBack::kAfterOverload : ComeBack::kSoon);
 }
 
 // One send.
--- a/libs/entry/test/come_back_test.cc
+++ b/libs/entry/test/come_back_test.cc
@@ -24,6 +24,14 @@
   REQUIRE(ComeBackAfter(ComeBack::kLater, 0.9999) > 620ms);
 }
 
+// Story: a burst of five seconds is on. Callers that are refused return after
+// half a second, into the same burst, and are refused for good.
+TEST_CASE("who is refused by an overload stays away for longer") {
+  REQUIRE(ComeBackAfter(ComeBack::kLater, 0.999) <
+          ComeBackAfter(ComeBack::kAfterOverload, 0));
+  REQUIRE(ComeBackAfter(ComeBack::kAfterOverload, 0.999) < 2000ms);
+}
+
 TEST_CASE("a pause is never zero: that would mean none was told") {
   rc::check([] {
     const double draw = *rc::gen::inRange(0, 10000) / 10000.0;
