Room that was not there counts as taken; a full upstream no longer swallows the queue

An upstream full of what the dead processes had made turns a call down in 1 to 3 ms and is free again, so it took the queue three times over (24 pieces, 1 ms), until the pieces had been sent too often. Ruled out: the new owners' lack of upstreams or of configuration (ready 15 ms after start). Change: once a piece finds no room, the room that seemed left counts as taken for 500 ms. What a new owner's upstreams hold is still not known before the first call; that call's pieces spend from the retry budget.

--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -363,6 +363,13 @@
     }
     piece.events.on_done(result);
   }
+  const bool no_room = std::ranges::any_of(results, [](const PieceResult& r) {
+    return r.failure == PieceFailure::kNoRoom;
+  });
+  if (!no_room || spec == nullptr || !spec->stage) return;
+  const auto now = Clock::now();
+  worker.room.NoteFull(stages::RoomLeft(*spec->stage, worker.room.Used(now)),
+                       now);
 }
 
 void StageDispatcher::OnCallFailed(const std::shared_ptr<Call>& call,
--- a/libs/stages/include/turmeric/stages/result_room.h
+++ b/libs/stages/include/turmeric/stages/result_room.h
@@ -24,7 +24,15 @@
   void Hold(const std::string& handle, int64_t bytes, Clock::time_point till);
   /** @param handle a result that was released; unknown ones are ignored. */
   void Forget(const std::string& handle) { held_.erase(handle); }
-  /** @param now the time. @return bytes reserved and held. */
+  /**
+   * The upstream had no room for a piece that was thought to fit: results lie
+   * there that are not known here, of processes that have ended, or larger
+   * ones than configured.
+   * @param left room that was thought to be left, bytes; counts as taken for
+   * a while. @param now the time.
+   */
+  void NoteFull(int64_t left, Clock::time_point now);
+  /** @param now the time. @return bytes taken. */
   int64_t Used(Clock::time_point now);
 
  private:
@@ -34,6 +42,8 @@
   };
   std::unordered_map<std::string, Held> held_;  ///< By handle.
   int64_t reserved_ = 0;
+  int64_t unknown_ = 0;  ///< Bytes of results not known here.
+  Clock::time_point unknown_till_;
 };
 
 }  // namespace turmeric::stages
--- a/libs/stages/test/call_plan_test.cc
+++ b/libs/stages/test/call_plan_test.cc
@@ -67,6 +67,20 @@
   REQUIRE(turmeric::stages::RoomLeft(Portal(), 16'200'000) == 0);
 }
 
+// Story: an upstream holds results of processes that have ended. What is known
+// here says that there is room, and every piece sent there is turned down.
+TEST_CASE("room that was not there counts as taken for a while") {
+  ResultRoom room;
+  room.Hold("a", 1'500'000, kNow + 4s);
+  room.NoteFull(turmeric::stages::RoomLeft(Portal(), room.Used(kNow)), kNow);
+  REQUIRE(turmeric::stages::RoomLeft(Portal(), room.Used(kNow)) == 0);
+  // What our own results free can be used at once.
+  room.Forget("a");
+  REQUIRE(turmeric::stages::RoomLeft(Portal(), room.Used(kNow + 400ms)) ==
+          1'500'000);
+  REQUIRE(room.Used(kNow + 500ms) == 0);
+}
+
 TEST_CASE("more pieces before never mean less time") {
   rc::check([] {
     const auto before = *rc::gen::inRange<size_t>(0, 100000);
