--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -37,6 +37,7 @@
   stages::PieceEvents events;
   std::string owner;     ///< Empty: our own dispatcher.
   bool reached = false;  ///< It was handed to an instance that answered.
+  bool moved = false;    ///< It may have been made where it was before.
   uint64_t local_ticket = 0;
 };
 
@@ -120,6 +121,7 @@
                                    .events = std::move(events),
                                    .owner = {},
                                    .reached = false,
+                                   .moved = false,
                                    .local_ticket = 0});
   Place(ticket);
   return ticket;
@@ -224,9 +226,13 @@
     const auto it = pending_.find(ticket);
     if (it == pending_.end()) continue;
     Pending& pending = it->second;
-    // What may have been in a call already is a repeat elsewhere.
+    // What may have been in a call already is a repeat elsewhere. The first
+    // one is free: it is bounded by the pieces that the lost instance had, and
+    // this instance earns no repeats for pieces that others send.
     const bool repeat = !again_there && pending.reached;
-    if (repeat &&
+    const bool moved_before =
+        std::exchange(pending.moved, pending.moved || repeat);
+    if (repeat && moved_before &&
         !context_.retries.TrySpend(stages::ParseShard(pending.shard).service,
                                    Clock::now())) {
       Done(ticket,
