A quiet time says nothing of the rate at which late pieces are reached

Cause (found on reading): an empty queue is not looked at, so the late pieces of an overload seemed to wait on after it. The next late piece, minutes later, was held against the rate of the quiet time, which is none, and refused while upstreams were free. Test: late_rate_test, "a quiet time says nothing of the rate" (red before).

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -23,7 +23,6 @@
 
 struct EntryContext;
 class StageRun;
-enum class ComeBack;
 struct UpstreamSendEvents;
 struct WantedUpstream;
 class UpstreamSend;
--- a/libs/entry/include/turmeric/entry/upstream_send.h
+++ b/libs/entry/include/turmeric/entry/upstream_send.h
@@ -67,8 +67,12 @@
   bool has_head() const { return has_head_; }
   /** @return true if the answer is an event stream. */
   bool IsEventStream() const;
+  /** @return where it was sent. */
   const routing::UpstreamPtr& upstream() const { return spec_.upstream; }
+  /** @return the answer's head without fields of the connection; empty before
+   * has_head(). */
   const http::ResponseHead& head() const { return head_; }
+  /** @return what the head says besides; empty before has_head(). */
   const AnswerInfo& info() const { return info_; }
   /** @return the body, but for event streams. */
   const std::string& body() const { return body_; }
--- a/libs/entry/src/usual_deadlines.cc
+++ b/libs/entry/src/usual_deadlines.cc
@@ -11,6 +11,8 @@
 /** Requests of a route that what is usual is taken from: enough for a median,
  * few enough that changed deadlines are soon the usual ones. */
 constexpr size_t kRemembered = 32;
+/** Routes remembered, a few times as many as large configurations have. */
+constexpr size_t kMostRoutes = 10000;
 /** Fewer say nothing. */
 constexpr size_t kLeast = 8;
 /** Differences up to this are the callers' own delays, not a return: a refused
@@ -22,6 +24,8 @@
 milliseconds UsualDeadlines::Used(const std::string& route,
                                   std::optional<milliseconds> stated) {
   if (!stated) return milliseconds(0);
+  // Routes come and go with the configuration; what is remembered is bounded.
+  if (by_route_.size() > kMostRoutes) by_route_.clear();
   Stated& known = by_route_[route];
   if (known.last.size() < kRemembered) {
     known.last.push_back(*stated);
--- a/libs/stages/include/turmeric/stages/late_rate.h
+++ b/libs/stages/include/turmeric/stages/late_rate.h
@@ -15,7 +15,8 @@
  */
 class LateRate {
  public:
-  /** @param waiting late pieces wait now, or not. @param now the time. */
+  /** To be called several times a second while any piece waits.
+   * @param waiting late pieces wait now, or not. @param now the time. */
   void NoteWaiting(bool waiting, Clock::time_point now);
   /** @param pieces late ones that a call has taken. @param now the time. */
   void NoteTaken(size_t pieces, Clock::time_point now);
@@ -30,6 +31,7 @@
   double Decay(Clock::time_point now) const;
 
   bool waiting_ = false;
+  Clock::time_point noted_at_;
   Clock::time_point since_;  ///< Late pieces wait without a break.
   double taken_ = 0;         ///< Pieces, fading with time.
   Clock::time_point counted_at_;
--- a/libs/stages/src/late_rate.cc
+++ b/libs/stages/src/late_rate.cc
@@ -12,6 +12,9 @@
 /** Time over which the rate is an average, and that must have been seen before
  * it says anything: three calls of a stage upstream. */
 constexpr milliseconds kWindow{1000};
+/** Late pieces that were not noted for so long have not waited all the while;
+ * a queue with pieces is looked at several times as often. */
+constexpr milliseconds kLongestGap{250};
 /** Reached "never": later than any deadline. */
 constexpr std::chrono::hours kNever{1};
 
@@ -27,7 +30,12 @@
 }
 
 void LateRate::NoteWaiting(bool waiting, Clock::time_point now) {
-  if (waiting && !waiting_) {
+  // Guard: an empty queue is not looked at, so its late pieces seem to wait on.
+  // What comes after a quiet time would be held against the rate of that time,
+  // which is none, and refused while upstreams are free.
+  const bool went_on = waiting_ && now - noted_at_ < kLongestGap;
+  noted_at_ = now;
+  if (waiting && !went_on) {
     since_ = now;
     counted_at_ = now;
     taken_ = 0;
--- a/libs/stages/test/late_rate_test.cc
+++ b/libs/stages/test/late_rate_test.cc
@@ -44,6 +44,20 @@
   REQUIRE(hundredth < now + 1200ms);
 }
 
+// Story: an overload ends, the queue empties, and for a while nothing is asked.
+// Then one piece comes late while upstreams are free. Held against the rate of
+// the quiet time, which is none, it would be refused at once.
+TEST_CASE("a quiet time says nothing of the rate") {
+  LateRate rate;
+  for (auto now = kStart; now < kStart + 3s; now += 50ms) {
+    rate.NoteWaiting(true, now);
+    rate.NoteTaken(5, now);
+  }
+  const auto later = kStart + 60s;
+  rate.NoteWaiting(true, later);
+  REQUIRE(rate.ReachedAt(0, later) == later);
+}
+
 TEST_CASE("a new overload begins without what the last one showed") {
   LateRate rate;
   rate.NoteWaiting(true, kStart);
