--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -270,8 +270,9 @@
   std::vector<stages::Piece> bodies;
   for (QueuedPiece& q : call->pieces) {
     // A piece counts like a request for the service: it earns repeats.
-    if (q.sends++ == 0)
+    if (q.sends++ == 0) {
       context_.retries.OnRequest(call->service, call->started);
+    }
     call->bytes += q.piece.result_bytes;
     bodies.push_back(q.piece);
   }
