--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -9,12 +9,14 @@
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/usual_deadlines.h"
 #include "turmeric/entry/wire_format.h"
+#include "turmeric/routing/prompt_memory.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream_table.h"
 #include "turmeric/stages/stage_times.h"
 
 namespace turmeric::entry {
 
+class EnginePlacer;
 class EntryMetrics;
 
 /** What one instance knows and shares among its requests. */
@@ -37,7 +39,10 @@
   BacklogBoard backlogs;  ///< Of stage services that others own.
   /** When a planned stop began; none: it has not. */
   std::optional<routing::Clock::time_point> stopping_since;
+  /** What engines hold of the prompts that this instance placed. */
+  routing::PromptMemory prompt_memory;
   StageClient* stages = nullptr;
+  EnginePlacer* placer = nullptr;
   EntryMetrics* metrics = nullptr;
 };
 
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -15,7 +15,9 @@
 namespace turmeric::entry {
 
 class InstanceDirectory;
+class EnginePlacer;
 class PieceHost;
+class PlacementDesk;
 class StageDispatcher;
 class StageRouter;
 class TopologyFeed;
@@ -65,6 +67,8 @@
   EntryContext context_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
+  std::unique_ptr<PlacementDesk> desk_;
+  std::unique_ptr<EnginePlacer> placer_;
   std::unique_ptr<PieceHost> host_;
   std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -13,6 +13,7 @@
 
 namespace turmeric::entry {
 
+class PlacementDesk;
 class StageDispatcher;
 
 /**
@@ -26,9 +27,9 @@
   using SeenCallback =
       std::function<void(const std::string& name, bool leaving)>;
 
-  /** @param local our dispatcher; must outlive this. @param on_seen see
-   * SeenCallback. */
-  PieceHost(StageDispatcher& local, SeenCallback on_seen);
+  /** @param local our dispatcher. @param desk places what we own; both must
+   * outlive this. @param on_seen see SeenCallback. */
+  PieceHost(StageDispatcher& local, PlacementDesk& desk, SeenCallback on_seen);
   ~PieceHost() override;
 
   /** @param address "ip:port" where other instances reach us.
@@ -52,7 +53,11 @@
   void DropAbsent();
   void AddBacklogs(peer::Frame& frame) const;
 
+  void Place(const std::string& identity, const peer::Frame& frame,
+             Guest& guest);
+
   StageDispatcher& local_;
+  PlacementDesk& desk_;
   SeenCallback on_seen_;
   std::unique_ptr<http::Listener> listener_;
   std::map<std::string, std::unique_ptr<Guest>> guests_;  ///< By identity.
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/placement_desk.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "turmeric/peer/frame.h"
+#include "turmeric/routing/placement_book.h"
+
+namespace turmeric::entry {
+
+struct EntryContext;
+
+/**
+ * Places the requests of all instances on the engines of the cells that this
+ * instance owns. Answers a fleet in which each instance sees a small part of an
+ * engine's load: their own choices would meet on the same engines, some of
+ * which then had waits of a second beside idle ones.
+ */
+class PlacementDesk {
+ public:
+  /** @param context the instance's state; must outlive this. */
+  explicit PlacementDesk(EntryContext& context);
+
+  /**
+   * Chooses an engine and counts the request as its load.
+   * @param guest identity of the instance that asks. @param order what it asks.
+   * @param now the time.
+   * @return the engine, or nullptr if none of the cell is left.
+   */
+  routing::UpstreamPtr Place(const std::string& guest,
+                             const peer::PlacementOrder& order,
+                             routing::Clock::time_point now);
+  /** @param guest see Place. @param ticket of a request whose answer began. */
+  void PromptRead(const std::string& guest, uint64_t ticket);
+  /** @param guest see Place. @param ticket of a request that has ended. */
+  void End(const std::string& guest, uint64_t ticket);
+  /** Drops what was placed for an instance that is gone. */
+  void Forget(const std::string& guest);
+  /** Drops requests whose end was lost on the way. @param now the time. */
+  void Expire(routing::Clock::time_point now);
+
+ private:
+  void Remember(const peer::PlacementOrder& order,
+                const routing::Upstream& engine);
+
+  EntryContext& context_;
+  std::map<std::string, routing::PlacementBook> books_;  ///< By guest.
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -22,6 +22,7 @@
 namespace turmeric::entry {
 
 struct EntryContext;
+class EnginePlacement;
 class StageRun;
 struct UpstreamSendEvents;
 struct WantedUpstream;
@@ -55,7 +56,7 @@
   // One send.
   void SendToUpstream();
   WantedUpstream Wanted(std::string_view results_zone) const;
-  routing::UpstreamPtr Choose();
+  void SendTo(const routing::UpstreamPtr& upstream);
   std::string HomeZone() const;
   int ConnectionLimit() const;
   UpstreamCall CallTo(const routing::Upstream& upstream) const;
@@ -94,6 +95,8 @@
 
   std::unique_ptr<StageRun> stages_;
 
+  /** Of the last send, if its upstream is an engine. */
+  std::unique_ptr<EnginePlacement> placement_;
   std::unique_ptr<UpstreamSend> send_;  ///< The last; null before the first.
   std::vector<std::string> tried_;
   int sends_ = 0;
--- a/libs/entry/include/turmeric/entry/stage_router.h
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <QObject>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/stage_client.h"
@@ -38,6 +42,25 @@
   /** A planned stop: others take over what we own. */
   void Leave();
 
+  /** Told of what comes from other instances for EnginePlacer. */
+  struct PlacementEvents {
+    std::function<void(std::span<const peer::Placed>)> on_placed;
+    std::function<void(std::string_view owner)> on_owner_lost;
+  };
+  /** @param events see PlacementEvents. */
+  void set_placement_events(PlacementEvents events) {
+    placement_events_ = std::move(events);
+  }
+  /** Another instance and the connection to it. */
+  struct OwnerLink {
+    std::string name;
+    peer::PeerLink* link = nullptr;
+  };
+  /** @param shard a shard or cell. @return its owner; nullopt: ourselves. */
+  std::optional<OwnerLink> LinkToOwner(const std::string& shard);
+  /** @param name an instance. @return an open connection, or nullptr. */
+  peer::PeerLink* LinkTo(const std::string& name);
+
   uint64_t Submit(const std::string& service, stages::Piece piece,
                   stages::PieceEvents events) override;
   bool Cancel(const std::string& service, uint64_t ticket) override;
@@ -65,6 +88,7 @@
   StageDispatcher& local_;
   std::map<std::string, Instance> instances_;  ///< By name, without us.
   std::unordered_map<uint64_t, Pending> pending_;
+  PlacementEvents placement_events_;
   uint64_t next_ticket_ = 1;
   bool leaving_ = false;
 };
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/engine_placer.h"
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/piece_host.h"
+#include "turmeric/entry/placement_desk.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
@@ -40,14 +42,21 @@
       context_(std::move(settings), link_.wire),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *dispatcher_)),
+      desk_(std::make_unique<PlacementDesk>(context_)),
+      placer_(std::make_unique<EnginePlacer>(context_, *router_, *desk_)),
       host_(std::make_unique<PieceHost>(
-          *dispatcher_,
+          *dispatcher_, *desk_,
           [this](const std::string& name, bool leaving) {
             router_->OnSeen(name, leaving);
           })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)) {
   context_.metrics = &metrics_;
   context_.stages = router_.get();
+  context_.placer = placer_.get();
+  router_->set_placement_events(
+      {.on_placed = [this](auto placed) { placer_->OnPlaced(placed); },
+       .on_owner_lost =
+           [this](std::string_view owner) { placer_->OnOwnerLost(owner); }});
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
   readiness_ =
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "turmeric/entry/placement_desk.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -44,8 +45,9 @@
   std::unordered_map<uint64_t, Told> told;
 };
 
-PieceHost::PieceHost(StageDispatcher& local, SeenCallback on_seen)
-    : local_(local), on_seen_(std::move(on_seen)) {
+PieceHost::PieceHost(StageDispatcher& local, PlacementDesk& desk,
+                     SeenCallback on_seen)
+    : local_(local), desk_(desk), on_seen_(std::move(on_seen)) {
   drop_absent_.setInterval(kAbsentFor);
   connect(&drop_absent_, &QTimer::timeout, this, [this] { DropAbsent(); });
   drop_absent_.start();
@@ -102,6 +104,7 @@
   if (!frame.sender.empty() || frame.leaving) {
     on_seen_(NameOf(identity), frame.leaving);
   }
+  Place(identity, frame, guest);
   for (peer::PieceOrder& order : frame.pieces) {
     Take(identity, guest, std::move(order));
   }
@@ -111,6 +114,20 @@
   }
 }
 
+void PieceHost::Place(const std::string& identity, const peer::Frame& frame,
+                      Guest& guest) {
+  const auto now = Clock::now();
+  for (const peer::PlacementOrder& order : frame.placements) {
+    const routing::UpstreamPtr engine = desk_.Place(identity, order, now);
+    guest.link->outgoing().placed.push_back(
+        {order.ticket, engine ? engine->entry.id : std::string()});
+  }
+  for (const uint64_t ticket : frame.prompts_read) {
+    desk_.PromptRead(identity, ticket);
+  }
+  for (const uint64_t ticket : frame.ended) desk_.End(identity, ticket);
+}
+
 void PieceHost::Take(const std::string& identity, Guest& guest,
                      peer::PieceOrder&& order) {
   const uint64_t ticket = order.ticket;
@@ -188,6 +205,7 @@
 
 void PieceHost::DropAbsent() {
   const auto now = Clock::now();
+  desk_.Expire(now);
   std::vector<std::string> gone;
   for (const auto& [identity, guest] : guests_) {
     std::erase_if(guest->told, [&](const auto& told) {
@@ -200,6 +218,7 @@
   for (const std::string& identity : gone) {
     const auto guest = std::move(guests_[identity]);
     guests_.erase(identity);
+    desk_.Forget(identity);
     utils::DecisionLog("guest_dropped")
         .Add("peer", identity)
         .Add("pieces", guest->orders.size());
--- /dev/null
+++ b/libs/entry/src/placement_desk.cc
@@ -0,0 +1,58 @@
+#include "turmeric/entry/placement_desk.h"
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/wanted_upstream.h"
+#include "turmeric/routing/choice.h"
+#include "turmeric/stages/shard.h"
+
+namespace turmeric::entry {
+
+using routing::Clock;
+using routing::UpstreamPtr;
+
+PlacementDesk::PlacementDesk(EntryContext& context) : context_(context) {}
+
+UpstreamPtr PlacementDesk::Place(const std::string& guest,
+                                 const peer::PlacementOrder& order,
+                                 Clock::time_point now) {
+  const stages::Shard cell = stages::ParseShard(order.service);
+  routing::ChoiceRequest choice = ToChoice(order);
+  choice.memory = &context_.prompt_memory;
+  const auto engines = stages::UpstreamsOfShard(
+      cell, context_.upstreams.ForService(cell.service));
+  const UpstreamPtr engine = ChooseUpstream(engines, choice, now);
+  if (!engine) return nullptr;
+  books_[guest].Add(order.ticket, engine, PromptMs(order.prompt_tokens), now);
+  Remember(order, *engine);
+  return engine;
+}
+
+void PlacementDesk::Remember(const peer::PlacementOrder& order,
+                             const routing::Upstream& engine) {
+  if (!context_.table) return;
+  const routing::ServiceSpec* spec =
+      context_.table->FindService(engine.entry.service);
+  const int64_t capacity = spec == nullptr ? 0 : spec->engine_tokens;
+  const std::string& id = engine.entry.id;
+  routing::PromptMemory& memory = context_.prompt_memory;
+  memory.Note(id, order.shared_part, order.shared_tokens, capacity);
+  memory.Note(id, order.session_part, order.session_tokens, capacity);
+}
+
+void PlacementDesk::PromptRead(const std::string& guest, uint64_t ticket) {
+  const auto book = books_.find(guest);
+  if (book != books_.end()) book->second.PromptRead(ticket);
+}
+
+void PlacementDesk::End(const std::string& guest, uint64_t ticket) {
+  const auto book = books_.find(guest);
+  if (book != books_.end()) book->second.End(ticket);
+}
+
+void PlacementDesk::Forget(const std::string& guest) { books_.erase(guest); }
+
+void PlacementDesk::Expire(Clock::time_point now) {
+  for (auto& [guest, book] : books_) book.Expire(now);
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -6,6 +6,7 @@
 
 #include "turmeric/entry/answer_check.h"
 #include "turmeric/entry/come_back.h"
+#include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/stage_run.h"
@@ -144,29 +145,38 @@
 
 // One send.
 
-routing::UpstreamPtr RequestRun::Choose() {
-  const std::string results_zone = stages_->inputs_zone();
-  return ChooseUpstream(context_.upstreams.ForService(service_),
-                        ToChoice(Wanted(results_zone)), Clock::now());
-}
-
 WantedUpstream RequestRun::Wanted(std::string_view results_zone) const {
   return {.request = request_,
-          .carries_prompt = route_->carries_prompt,
           .tried = tried_,
           .own_zone = context_.settings.zone,
           .results_zone = results_zone};
 }
 
 std::string RequestRun::HomeZone() const {
+  if (!route_->carries_prompt) return context_.settings.zone;
+  const peer::PlacementOrder order = ToPlacement(Wanted({}));
   const auto home = HomeUpstream(context_.upstreams.ForService(service_),
-                                 ToChoice(Wanted({})), Clock::now());
+                                 ToChoice(order), Clock::now());
   return home ? home->entry.zone : context_.settings.zone;
 }
 
 void RequestRun::SendToUpstream() {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
-  const routing::UpstreamPtr upstream = Choose();
+  const std::string results_zone = stages_->inputs_zone();
+  const WantedUpstream wanted = Wanted(results_zone);
+  if (!route_->carries_prompt) {
+    return SendTo(ChooseUpstream(context_.upstreams.ForService(service_),
+                                 ToChoice(wanted), Clock::now()));
+  }
+  peer::PlacementOrder order = ToPlacement(wanted);
+  order.service = service_;
+  placement_ = std::make_unique<EnginePlacement>(*context_.placer);
+  placement_->Choose(std::move(order),
+                     [this](const routing::UpstreamPtr& u) { SendTo(u); });
+}
+
+void RequestRun::SendTo(const routing::UpstreamPtr& upstream) {
+  if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   if (!upstream) {
     if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
     return Refuse("no_upstream", ComeBack::kLater);
@@ -239,6 +249,7 @@
   if (events.empty() || !connection_) return;
   if (!streaming_) PassHead();
   send_->PromptRead();
+  if (placement_) placement_->PromptRead();
   connection_->WriteChunk(events);
   HoldBackIfSlow();
 }
@@ -405,6 +416,7 @@
   if (std::exchange(finished_, true)) return;
   limit_timer_.stop();
   if (stages_) stages_->Stop();
+  placement_.reset();
   const double ms = MsSinceArrival();
   context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
                               outcome, ms / 1000);
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -109,6 +109,18 @@
   return *instance.link;
 }
 
+std::optional<StageRouter::OwnerLink> StageRouter::LinkToOwner(
+    const std::string& shard) {
+  Instance* owner = Owner(shard);
+  if (owner == nullptr) return std::nullopt;
+  return OwnerLink{owner->name, &LinkTo(*owner)};
+}
+
+peer::PeerLink* StageRouter::LinkTo(const std::string& name) {
+  const auto it = instances_.find(name);
+  return it == instances_.end() ? nullptr : it->second.link;
+}
+
 uint64_t StageRouter::Submit(const std::string& service, stages::Piece piece,
                              stages::PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
@@ -192,6 +204,7 @@
   for (const peer::Backlog& backlog : frame.backlogs) {
     context_.backlogs.Note(backlog.service, backlog.calls, Clock::now());
   }
+  if (!frame.placed.empty()) placement_events_.on_placed(frame.placed);
   for (const uint64_t ticket : frame.taken) Taken(ticket);
   for (const peer::PieceDone& done : frame.done) Done(done.ticket, done.result);
 }
@@ -212,6 +225,7 @@
       .Add("peer", name)
       .Add("why", why)
       .Add("tried_again", again_there);
+  placement_events_.on_owner_lost(name);
   MoveOn(name, again_there);
 }
 
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -57,6 +57,7 @@
               }});
   context_.upstreams.set_on_leave([this](const routing::UpstreamPtr& u) {
     context_.client.Forget(u->entry.id);
+    context_.prompt_memory.Forget(u->entry.id);
     utils::DecisionLog("upstream_leaves")
         .Add("upstream", u->entry.id)
         .Add("service", u->entry.service)
--- a/libs/entry/src/wanted_upstream.cc
+++ b/libs/entry/src/wanted_upstream.cc
@@ -12,41 +12,61 @@
  * estimates where it has not been measured. */
 constexpr double kPromptTokensPerMs = 38;
 /** Waiting that a large stage result in another zone is worth, ms. */
-constexpr double kLargeInputZoneMs = 150;
+constexpr int kLargeInputZoneMs = 150;
 /** Waiting that another zone is worth otherwise, ms: the way there and
  * back. */
 constexpr double kOtherZoneMs = 2;
 
-void AddPrompt(const CallerRequest& request, routing::ChoiceRequest& choice) {
-  choice.has_prompt = true;
-  // Parts in order: shared by many, by a session, the request's own.
-  const std::vector<PromptPart>& prompt = request.prompt;
+/** Parts in order: shared by many, by a session, the request's own. */
+void AddParts(const std::vector<PromptPart>& prompt,
+              peer::PlacementOrder& order) {
   if (prompt.empty()) return;
-  choice.shared_part = prompt.front().id;
-  choice.session_part = prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
-  choice.shared_ms = prompt.front().tokens / kPromptTokensPerMs;
+  order.shared_part = prompt.front().id;
+  order.session_part = prompt[prompt.size() > 1 ? prompt.size() - 2 : 0].id;
+  order.shared_tokens = prompt.front().tokens;
   for (size_t i = 1; i + 1 < prompt.size(); ++i) {
-    choice.session_ms += prompt[i].tokens / kPromptTokensPerMs;
+    order.session_tokens += prompt[i].tokens;
   }
 }
 
 }  // namespace
 
+double PromptMs(int tokens) { return tokens / kPromptTokensPerMs; }
+
 double PromptMs(const CallerRequest& request) {
-  return request.prompt_tokens / kPromptTokensPerMs;
+  return PromptMs(request.prompt_tokens);
+}
+
+peer::PlacementOrder ToPlacement(const WantedUpstream& wanted) {
+  peer::PlacementOrder order;
+  AddParts(wanted.request.prompt, order);
+  order.prompt_tokens = wanted.request.prompt_tokens;
+  order.excluded.assign(wanted.tried.begin(), wanted.tried.end());
+  if (!wanted.results_zone.empty()) {
+    order.zone = wanted.results_zone;
+    order.zone_cost_ms = kLargeInputZoneMs;
+  }
+  return order;
+}
+
+routing::ChoiceRequest ToChoice(const peer::PlacementOrder& order) {
+  routing::ChoiceRequest choice;
+  choice.has_prompt = true;
+  choice.shared_part = order.shared_part;
+  choice.session_part = order.session_part;
+  choice.shared_ms = PromptMs(order.shared_tokens);
+  choice.session_ms = PromptMs(order.session_tokens);
+  choice.zone = order.zone;
+  choice.zone_cost_ms = order.zone_cost_ms;
+  choice.tried = order.excluded;
+  return choice;
 }
 
 routing::ChoiceRequest ToChoice(const WantedUpstream& wanted) {
   routing::ChoiceRequest choice;
   choice.tried = wanted.tried;
-  if (wanted.carries_prompt) AddPrompt(wanted.request, choice);
-  if (!wanted.results_zone.empty()) {
-    choice.zone = wanted.results_zone;
-    choice.zone_cost_ms = kLargeInputZoneMs;
-  } else if (!wanted.carries_prompt) {
-    choice.zone = wanted.own_zone;
-    choice.zone_cost_ms = kOtherZoneMs;
-  }
+  choice.zone = wanted.own_zone;
+  choice.zone_cost_ms = kOtherZoneMs;
   return choice;
 }
 
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -35,6 +35,26 @@
   double calls = 0;  ///< Waiting for each of its upstreams.
 };
 
+/** Asks the instance that places a service's requests for an engine. */
+struct PlacementOrder {
+  uint64_t ticket = 0;       ///< Unique for one start of the sender.
+  std::string service;       ///< Name of a cell of an engine service.
+  std::string shared_part;   ///< First part of the prompt; empty: none.
+  std::string session_part;  ///< The part shared within its session.
+  int shared_tokens = 0;
+  int session_tokens = 0;
+  int prompt_tokens = 0;  ///< Of the whole prompt.
+  std::string zone;       ///< Preferred availability zone; empty: none.
+  int zone_cost_ms = 0;   ///< Waiting that another zone is worth.
+  std::vector<std::string> excluded;  ///< Upstreams not to be used.
+};
+
+/** Where a request goes. */
+struct Placed {
+  uint64_t ticket = 0;
+  std::string upstream;  ///< Its id; empty: none is left.
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Set in the first frame only.
@@ -47,6 +67,10 @@
   std::vector<uint64_t> cancelled;
   std::vector<ReleaseOrder> releases;
   std::vector<Backlog> backlogs;
+  std::vector<PlacementOrder> placements;
+  std::vector<Placed> placed;
+  std::vector<uint64_t> prompts_read;  ///< Placements whose answer has begun.
+  std::vector<uint64_t> ended;         ///< Placements that have ended.
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -29,6 +29,12 @@
 struct Backlog;
 struct BacklogBuilder;
 
+struct PlacementOrder;
+struct PlacementOrderBuilder;
+
+struct Placed;
+struct PlacedBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -457,6 +463,237 @@
       calls);
 }
 
+struct PlacementOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacementOrderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_SERVICE = 6,
+    VT_SHARED_PART = 8,
+    VT_SESSION_PART = 10,
+    VT_SHARED_TOKENS = 12,
+    VT_SESSION_TOKENS = 14,
+    VT_PROMPT_TOKENS = 16,
+    VT_ZONE = 18,
+    VT_ZONE_COST_MS = 20,
+    VT_EXCLUDED = 22
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *shared_part() const {
+    return GetPointer<const flatbuffers::String *>(VT_SHARED_PART);
+  }
+  const flatbuffers::String *session_part() const {
+    return GetPointer<const flatbuffers::String *>(VT_SESSION_PART);
+  }
+  int32_t shared_tokens() const {
+    return GetField<int32_t>(VT_SHARED_TOKENS, 0);
+  }
+  int32_t session_tokens() const {
+    return GetField<int32_t>(VT_SESSION_TOKENS, 0);
+  }
+  int32_t prompt_tokens() const {
+    return GetField<int32_t>(VT_PROMPT_TOKENS, 0);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  int32_t zone_cost_ms() const {
+    return GetField<int32_t>(VT_ZONE_COST_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_SHARED_PART) &&
+           verifier.VerifyString(shared_part()) &&
+           VerifyOffset(verifier, VT_SESSION_PART) &&
+           verifier.VerifyString(session_part()) &&
+           VerifyField<int32_t>(verifier, VT_SHARED_TOKENS, 4) &&
+           VerifyField<int32_t>(verifier, VT_SESSION_TOKENS, 4) &&
+           VerifyField<int32_t>(verifier, VT_PROMPT_TOKENS, 4) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<int32_t>(verifier, VT_ZONE_COST_MS, 4) &&
+           VerifyOffset(verifier, VT_EXCLUDED) &&
+           verifier.VerifyVector(excluded()) &&
+           verifier.VerifyVectorOfStrings(excluded()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacementOrderBuilder {
+  typedef PlacementOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(PlacementOrder::VT_TICKET, ticket, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PlacementOrder::VT_SERVICE, service);
+  }
+  void add_shared_part(flatbuffers::Offset<flatbuffers::String> shared_part) {
+    fbb_.AddOffset(PlacementOrder::VT_SHARED_PART, shared_part);
+  }
+  void add_session_part(flatbuffers::Offset<flatbuffers::String> session_part) {
+    fbb_.AddOffset(PlacementOrder::VT_SESSION_PART, session_part);
+  }
+  void add_shared_tokens(int32_t shared_tokens) {
+    fbb_.AddElement<int32_t>(PlacementOrder::VT_SHARED_TOKENS, shared_tokens, 0);
+  }
+  void add_session_tokens(int32_t session_tokens) {
+    fbb_.AddElement<int32_t>(PlacementOrder::VT_SESSION_TOKENS, session_tokens, 0);
+  }
+  void add_prompt_tokens(int32_t prompt_tokens) {
+    fbb_.AddElement<int32_t>(PlacementOrder::VT_PROMPT_TOKENS, prompt_tokens, 0);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PlacementOrder::VT_ZONE, zone);
+  }
+  void add_zone_cost_ms(int32_t zone_cost_ms) {
+    fbb_.AddElement<int32_t>(PlacementOrder::VT_ZONE_COST_MS, zone_cost_ms, 0);
+  }
+  void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
+    fbb_.AddOffset(PlacementOrder::VT_EXCLUDED, excluded);
+  }
+  explicit PlacementOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlacementOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlacementOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlacementOrder> CreatePlacementOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> shared_part = 0,
+    flatbuffers::Offset<flatbuffers::String> session_part = 0,
+    int32_t shared_tokens = 0,
+    int32_t session_tokens = 0,
+    int32_t prompt_tokens = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    int32_t zone_cost_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0) {
+  PlacementOrderBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_excluded(excluded);
+  builder_.add_zone_cost_ms(zone_cost_ms);
+  builder_.add_zone(zone);
+  builder_.add_prompt_tokens(prompt_tokens);
+  builder_.add_session_tokens(session_tokens);
+  builder_.add_shared_tokens(shared_tokens);
+  builder_.add_session_part(session_part);
+  builder_.add_shared_part(shared_part);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PlacementOrder> CreatePlacementOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    const char *service = nullptr,
+    const char *shared_part = nullptr,
+    const char *session_part = nullptr,
+    int32_t shared_tokens = 0,
+    int32_t session_tokens = 0,
+    int32_t prompt_tokens = 0,
+    const char *zone = nullptr,
+    int32_t zone_cost_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto shared_part__ = shared_part ? _fbb.CreateString(shared_part) : 0;
+  auto session_part__ = session_part ? _fbb.CreateString(session_part) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  return turmeric::peer::wire::CreatePlacementOrder(
+      _fbb,
+      ticket,
+      service__,
+      shared_part__,
+      session_part__,
+      shared_tokens,
+      session_tokens,
+      prompt_tokens,
+      zone__,
+      zone_cost_ms,
+      excluded__);
+}
+
+struct Placed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlacedBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_UPSTREAM = 6
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlacedBuilder {
+  typedef Placed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(Placed::VT_TICKET, ticket, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Placed::VT_UPSTREAM, upstream);
+  }
+  explicit PlacedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Placed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Placed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Placed> CreatePlaced(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+  PlacedBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Placed> CreatePlacedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    const char *upstream = nullptr) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreatePlaced(
+      _fbb,
+      ticket,
+      upstream__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -469,7 +706,11 @@
     VT_DONE = 16,
     VT_CANCELLED = 18,
     VT_RELEASES = 20,
-    VT_BACKLOGS = 22
+    VT_BACKLOGS = 22,
+    VT_PLACEMENTS = 24,
+    VT_PLACED = 26,
+    VT_PROMPTS_READ = 28,
+    VT_ENDED = 30
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -501,6 +742,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *backlogs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *>(VT_BACKLOGS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>> *placements() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>> *>(VT_PLACEMENTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Placed>> *placed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Placed>> *>(VT_PLACED);
+  }
+  const flatbuffers::Vector<uint64_t> *prompts_read() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PROMPTS_READ);
+  }
+  const flatbuffers::Vector<uint64_t> *ended() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ENDED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -524,6 +777,16 @@
            VerifyOffset(verifier, VT_BACKLOGS) &&
            verifier.VerifyVector(backlogs()) &&
            verifier.VerifyVectorOfTables(backlogs()) &&
+           VerifyOffset(verifier, VT_PLACEMENTS) &&
+           verifier.VerifyVector(placements()) &&
+           verifier.VerifyVectorOfTables(placements()) &&
+           VerifyOffset(verifier, VT_PLACED) &&
+           verifier.VerifyVector(placed()) &&
+           verifier.VerifyVectorOfTables(placed()) &&
+           VerifyOffset(verifier, VT_PROMPTS_READ) &&
+           verifier.VerifyVector(prompts_read()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
            verifier.EndTable();
   }
 };
@@ -562,6 +825,18 @@
   void add_backlogs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>> backlogs) {
     fbb_.AddOffset(Frame::VT_BACKLOGS, backlogs);
   }
+  void add_placements(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>>> placements) {
+    fbb_.AddOffset(Frame::VT_PLACEMENTS, placements);
+  }
+  void add_placed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Placed>>> placed) {
+    fbb_.AddOffset(Frame::VT_PLACED, placed);
+  }
+  void add_prompts_read(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompts_read) {
+    fbb_.AddOffset(Frame::VT_PROMPTS_READ, prompts_read);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ended) {
+    fbb_.AddOffset(Frame::VT_ENDED, ended);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -584,10 +859,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>>> done = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cancelled = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Release>>> releases = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>> backlogs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>> backlogs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>>> placements = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Placed>>> placed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompts_read = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> ended = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_ended(ended);
+  builder_.add_prompts_read(prompts_read);
+  builder_.add_placed(placed);
+  builder_.add_placements(placements);
   builder_.add_backlogs(backlogs);
   builder_.add_releases(releases);
   builder_.add_cancelled(cancelled);
@@ -610,7 +893,11 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PieceDone>> *done = nullptr,
     const std::vector<uint64_t> *cancelled = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Release>> *releases = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *backlogs = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Backlog>> *backlogs = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>> *placements = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Placed>> *placed = nullptr,
+    const std::vector<uint64_t> *prompts_read = nullptr,
+    const std::vector<uint64_t> *ended = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -618,6 +905,10 @@
   auto cancelled__ = cancelled ? _fbb.CreateVector<uint64_t>(*cancelled) : 0;
   auto releases__ = releases ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Release>>(*releases) : 0;
   auto backlogs__ = backlogs ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Backlog>>(*backlogs) : 0;
+  auto placements__ = placements ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>>(*placements) : 0;
+  auto placed__ = placed ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Placed>>(*placed) : 0;
+  auto prompts_read__ = prompts_read ? _fbb.CreateVector<uint64_t>(*prompts_read) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<uint64_t>(*ended) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -629,7 +920,11 @@
       done__,
       cancelled__,
       releases__,
-      backlogs__);
+      backlogs__,
+      placements__,
+      placed__,
+      prompts_read__,
+      ended__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -64,6 +64,29 @@
                              WriteTexts(b, order.handles));
 }
 
+Offset<wire::PlacementOrder> Write(FlatBufferBuilder& b,
+                                   const PlacementOrder& order) {
+  return wire::CreatePlacementOrder(
+      b, order.ticket, b.CreateSharedString(order.service),
+      b.CreateString(order.shared_part), b.CreateString(order.session_part),
+      order.shared_tokens, order.session_tokens, order.prompt_tokens,
+      b.CreateSharedString(order.zone), order.zone_cost_ms,
+      WriteTexts(b, order.excluded));
+}
+
+PlacementOrder Read(const wire::PlacementOrder& o) {
+  return {.ticket = o.ticket(),
+          .service = Text(o.service()),
+          .shared_part = Text(o.shared_part()),
+          .session_part = Text(o.session_part()),
+          .shared_tokens = o.shared_tokens(),
+          .session_tokens = o.session_tokens(),
+          .prompt_tokens = o.prompt_tokens(),
+          .zone = Text(o.zone()),
+          .zone_cost_ms = o.zone_cost_ms(),
+          .excluded = Texts(o.excluded())};
+}
+
 PieceOrder Read(const wire::Piece& p, Clock::time_point now) {
   PieceOrder order;
   order.ticket = p.ticket();
@@ -108,6 +131,15 @@
     backlogs.push_back(wire::CreateBacklog(
         b, b.CreateSharedString(backlog.service), backlog.calls));
   }
+  std::vector<Offset<wire::PlacementOrder>> placements;
+  for (const PlacementOrder& o : frame.placements) {
+    placements.push_back(Write(b, o));
+  }
+  std::vector<Offset<wire::Placed>> placed;
+  for (const Placed& p : frame.placed) {
+    placed.push_back(
+        wire::CreatePlaced(b, p.ticket, b.CreateString(p.upstream)));
+  }
   const auto sender = b.CreateString(frame.sender);
   const auto piece_list = b.CreateVector(pieces);
   const auto taken = b.CreateVector(frame.taken);
@@ -115,10 +147,15 @@
   const auto cancelled = b.CreateVector(frame.cancelled);
   const auto release_list = b.CreateVector(releases);
   const auto backlog_list = b.CreateVector(backlogs);
+  const auto placement_list = b.CreateVector(placements);
+  const auto placed_list = b.CreateVector(placed);
+  const auto prompts_read = b.CreateVector(frame.prompts_read);
+  const auto ended = b.CreateVector(frame.ended);
   wire::FinishFrameBuffer(
       b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
                            frame.leaving, piece_list, taken, done_list,
-                           cancelled, release_list, backlog_list));
+                           cancelled, release_list, backlog_list,
+                           placement_list, placed_list, prompts_read, ended));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -156,6 +193,21 @@
       frame.backlogs.push_back({Text(b->service()), b->calls()});
     }
   }
+  if (f.placements() != nullptr) {
+    for (const auto* o : *f.placements()) frame.placements.push_back(Read(*o));
+  }
+  if (f.placed() != nullptr) {
+    for (const auto* p : *f.placed()) {
+      frame.placed.push_back({p->ticket(), Text(p->upstream())});
+    }
+  }
+  if (f.prompts_read() != nullptr) {
+    std::ranges::copy(*f.prompts_read(),
+                      std::back_inserter(frame.prompts_read));
+  }
+  if (f.ended() != nullptr) {
+    std::ranges::copy(*f.ended(), std::back_inserter(frame.ended));
+  }
   return frame;
 }
 
--- a/libs/peer/src/peer_link.cc
+++ b/libs/peer/src/peer_link.cc
@@ -83,7 +83,7 @@
   Frame frame = std::exchange(next_, {});
   frame.sender = std::exchange(sender_, {});
   frame.acknowledged = seen_sequence_;
-  if (!frame.pieces.empty()) {
+  if (!frame.pieces.empty() || !frame.placements.empty()) {
     frame.sequence = ++sent_sequence_;
     if (!ack_timeout_.isActive()) ack_timeout_.start(kAckTimeout);
   }
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -39,6 +39,19 @@
            .failure = PieceFailure::kNoRoom, .handle = "h", .zone = "zone-b"}});
   frame.cancelled = {9, 10};
   frame.releases.push_back({.service = "portal", .handles = {"x", "y"}});
+  frame.placements.push_back({.ticket = 11,
+                              .service = "llm",
+                              .shared_part = "a",
+                              .session_part = "b",
+                              .shared_tokens = 2500,
+                              .session_tokens = 3800,
+                              .prompt_tokens = 9200,
+                              .zone = "zone-a",
+                              .zone_cost_ms = 150,
+                              .excluded = {"i-1"}});
+  frame.placed.push_back({.ticket = 12, .upstream = "i-2"});
+  frame.prompts_read = {13};
+  frame.ended = {14, 15};
   return frame;
 }
 
@@ -58,6 +71,13 @@
   REQUIRE(frame->done[0].result.failure == PieceFailure::kNoRoom);
   REQUIRE(frame->cancelled == std::vector<uint64_t>{9, 10});
   REQUIRE(frame->releases[0].handles == std::vector<std::string>{"x", "y"});
+  REQUIRE(frame->placements.size() == 1);
+  REQUIRE(frame->placements[0].session_part == "b");
+  REQUIRE(frame->placements[0].prompt_tokens == 9200);
+  REQUIRE(frame->placements[0].excluded == std::vector<std::string>{"i-1"});
+  REQUIRE(frame->placed[0].upstream == "i-2");
+  REQUIRE(frame->prompts_read == std::vector<uint64_t>{13});
+  REQUIRE(frame->ended == std::vector<uint64_t>{14, 15});
 }
 
 // Story: two instances' clocks differ by any amount. Times cross as what is
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/routing/prompt_memory.h"
 #include "turmeric/routing/upstream.h"
 
 namespace turmeric::routing {
@@ -27,6 +28,9 @@
   std::string_view zone;
   /** Cost of serving from another zone, in ms of waiting it is worth. */
   double zone_cost_ms = 0;
+  /** What engines hold, if requests of all instances are placed here; null:
+   * it is assumed by hashing. */
+  const PromptMemory* memory = nullptr;
   /** Ids not to be used again. */
   std::span<const std::string> tried;
 };
--- a/libs/routing/include/turmeric/routing/route_table.h
+++ b/libs/routing/include/turmeric/routing/route_table.h
@@ -75,7 +75,8 @@
   std::string health_path;
   int max_connections = 0;  ///< Per upstream, from all callers together.
   bool is_engine = false;
-  int engine_slots = 0;  ///< Requests an engine runs at once.
+  int engine_slots = 0;       ///< Requests an engine runs at once.
+  int64_t engine_tokens = 0;  ///< Memory of an engine.
   std::optional<StageCallLimits> stage;
 };
 
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -33,8 +33,12 @@
   /** Its entry vanished with the store; kept till then, unless it returns. */
   Clock::time_point lapses_at = Clock::time_point::max();
 
-  int in_flight = 0;               ///< Our requests open to it.
-  double pending_prompt_ms = 0;    ///< Prompt reading we have asked of it.
+  int in_flight = 0;             ///< Our requests open to it.
+  double pending_prompt_ms = 0;  ///< Prompt reading we have asked of it.
+  /** Requests of all instances that we have placed on it, if we place those of
+   * its service; see PlacementBook. */
+  int placed = 0;
+  double placed_prompt_ms = 0;     ///< Prompt reading that these ask of it.
   double latency_ms = 0;           ///< Moving average to the first byte.
   int reported_load = 0;           ///< Its last report: running and waiting.
   int failures = 0;                ///< Requests failed in a row.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -41,7 +41,9 @@
  * an open request costs its share of the measured latency. */
 double LoadCost(const Upstream& u, const ChoiceRequest& request) {
   if (request.has_prompt) {
-    return u.pending_prompt_ms + kInFlightMs * u.in_flight;
+    // Ours are among those placed, if we place the service's requests.
+    return std::max(u.pending_prompt_ms, u.placed_prompt_ms) +
+           kInFlightMs * std::max(u.in_flight, u.placed);
   }
   const double busy =
       static_cast<double>(u.in_flight) / std::max(1, u.entry.slots);
@@ -91,6 +93,13 @@
 
 double ReadCost(const Candidates& found, const ChoiceRequest& request,
                 const UpstreamPtr& upstream) {
+  if (request.memory != nullptr) {
+    const std::string& id = upstream->entry.id;
+    const bool shared = request.memory->Holds(id, request.shared_part);
+    const bool session = request.memory->Holds(id, request.session_part);
+    return kReadAgainFactor * ((shared ? 0 : request.shared_ms) +
+                               (session ? 0 : request.session_ms));
+  }
   if (!found.home || upstream == found.home) return 0;
   const bool in_group = std::ranges::count(found.group, upstream) > 0;
   return kReadAgainFactor *
--- /dev/null
+++ b/libs/routing/test/placement_test.cc
@@ -0,0 +1,206 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "turmeric/routing/choice.h"
+#include "turmeric/routing/placement_book.h"
+#include "turmeric/routing/prompt_memory.h"
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::routing::ChoiceRequest;
+using turmeric::routing::ChooseUpstream;
+using turmeric::routing::Clock;
+using turmeric::routing::PlacementBook;
+using turmeric::routing::PromptMemory;
+using turmeric::routing::Upstream;
+using turmeric::routing::UpstreamPtr;
+
+namespace {
+
+const Clock::time_point kNow = Clock::time_point(100s);
+
+std::vector<UpstreamPtr> Engines(size_t count) {
+  std::vector<UpstreamPtr> engines;
+  for (size_t i = 0; i < count; ++i) {
+    auto engine = std::make_shared<Upstream>();
+    engine->entry.id = "i-" + std::to_string(i);
+    engine->entry.service = "llm";
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+/** Engines that read prompts one after the other, before many instances. */
+class EngineReplay {
+ public:
+  static constexpr size_t kEngines = 60;
+  static constexpr size_t kInstances = 61;
+  static constexpr double kSessionMs = 85;
+  static constexpr double kSharedMs = 57;
+  static constexpr double kOwnMs = 65;
+  /** Requests in a millisecond: a burst that asks two thirds of the engines'
+   * time. */
+  static constexpr double kPerMs = 0.35;
+
+  /** @param one_owner places for all instances; else each for itself.
+   * @return the wait, in ms, that one request in ten exceeds. */
+  double WaitOfOneInTen(bool one_owner) {
+    std::mt19937_64 random(7);
+    const size_t views = one_owner ? 1 : kInstances;
+    std::vector<std::vector<UpstreamPtr>> view;
+    for (size_t i = 0; i < views; ++i) view.push_back(Engines(kEngines));
+    std::vector<double> free_at(kEngines, 0);
+    std::vector<PromptMemory> read(kEngines);  // What engines really hold.
+    PromptMemory memory;
+    struct Open {
+      double until;
+      UpstreamPtr engine;
+      double ms;
+    };
+    std::vector<Open> open;
+    std::vector<double> waits;
+    double now = 0;
+    for (int n = 0; n < 12000; ++n) {
+      now += std::exponential_distribution<double>(kPerMs)(random);
+      std::erase_if(open, [&](const Open& o) {
+        if (o.until > now) return false;
+        Take(*o.engine, one_owner, -o.ms);
+        return true;
+      });
+      const std::string shared = "shared" + std::to_string(random() % 4);
+      const std::string session = "session" + std::to_string(random() % 1000);
+      const auto& engines = view[random() % views];
+      ChoiceRequest request;
+      request.has_prompt = true;
+      request.shared_part = shared;
+      request.session_part = session;
+      request.shared_ms = kSharedMs;
+      request.session_ms = kSessionMs;
+      request.memory = one_owner ? &memory : nullptr;
+      const UpstreamPtr engine = ChooseUpstream(engines, request, kNow);
+      const size_t at = std::stoul(engine->entry.id.substr(2));
+      const std::string& id = engine->entry.id;
+      const double ms = kOwnMs + (read[at].Holds(id, shared) ? 0 : kSharedMs) +
+                        (read[at].Holds(id, session) ? 0 : kSessionMs);
+      for (PromptMemory* held : {&read[at], &memory}) {
+        held->Note(id, shared, 2500, 370000);
+        held->Note(id, session, 3800, 370000);
+      }
+      free_at[at] = std::max(free_at[at], now) + ms;
+      waits.push_back(free_at[at] - now);
+      Take(*engine, one_owner, ms);
+      open.push_back({free_at[at], engine, ms});
+    }
+    std::ranges::sort(waits);
+    return waits[waits.size() * 9 / 10];
+  }
+
+ private:
+  static void Take(Upstream& engine, bool one_owner, double ms) {
+    const int one = ms > 0 ? 1 : -1;
+    if (one_owner) {
+      engine.placed_prompt_ms += ms;
+      engine.placed += one;
+    } else {
+      engine.pending_prompt_ms += ms;
+      engine.in_flight += one;
+    }
+  }
+};
+
+}  // namespace
+
+// Story: sixty instances send to sixty engines, each by what it has sent
+// itself: a sixtieth of the load. Their choices meet on the same engines, and
+// callers wait there for a second while most engines are idle. Placed by one
+// owner that sees every request, hardly any request waits for another.
+TEST_CASE("requests placed by one owner do not meet on the same engines") {
+  const double alone = EngineReplay().WaitOfOneInTen(false);
+  const double placed = EngineReplay().WaitOfOneInTen(true);
+  CAPTURE(alone, placed);
+  REQUIRE(placed < 250);
+  REQUIRE(alone > 2 * placed);
+}
+
+TEST_CASE("what was placed counts as load until it is told to have ended") {
+  const auto engines = Engines(1);
+  Upstream& engine = *engines[0];
+  {
+    PlacementBook book;
+    book.Add(1, engines[0], 200, kNow);
+    book.Add(2, engines[0], 100, kNow);
+    REQUIRE(engine.placed == 2);
+    REQUIRE(engine.placed_prompt_ms == Approx(300));
+    book.PromptRead(1);
+    book.PromptRead(1);
+    REQUIRE(engine.placed_prompt_ms == Approx(100));
+    book.End(1);
+    book.End(1);
+    book.End(77);
+    REQUIRE(engine.placed == 1);
+    book.Add(2, engines[0], 50, kNow);  // Asked again by the same name.
+    REQUIRE(engine.placed_prompt_ms == Approx(50));
+  }
+  // The instance that asked is gone.
+  REQUIRE(engine.placed == 0);
+  REQUIRE(engine.placed_prompt_ms == Approx(0));
+}
+
+// Story: the frame that tells of a request's end is lost with its connection.
+// Counted for ever, the engine would seem loaded and get less than its part.
+TEST_CASE("placements whose end was never told lapse") {
+  const auto engines = Engines(1);
+  PlacementBook book;
+  book.Add(1, engines[0], 200, kNow);
+  book.Expire(kNow + 20s);
+  REQUIRE(engines[0]->placed == 1);
+  book.Expire(kNow + 31s);
+  REQUIRE(engines[0]->placed == 0);
+  REQUIRE(book.size() == 0);
+}
+
+TEST_CASE("the parts last used are remembered, within the engine's memory") {
+  PromptMemory memory;
+  memory.Note("i", "a", 400, 2000);
+  memory.Note("i", "b", 400, 2000);
+  memory.Note("i", "a", 400, 2000);
+  memory.Note("i", "c", 400, 2000);
+  REQUIRE(memory.Holds("i", "a"));
+  REQUIRE(memory.Holds("i", "c"));
+  REQUIRE_FALSE(memory.Holds("i", "b"));
+  REQUIRE_FALSE(memory.Holds("j", "a"));
+  memory.Note("i", "", 400, 2000);
+  REQUIRE(memory.size() == 2);
+  memory.Forget("i");
+  REQUIRE_FALSE(memory.Holds("i", "a"));
+}
+
+// Story: callers state any parts they like; none of them may fill this
+// process's memory.
+TEST_CASE("parts remembered of one engine are bounded") {
+  PromptMemory memory;
+  for (int i = 0; i < 5000; ++i) {
+    memory.Note("i", std::to_string(i), 1, 1 << 30);
+  }
+  REQUIRE(memory.size() <= 2000);
+}
+
+TEST_CASE("an engine that holds the parts is preferred until it is loaded") {
+  const auto engines = Engines(3);
+  PromptMemory memory;
+  memory.Note("i-1", "shared", 2500, 370000);
+  memory.Note("i-1", "session", 3800, 370000);
+  ChoiceRequest request;
+  request.has_prompt = true;
+  request.shared_part = "shared";
+  request.session_part = "session";
+  request.shared_ms = 50;
+  request.session_ms = 80;
+  request.memory = &memory;
+  REQUIRE(ChooseUpstream(engines, request, kNow) == engines[1]);
+  engines[1]->placed_prompt_ms = 600;
+  REQUIRE(ChooseUpstream(engines, request, kNow) != engines[1]);
+}
--- a/libs/stages/include/turmeric/stages/shard.h
+++ b/libs/stages/include/turmeric/stages/shard.h
@@ -30,7 +30,16 @@
 std::string ShardName(const std::string& service, std::string_view request_id,
                       size_t upstreams);
 
-/** @param name from ShardName. @return what it names. */
+/**
+ * @param service an engine service. @param key requests with one key go to one
+ * cell. @param upstreams how many the service has.
+ * @return the name of the cell: a shard so large that its engines' load evens
+ *     out, small enough for one instance to place its requests.
+ */
+std::string CellName(const std::string& service, std::string_view key,
+                     size_t upstreams);
+
+/** @param name from ShardName or CellName. @return what it names. */
 Shard ParseShard(std::string_view name);
 
 /**
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -12,6 +12,9 @@
 /** Upstreams that one owner serves. A choice: services of four and five have
  * run well as one shard; what an owner can carry was not measured. */
 constexpr size_t kUpstreamsPerShard = 6;
+/** Engines whose requests one instance places. A choice: a few hundred requests
+ * a second, some per cent of the smallest processor share in use. */
+constexpr size_t kEnginesPerCell = 64;
 constexpr char kSeparator = '|';
 
 size_t ParseCount(std::string_view text) {
@@ -22,16 +25,30 @@
 
 }  // namespace
 
-std::string ShardName(const std::string& service, std::string_view request_id,
-                      size_t upstreams) {
+namespace {
+
+std::string NameOfPart(const std::string& service, std::string_view key,
+                       size_t upstreams, size_t upstreams_a_part) {
   const size_t count = std::max<size_t>(
-      1, (upstreams + kUpstreamsPerShard - 1) / kUpstreamsPerShard);
+      1, (upstreams + upstreams_a_part - 1) / upstreams_a_part);
   if (count == 1) return service;
-  const size_t index = routing::RendezvousWeight(service, request_id) % count;
+  const size_t index = routing::RendezvousWeight(service, key) % count;
   return service + kSeparator + std::to_string(index) + kSeparator +
          std::to_string(count);
 }
 
+}  // namespace
+
+std::string ShardName(const std::string& service, std::string_view request_id,
+                      size_t upstreams) {
+  return NameOfPart(service, request_id, upstreams, kUpstreamsPerShard);
+}
+
+std::string CellName(const std::string& service, std::string_view key,
+                     size_t upstreams) {
+  return NameOfPart(service, key, upstreams, kEnginesPerCell);
+}
+
 Shard ParseShard(std::string_view name) {
   const size_t first = name.find(kSeparator);
   if (first == std::string_view::npos) return {std::string(name), 0, 1};
