--- a/libs/entry/include/turmeric/entry/stage_client.h
+++ b/libs/entry/include/turmeric/entry/stage_client.h
@@ -26,10 +26,9 @@
    *     still told, and its result must then be released.
    */
   virtual bool Cancel(const std::string& service, uint64_t ticket) = 0;
-  /** @param service the results' service. @param request_id whose they are.
+  /** @param service the results' service.
    * @param handles results that nothing needs any more. */
   virtual void Release(const std::string& service,
-                       const std::string& request_id,
                        std::vector<std::string> handles) = 0;
 };
 
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -48,6 +48,8 @@
    *     of its upstreams.
    */
   std::map<std::string, double> Backlogs() const;
+  /** @return the same of all shards, as far as their owners have told. */
+  std::map<std::string, double> KnownBacklogs() const;
 
  private:
   struct Call;
--- a/libs/entry/include/turmeric/entry/stage_router.h
+++ b/libs/entry/include/turmeric/entry/stage_router.h
@@ -14,6 +14,7 @@
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/stage_client.h"
 #include "turmeric/peer/peer_link.h"
+#include "turmeric/stages/shard.h"
 
 namespace turmeric::entry {
 
@@ -64,7 +65,7 @@
   uint64_t Submit(const std::string& service, stages::Piece piece,
                   stages::PieceEvents events) override;
   bool Cancel(const std::string& service, uint64_t ticket) override;
-  void Release(const std::string& service, const std::string& request_id,
+  void Release(const std::string& service,
                std::vector<std::string> handles) override;
 
  private:
@@ -72,8 +73,9 @@
   struct Pending;
   struct Instance;
 
-  std::string ShardOf(const std::string& service,
-                      const std::string& request_id) const;
+  std::string ShardFor(const std::string& service,
+                       const stages::ShardWish& wish) const;
+  bool MoveToOther(uint64_t ticket);
   Instance* Owner(const std::string& shard);
   peer::PeerLink& LinkTo(Instance& instance);
   void Place(uint64_t ticket);
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -121,14 +121,18 @@
   return backlogs;
 }
 
-std::vector<std::string> StageDispatcher::BackedUp() const {
+std::map<std::string, double> StageDispatcher::KnownBacklogs() const {
   std::map<std::string, double> backlogs =
       context_.backlogs.Fresh(Clock::now());
   for (const auto& [shard, calls] : Backlogs()) {
     backlogs[shard] = std::max(backlogs[shard], calls);
   }
+  return backlogs;
+}
+
+std::vector<std::string> StageDispatcher::BackedUp() const {
   std::vector<std::string> backed_up;
-  for (const auto& [shard, calls] : backlogs) {
+  for (const auto& [shard, calls] : KnownBacklogs()) {
     if (stages::IsBackedUp(calls)) backed_up.push_back(shard);
   }
   return backed_up;
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -35,9 +35,10 @@
   std::string shard;
   stages::Piece piece;
   stages::PieceEvents events;
-  std::string owner;     ///< Empty: our own dispatcher.
-  bool reached = false;  ///< It was handed to an instance that answered.
-  bool moved = false;    ///< It may have been made where it was before.
+  std::string owner;       ///< Empty: our own dispatcher.
+  bool reached = false;    ///< It was handed to an instance that answered.
+  bool moved = false;      ///< It may have been made where it was before.
+  bool left_zone = false;  ///< No upstream was left where it waited.
   uint64_t local_ticket = 0;
 };
 
@@ -73,10 +74,11 @@
   context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
 }
 
-std::string StageRouter::ShardOf(const std::string& service,
-                                 const std::string& request_id) const {
-  return stages::ShardName(service, request_id,
-                           context_.upstreams.ForService(service).size());
+std::string StageRouter::ShardFor(const std::string& service,
+                                  const stages::ShardWish& wish) const {
+  return stages::ChooseShard(service, wish,
+                             context_.upstreams.ForService(service),
+                             local_.KnownBacklogs());
 }
 
 StageRouter::Instance* StageRouter::Owner(const std::string& shard) {
@@ -124,16 +126,19 @@
 uint64_t StageRouter::Submit(const std::string& service, stages::Piece piece,
                              stages::PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
+  std::string shard = ShardFor(service, {piece.request_id, piece.zone});
+  // Their results are made where they are.
+  const std::string zone = stages::ParseShard(shard).zone;
   for (std::string& next : piece.next_services) {
-    next = ShardOf(next, piece.request_id);
+    next = ShardFor(next, {piece.request_id, zone});
   }
-  std::string shard = ShardOf(service, piece.request_id);
   pending_.emplace(ticket, Pending{.shard = std::move(shard),
                                    .piece = std::move(piece),
                                    .events = std::move(events),
                                    .owner = {},
                                    .reached = false,
                                    .moved = false,
+                                   .left_zone = false,
                                    .local_ticket = 0});
   Place(ticket);
   return ticket;
@@ -167,11 +172,30 @@
 void StageRouter::Done(uint64_t ticket, const PieceResult& result) {
   const auto it = pending_.find(ticket);
   if (it == pending_.end()) return;
+  if (result.failure == PieceFailure::kNoUpstream && MoveToOther(ticket)) {
+    return;
+  }
   const auto callback = std::move(it->second.events.on_done);
   pending_.erase(it);
   callback(result);
 }
 
+// Guard: all upstreams of a zone may go at once, and what waits for them was in
+// no call yet. Failed with them, its callers would be refused while the other
+// zones' upstreams serve.
+bool StageRouter::MoveToOther(uint64_t ticket) {
+  Pending& pending = pending_.at(ticket);
+  const std::string service = stages::ParseShard(pending.shard).service;
+  std::string shard =
+      ShardFor(service, {pending.piece.request_id, pending.piece.zone});
+  if (shard == pending.shard || std::exchange(pending.left_zone, true)) {
+    return false;
+  }
+  pending.shard = std::move(shard);
+  Place(ticket);
+  return true;
+}
+
 bool StageRouter::Cancel(const std::string& /*service*/, uint64_t ticket) {
   const auto it = pending_.find(ticket);
   if (it == pending_.end()) return true;
@@ -189,12 +213,25 @@
 }
 
 void StageRouter::Release(const std::string& service,
-                          const std::string& request_id,
                           std::vector<std::string> handles) {
-  const std::string shard = ShardOf(service, request_id);
-  Instance* owner = Owner(shard);
-  if (owner == nullptr) return local_.Release(shard, std::move(handles));
-  LinkTo(*owner).outgoing().releases.push_back({shard, std::move(handles)});
+  const auto upstreams = context_.upstreams.ForService(service);
+  std::map<std::string, std::vector<std::string>> by_shard;
+  for (std::string& handle : handles) {
+    const routing::UpstreamPtr maker = context_.upstreams.FindAt(
+        service, context_.wire.handle_address(handle));
+    // A result does not outlive its maker: nothing to release then.
+    if (!maker) continue;
+    by_shard[stages::ShardOfUpstream(*maker, upstreams)].push_back(
+        std::move(handle));
+  }
+  for (auto& [shard, held] : by_shard) {
+    Instance* owner = Owner(shard);
+    if (owner == nullptr) {
+      local_.Release(shard, std::move(held));
+    } else {
+      LinkTo(*owner).outgoing().releases.push_back({shard, std::move(held)});
+    }
+  }
 }
 
 void StageRouter::OnInstanceFrame(const std::string& name,
--- a/libs/entry/src/stage_run.cc
+++ b/libs/entry/src/stage_run.cc
@@ -109,13 +109,13 @@
                 self->Release(self->progress_.TakeUnneeded());
               },
           .on_done =
-              [self, wanted, &client = client_, service, stage, index,
-               id = plan_.request.attempt_id](const PieceResult& result) {
+              [self, wanted, &client = client_, service, stage,
+               index](const PieceResult& result) {
                 if (wanted()) return self->OnPiece(stage, index, result);
                 // The request has ended or begun again meanwhile; the result
                 // only takes up room.
                 if (result.failure == PieceFailure::kNone) {
-                  client.Release(service, id, {result.handle});
+                  client.Release(service, {result.handle});
                 }
               }};
 }
@@ -203,7 +203,7 @@
       return AnyLost({&handle, 1});
     });
     if (handles.empty()) continue;
-    client_.Release(service, plan_.request.attempt_id, std::move(handles));
+    client_.Release(service, std::move(handles));
   }
 }
 
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -1,20 +1,35 @@
 #include "turmeric/stages/shard.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <numeric>
 
 #include "turmeric/routing/choice.h"
 
 namespace turmeric::stages {
 
+using routing::UpstreamPtr;
+
 namespace {
 
-/** Upstreams that one owner serves. A choice: services of four and five have
- * run well as one shard; what an owner can carry was not measured. */
-constexpr size_t kUpstreamsPerShard = 6;
+/** Upstreams up to which a service stays whole: cut by zone, its calls would be
+ * filled from a queue for one or two upstreams. A choice: services of four and
+ * five run well as one shard. */
+constexpr size_t kWholeService = 8;
+/** Upstreams that one owner serves. A choice; an owner of eight of them used
+ * 0.03 of a core. */
+constexpr size_t kUpstreamsPerShard = 12;
 /** Engines whose requests one instance places. A choice: a few hundred requests
  * a second, some per cent of the smallest processor share in use. */
 constexpr size_t kEnginesPerCell = 64;
+/** Calls more that may wait for each upstream of the wished zone than
+ * elsewhere: about the time that a result's way to another zone is worth. */
+constexpr double kStayWithin = 1.0;
+/** Difference of calls beyond that, by which half of the requests go where less
+ * waits. News of queues are up to half a second old, and all instances act on
+ * them: sent by all at once, they would swing from zone to zone. */
+constexpr double kHalfMoveAt = 1.0;
 constexpr char kSeparator = '|';
 
 size_t ParseCount(std::string_view text) {
@@ -23,57 +38,146 @@
   return value;
 }
 
-}  // namespace
+size_t PartsOf(size_t upstreams, size_t upstreams_a_part) {
+  return std::max<size_t>(
+      1, (upstreams + upstreams_a_part - 1) / upstreams_a_part);
+}
 
-namespace {
+/** @return a number in [0, 1) that depends on the texts only. */
+double Fraction(std::string_view key, std::string_view salt) {
+  constexpr uint64_t kSteps = 1 << 20;
+  return static_cast<double>(routing::RendezvousWeight(salt, key) % kSteps) /
+         static_cast<double>(kSteps);
+}
 
-std::string NameOfPart(const std::string& service, std::string_view key,
-                       size_t upstreams, size_t upstreams_a_part) {
-  const size_t count = std::max<size_t>(
-      1, (upstreams + upstreams_a_part - 1) / upstreams_a_part);
-  if (count == 1) return service;
-  const size_t index = routing::RendezvousWeight(service, key) % count;
-  return service + kSeparator + std::to_string(index) + kSeparator +
-         std::to_string(count);
+std::map<std::string, size_t> CountByZone(
+    std::span<const UpstreamPtr> upstreams) {
+  std::map<std::string, size_t> count;
+  for (const UpstreamPtr& u : upstreams) ++count[u->entry.zone];
+  return count;
 }
 
-}  // namespace
+/** @return the part of the zone that the request's pieces go to. */
+Shard PartOfZone(const std::string& service, const std::string& zone,
+                 size_t upstreams, std::string_view request_id) {
+  const size_t count = PartsOf(upstreams, kUpstreamsPerShard);
+  const size_t index =
+      count == 1 ? 0 : routing::RendezvousWeight(service, request_id) % count;
+  return {service, zone, index, count};
+}
 
-std::string ShardName(const std::string& service, std::string_view request_id,
-                      size_t upstreams) {
-  return NameOfPart(service, request_id, upstreams, kUpstreamsPerShard);
+/** @return one of the zones, drawn by the request's id and their sizes. */
+const std::string& DrawZone(const std::map<std::string, size_t>& zones,
+                            size_t upstreams, std::string_view request_id) {
+  double left = Fraction(request_id, "zone") * static_cast<double>(upstreams);
+  for (const auto& [zone, count] : zones) {
+    left -= static_cast<double>(count);
+    if (left < 0) return zone;
+  }
+  return zones.rbegin()->first;
 }
 
-std::string CellName(const std::string& service, std::string_view key,
-                     size_t upstreams) {
-  return NameOfPart(service, key, upstreams, kEnginesPerCell);
+}  // namespace
+
+std::string ShardName(const Shard& shard) {
+  if (shard.zone.empty() && shard.count == 1) return shard.service;
+  return shard.service + kSeparator + shard.zone + kSeparator +
+         std::to_string(shard.index) + kSeparator + std::to_string(shard.count);
 }
 
 Shard ParseShard(std::string_view name) {
-  const size_t first = name.find(kSeparator);
-  if (first == std::string_view::npos) return {std::string(name), 0, 1};
-  const size_t second = name.find(kSeparator, first + 1);
+  constexpr size_t kFields = 4;
+  std::array<std::string_view, kFields> fields;
+  size_t found = 0;
+  while (found < kFields) {
+    const size_t end = name.find(kSeparator);
+    fields[found++] = name.substr(0, end);
+    if (end == std::string_view::npos) break;
+    name.remove_prefix(end + 1);
+  }
   Shard shard;
-  shard.service = name.substr(0, first);
-  shard.index = ParseCount(name.substr(first + 1, second - first - 1));
-  shard.count = second == std::string_view::npos
-                    ? 1
-                    : ParseCount(name.substr(second + 1));
+  shard.service = fields[0];
+  if (found < kFields) return shard;
+  shard.zone = fields[1];
+  shard.index = ParseCount(fields[2]);
+  shard.count = ParseCount(fields[3]);
   if (shard.count == 0 || shard.index >= shard.count) {
-    return {shard.service, 0, 1};
+    return {shard.service, {}, 0, 1};
   }
   return shard;
 }
 
-std::vector<routing::UpstreamPtr> UpstreamsOfShard(
-    const Shard& shard, std::span<const routing::UpstreamPtr> upstreams) {
-  std::vector<routing::UpstreamPtr> sorted(upstreams.begin(), upstreams.end());
+std::vector<Shard> ShardsOf(const std::string& service,
+                            std::span<const UpstreamPtr> upstreams) {
+  if (upstreams.size() <= kWholeService) return {{service, {}, 0, 1}};
+  std::vector<Shard> shards;
+  for (const auto& [zone, size] : CountByZone(upstreams)) {
+    const size_t count = PartsOf(size, kUpstreamsPerShard);
+    for (size_t i = 0; i < count; ++i) {
+      shards.push_back({service, zone, i, count});
+    }
+  }
+  return shards;
+}
+
+std::string ChooseShard(const std::string& service, const ShardWish& wish,
+                        std::span<const UpstreamPtr> upstreams,
+                        const std::map<std::string, double>& backlogs) {
+  if (upstreams.size() <= kWholeService) return service;
+  const auto zones = CountByZone(upstreams);
+  const std::string wished(wish.zone);
+  const std::string& home =
+      zones.contains(wished)
+          ? wished
+          : DrawZone(zones, upstreams.size(), wish.request_id);
+  const auto waiting = [&](const std::string& name) {
+    const auto it = backlogs.find(name);
+    return it == backlogs.end() ? 0.0 : it->second;
+  };
+  std::string chosen =
+      ShardName(PartOfZone(service, home, zones.at(home), wish.request_id));
+  std::string least = chosen;
+  for (const auto& [zone, size] : zones) {
+    const std::string name =
+        ShardName(PartOfZone(service, zone, size, wish.request_id));
+    if (waiting(name) < waiting(least)) least = name;
+  }
+  const double more = waiting(chosen) - waiting(least) - kStayWithin;
+  const double part_that_moves = std::clamp(more / (2 * kHalfMoveAt), 0.0, 0.8);
+  return Fraction(wish.request_id, "move") < part_that_moves ? least : chosen;
+}
+
+std::string ShardOfUpstream(const routing::Upstream& upstream,
+                            std::span<const UpstreamPtr> upstreams) {
+  for (const Shard& shard : ShardsOf(upstream.entry.service, upstreams)) {
+    const auto own = UpstreamsOfShard(shard, upstreams);
+    const bool there = std::ranges::any_of(
+        own, [&](const UpstreamPtr& u) { return u.get() == &upstream; });
+    if (there) return ShardName(shard);
+  }
+  return upstream.entry.service;
+}
+
+std::string CellName(const std::string& service, std::string_view key,
+                     size_t upstreams) {
+  const size_t count = PartsOf(upstreams, kEnginesPerCell);
+  if (count == 1) return service;
+  return ShardName(
+      {service, {}, routing::RendezvousWeight(service, key) % count, count});
+}
+
+std::vector<UpstreamPtr> UpstreamsOfShard(
+    const Shard& shard, std::span<const UpstreamPtr> upstreams) {
+  std::vector<UpstreamPtr> sorted;
+  std::ranges::copy_if(
+      upstreams, std::back_inserter(sorted), [&](const UpstreamPtr& u) {
+        return shard.zone.empty() || u->entry.zone == shard.zone;
+      });
   if (shard.count == 1) return sorted;
-  std::ranges::sort(sorted, {},
-                    [](const routing::UpstreamPtr& u) -> const std::string& {
-                      return u->entry.id;
-                    });
-  std::vector<routing::UpstreamPtr> own;
+  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) -> const std::string& {
+    return u->entry.id;
+  });
+  std::vector<UpstreamPtr> own;
   for (size_t i = shard.index; i < sorted.size(); i += shard.count) {
     own.push_back(sorted[i]);
   }
