turmericctl explain: where a fleet's requests lose their worth, from its logs

Cause: what binds was found with throw-away scripts over the logs. Change: libs/insight reads decision lines (bounded by rapidcheck) and renders, for each stage service and two seconds, busy share, fill and queue, and for each route what late answers spent most of their time on and why others were lost; 'turmericctl explain LOG...' prints it. The lines of calls carry their batch, those of requests their target. Test: log_event_test, loss_report_test.

--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -442,6 +442,7 @@
       .Add("upstream", send_ ? send_->upstream()->entry.id : "-")
       .Add("sends", sends_)
       .Add("events", relay_.events())
+      .Add("target_ms", route_ ? route_->latency_target.count() : 0)
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -49,6 +49,7 @@
   bool ended = false;
   Clock::time_point started;
   int64_t bytes = 0;
+  int batch = 0;  ///< Most pieces in a call.
 };
 
 /** What is known of one upstream's calls and results. */
@@ -270,6 +271,7 @@
   call->upstream = upstream;
   call->pieces = std::move(pieces);
   call->started = Clock::now();
+  call->batch = limits.batch;
   std::vector<stages::Piece> bodies;
   for (QueuedPiece& q : call->pieces) {
     // A piece counts like a request for the service: it earns repeats.
@@ -336,6 +338,7 @@
       .Add("service", call->service)
       .Add("upstream", call->upstream->entry.id)
       .Add("pieces", call->pieces.size())
+      .Add("batch", call->batch)
       .Add("bytes", call->bytes)
       .Add("waiting", QueueOf(call->shard).pieces.size())
       .Add("ms", static_cast<int64_t>(ms));
--- a/tools/turmericctl/main.cc
+++ b/tools/turmericctl/main.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "config_command.h"
+#include "explain_command.h"
 #include "load_command.h"
 #include "turmeric/utils/log.h"
 
@@ -24,7 +25,9 @@
 
 int main(int argc, char* argv[]) {
   gflags::SetUsageMessage(
-      "turmericctl run | config get|list|set|diff KEY | load [--scenario=...]");
+      "turmericctl run | config get|list|set|diff KEY | load [--scenario=...] "
+      "| "
+      "explain LOG...");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication app(argc, argv);
   turmeric::utils::ConfigureLogging(FLAGS_log_level);
@@ -39,6 +42,7 @@
     return turmeric::ctl::RunConfigCommand(FLAGS_target, words);
   }
   if (command == "run") return turmeric::ctl::RunPipelineCommand(FLAGS_target);
+  if (command == "explain") return turmeric::ctl::RunExplainCommand(words);
   if (command == "load") return turmeric::ctl::RunLoadCommand();
   std::cerr << "unknown command " << command << "\n"
             << gflags::ProgramUsage() << "\n";
