Instances tell each other how new the store's changes are; watches wait longer

Change: every frame between instances carries the newest change that its sender has seen, of the configuration and of the upstreams. Who hears of a newer one and does not get it from its own watch within 200 ms begins another.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -6,6 +6,7 @@
 #include "turmeric/entry/backlog_board.h"
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
+#include "turmeric/entry/store_news.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/usual_deadlines.h"
 #include "turmeric/entry/wire_format.h"
@@ -36,6 +37,7 @@
   RetryBudgets retries;
   stages::StageTimes stage_times;
   UsualDeadlines usual_deadlines;
+  StoreNews news;         ///< Between instances.
   BacklogBoard backlogs;  ///< Of stage services that others own.
   /** When a planned stop began; none: it has not. */
   std::optional<routing::Clock::time_point> stopping_since;
--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -15,6 +15,7 @@
 
 class PlacementDesk;
 class StageDispatcher;
+class StoreNews;
 
 /**
  * Takes pieces from other instances and has our dispatcher make them. An
@@ -27,9 +28,11 @@
   using SeenCallback =
       std::function<void(const std::string& name, bool leaving)>;
 
-  /** @param local our dispatcher. @param desk places what we own; both must
-   * outlive this. @param on_seen see SeenCallback. */
-  PieceHost(StageDispatcher& local, PlacementDesk& desk, SeenCallback on_seen);
+  /** @param local our dispatcher. @param desk places what we own. @param news
+   * of the store, to and from guests. All must outlive this.
+   * @param on_seen see SeenCallback. */
+  PieceHost(StageDispatcher& local, PlacementDesk& desk, StoreNews& news,
+            SeenCallback on_seen);
   ~PieceHost() override;
 
   /** @param address "ip:port" where other instances reach us.
@@ -58,6 +61,7 @@
 
   StageDispatcher& local_;
   PlacementDesk& desk_;
+  StoreNews& news_;
   SeenCallback on_seen_;
   std::unique_ptr<http::Listener> listener_;
   std::map<std::string, std::unique_ptr<Guest>> guests_;  ///< By identity.
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/store_news.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "turmeric/peer/frame.h"
+
+namespace turmeric::entry {
+
+/**
+ * What instances tell each other of the platform's store: how new the changes
+ * are that each has seen. An instance whose watch was lost learns from the next
+ * frame of any other that it is behind, so watches may wait for long. Nothing
+ * but their revision is passed on; what changed is always read from the store.
+ */
+class StoreNews {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  /** Newest changes seen, by their revisions; 0: none. */
+  struct Seen {
+    int64_t config_change = 0;
+    int64_t upstreams_change = 0;
+  };
+
+  /** @param own gives what this instance has seen. @param on_heard told what
+   * another one has seen. */
+  void Connect(std::function<Seen()> own,
+               std::function<void(const Seen&)> on_heard);
+  /** @param frame leaves now; gets what we have seen. */
+  void Tell(peer::Frame& frame) const;
+  /** @param frame of another instance. @param now the time. */
+  void Hear(const peer::Frame& frame, Clock::time_point now);
+  /**
+   * @param instances at work. @param now the time.
+   * @return how long a watch of the store may wait.
+   */
+  std::chrono::milliseconds WatchWait(int instances,
+                                      Clock::time_point now) const;
+
+ private:
+  std::function<Seen()> own_;
+  std::function<void(const Seen&)> on_heard_;
+  Clock::time_point heard_at_;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -45,7 +45,7 @@
       desk_(std::make_unique<PlacementDesk>(context_)),
       placer_(std::make_unique<EnginePlacer>(context_, *router_, *desk_)),
       host_(std::make_unique<PieceHost>(
-          *dispatcher_, *desk_,
+          *dispatcher_, *desk_, context_.news,
           [this](const std::string& name, bool leaving) {
             router_->OnSeen(name, leaving);
           })),
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -5,6 +5,7 @@
 
 #include "turmeric/entry/placement_desk.h"
 #include "turmeric/entry/stage_dispatcher.h"
+#include "turmeric/entry/store_news.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -46,8 +47,8 @@
 };
 
 PieceHost::PieceHost(StageDispatcher& local, PlacementDesk& desk,
-                     SeenCallback on_seen)
-    : local_(local), desk_(desk), on_seen_(std::move(on_seen)) {
+                     StoreNews& news, SeenCallback on_seen)
+    : local_(local), desk_(desk), news_(news), on_seen_(std::move(on_seen)) {
   drop_absent_.setInterval(kAbsentFor);
   connect(&drop_absent_, &QTimer::timeout, this, [this] { DropAbsent(); });
   drop_absent_.start();
@@ -69,7 +70,11 @@
            [this, self](peer::Frame&& frame) {
              OnFrame(*self, std::move(frame));
            },
-       .on_flush = [this](peer::Frame& frame) { AddBacklogs(frame); },
+       .on_flush =
+           [this](peer::Frame& frame) {
+             AddBacklogs(frame);
+             news_.Tell(frame);
+           },
        .on_end = [this, self](std::string_view) { OnLost(*self); }},
       this);
   *self = link;
@@ -100,6 +105,7 @@
   const std::string identity =
       frame.sender.empty() ? identity_of_[link] : frame.sender;
   if (identity.empty()) return;
+  news_.Hear(frame, Clock::now());
   Guest& guest = GuestOf(link, identity);
   if (!frame.sender.empty() || frame.leaving) {
     on_seen_(NameOf(identity), frame.leaving);
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -104,6 +104,7 @@
              [this, name = instance.name](peer::Frame&& frame) {
                OnInstanceFrame(name, std::move(frame));
              },
+         .on_flush = [this](peer::Frame& frame) { context_.news.Tell(frame); },
          .on_end = [this, name = instance.name](
                        std::string_view why) { OnInstanceLost(name, why); }},
         this);
@@ -236,6 +237,7 @@
 
 void StageRouter::OnInstanceFrame(const std::string& name,
                                   peer::Frame&& frame) {
+  context_.news.Hear(frame, Clock::now());
   Instance& instance = instances_[name];
   instance.leaving = frame.leaving || instance.leaving;
   for (const peer::Backlog& backlog : frame.backlogs) {
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -55,6 +55,21 @@
               [this](bool reachable, const std::string& why) {
                 OnReachable("upstreams", reachable, why);
               }});
+  const auto wait = [this] {
+    return context_.news.WatchWait(context_.retries.live_instances(),
+                                   Clock::now());
+  };
+  config_->set_watch_wait(wait);
+  upstreams_->set_watch_wait(wait);
+  context_.news.Connect(
+      [this] {
+        return StoreNews::Seen{config_->newest_change(),
+                               upstreams_->newest_change()};
+      },
+      [this](const StoreNews::Seen& seen) {
+        config_->NoteChangeElsewhere(seen.config_change);
+        upstreams_->NoteChangeElsewhere(seen.upstreams_change);
+      });
   context_.upstreams.set_on_leave([this](const routing::UpstreamPtr& u) {
     context_.client.Forget(u->entry.id);
     context_.prompt_memory.Forget(u->entry.id);
@@ -64,8 +79,11 @@
         .Add("listed", u->listed);
   });
   expire_.setInterval(kExpireInterval);
-  connect(&expire_, &QTimer::timeout, this,
-          [this] { context_.upstreams.Expire(Clock::now()); });
+  connect(&expire_, &QTimer::timeout, this, [this] {
+    context_.upstreams.Expire(Clock::now());
+    config_->CheckWait();
+    upstreams_->CheckWait();
+  });
 }
 
 TopologyFeed::~TopologyFeed() = default;
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -79,6 +79,10 @@
   std::vector<Placed> placed;
   std::vector<uint64_t> prompts_read;  ///< Placements whose answer has begun.
   std::vector<PlacementEnd> ended;
+  /** The newest changes in the platform's store that the sender has seen, by
+   * their revisions: of the configuration and of the upstreams' entries. */
+  int64_t config_change = 0;
+  int64_t upstreams_change = 0;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -764,7 +764,9 @@
     VT_PLACEMENTS = 24,
     VT_PLACED = 26,
     VT_PROMPTS_READ = 28,
-    VT_ENDED = 30
+    VT_ENDED = 30,
+    VT_CONFIG_CHANGE = 32,
+    VT_UPSTREAMS_CHANGE = 34
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -808,6 +810,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>> *ended() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>> *>(VT_ENDED);
   }
+  int64_t config_change() const {
+    return GetField<int64_t>(VT_CONFIG_CHANGE, 0);
+  }
+  int64_t upstreams_change() const {
+    return GetField<int64_t>(VT_UPSTREAMS_CHANGE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -842,6 +850,8 @@
            VerifyOffset(verifier, VT_ENDED) &&
            verifier.VerifyVector(ended()) &&
            verifier.VerifyVectorOfTables(ended()) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_CHANGE, 8) &&
+           VerifyField<int64_t>(verifier, VT_UPSTREAMS_CHANGE, 8) &&
            verifier.EndTable();
   }
 };
@@ -892,6 +902,12 @@
   void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>> ended) {
     fbb_.AddOffset(Frame::VT_ENDED, ended);
   }
+  void add_config_change(int64_t config_change) {
+    fbb_.AddElement<int64_t>(Frame::VT_CONFIG_CHANGE, config_change, 0);
+  }
+  void add_upstreams_change(int64_t upstreams_change) {
+    fbb_.AddElement<int64_t>(Frame::VT_UPSTREAMS_CHANGE, upstreams_change, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -918,8 +934,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>>> placements = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Placed>>> placed = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompts_read = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>> ended = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>> ended = 0,
+    int64_t config_change = 0,
+    int64_t upstreams_change = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_upstreams_change(upstreams_change);
+  builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
   builder_.add_ended(ended);
@@ -952,7 +972,9 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PlacementOrder>> *placements = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Placed>> *placed = nullptr,
     const std::vector<uint64_t> *prompts_read = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>> *ended = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>> *ended = nullptr,
+    int64_t config_change = 0,
+    int64_t upstreams_change = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -979,7 +1001,9 @@
       placements__,
       placed__,
       prompts_read__,
-      ended__);
+      ended__,
+      config_change,
+      upstreams_change);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -174,7 +174,8 @@
       b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
                            frame.leaving, piece_list, taken, done_list,
                            cancelled, release_list, backlog_list,
-                           placement_list, placed_list, prompts_read, ended));
+                           placement_list, placed_list, prompts_read, ended,
+                           frame.config_change, frame.upstreams_change));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -190,6 +191,8 @@
   frame.sequence = f.sequence();
   frame.acknowledged = f.acknowledged();
   frame.leaving = f.leaving();
+  frame.config_change = f.config_change();
+  frame.upstreams_change = f.upstreams_change();
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -52,6 +52,8 @@
   frame.placed.push_back({.ticket = 12, .upstream = "i-2"});
   frame.prompts_read = {13};
   frame.ended = {{14, turmeric::routing::Outcome::kNotSent}, {15, {}}};
+  frame.config_change = 530;
+  frame.upstreams_change = 1LL << 40;
   return frame;
 }
 
@@ -77,6 +79,8 @@
   REQUIRE(frame->placements[0].excluded == std::vector<std::string>{"i-1"});
   REQUIRE(frame->placed[0].upstream == "i-2");
   REQUIRE(frame->prompts_read == std::vector<uint64_t>{13});
+  REQUIRE(frame->config_change == 530);
+  REQUIRE(frame->upstreams_change == 1LL << 40);
   REQUIRE(frame->ended.size() == 2);
   REQUIRE(frame->ended[0].outcome == turmeric::routing::Outcome::kNotSent);
   REQUIRE_FALSE(frame->ended[1].outcome);
--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -36,8 +36,24 @@
    */
   Reflector(ObjectSource& source, std::string kind, ReflectorEvents events);
 
+  /** @param wait asked for how long a watch waits while the store answers;
+   * its answer may change with time. Without it, 3 s. */
+  void set_watch_wait(std::function<std::chrono::milliseconds()> wait) {
+    watch_wait_ = std::move(wait);
+  }
   /** Begins with a list. */
   void Start();
+  /**
+   * Somebody else has seen a change of the kind. If our watch does not bring it
+   * within a moment, it is lost, and another one is begun.
+   * @param revision of the change.
+   */
+  void NoteChangeElsewhere(int64_t revision);
+  /** To be called several times a second: begins another watch if the one that
+   * waits has been waiting for longer than it should by now. */
+  void CheckWait();
+  /** @return the newest change seen, by its revision; 0: none. */
+  int64_t newest_change() const { return newest_change_; }
   /** @return true once a list was read. */
   bool synced() const { return synced_; }
   /** @return true while the store answers. */
@@ -52,18 +68,28 @@
   void OnChanges(const utils::Result<SourceBatch>& batch);
   void Heard();
   void OnError(const utils::Error& error);
+  void NoteSeen(std::span<const SourceObject> objects);
+  void WatchAnew();
+  std::chrono::milliseconds UsualWait() const;
   std::chrono::milliseconds Outage() const;
 
   ObjectSource& source_;
   std::string kind_;
   ReflectorEvents events_;
+  std::function<std::chrono::milliseconds()> watch_wait_;
   QTimer again_;
+  QTimer behind_;
   bool list_next_ = true;
   bool synced_ = false;
   bool reachable_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
+  int64_t newest_change_ = 0;
+  int64_t elsewhere_ = 0;      ///< The newest change that others have seen.
+  bool waiting_ = false;       ///< A watch is open.
+  uint64_t watch_number_ = 0;  ///< Tells the open watch from those given up.
   std::chrono::steady_clock::time_point called_at_;
+  std::chrono::steady_clock::time_point anew_at_;
   std::chrono::steady_clock::time_point heard_at_;
 };
 
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -18,6 +18,14 @@
  * within five seconds of such a loss, long enough to be a few calls a
  * minute. */
 constexpr milliseconds kWatchWait{3000};
+/** How much later than others a change may come before our watch counts as
+ * lost: a few round trips and a turn of a slow processor. */
+constexpr milliseconds kBehindFor{200};
+/** Least time between two watches that are begun for being behind: what others
+ * say must not make an instance call without end. */
+constexpr milliseconds kAnewPause{1000};
+/** A watch ends so much later than it was asked to wait, at most. */
+constexpr milliseconds kWatchOverdue{500};
 /** Wait of a watch while the store is not answering: it only asks whether
  * the store is back, and its loss must cost little. */
 constexpr milliseconds kProbeWait{100};
@@ -36,6 +44,10 @@
                      ReflectorEvents events)
     : source_(source), kind_(std::move(kind)), events_(std::move(events)) {
   again_.setSingleShot(true);
+  behind_.setSingleShot(true);
+  connect(&behind_, &QTimer::timeout, this, [this] {
+    if (waiting_ && elsewhere_ > revision_) WatchAnew();
+  });
   connect(&again_, &QTimer::timeout, this,
           [this] { list_next_ ? List() : Watch(); });
 }
@@ -52,10 +64,46 @@
   // Guard: a call sent just before a silent store returns is never answered.
   // With the full wait it would be given up seconds after the return, and a
   // configuration accepted meanwhile would come into force too late.
-  const milliseconds wait = reachable_ ? kWatchWait : kProbeWait;
+  const milliseconds wait = reachable_ ? UsualWait() : kProbeWait;
   called_at_ = steady_clock::now();
+  waiting_ = true;
   source_.Watch(kind_, revision_, wait,
-                [this](const auto& batch) { OnChanges(batch); });
+                [this, number = ++watch_number_](const auto& batch) {
+                  if (number == watch_number_) OnChanges(batch);
+                });
+}
+
+milliseconds Reflector::UsualWait() const {
+  return watch_wait_ ? watch_wait_() : kWatchWait;
+}
+
+void Reflector::WatchAnew() {
+  const auto now = steady_clock::now();
+  if (now < anew_at_ + kAnewPause) return;
+  anew_at_ = now;
+  Watch();
+}
+
+void Reflector::NoteChangeElsewhere(int64_t revision) {
+  elsewhere_ = std::max(elsewhere_, revision);
+  if (!waiting_ || elsewhere_ <= revision_ || behind_.isActive()) return;
+  behind_.start(kBehindFor);
+}
+
+// Guard: a long watch that is lost with a silent store shows only at its end.
+// Long ones are begun while other instances are heard, which would tell of
+// changes; once they are not, the watch must not go on for longer than usual.
+void Reflector::CheckWait() {
+  if (!waiting_ || !reachable_) return;
+  const auto waited = std::chrono::duration_cast<milliseconds>(
+      steady_clock::now() - called_at_);
+  if (waited > UsualWait() + kWatchOverdue) WatchAnew();
+}
+
+void Reflector::NoteSeen(std::span<const SourceObject> objects) {
+  for (const SourceObject& object : objects) {
+    newest_change_ = std::max(newest_change_, object.revision);
+  }
 }
 
 milliseconds Reflector::Outage() const {
@@ -77,15 +125,18 @@
   synced_ = true;
   list_next_ = false;
   revision_ = batch.value().revision;
+  NoteSeen(batch.value().objects);
   events_.on_list(batch.value().objects, outage);
   Watch();
 }
 
 void Reflector::OnChanges(const utils::Result<SourceBatch>& batch) {
+  waiting_ = false;
   if (!batch) return OnError(batch.error());
   const milliseconds outage = Outage();
   Heard();
   revision_ = std::max(revision_, batch.value().revision);
+  NoteSeen(batch.value().objects);
   for (const SourceObject& object : batch.value().objects) {
     events_.on_change(object, outage);
   }
--- a/libs/store/test/reflector_test.cc
+++ b/libs/store/test/reflector_test.cc
@@ -133,3 +133,66 @@
   RunLoop(600ms);
   REQUIRE(source.waits.size() == 2);
 }
+
+// Story: the store falls silent for a moment and swallows an instance's watch,
+// which was to wait for 15 s. A configuration is accepted right after. Without
+// what others tell, callers of its new routes get 404 here until the watch
+// ends.
+TEST_CASE("a watch that misses a change which others saw is begun anew") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.set_watch_wait([] { return 15s; });
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  REQUIRE(source.waits == std::vector<std::chrono::milliseconds>{15s});
+  const SourceCallback lost = std::exchange(source.pending, nullptr);
+  reflector.NoteChangeElsewhere(7);  // Known here too.
+  RunLoop(300ms);
+  REQUIRE(source.waits.size() == 1);
+  reflector.NoteChangeElsewhere(8);
+  RunLoop(300ms);
+  REQUIRE(source.waits.size() == 2);
+  REQUIRE(source.watched_after.back() == 7);
+  source.Answer(
+      {.objects = {{.name = "a", .spec = {}, .revision = 8}}, .revision = 8});
+  REQUIRE(reflector.newest_change() == 8);
+  REQUIRE(seen.changes.size() == 1);
+  // The lost one is answered after all: told twice, nothing may go back.
+  lost(SourceBatch{.objects = {{.name = "a", .spec = {}, .revision = 5}},
+                   .revision = 5});
+  REQUIRE(seen.changes.size() == 1);
+}
+
+// Story: an instance tells of changes that do not exist. The others must not
+// call the store without end for it.
+TEST_CASE("watches begun anew for others' news are rare") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  for (int i = 0; i < 12; ++i) {
+    reflector.NoteChangeElsewhere(1000);
+    RunLoop(100ms);
+  }
+  REQUIRE(source.waits.size() <= 3);
+}
+
+// Story: a long watch was begun while other instances were heard; then nobody
+// is heard any more, and nobody would tell that the watch is lost.
+TEST_CASE("a long watch ends once it should have been a short one") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  std::chrono::milliseconds wait = 15s;
+  reflector.set_watch_wait([&] { return wait; });
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  RunLoop(700ms);
+  reflector.CheckWait();
+  REQUIRE(source.waits.size() == 1);
+  wait = 100ms;
+  reflector.CheckWait();
+  REQUIRE(source.waits.size() == 2);
+}
