A stage call is a class of its own; whether a request may be sent again is a pure decision

Change: PieceCall (one call: send, answer, timeout), MayRepeat over a plain struct, the line of a request's end apart.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/entry/repeat_policy.h"
 #include "turmeric/entry/request_admission.h"
 #include "turmeric/entry/stream_relay.h"
 #include "turmeric/entry/wire_format.h"
@@ -64,12 +65,9 @@
   UpstreamSendEvents SendEvents();
   void OnEnd();
   void OnFailure(http::ExchangeFailure failure);
-  /** Whether an upstream has received the request. */
-  enum class Reached { kNo, kYes };
-  void OnNotRun(Reached reached);
-  bool MayTryAnother() const;
+  void OnNotRun(SendEnd end);
   void OnBroken(std::string_view why);
-  bool MaySendAgain(bool certainly_not_run);
+  bool MaySendAgain(SendEnd end);
   void SendAgain();
   void OnStreamBytes(std::string_view bytes);
   void HoldBackIfSlow();
@@ -81,6 +79,7 @@
   void OnTimeLimit();
   void OnCallerGone();
   void Finish(int status, std::string_view outcome);
+  void LogEnd(int status, std::string_view outcome, int64_t ms) const;
   std::chrono::milliseconds TimeLeft() const;
   double MsSinceArrival() const;
 
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,6 +17,7 @@
 namespace turmeric::entry {
 
 struct EntryContext;
+class PieceCall;
 
 /**
  * Makes pieces by calls to the upstreams of the stage services: one queue a
@@ -52,7 +54,6 @@
   std::map<std::string, double> KnownBacklogs() const;
 
  private:
-  struct Call;
   struct Worker;
   struct Queue;
 
@@ -73,12 +74,12 @@
   void SendCall(Queue& queue, const routing::UpstreamPtr& upstream,
                 std::vector<stages::QueuedPiece> pieces,
                 const routing::StageCallLimits& limits);
-  void OnCallEnd(const std::shared_ptr<Call>& call);
-  void OnCallFailed(const std::shared_ptr<Call>& call,
-                    routing::Outcome outcome);
-  void Deliver(Call& call, const std::vector<stages::PieceResult>& results);
-  void Retry(Call& call, bool certainly_not_run);
-  void OnInputsTaken(const std::shared_ptr<Call>& call);
+  void OnCallDone(PieceCall& call, std::span<const stages::PieceResult> results,
+                  int batch);
+  void OnCallFailed(PieceCall& call, routing::Outcome outcome);
+  void Deliver(PieceCall& call, std::span<const stages::PieceResult> results);
+  void Retry(PieceCall& call, bool certainly_not_run);
+  void OnInputsTaken(PieceCall& call) const;
   void ForgetHeld(const std::string& shard,
                   const std::vector<std::string>& handles);
 
--- /dev/null
+++ b/libs/entry/src/piece_call.cc
@@ -0,0 +1,103 @@
+#include "turmeric/entry/piece_call.h"
+
+#include <numeric>
+#include <utility>
+
+#include "turmeric/entry/entry_context.h"
+
+namespace turmeric::entry {
+
+using routing::Outcome;
+using stages::Clock;
+using stages::PieceResult;
+using stages::QueuedPiece;
+
+namespace {
+
+constexpr int kOk = 200;
+/** Time after a call's start by which its upstream has fetched the inputs:
+ * some megabytes over links of 10 Gbit/s, and the way there. */
+constexpr std::chrono::milliseconds kFetchTime{50};
+
+}  // namespace
+
+PieceCall::PieceCall(EntryContext& context, PieceCallSpec spec,
+                     PieceCallEvents events, QObject* parent)
+    : QObject(parent),
+      context_(context),
+      spec_(std::move(spec)),
+      events_(std::move(events)),
+      bytes_(std::transform_reduce(
+          spec_.pieces.begin(), spec_.pieces.end(), int64_t{0}, std::plus<>(),
+          [](const QueuedPiece& q) { return q.piece.result_bytes; })) {
+  for (QTimer* timer : {&timeout_, &fetch_}) timer->setSingleShot(true);
+  connect(&timeout_, &QTimer::timeout, this, [this] {
+    exchange_->Cancel();
+    Fail(Outcome::kTimeout);
+  });
+  connect(&fetch_, &QTimer::timeout, this,
+          [this] { events_.on_inputs_taken(*this); });
+}
+
+PieceCall::~PieceCall() = default;
+
+std::chrono::milliseconds PieceCall::age() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               started_);
+}
+
+void PieceCall::Start() {
+  started_ = Clock::now();
+  std::vector<stages::Piece> pieces;
+  for (const QueuedPiece& queued : spec_.pieces) {
+    pieces.push_back(queued.piece);
+  }
+  const std::string request =
+      context_.wire.encode_stage_call({.upstream_id = spec_.upstream->entry.id,
+                                       .address = spec_.upstream->entry.address,
+                                       .pieces = pieces,
+                                       .now = started_});
+  timeout_.start(spec_.timeout);
+  fetch_.start(kFetchTime);
+  exchange_ = context_.client.Send(spec_.upstream, request, AnswerEvents());
+}
+
+http::ExchangeEvents PieceCall::AnswerEvents() {
+  http::ExchangeEvents events;
+  events.on_head = [this](const http::ResponseHead& head) {
+    status_ = head.status;
+    not_run_ = context_.wire.decode_answer(head).not_run;
+    return true;
+  };
+  events.on_body = [this](std::string_view bytes) { body_.append(bytes); };
+  events.on_end = [this] { OnAnswer(); };
+  events.on_failure = [this](http::ExchangeFailure failure) {
+    const bool not_sent = failure == http::ExchangeFailure::kNotSent;
+    Fail(not_sent ? Outcome::kNotSent : Outcome::kBroken);
+  };
+  return events;
+}
+
+void PieceCall::OnAnswer() {
+  if (status_ != kOk) {
+    return Fail(not_run_ ? Outcome::kRefused : Outcome::kError);
+  }
+  const std::vector<PieceResult> results =
+      context_.wire.decode_stage_answer(body_);
+  if (results.size() != spec_.pieces.size()) return Fail(Outcome::kBroken);
+  if (End()) events_.on_done(*this, results);
+}
+
+void PieceCall::Fail(Outcome outcome) {
+  if (End()) events_.on_failed(*this, outcome);
+}
+
+bool PieceCall::End() {
+  if (std::exchange(ended_, true)) return false;
+  timeout_.stop();
+  fetch_.stop();
+  deleteLater();
+  return true;
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -9,6 +9,7 @@
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/repeat_policy.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/upstream_send.h"
 #include "turmeric/entry/wanted_upstream.h"
@@ -31,14 +32,9 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-/** Least time left for a repeat to be worth sending. */
-constexpr milliseconds kLeastForRepeat{50};
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
 constexpr milliseconds kInputFetchTime{50};
-/** Upstreams that one request is tried at without a connection: with half of
- * them gone unnoticed, one request in 64 still finds none. */
-constexpr size_t kMostUnreached = 6;
 /** Unsent bytes of a slow reader at which its upstream is held back, and
  * below which it goes on. */
 constexpr size_t kPauseAt = 256 * 1024;
@@ -286,9 +282,11 @@
     send_->End(inputs_gone ? Outcome::kAnswered : Outcome::kRefused);
     if (inputs_gone) {
       tried_.pop_back();
-      if (MaySendAgain(true) && stages_->Restart("inputs_gone")) return;
+      if (MaySendAgain(SendEnd::kNotRun) && stages_->Restart("inputs_gone")) {
+        return;
+      }
     }
-    return OnNotRun(Reached::kYes);
+    return OnNotRun(SendEnd::kNotRun);
   }
   may_have_run_ = true;
   const std::string_view fault =
@@ -306,7 +304,8 @@
   }
   const bool upstream_error = head.status >= kServerError;
   send_->End(upstream_error ? Outcome::kError : Outcome::kAnswered);
-  if (upstream_error && route_->repeatable() && MaySendAgain(false)) {
+  if (upstream_error && route_->repeatable() &&
+      MaySendAgain(SendEnd::kMayHaveRun)) {
     last_error_ =
         http::ResponseMessage{head.status, head.headers, send_->body()};
     return SendAgain();
@@ -317,7 +316,7 @@
 void RequestRun::OnFailure(http::ExchangeFailure failure) {
   if (failure == http::ExchangeFailure::kNotSent) {
     send_->End(Outcome::kNotSent);
-    return OnNotRun(Reached::kNo);
+    return OnNotRun(SendEnd::kUnreached);
   }
   may_have_run_ = true;
   send_->End(Outcome::kBroken);
@@ -326,20 +325,14 @@
                                                           : "malformed_answer");
 }
 
-void RequestRun::OnNotRun(Reached reached) {
+void RequestRun::OnNotRun(SendEnd end) {
   utils::DecisionLog("upstream_did_not_run")
       .Add("request", request_.attempt_id)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("status", send_->head().status)
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
-  // Guard: what no upstream has received is no repeat at any. Spent from the
-  // retry budget, a crash of a quarter of the engines used it up in a second,
-  // and 377 callers were refused in a day while the other engines had room.
-  const bool is_free =
-      reached == Reached::kNo && context_.Uses(Mechanism::kTryNext);
-  const bool again = is_free ? MayTryAnother() : MaySendAgain(true);
-  if (again) return SendAgain();
+  if (MaySendAgain(end)) return SendAgain();
   if (streaming_) return Fail(kBadGateway, "stream_not_resumed");
   if (may_have_run_) return Fail(kBadGateway, "not_repeated");
   Refuse("upstreams_full", ComeBack::kSoon);
@@ -354,21 +347,24 @@
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
   relay_.RunEnded();
-  if (route_->repeatable() && MaySendAgain(false)) return SendAgain();
+  if (route_->repeatable() && MaySendAgain(SendEnd::kMayHaveRun))
+    return SendAgain();
   Fail(kBadGateway, why);
 }
 
-bool RequestRun::MaySendAgain(bool certainly_not_run) {
-  if (!connection_ || TimeLeft() < kLeastForRepeat) return false;
-  // A refused send is bounded by the service's upstreams, a repeat of what
-  // may have run by the route.
-  if (!certainly_not_run && sends_ >= route_->max_attempts) return false;
-  return context_.retries.TrySpend(service_, Clock::now());
-}
-
-bool RequestRun::MayTryAnother() const {
-  return connection_ && TimeLeft() >= kLeastForRepeat &&
-         tried_.size() < kMostUnreached;
+bool RequestRun::MaySendAgain(SendEnd end) {
+  if (end == SendEnd::kUnreached && !context_.Uses(Mechanism::kTryNext)) {
+    end = SendEnd::kNotRun;
+  }
+  const Repeat repeat = MayRepeat({.end = end,
+                                   .caller_waits = !connection_.isNull(),
+                                   .left = TimeLeft(),
+                                   .sends = sends_,
+                                   .max_sends = route_->max_attempts,
+                                   .tried = tried_.size()});
+  return repeat == Repeat::kFree ||
+         (repeat == Repeat::kFromBudget &&
+          context_.retries.TrySpend(service_, Clock::now()));
 }
 
 void RequestRun::SendAgain() {
@@ -430,14 +426,8 @@
   Finish(0, "caller_gone");
 }
 
-void RequestRun::Finish(int status, std::string_view outcome) {
-  if (std::exchange(finished_, true)) return;
-  limit_timer_.stop();
-  if (stages_) stages_->Stop();
-  placement_.reset();
-  const double ms = MsSinceArrival();
-  context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
-                              outcome, ms / 1000);
+void RequestRun::LogEnd(int status, std::string_view outcome,
+                        int64_t ms) const {
   utils::DecisionLog("request_end")
       .Add("request", request_.attempt_id)
       .Add("route", route_ ? route_->name : "-")
@@ -451,7 +441,18 @@
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
-      .Add("ms", static_cast<int64_t>(ms));
+      .Add("ms", ms);
+}
+
+void RequestRun::Finish(int status, std::string_view outcome) {
+  if (std::exchange(finished_, true)) return;
+  limit_timer_.stop();
+  if (stages_) stages_->Stop();
+  placement_.reset();
+  const double ms = MsSinceArrival();
+  context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
+                              outcome, ms / 1000);
+  LogEnd(status, outcome, static_cast<int64_t>(ms));
   deleteLater();
 }
 
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/piece_call.h"
 #include "turmeric/stages/call_plan.h"
 #include "turmeric/stages/result_room.h"
 #include "turmeric/stages/shard.h"
@@ -23,12 +24,8 @@
 
 namespace {
 
-constexpr int kOk = 200;
 /** Calls that one piece may be part of before it counts as failed. */
 constexpr int kMaxSends = 3;
-/** Time after a call's start by which its upstream has fetched the inputs:
- * some megabytes over links of 10 Gbit/s, and the way there. */
-constexpr std::chrono::milliseconds kFetchTime{50};
 /** How often late pieces are looked at: a fraction of a call. */
 constexpr std::chrono::milliseconds kLateCheck{50};
 /** A queue whose upstreams are all avoided is looked at again after this. */
@@ -36,23 +33,6 @@
 
 }  // namespace
 
-/** One call in progress. */
-struct StageDispatcher::Call {
-  std::string shard;
-  std::string service;
-  UpstreamPtr upstream;
-  std::vector<QueuedPiece> pieces;
-  std::shared_ptr<UpstreamExchange> exchange;
-  QTimer timeout;
-  std::string body;
-  int status = 0;
-  bool not_run = false;
-  bool ended = false;
-  Clock::time_point started;
-  int64_t bytes = 0;
-  int batch = 0;  ///< Most pieces in a call.
-};
-
 /** What is known of one upstream's calls and results. */
 struct StageDispatcher::Worker {
   int calls = 0;
@@ -273,109 +253,71 @@
 void StageDispatcher::SendCall(Queue& queue, const UpstreamPtr& upstream,
                                std::vector<QueuedPiece> pieces,
                                const StageCallLimits& limits) {
-  auto call = std::make_shared<Call>();
-  call->shard = queue.name;
-  call->service = queue.shard.service;
-  call->upstream = upstream;
-  call->pieces = std::move(pieces);
-  call->started = Clock::now();
-  call->batch = limits.batch;
-  std::vector<stages::Piece> bodies;
-  for (QueuedPiece& q : call->pieces) {
+  for (QueuedPiece& q : pieces) {
     // A piece counts like a request for the service: it earns repeats.
-    if (q.sends++ == 0) {
-      context_.retries.OnRequest(call->service, call->started);
-    }
-    call->bytes += q.piece.result_bytes;
-    bodies.push_back(q.piece);
+    if (q.sends++ > 0) continue;
+    context_.retries.OnRequest(queue.shard.service, Clock::now());
   }
+  const auto timeout = stages::CallTimeout(limits, pieces.size());
+  auto* call = new PieceCall(
+      context_,
+      {.shard = queue.name,
+       .service = queue.shard.service,
+       .upstream = upstream,
+       .pieces = std::move(pieces),
+       .timeout = timeout},
+      {.on_inputs_taken = [this](PieceCall& c) { OnInputsTaken(c); },
+       .on_done = [this, batch = limits.batch](
+                      PieceCall& c,
+                      auto results) { OnCallDone(c, results, batch); },
+       .on_failed = [this](PieceCall& c,
+                           Outcome outcome) { OnCallFailed(c, outcome); }},
+      this);
   Worker& worker = WorkerOf(queue, upstream);
-  worker.room.Reserve(call->bytes);
+  worker.room.Reserve(call->bytes());
   ++worker.calls;
-  const std::string request =
-      context_.wire.encode_stage_call({.upstream_id = call->upstream->entry.id,
-                                       .address = call->upstream->entry.address,
-                                       .pieces = bodies,
-                                       .now = call->started});
-  http::ExchangeEvents events;
-  events.on_head = [this, call](const http::ResponseHead& head) {
-    call->status = head.status;
-    call->not_run = context_.wire.decode_answer(head).not_run;
-    return true;
-  };
-  events.on_body = [call](std::string_view bytes) { call->body.append(bytes); };
-  events.on_end = [this, call] { OnCallEnd(call); };
-  events.on_failure = [this, call](http::ExchangeFailure failure) {
-    OnCallFailed(call, failure == http::ExchangeFailure::kNotSent
-                           ? Outcome::kNotSent
-                           : Outcome::kBroken);
-  };
-  call->timeout.setSingleShot(true);
-  const std::weak_ptr<Call> weak = call;
-  connect(&call->timeout, &QTimer::timeout, this, [this, weak] {
-    const auto open = weak.lock();
-    if (!open || open->ended) return;
-    open->exchange->Cancel();
-    OnCallFailed(open, Outcome::kTimeout);
-  });
-  call->timeout.start(stages::CallTimeout(limits, call->pieces.size()));
-  QTimer::singleShot(kFetchTime, this, [this, weak] {
-    if (const auto open = weak.lock()) OnInputsTaken(open);
-  });
-  call->exchange =
-      context_.client.Send(call->upstream, request, std::move(events));
+  call->Start();
 }
 
-void StageDispatcher::OnCallEnd(const std::shared_ptr<Call>& call) {
-  if (call->status != kOk) {
-    return OnCallFailed(call,
-                        call->not_run ? Outcome::kRefused : Outcome::kError);
-  }
-  const std::vector<PieceResult> results =
-      context_.wire.decode_stage_answer(call->body);
-  if (results.size() != call->pieces.size()) {
-    return OnCallFailed(call, Outcome::kBroken);
-  }
-  if (std::exchange(call->ended, true)) return;
-  call->timeout.stop();
-  const double ms =
-      std::chrono::duration<double, std::milli>(Clock::now() - call->started)
-          .count();
-  context_.Note(*call->upstream, Outcome::kAnswered, ms);
+void StageDispatcher::OnCallDone(PieceCall& call,
+                                 std::span<const PieceResult> results,
+                                 int batch) {
+  context_.Note(*call.upstream(), Outcome::kAnswered,
+                static_cast<double>(call.age().count()));
   utils::DecisionLog("stage_call_done")
-      .Add("service", call->service)
-      .Add("upstream", call->upstream->entry.id)
-      .Add("pieces", call->pieces.size())
-      .Add("batch", call->batch)
-      .Add("bytes", call->bytes)
-      .Add("waiting", QueueOf(call->shard).pieces.size())
-      .Add("ms", static_cast<int64_t>(ms));
-  Deliver(*call, results);
-  call->exchange.reset();
+      .Add("service", call.service())
+      .Add("upstream", call.upstream()->entry.id)
+      .Add("pieces", results.size())
+      .Add("batch", batch)
+      .Add("bytes", call.bytes())
+      .Add("waiting", QueueOf(call.shard()).pieces.size())
+      .Add("ms", call.age().count());
+  Deliver(call, results);
   SchedulePump();
 }
 
-void StageDispatcher::Deliver(Call& call,
-                              const std::vector<PieceResult>& results) {
-  Queue& queue = QueueOf(call.shard);
-  Worker& worker = WorkerOf(queue, call.upstream);
+void StageDispatcher::Deliver(PieceCall& call,
+                              std::span<const PieceResult> results) {
+  Queue& queue = QueueOf(call.shard());
+  Worker& worker = WorkerOf(queue, call.upstream());
   --worker.calls;
-  worker.room.Unreserve(call.bytes);
-  const routing::ServiceSpec* spec = context_.table->FindService(call.service);
+  worker.room.Unreserve(call.bytes());
+  const routing::ServiceSpec* spec =
+      context_.table->FindService(call.service());
   const double keep_s = spec && spec->stage ? spec->stage->keep_s : 0;
   const auto till = Clock::now() + std::chrono::milliseconds(
                                        static_cast<int64_t>(keep_s * 1000));
   for (size_t i = 0; i < results.size(); ++i) {
-    QueuedPiece& piece = call.pieces[i];
+    QueuedPiece& piece = call.pieces()[i];
     PieceResult result = results[i];
-    result.zone = call.upstream->entry.zone;
+    result.zone = call.upstream()->entry.zone;
     if (result.failure == PieceFailure::kNone) {
       worker.room.Hold(result.handle, piece.piece.result_bytes, till);
     }
     const bool again = result.failure == PieceFailure::kNoRoom ||
                        result.failure == PieceFailure::kFailed;
     if (again && piece.sends < kMaxSends &&
-        context_.retries.TrySpend(call.service, Clock::now())) {
+        context_.retries.TrySpend(call.service(), Clock::now())) {
       queue.pieces.PushBack(std::move(piece));
       continue;
     }
@@ -390,32 +332,28 @@
                        now);
 }
 
-void StageDispatcher::OnCallFailed(const std::shared_ptr<Call>& call,
-                                   Outcome outcome) {
-  if (std::exchange(call->ended, true)) return;
-  call->timeout.stop();
-  context_.Note(*call->upstream, outcome, 0);
-  Worker& worker = WorkerOf(QueueOf(call->shard), call->upstream);
+void StageDispatcher::OnCallFailed(PieceCall& call, Outcome outcome) {
+  context_.Note(*call.upstream(), outcome, 0);
+  Worker& worker = WorkerOf(QueueOf(call.shard()), call.upstream());
   --worker.calls;
-  worker.room.Unreserve(call->bytes);
+  worker.room.Unreserve(call.bytes());
   utils::DecisionLog("stage_call_failed")
-      .Add("service", call->service)
-      .Add("upstream", call->upstream->entry.id)
+      .Add("service", call.service())
+      .Add("upstream", call.upstream()->entry.id)
       .Add("outcome", static_cast<int>(outcome))
-      .Add("status", call->status)
-      .Add("pieces", call->pieces.size())
-      .Add("first_request", call->pieces.front().piece.request_id);
-  Retry(*call, outcome == Outcome::kNotSent);
-  call->exchange.reset();
+      .Add("status", call.status())
+      .Add("pieces", call.pieces().size())
+      .Add("first_request", call.pieces().front().piece.request_id);
+  Retry(call, outcome == Outcome::kNotSent);
   SchedulePump();
 }
 
-void StageDispatcher::Retry(Call& call, bool certainly_not_run) {
-  Queue& queue = QueueOf(call.shard);
-  for (QueuedPiece& piece : call.pieces) {
+void StageDispatcher::Retry(PieceCall& call, bool certainly_not_run) {
+  Queue& queue = QueueOf(call.shard());
+  for (QueuedPiece& piece : call.pieces()) {
     const bool may = certainly_not_run ||
                      (piece.sends < kMaxSends &&
-                      context_.retries.TrySpend(call.service, Clock::now()));
+                      context_.retries.TrySpend(call.service(), Clock::now()));
     if (may) {
       queue.pieces.PushBack(std::move(piece));
     } else {
@@ -434,9 +372,9 @@
   SchedulePump();
 }
 
-void StageDispatcher::OnInputsTaken(const std::shared_ptr<Call>& call) {
-  if (call->ended || !context_.Uses(Mechanism::kEarlyRelease)) return;
-  for (const QueuedPiece& piece : call->pieces) {
+void StageDispatcher::OnInputsTaken(PieceCall& call) const {
+  if (!context_.Uses(Mechanism::kEarlyRelease)) return;
+  for (const QueuedPiece& piece : call.pieces()) {
     if (piece.events.on_inputs_taken) piece.events.on_inputs_taken();
   }
 }
