The time that engines need is learnt, not assumed

Cause: stages were planned to end 200 ms, besides the prompt's reading, before the answer is due. Ruled out: the estimate of the stages themselves (it is learnt already). Change: EngineTimes: mean and twice the mean deviation of what engines take beyond the estimate for the prompt, by service; 200 ms until the first is seen.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -13,6 +13,7 @@
 #include "turmeric/routing/prompt_memory.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream_table.h"
+#include "turmeric/stages/engine_times.h"
 #include "turmeric/stages/stage_times.h"
 
 namespace turmeric::entry {
@@ -54,6 +55,7 @@
   UpstreamClient client;
   RetryBudgets retries;
   stages::StageTimes stage_times;
+  stages::EngineTimes engine_times;
   UsualDeadlines usual_deadlines;
   StoreNews news;         ///< Between instances.
   BacklogBoard backlogs;  ///< Of stage services that others own.
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -81,6 +81,7 @@
   void Finish(int status, std::string_view outcome);
   void LogEnd(int status, std::string_view outcome, int64_t ms) const;
   std::chrono::milliseconds TimeLeft() const;
+  std::chrono::milliseconds PromptTime() const;
   double MsSinceArrival() const;
 
   EntryContext& context_;
--- a/libs/entry/include/turmeric/entry/stage_run.h
+++ b/libs/entry/include/turmeric/entry/stage_run.h
@@ -29,7 +29,7 @@
   int rank = 0;
   stages::Clock::time_point due;    ///< The answer, for the latency target.
   stages::Clock::time_point limit;  ///< The answer's first byte, at the latest.
-  std::chrono::milliseconds prompt_time{0};  ///< Estimate, after the stages.
+  std::chrono::milliseconds engine_time{0};  ///< Estimate, after the stages.
   stages::StageTimes& times;  ///< How long stages take; learns from this run.
   const config::Mechanisms& mechanisms;
 };
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -109,18 +109,17 @@
 }
 
 void RequestRun::StartStages() {
-  const auto prompt_time =
-      milliseconds(static_cast<int64_t>(PromptMs(request_)));
   stages_ = std::make_unique<StageRun>(
       *context_.stages,
-      StagePlan{.request = request_,
-                .route = *route_,
-                .rank = admission_.rank,
-                .due = arrived_ + route_->latency_target - time_used_,
-                .limit = admission_.first_byte_limit,
-                .prompt_time = prompt_time,
-                .times = context_.stage_times,
-                .mechanisms = context_.settings.mechanisms},
+      StagePlan{
+          .request = request_,
+          .route = *route_,
+          .rank = admission_.rank,
+          .due = arrived_ + route_->latency_target - time_used_,
+          .limit = admission_.first_byte_limit,
+          .engine_time = context_.engine_times.Expected(service_, PromptTime()),
+          .times = context_.stage_times,
+          .mechanisms = context_.settings.mechanisms},
       StageRunEvents{
           .on_ready =
               [this] {
@@ -267,9 +266,17 @@
   });
 }
 
+milliseconds RequestRun::PromptTime() const {
+  return milliseconds(static_cast<int64_t>(PromptMs(request_)));
+}
+
 void RequestRun::PassHead() {
   streaming_ = true;
   first_byte_ms_ = static_cast<int64_t>(MsSinceArrival());
+  if (sends_ == 1 && stages_done_ms_ >= 0) {
+    context_.engine_times.Note(service_, PromptTime(),
+                               milliseconds(first_byte_ms_ - stages_done_ms_));
+  }
   connection_->StartChunked(send_->head().status, send_->head().headers);
 }
 
--- a/libs/entry/src/stage_run.cc
+++ b/libs/entry/src/stage_run.cc
@@ -22,11 +22,6 @@
  * the least time left for that: one call of each stage and the prompt. */
 constexpr int kMaxRestarts = 2;
 constexpr milliseconds kLeastForRestart{800};
-/** Time an engine needs for the first event besides reading the prompt. In a
- * burst stages end as late as their plan allows: at 60 ms, 430 of 1,150
- * notices of four seconds had their stages in time and were late by the engine,
- * which took 245 ms for nine in ten. */
-constexpr milliseconds kFirstEvent{200};
 /** Results of this size are made in the zone of the engine, bytes. */
 constexpr int64_t kPlacedResult = 500 * 1000;
 
@@ -72,8 +67,7 @@
 void StageRun::SubmitStage(int stage) {
   const routing::StageSpec& spec =
       plan_.route.stages[static_cast<size_t>(stage)];
-  const auto rest =
-      progress_.TimeAfter(stage, plan_.times) + plan_.prompt_time + kFirstEvent;
+  const auto rest = progress_.TimeAfter(stage, plan_.times) + plan_.engine_time;
   stages::Piece piece;
   piece.request_id = plan_.request.attempt_id;
   piece.stage = stage;
