--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -354,8 +354,9 @@
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
   relay_.RunEnded();
-  if (route_->repeatable() && MaySendAgain(SendEnd::kMayHaveRun))
+  if (route_->repeatable() && MaySendAgain(SendEnd::kMayHaveRun)) {
     return SendAgain();
+  }
   Fail(kBadGateway, why);
 }
 
--- a/libs/insight/src/loss_report.cc
+++ b/libs/insight/src/loss_report.cc
@@ -1,6 +1,7 @@
 #include "turmeric/insight/loss_report.h"
 
 #include <algorithm>
+#include <cinttypes>
 #include <cstdio>
 #include <vector>
 
@@ -102,12 +103,13 @@
     const int64_t capacity_ms =
         kSpan.count() * static_cast<int64_t>(service.upstreams.size());
     for (const auto& [number, span] : service.spans) {
-      out += Line(
-          "  %4lld s  busy %.2f  fill %.2f  waiting %.0f  calls %lld",
-          static_cast<long long>((number - first) * kSpan.count() /
-                                 milliseconds(1000).count()),
-          Ratio(span.busy_ms, capacity_ms), Ratio(span.pieces, span.capacity),
-          Ratio(span.waiting, span.calls), static_cast<long long>(span.calls));
+      out += Line("  %4" PRId64
+                  " s  busy %.2f  fill %.2f  waiting %.0f  calls %" PRId64,
+                  static_cast<int64_t>((number - first) * kSpan.count() /
+                                       milliseconds(1000).count()),
+                  Ratio(span.busy_ms, capacity_ms),
+                  Ratio(span.pieces, span.capacity),
+                  Ratio(span.waiting, span.calls), span.calls);
     }
   }
   return out;
@@ -118,18 +120,16 @@
       "routes: requests, answered in their target, late by what "
       "took most of their time, lost by status and outcome\n";
   for (const auto& [name, route] : routes_) {
-    out += Line("%s  requests %lld  in target %.3f", name.c_str(),
-                static_cast<long long>(route.requests),
-                Ratio(route.in_target, route.requests));
+    out += Line("%s  requests %" PRId64 "  in target %.3f", name.c_str(),
+                route.requests, Ratio(route.in_target, route.requests));
     for (const auto& [cause, count] : route.late) {
-      out += Line("  late by %s: %lld", NameOf(cause),
-                  static_cast<long long>(count));
+      out += Line("  late by %s: %" PRId64, NameOf(cause), count);
     }
     std::vector<std::pair<int64_t, std::string>> lost;
     for (const auto& [why, count] : route.lost) lost.emplace_back(count, why);
     std::ranges::sort(lost, std::ranges::greater());
     for (const auto& [count, why] : lost) {
-      out += Line("  %s: %lld", why.c_str(), static_cast<long long>(count));
+      out += Line("  %s: %" PRId64, why.c_str(), count);
     }
   }
   return out;
