Requests cut by an exit and closing connections leave a line

Cause looked for: requests without an answer under planned work. A request open at the exit left no line, bytes read after a close were dropped silently.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -79,7 +79,9 @@
   void OnTimeLimit();
   void OnCallerGone();
   void Finish(int status, std::string_view outcome);
-  void LogEnd(int status, std::string_view outcome, int64_t ms) const;
+  /** @return how far the request has come, for the log. */
+  std::string_view Phase() const;
+  void LogEnd(int status, std::string_view outcome, double ms) const;
   std::chrono::milliseconds TimeLeft() const;
   std::chrono::milliseconds PromptTime() const;
   double MsSinceArrival() const;
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -59,7 +59,10 @@
   connection.set_on_gone([this] { OnCallerGone(); });
 }
 
-RequestRun::~RequestRun() = default;
+RequestRun::~RequestRun() {
+  // An instance that ends with requests open leaves no other trace of them.
+  if (!finished_) LogEnd(0, "cut_by_exit", MsSinceArrival());
+}
 
 milliseconds RequestRun::TimeLeft() const {
   return std::chrono::duration_cast<milliseconds>(admission_.limit -
@@ -434,8 +437,14 @@
   Finish(0, "caller_gone");
 }
 
-void RequestRun::LogEnd(int status, std::string_view outcome,
-                        int64_t ms) const {
+std::string_view RequestRun::Phase() const {
+  if (streaming_) return "answer";
+  if (send_ && send_->open()) return "sent";
+  if (placement_) return "placement";
+  return stages_ && !stages_->done() ? "stages" : "admission";
+}
+
+void RequestRun::LogEnd(int status, std::string_view outcome, double ms) const {
   utils::DecisionLog("request_end")
       .Add("request", request_.attempt_id)
       .Add("route", route_ ? route_->name : "-")
@@ -443,13 +452,14 @@
       .Add("status", status)
       .Add("outcome", outcome)
       .Add("upstream", send_ ? send_->upstream()->entry.id : "-")
+      .Add("phase", Phase())
       .Add("sends", sends_)
       .Add("events", relay_.events())
       .Add("target_ms", route_ ? route_->latency_target.count() : 0)
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
-      .Add("ms", ms);
+      .Add("ms", static_cast<int64_t>(ms));
 }
 
 void RequestRun::Finish(int status, std::string_view outcome) {
@@ -460,7 +470,7 @@
   const double ms = MsSinceArrival();
   context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
                               outcome, ms / 1000);
-  LogEnd(status, outcome, static_cast<int64_t>(ms));
+  LogEnd(status, outcome, ms);
   deleteLater();
 }
 
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -12,6 +12,8 @@
 #include <charconv>
 #include <utility>
 
+#include "turmeric/utils/decision_log.h"
+
 namespace turmeric::http {
 
 namespace {
@@ -119,7 +121,10 @@
   if (!Flush()) return;
   if (unsent() > 0) return writes_->setEnabled(true);
   writes_->setEnabled(false);
-  if (closing_) return FinishClose();
+  if (closing_) {
+    utils::DecisionLog("close_flushed");
+    return FinishClose();
+  }
   if (events_.on_drained) events_.on_drained();
 }
 
@@ -164,7 +169,9 @@
   static thread_local std::array<char, kReadBytes> buffer;
   const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
   if (got > 0) {
-    if (!closing_ && events_.on_bytes) {
+    if (closing_) {
+      utils::DecisionLog("bytes_after_close").Add("bytes", got);
+    } else if (events_.on_bytes) {
       events_.on_bytes({buffer.data(), static_cast<size_t>(got)});
     }
     return;
@@ -195,8 +202,15 @@
   // The callbacks stay until the socket is deleted: one of them may be what
   // called us.
   setParent(nullptr);
-  if (unsent() == 0) FinishClose();
+  if (unsent() == 0) {
+    FinishClose();
+  } else {
+    utils::DecisionLog("close_waits").Add("unsent", unsent());
+  }
   QTimer::singleShot(kCloseWait, this, [this] {
+    if (unsent() > 0) {
+      utils::DecisionLog("close_gave_up").Add("unsent", unsent());
+    }
     CloseFd();
     deleteLater();
   });
