--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,5 +8,21 @@
 echo "rapidcheck: RC_PARAMS=\"$RC_PARAMS\""
 cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build build -j"$(nproc)"
+
+# Tests named in KNOWN-RED.txt are passed over and printed; no others are.
+known_red=()
+if [ -f KNOWN-RED.txt ]; then
+  mapfile -t known_red < <(grep -vE '^(#|$)' KNOWN-RED.txt)
+fi
+passed_over=()
+if [ "${#known_red[@]}" -gt 3 ]; then
+  echo "KNOWN-RED.txt: ${#known_red[@]} entries, three at most"
+  exit 1
+fi
+if [ "${#known_red[@]}" -gt 0 ]; then
+  printf 'known red, not run: %s\n' "${known_red[@]}"
+  names=$(printf '%s\n' "${known_red[@]}" | sed 's/ *|.*//' | paste -sd'|')
+  passed_over=(-E "^(${names})\$")
+fi
 cd build
-ctest --output-on-failure -j"$(nproc)"
+ctest --output-on-failure -j"$(nproc)" "${passed_over[@]}"
