A planned stop gives each open request its final answer before the process ends

Cause: a stop knew two moments, the first close of idle connections and the exit, and neither was told to the requests. One that was still in its stages at the exit (7.7 s of a grace of 8 s) ended with the process: no answer, no refusal, no line. Class: work whose owner ends by a clock that the work does not know.

Change: a stop has a schedule (ScheduleStop): 0.3 s before the exit each request without an answer gets its final one, 503 with Retry-After if it has not run, 504 if it may have. The stages of a request are planned for that moment, also of those that were open when the stop began, so that what cannot be done is refused as soon as that is known.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -4,6 +4,7 @@
 
 #include "turmeric/config/entry_settings.h"
 #include "turmeric/entry/backlog_board.h"
+#include "turmeric/entry/drain_policy.h"
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
 #include "turmeric/entry/store_news.h"
@@ -61,6 +62,11 @@
   BacklogBoard backlogs;  ///< Of stage services that others own.
   /** When a planned stop began; none: it has not. */
   std::optional<routing::Clock::time_point> stopping_since;
+  /** @return the schedule of a planned stop; none: none has begun. */
+  std::optional<StopSchedule> stop() const {
+    if (!stopping_since) return std::nullopt;
+    return ScheduleStop(*stopping_since, settings.stop_grace);
+  }
   /** What engines hold of the prompts that this instance placed. */
   routing::PromptMemory prompt_memory;
   StageClient* stages = nullptr;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -18,6 +18,7 @@
 class EnginePlacer;
 class PieceHost;
 class PlacementDesk;
+class RequestRun;
 class StageDispatcher;
 class StageRouter;
 class TopologyFeed;
@@ -57,6 +58,8 @@
                  http::RequestMessage&& message);
   void OnProbe(http::ServerConnection& connection,
                const http::RequestMessage& message);
+  /** @param action done to each request that is open. */
+  void ForEachRun(const std::function<void(RequestRun&)>& action);
   void CheckDrained();
   http::ServerLimits Limits() const;
   bool ready() const;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -36,6 +36,8 @@
  */
 class RequestRun : public QObject {
  public:
+  using Clock = routing::Clock;
+
   /**
    * @param context the instance's state; must outlive this.
    * @param connection the caller's. @param request what it sent.
@@ -47,10 +49,13 @@
 
   /** Decides what to do with the request, and begins. */
   void Start();
+  /** A planned stop begins: stages that cannot be done by then are refused
+   * early. @param last_answers when EndBeforeExit follows. */
+  void OnStopBegins(Clock::time_point last_answers);
+  /** Gives the final answer, unless a stream has begun: the process ends. */
+  void EndBeforeExit();
 
  private:
-  using Clock = routing::Clock;
-
   bool Admitted();
   void StartStages();
   void OnStageFailed(stages::PieceFailure failure);
@@ -77,6 +82,8 @@
   void Refuse(std::string_view why, ComeBack when);
   void Fail(int status, std::string_view why);
   void OnTimeLimit();
+  void GiveUp(std::string_view why_sent, std::string_view why_not_sent,
+              ComeBack when);
   void OnCallerGone();
   void Finish(int status, std::string_view outcome);
   /** @return how far the request has come, for the log. */
--- a/libs/entry/include/turmeric/entry/stage_run.h
+++ b/libs/entry/include/turmeric/entry/stage_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <QObject>
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -70,6 +71,11 @@
    * @return false if not; nothing has happened then.
    */
   bool Restart(std::string_view why);
+  /** Pieces handed out from now on keep to this limit, if it is earlier.
+   * @param limit the answer's first byte, at the latest. */
+  void LimitTo(stages::Clock::time_point limit) {
+    plan_.limit = std::min(plan_.limit, limit);
+  }
   /** Drops pieces not yet made and gives all results up. */
   void Stop();
   /** Gives all results up: the upstream has fetched them. */
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -27,8 +27,6 @@
 /** The balancer probes once a second and takes two misses; after this it
  * sends no new connection to an instance that is not ready. */
 constexpr milliseconds kBalancerNotices{2600};
-/** Time kept of the stop grace for the process to exit. */
-constexpr milliseconds kExitMargin{300};
 constexpr milliseconds kDrainCheck{50};
 
 http::Endpoint EndpointOf(const std::string& address) {
@@ -190,16 +188,29 @@
   utils::DecisionLog("stop_begins")
       .Add("open_requests", open_requests())
       .Add("connections", callers_.size());
+  const auto last_answers = context_.stop()->last_answers;
+  ForEachRun([=](RequestRun& run) { run.OnStopBegins(last_answers); });
   drain_check_.start();
 }
 
+void EntryService::ForEachRun(const std::function<void(RequestRun&)>& action) {
+  const QObjectList open = children();
+  for (QObject* child : open) {
+    if (auto* run = dynamic_cast<RequestRun*>(child)) action(*run);
+  }
+}
+
 void EntryService::CheckDrained() {
-  const auto since = std::chrono::steady_clock::now() - drain_began_;
-  if (since < kBalancerNotices) return;
+  const auto now = std::chrono::steady_clock::now();
+  const auto since = now - drain_began_;
+  const StopSchedule stop = *context_.stop();
+  if (now >= stop.last_answers) {
+    ForEachRun([](RequestRun& run) { run.EndBeforeExit(); });
+  }
+  if (since < kBalancerNotices && now < stop.last_answers) return;
   const auto open = callers_;
   std::ranges::for_each(open, [](auto* c) { c->CloseWhenIdle(); });
-  const bool out_of_time = since >= context_.settings.stop_grace - kExitMargin;
-  if (!callers_.empty() && !out_of_time) return;
+  if (!callers_.empty() && now < stop.exit) return;
   drain_check_.stop();
   utils::DecisionLog("stopped")
       .Add("open_requests", open_requests())
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -73,6 +73,12 @@
     admission.first_byte_limit =
         std::min(admission.limit, arrived + route.patience - kAnswerMargin);
   }
+  if (state.since_stop) {
+    const auto began = arrived - *state.since_stop;
+    admission.first_byte_limit =
+        std::min(admission.first_byte_limit,
+                 ScheduleStop(began, state.stop_grace).last_answers);
+  }
   return admission;
 }
 
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -142,9 +142,12 @@
 
 void RequestRun::OnStageFailed(PieceFailure failure) {
   if (may_have_run_) return Fail(kBadGateway, "stage_failed");
-  const bool overloaded = failure == PieceFailure::kLate;
-  Refuse("stage_failed",
-         overloaded ? ComeBack::kAfterOverload : ComeBack::kSoon);
+  if (failure != PieceFailure::kLate) {
+    return Refuse("stage_failed", ComeBack::kSoon);
+  }
+  // Late for this process alone: another instance has more time for it.
+  if (context_.stop()) return Refuse("stopping", ComeBack::kAtOnce);
+  Refuse("stage_failed", ComeBack::kAfterOverload);
 }
 
 // One send.
@@ -423,12 +426,29 @@
 }
 
 void RequestRun::OnTimeLimit() {
+  GiveUp("time_limit", "time_limit_before_send", ComeBack::kLater);
+}
+
+void RequestRun::GiveUp(std::string_view why_sent,
+                        std::string_view why_not_sent, ComeBack when) {
   if (finished_) return;
   const bool open = send_ && send_->open();
   const bool sent = open || may_have_run_;
   if (open) send_->Cancel(Outcome::kTimeout);
-  if (sent) return Fail(kGatewayTimeout, "time_limit");
-  Refuse("time_limit_before_send", ComeBack::kLater);
+  if (sent) return Fail(kGatewayTimeout, why_sent);
+  Refuse(why_not_sent, when);
+}
+
+void RequestRun::OnStopBegins(Clock::time_point last_answers) {
+  if (stages_) stages_->LimitTo(last_answers);
+}
+
+// Guard: a process that ends under a request closes its connection with
+// nothing on it. The caller can't tell whether it has run, and does not ask
+// again; an answer says so, or that another instance should be asked at once.
+void RequestRun::EndBeforeExit() {
+  if (streaming_) return;
+  GiveUp("stopped", "stopped_before_send", ComeBack::kAtOnce);
 }
 
 void RequestRun::OnCallerGone() {
--- a/libs/entry/test/drain_policy_test.cc
+++ b/libs/entry/test/drain_policy_test.cc
@@ -22,3 +22,21 @@
 TEST_CASE("a short request is taken for longer, but not to the end") {
   REQUIRE_FALSE(TakesWhileStopping(false, 7000ms, 8000ms));
 }
+
+TEST_CASE("last answers have time to leave before the process ends") {
+  using turmeric::entry::ScheduleStop;
+  const std::chrono::steady_clock::time_point began(100s);
+  const auto stop = ScheduleStop(began, 8000ms);
+  REQUIRE(stop.exit < began + 8000ms);
+  REQUIRE(stop.exit >= began + 7500ms);
+  REQUIRE(stop.last_answers <= stop.exit - 250ms);
+  REQUIRE(stop.last_answers >= began + 7000ms);
+}
+
+TEST_CASE("a stop without grace answers and ends at once") {
+  using turmeric::entry::ScheduleStop;
+  const std::chrono::steady_clock::time_point began(100s);
+  const auto stop = ScheduleStop(began, 0ms);
+  REQUIRE(stop.last_answers == began);
+  REQUIRE(stop.exit == began);
+}
--- a/libs/entry/test/request_admission_test.cc
+++ b/libs/entry/test/request_admission_test.cc
@@ -146,3 +146,17 @@
   const auto shorter = Admit(request, Ready(table), kNow);
   REQUIRE(shorter.first_byte_limit == shorter.limit);
 }
+
+// An instance that stops takes a chat of twenty seconds. Its stages were
+// planned for a time at which the process would have gone, and it learnt only
+// then that they would be late.
+TEST_CASE("while stopping, an answer must begin before the process ends") {
+  RouteTable table = MakeTable();
+  for (Route& route : table.routes) route.timeout = 20s;
+  AdmissionState state = Ready(table);
+  state.since_stop = 2000ms;
+  const auto admission = Admit(MakeRequest("/closed/x", "key"), state, kNow);
+  REQUIRE(admission.refusal == AdmissionRefusal::kNone);
+  REQUIRE(admission.first_byte_limit < kNow + 6000ms);
+  REQUIRE(admission.first_byte_limit > kNow + 5000ms);
+}
