Idle connections close unread, answers leave before the process does

And a connection counted as gone once its answer had been handed to the socket: the process could end before it had left, and a close gave up on unsent bytes after a second.

Ruled out: other causes of connections cut without an answer (bytes read after a close: all on stopping instances).

Change: before an idle connection closes, what has come is read and answered; then it closes in full, and what comes later is reset unread.

--- a/libs/http/include/turmeric/http/server_connection.h
+++ b/libs/http/include/turmeric/http/server_connection.h
@@ -89,6 +89,7 @@
   void WriteHead(int status, std::span<const HeaderField> headers,
                  std::string& out);
   void Close();
+  void CloseIdle();
   void NotifyGone();
 
   LimitsSource limits_source_;
--- a/libs/http/include/turmeric/http/tcp_socket.h
+++ b/libs/http/include/turmeric/http/tcp_socket.h
@@ -63,8 +63,14 @@
   size_t unsent() const { return out_.size() - out_at_; }
   /** @param paused true: stop reading, so that the peer is held back. */
   void PauseReading(bool paused);
-  /** Closes once all written bytes have left; no more callbacks. */
+  /** Reads what has come and was not read yet, as the event loop would. */
+  void ReadNow() { OnReadable(); }
+  /** Closes once all written bytes have left and the peer has closed, and
+   * deletes itself; no more callbacks. */
   void CloseAfterFlush();
+  /** Closes at once and deletes itself; what comes later is reset, unread. No
+   * more callbacks. For a connection with nothing unsent. */
+  void CloseNow();
   /** Closes with a reset, so that an open answer looks cut; no callbacks. */
   void Abort();
   /** @return true while bytes can go either way. */
@@ -78,6 +84,7 @@
   void OnWritable();
   void FinishConnect();
   bool Flush();
+  void WaitForFlush();
   void FinishClose();
   void End(SocketEnd end);
   void CloseFd();
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -48,7 +48,7 @@
   connect(&timer_, &QTimer::timeout, this, [this] {
     if (busy_) return;
     if (reading_) return Reject(kRequestTimeout);
-    Close();
+    CloseIdle();
   });
   timer_.start(limits_source_().idle_timeout);
 }
@@ -185,7 +185,22 @@
 void ServerConnection::Close() {
   if (socket_ == nullptr) return;
   timer_.stop();
+  // Guard: whoever waits for open connections before the process ends waits
+  // for this one until its answer has left the process, not only us.
+  connect(socket_, &QObject::destroyed, this, &QObject::deleteLater);
   std::exchange(socket_, nullptr)->CloseAfterFlush();
+}
+
+void ServerConnection::CloseIdle() {
+  // Guard: the next request may be on its way. If it is here, it is read and
+  // answered; if it comes later, it meets a closed socket and is reset unread,
+  // which tells its caller that nobody has seen it. Read behind the close, it
+  // would end with no answer.
+  socket_->ReadNow();
+  if (socket_ == nullptr || busy_ || reading_) return;
+  if (socket_->unsent() > 0) return Close();
+  timer_.stop();
+  std::exchange(socket_, nullptr)->CloseNow();
   deleteLater();
 }
 
@@ -199,7 +214,8 @@
 
 void ServerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (!busy_ && !reading_ && pending_.empty()) Close();
+  if (socket_ == nullptr) return;
+  if (!busy_ && !reading_ && pending_.empty()) CloseIdle();
 }
 
 }  // namespace turmeric::http
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -26,7 +26,7 @@
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
-/** Longest wait for the peer to close after us, and for unsent bytes. */
+/** Longest wait for the peer to close after us. */
 constexpr std::chrono::milliseconds kCloseWait{1000};
 /** One read; a few large prompts' worth, bytes. */
 constexpr size_t kReadBytes = 32 * 1024;
@@ -199,20 +199,22 @@
 void TcpSocket::CloseAfterFlush() {
   if (fd_ < 0 || closing_) return;
   closing_ = true;
-  // The callbacks stay until the socket is deleted: one of them may be what
-  // called us.
+  // Its owner may go before the last bytes do. The callbacks stay until the
+  // socket is deleted: one of them may be what called us.
   setParent(nullptr);
-  if (unsent() == 0) {
-    FinishClose();
-  } else {
-    utils::DecisionLog("close_waits").Add("unsent", unsent());
-  }
-  QTimer::singleShot(kCloseWait, this, [this] {
-    if (unsent() > 0) {
-      utils::DecisionLog("close_gave_up").Add("unsent", unsent());
-    }
-    CloseFd();
-    deleteLater();
+  if (unsent() == 0) return FinishClose();
+  utils::DecisionLog("close_waits").Add("unsent", unsent());
+  WaitForFlush();
+}
+
+void TcpSocket::WaitForFlush() {
+  // Guard: an answer that its caller reads slowly is not cut by a close while
+  // some of it is taken.
+  QTimer::singleShot(kUserTimeoutMs, this, [this, before = unsent()] {
+    if (unsent() == 0) return;
+    if (unsent() < before) return WaitForFlush();
+    utils::DecisionLog("close_gave_up").Add("unsent", unsent());
+    CloseNow();
   });
 }
 
@@ -221,6 +223,13 @@
   // may then lose the answer just written. The write side closes first; the
   // rest follows when the peer has closed too, or after kCloseWait.
   if (fd_ >= 0) ::shutdown(fd_, SHUT_WR);
+  QTimer::singleShot(kCloseWait, this, [this] { CloseNow(); });
+}
+
+void TcpSocket::CloseNow() {
+  closing_ = true;
+  CloseFd();
+  deleteLater();
 }
 
 void TcpSocket::Abort() {
