A stream that has begun goes on to its caller's deadline

Cause: one limit served two ends. A final answer must leave 15 ms before its caller's deadline; the same moment broke off a stream that was flowing, whose caller would have taken the rest.

Change: a stream has a limit of its own (stream_limit): the route's timeout, or 250 ms behind the caller's deadline, by which the caller has left by itself. Whatever has not begun keeps the earlier limit.

--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -38,6 +38,8 @@
   std::string organisation;               ///< Who calls; may be empty.
   int rank = 0;                           ///< Urgency class, 0 first.
   routing::Clock::time_point limit;       ///< Final answer due.
+  /** A stream that has begun is broken off then; not before `limit`. */
+  routing::Clock::time_point stream_limit;
   /** By then the answer must have begun, or the caller or this process has
    * gone. */
   routing::Clock::time_point first_byte_limit;
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -18,6 +18,10 @@
 
 /** An answer given so long before the caller's deadline still reaches it. */
 constexpr milliseconds kAnswerMargin{15};
+/** A caller that gets a stream leaves by itself at its deadline; one whose end
+ * of the connection is lost is let go after this. Above two ways to it and a
+ * lost packet, below half a second of work for nobody. */
+constexpr milliseconds kCallerLeaves{250};
 /** Rank of an organisation that states none; 0 is first. */
 constexpr int kUsualOrganisation = 1;
 /** Ranks of routes told apart within one rank of organisations. With three,
@@ -64,9 +68,12 @@
   admission.rank = organisation_rank * kRouteRanks +
                    std::clamp(route.priority, 0, kRouteRanks - 1);
   admission.limit = arrived + route.timeout;
+  admission.stream_limit = admission.limit;
   if (request.deadline) {
-    admission.limit =
-        std::min(admission.limit, arrived + *request.deadline - kAnswerMargin);
+    const auto deadline = arrived + *request.deadline;
+    admission.limit = std::min(admission.limit, deadline - kAnswerMargin);
+    admission.stream_limit =
+        std::min(admission.stream_limit, deadline + kCallerLeaves);
   }
   admission.first_byte_limit = admission.limit;
   if (route.patience > milliseconds(0)) {
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -426,6 +426,12 @@
 }
 
 void RequestRun::OnTimeLimit() {
+  // Guard: the margin in which a final answer still travels is no reason to
+  // break off a stream whose caller is there to take the rest.
+  const auto stream_left = admission_.stream_limit - Clock::now();
+  if (streaming_ && send_->open() && stream_left > milliseconds(0)) {
+    return limit_timer_.start(std::chrono::ceil<milliseconds>(stream_left));
+  }
   GiveUp("time_limit", "time_limit_before_send", ComeBack::kLater);
 }
 
--- a/libs/entry/test/request_admission_test.cc
+++ b/libs/entry/test/request_admission_test.cc
@@ -160,3 +160,20 @@
   REQUIRE(admission.first_byte_limit < kNow + 6000ms);
   REQUIRE(admission.first_byte_limit > kNow + 5000ms);
 }
+
+// A stream was reset in the middle 15 ms before its caller's deadline, four of
+// its five events passed on: the margin in which a last answer still travels
+// was held against an answer that was already on its way. A caller leaves by
+// itself at its deadline; until then it gets what comes.
+TEST_CASE("a stream that has begun goes on to its caller's deadline") {
+  RouteTable table = MakeTable();
+  for (Route& route : table.routes) route.timeout = 6000ms;
+  CallerRequest request = MakeRequest("/closed/x", "key");
+  request.deadline = 1000ms;
+  const auto admission = Admit(request, Ready(table), kNow);
+  REQUIRE(admission.limit < kNow + 1000ms);
+  REQUIRE(admission.stream_limit > kNow + 1000ms);
+  REQUIRE(admission.stream_limit <= kNow + 1500ms);
+  request.deadline = 9000ms;
+  REQUIRE(Admit(request, Ready(table), kNow).stream_limit == kNow + 6000ms);
+}
