While stopping, streams are taken by the time that their route is seen to last

Cause: all streams were thought to end within five seconds.

The five seconds remain the least that is assumed, so nothing is taken that was refused before.

--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -12,6 +12,7 @@
 namespace turmeric::entry {
 
 struct CallerRequest;
+class StreamTimes;
 
 /** Why a request is answered without being sent anywhere. */
 enum class AdmissionRefusal {
@@ -29,6 +30,7 @@
   /** Time since a planned stop began; none: it has not. */
   std::optional<std::chrono::milliseconds> since_stop;
   std::chrono::milliseconds stop_grace{0};
+  const StreamTimes* stream_times = nullptr;  ///< Null: none were seen.
 };
 
 /** The decision on one request. */
--- a/libs/entry/src/drain_policy.cc
+++ b/libs/entry/src/drain_policy.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-/** Time that nearly all long requests end in: stages, prompt and events. */
+/** Least time assumed of long requests: stages, prompt and events. */
 constexpr milliseconds kLongRequest{5000};
-/** Time that other requests end in, their timeouts included. */
+/** Least time assumed of other requests, their timeouts included. */
 constexpr milliseconds kShortRequest{1500};
 /** Time kept of the stop grace for the process to exit. */
 constexpr milliseconds kExitMargin{300};
@@ -27,8 +27,9 @@
 }
 
 bool TakesWhileStopping(bool is_long, milliseconds since_stop,
-                        milliseconds grace) {
-  return since_stop + (is_long ? kLongRequest : kShortRequest) < grace;
+                        milliseconds grace, milliseconds seen) {
+  const milliseconds assumed = is_long ? kLongRequest : kShortRequest;
+  return since_stop + std::max(assumed, seen) < grace;
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -90,7 +90,8 @@
   AdmissionState state{.table = table_.get(),
                        .upstreams_known = context_.upstreams_known,
                        .since_stop = {},
-                       .stop_grace = context_.settings.stop_grace};
+                       .stop_grace = context_.settings.stop_grace,
+                       .stream_times = &context_.stream_times};
   if (context_.stopping_since) {
     state.since_stop = std::chrono::duration_cast<milliseconds>(
         arrived_ - *context_.stopping_since);
@@ -399,6 +400,9 @@
   if (send_->IsEventStream()) {
     if (!streaming_) PassHead();
     connection_->EndChunked();
+    context_.stream_times.Note(
+        route_->name,
+        std::chrono::duration_cast<milliseconds>(Clock::now() - arrived_));
   } else {
     connection_->Respond({head.status, head.headers, send_->body()});
   }
