The timer of a planned stop goes with its instance

Cause: Drain made its poll without an owner; destroyed before the stop ended, the service was used after its memory was freed (SIGSEGV at gateway_service.cc:198). Ruled out: my tests of the stop (the crash comes without them, from the path tests as they were). Change: the timer belongs to the run handler, which the service owns.

--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -190,7 +190,8 @@
       std::chrono::steady_clock::now() + milliseconds(settings_.drain_grace_ms);
   const auto until = stop_admitting + milliseconds(settings_.drain_timeout_ms);
   if (settings_.drain_grace_ms == 0) runs_->admission().StartDrain();
-  auto* poll = new QTimer();
+  // Owned: a poll that outlived this service would work on freed memory.
+  auto* poll = new QTimer(runs_.get());
   poll->setInterval(kDrainPollEvery);
   QObject::connect(
       poll, &QTimer::timeout, [this, poll, stop_admitting, until, done] {
