A planned stop answers what is open before its end, and exits with all answers sent

Cause: Drain ended by the clock: requests open then lost their connection, and an answer counted as given once it lay in Qt's socket. The daemon then crashed while taking down the open runs. Ruled out: "not run" said of a request that had reached an upstream: the final answer uses the executor's own UnfinishedState; a keyed request without its claim is "unknown". RunHandler::EndOpen ends the open runs (PipelineRun::CutOff) and the requests whose claim is still being read; a stream gets its numbered last event and is broken off (Responder::BreakOff).

--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -34,8 +34,9 @@
   void Stop() override;
   /**
    * Turns unhealthy, so that the balancer looks elsewhere; after the grace
-   * stops taking new work, and calls `done` when nothing is in flight or the
-   * drain timeout passes.
+   * stops taking new work, and calls `done` when nothing is in flight and all
+   * answers have left the process, or the drain timeout passes. Requests that
+   * would outlast it get a final answer in its last part.
    * @param done called once.
    */
   void Drain(std::function<void()> done);
@@ -53,6 +54,10 @@
   void WatchInstanceList();
   /** @param all list all claims, else only those completed here. */
   void SweepClaims(bool all);
+  /** @return true if part of an answer has not left the process. */
+  bool HasUnsent() const;
+  /** Hands the system what it takes at once of the answers not sent. */
+  void FlushAnswers();
   int LiveInstances() const;
 
   config::InstanceSettings settings_;
--- a/libs/gateway/include/turmeric/gateway/pipeline_run.h
+++ b/libs/gateway/include/turmeric/gateway/pipeline_run.h
@@ -58,6 +58,8 @@
   std::vector<StageRecord> stages;
   /** The recorded answer, if another attempt ran this request before. */
   std::string replay;
+  /** The process ends before the run could: a stream has no proper end. */
+  bool cut_off = false;
 };
 
 /** What the executor uses, owned by the gateway service. */
@@ -98,6 +100,8 @@
    * the same idempotency key gets its answer.
    */
   void Cancel();
+  /** The process is about to exit: ends the run with what may be told of it. */
+  void CutOff();
 
  private:
   void RunStage();
--- a/libs/gateway/include/turmeric/gateway/run_handler.h
+++ b/libs/gateway/include/turmeric/gateway/run_handler.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,11 @@
   void Handle(const QHttpServerRequest& request, http::Responder&& responder);
   /** Retries what the store could not take; called now and then. */
   void Recover();
+  /**
+   * The process is about to exit: every request still open gets its final
+   * answer now. @return how many were open.
+   */
+  int EndOpen();
   /** Forgets everything in flight, as a killed process does. */
   void Kill();
   /** @return true once the settings have been read. */
@@ -74,6 +80,8 @@
   int RetryAfterMs(utils::Errc code) const;
   void Refuse(Exchange& exchange, utils::Errc code, std::string_view detail,
               utils::RunState state);
+  /** @param exchange admitted, and ended now. */
+  void Leave(const ExchangeRef& exchange);
   void LookUpClaim(const ExchangeRef& exchange);
   void StartRun(const ExchangeRef& exchange);
   void AcquireClaim(const ExchangeRef& exchange,
@@ -102,6 +110,8 @@
   std::vector<std::unique_ptr<QNetworkAccessManager>> fresh_networks_;
   UpstreamPools pools_;
   Admission admission_;
+  /** Admitted and not ended. */
+  std::set<std::weak_ptr<Exchange>, std::owner_less<>> open_;
   GatewayMetrics metrics_;
   utils::SpanSink spans_;
   ClaimTable claims_;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "turmeric/gateway/drain_step.h"
 #include "turmeric/gateway/membership_service.h"
 #include "turmeric/gateway/settings_service.h"
 #include "turmeric/gateway/store_service.h"
@@ -176,6 +177,16 @@
   instance_list_.reset();
 }
 
+bool GatewayService::HasUnsent() const {
+  return std::ranges::any_of(
+      server_.findChildren<QTcpSocket*>(),
+      [](const QTcpSocket* s) { return s->bytesToWrite() > 0; });
+}
+
+void GatewayService::FlushAnswers() {
+  for (QTcpSocket* s : server_.findChildren<QTcpSocket*>()) s->flush();
+}
+
 void GatewayService::Drain(std::function<void()> done) {
   using std::chrono::milliseconds;
   if (!leaving_) {
@@ -186,21 +197,29 @@
   // Guard: the balancer sends new connections for a while after the health
   // check fails. Refused at once, requests spent their resends on an instance
   // that could still serve them; within the grace they are served.
-  const auto stop_admitting =
-      std::chrono::steady_clock::now() + milliseconds(settings_.drain_grace_ms);
-  const auto until = stop_admitting + milliseconds(settings_.drain_timeout_ms);
+  const auto began = std::chrono::steady_clock::now();
   if (settings_.drain_grace_ms == 0) runs_->admission().StartDrain();
   // Owned: a poll that outlived this service would work on freed memory.
   auto* poll = new QTimer(runs_.get());
   poll->setInterval(kDrainPollEvery);
   QObject::connect(
-      poll, &QTimer::timeout, [this, poll, stop_admitting, until, done] {
-        if (std::chrono::steady_clock::now() < stop_admitting) return;
+      poll, &QTimer::timeout, [this, poll, began, done, cut = 0]() mutable {
+        const DrainStep step = NextDrainStep(
+            {std::chrono::duration_cast<milliseconds>(
+                 std::chrono::steady_clock::now() - began),
+             milliseconds(settings_.drain_grace_ms),
+             milliseconds(settings_.drain_timeout_ms),
+             // Claims not yet written count as in flight: gone with the
+             // process, they would leave a retry without the answer.
+             !runs_->idle(), HasUnsent()});
+        if (step == DrainStep::kServe) return;
         runs_->admission().StartDrain();
-        // Claims not yet written count as in flight: gone with the process,
-        // they would leave a retry without the answer.
-        if (!runs_->idle() && std::chrono::steady_clock::now() < until) return;
-        LOG(INFO) << "event=drained inflight=" << runs_->admission().inflight()
+        if (step == DrainStep::kFinish) return;
+        cut += runs_->EndOpen();
+        if (step == DrainStep::kAnswerOpen) return;
+        // Answered only now if the process was held up until its time was up.
+        FlushAnswers();
+        LOG(INFO) << "event=drained inflight=" << cut
                   << " claims_pending=" << claims().pending();
         poll->stop();
         poll->deleteLater();
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -300,6 +300,16 @@
          "the caller closed its connection");
 }
 
+void PipelineRun::CutOff() {
+  if (!on_done_) return;
+  if (!calls_.empty()) any_sent_ = true;
+  CancelCalls();
+  answer_.cut_off = true;
+  Finish(UnfinishedState(),
+         non_idempotent_sent_ ? Errc::kOutcomeUnknown : Errc::kDraining,
+         "the instance stopped before the request ended");
+}
+
 void PipelineRun::Finish(RunState state, Errc code, std::string detail) {
   deadline_.stop();
   hedge_.stop();
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -37,6 +37,7 @@
   Clock::time_point received;
   int64_t start_us = 0;
   bool run_ended = false;
+  QPointer<PipelineRun> runner;  ///< Null before the run starts.
   Claim seen;  ///< What the claim was on arrival, if not idempotent.
   std::optional<Claim> owned;  ///< Held until completed or released.
 
@@ -153,6 +154,7 @@
            p.idempotent ? RunState::kNotRun : RunState::kUnknown);
     return;
   }
+  open_.insert(exchange);
   if (p.idempotent) {
     StartRun(exchange);
   } else {
@@ -166,7 +168,7 @@
         return claims_.Lookup(subject);
       },
       [this, exchange](const Claim& claim) {
-        if (killed_) return;
+        if (killed_ || exchange->run_ended) return;
         NoteStore(claim.state != ClaimState::kStoreDown);
         switch (claim.state) {
           case ClaimState::kFree:
@@ -199,7 +201,7 @@
                    RunState::kUnknown);
             break;
         }
-        admission_.Release(exchange->settings());
+        Leave(exchange);
       });
 }
 
@@ -236,6 +238,7 @@
       [this, exchange](const RunAnswer& answer) {
         OnRunDone(exchange, answer);
       });
+  exchange->runner = runner;
   exchange->responder->OnGone([runner = QPointer<PipelineRun>(runner)] {
     if (runner) runner->Cancel();
   });
@@ -315,8 +318,7 @@
                            const RunAnswer& answer) {
   // A killed process records nothing: its claims stay as they were.
   if (killed_) return;
-  exchange->run_ended = true;
-  admission_.Release(exchange->settings());
+  Leave(exchange);
   const bool stream = exchange->parsed.run.stream;
   if (!answer.replay.empty() && !stream) {
     WriteReplay(*exchange, answer.replay);
@@ -331,7 +333,11 @@
   Record(*exchange, answer);
   if (stream) {
     exchange->responder->WriteChunk(http::SseEvent(body));
-    exchange->responder->EndStream();
+    if (answer.cut_off) {
+      exchange->responder->BreakOff();
+    } else {
+      exchange->responder->EndStream();
+    }
   } else {
     http::WriteJson(
         *exchange->responder, utils::HttpStatus(answer.code), body,
@@ -340,6 +346,29 @@
   exchange->responder.reset();
 }
 
+void RunHandler::Leave(const ExchangeRef& exchange) {
+  exchange->run_ended = true;
+  admission_.Release(exchange->settings());
+  open_.erase(exchange);
+}
+
+int RunHandler::EndOpen() {
+  const auto open = open_;  // ending a request takes it out
+  for (const auto& entry : open) {
+    const ExchangeRef exchange = entry.lock();
+    if (!exchange) continue;
+    if (exchange->runner) {
+      exchange->runner->CutOff();
+    } else {
+      // Its claim is still being read: an earlier attempt may have run.
+      Refuse(*exchange, Errc::kDraining, "the instance stopped; ran nothing",
+             RunState::kUnknown);
+      Leave(exchange);
+    }
+  }
+  return static_cast<int>(open.size());
+}
+
 void RunHandler::Recover() {
   if (recovering_ || claims_.pending() == 0) return;
   recovering_ = true;
--- a/libs/http/include/turmeric/http/responder.h
+++ b/libs/http/include/turmeric/http/responder.h
@@ -57,6 +57,8 @@
   void EndStream();
   /** Closes the connection so that the answer cannot look complete. */
   void Abort();
+  /** As Abort, once all that was written has been sent. */
+  void BreakOff();
   /** @return true once the caller's connection is gone. */
   bool gone() const;
   /** @param callback called once when the caller goes before the answer. */
--- a/libs/http/src/responder.cc
+++ b/libs/http/src/responder.cc
@@ -77,6 +77,13 @@
   if (QTcpSocket* socket = exchange_->socket()) socket->abort();
 }
 
+void Responder::BreakOff() {
+  exchange_->Do([socket = exchange_->socket()](QHttpServerResponder&) {
+    socket->disconnectFromHost();
+  });
+  exchange_->Finish();
+}
+
 bool Responder::gone() const { return exchange_->socket() == nullptr; }
 
 void Responder::OnGone(std::function<void()> callback) {
