A stopping instance lets go of its connections, and closes its port before it exits

Cause: refusals kept the connection open, so a busy caller's next request was always on its way when the process exited; connections not yet accepted were reset with the listening socket. Ruled out: closing the port at the end of Drain itself: POST /admin/drain uses it and goes on. Change: answers refused while draining say Connection: close and close it (Responder:: CloseAfterwards); GatewayService::Close, called by the daemon after Drain, accepts what has connected, closes the port, and refuses for 100 ms what is on its way. FlushAnswers sends before it looks, so that refusals written in the same turn do not hold up the stop. The test's stop follows the daemon's: Drain, Close, gone. Left: an idle kept connection whose next request arrives in the instant of the exit; HTTP/1.1 has no remedy but the caller's resend.

--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -40,6 +40,11 @@
    * @param done called once.
    */
   void Drain(std::function<void()> done);
+  /**
+   * After Drain, before the exit: closes the listening socket and refuses what
+   * is still on its way. @param done called once.
+   */
+  void Close(std::function<void()> done);
   /** @return bound port. */
   uint16_t port() const { return port_; }
   /** @return the instance's metrics. */
@@ -54,10 +59,8 @@
   void WatchInstanceList();
   /** @param all list all claims, else only those completed here. */
   void SweepClaims(bool all);
-  /** @return true if part of an answer has not left the process. */
-  bool HasUnsent() const;
-  /** Hands the system what it takes at once of the answers not sent. */
-  void FlushAnswers();
+  /** Sends what the system takes at once. @return true if that was all. */
+  bool FlushAnswers();
   int LiveInstances() const;
 
   config::InstanceSettings settings_;
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -24,6 +24,9 @@
 constexpr std::string_view kInstanceListPrefix = "upstreams/";
 constexpr std::chrono::milliseconds kRecoverEvery{1000};
 constexpr std::chrono::milliseconds kDrainPollEvery{20};
+/** Time for a request whose caller connected just before the listening socket
+ * was closed to arrive and be refused: a round trip in the region. */
+constexpr std::chrono::milliseconds kLastRefusals{100};
 /** Every instance deletes the old claims it completed, this often. */
 constexpr std::chrono::seconds kSweepEvery{60};
 /** One at a time lists all claims for what others left behind: megabytes at
@@ -177,14 +180,11 @@
   instance_list_.reset();
 }
 
-bool GatewayService::HasUnsent() const {
-  return std::ranges::any_of(
-      server_.findChildren<QTcpSocket*>(),
-      [](const QTcpSocket* s) { return s->bytesToWrite() > 0; });
-}
-
-void GatewayService::FlushAnswers() {
-  for (QTcpSocket* s : server_.findChildren<QTcpSocket*>()) s->flush();
+bool GatewayService::FlushAnswers() {
+  const auto sockets = server_.findChildren<QTcpSocket*>();
+  for (QTcpSocket* s : sockets) s->flush();
+  return std::ranges::all_of(
+      sockets, [](const QTcpSocket* s) { return s->bytesToWrite() == 0; });
 }
 
 void GatewayService::Drain(std::function<void()> done) {
@@ -211,7 +211,7 @@
              milliseconds(settings_.drain_timeout_ms),
              // Claims not yet written count as in flight: gone with the
              // process, they would leave a retry without the answer.
-             !runs_->idle(), HasUnsent()});
+             !runs_->idle(), !FlushAnswers()});
         if (step == DrainStep::kServe) return;
         runs_->admission().StartDrain();
         if (step == DrainStep::kFinish) return;
@@ -228,4 +228,17 @@
   poll->start();
 }
 
+void GatewayService::Close(std::function<void()> done) {
+  for (QTcpServer* s : server_.servers()) {
+    // Connections not accepted yet would be reset, request and all.
+    s->waitForNewConnection(0);
+    s->close();
+  }
+  QTimer::singleShot(kLastRefusals, runs_.get(),
+                     [this, done = std::move(done)] {
+                       FlushAnswers();
+                       done();
+                     });
+}
+
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -124,6 +124,8 @@
   exchange->request_id = settings_.name + "-" + incarnation_ + "-" +
                          std::to_string(++next_request_);
   exchange->responder.emplace(std::move(responder));
+  // Kept, the connection would carry a request just when the process exits.
+  if (admission_.draining()) exchange->responder->CloseAfterwards();
   if (!ready()) {
     // Guard: an instance that has not read the settings knows no pipeline;
     // "unknown pipeline" would turn a proper request away for good.
--- a/libs/gateway/test/drain_end_test.cc
+++ b/libs/gateway/test/drain_end_test.cc
@@ -56,8 +56,10 @@
   void StopAndExit() {
     bool exited = false;
     gateway->Drain([&] {
-      gateway->Kill();
-      exited = true;
+      gateway->Close([&] {
+        gateway->Kill();
+        exited = true;
+      });
     });
     for (int i = 0; i < 500 && !exited; ++i) Wait(10);
     REQUIRE(exited);
--- a/libs/http/include/turmeric/http/responder.h
+++ b/libs/http/include/turmeric/http/responder.h
@@ -59,6 +59,8 @@
   void Abort();
   /** As Abort, once all that was written has been sent. */
   void BreakOff();
+  /** The whole answer to come is the last on its connection, and says so. */
+  void CloseAfterwards() { closes_ = true; }
   /** @return true once the caller's connection is gone. */
   bool gone() const;
   /** @param callback called once when the caller goes before the answer. */
@@ -66,6 +68,7 @@
 
  private:
   std::shared_ptr<details::Exchange> exchange_;
+  bool closes_ = false;
 };
 
 }  // namespace turmeric::http
--- a/libs/http/src/responder.cc
+++ b/libs/http/src/responder.cc
@@ -44,12 +44,17 @@
 
 void Responder::WriteWhole(int status, const QByteArray& content_type,
                            const QByteArray& body, const Headers& headers) {
-  exchange_->Do([=](QHttpServerResponder& out) {
+  exchange_->Do([=, closes = closes_](QHttpServerResponder& out) {
     WriteHead(out, status, content_type, headers);
+    if (closes) out.writeHeader("Connection", "close");
     out.writeHeader("Content-Length", QByteArray::number(body.size()));
     out.writeBody(body);
   });
-  FinishExchange(*exchange_);
+  if (closes_) {
+    BreakOff();
+  } else {
+    FinishExchange(*exchange_);
+  }
 }
 
 void Responder::StartStream(const QByteArray& content_type,
--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -94,7 +94,7 @@
   const turmeric::daemon::SignalPipe signals([&](int number) {
     if (number == SIGHUP || std::exchange(stopping, true)) return;
     // Planned stop: take no new work, finish what is in flight, then quit.
-    gateway->Drain([&] { app.quit(); });
+    gateway->Drain([&] { gateway->Close([&] { app.quit(); }); });
   });
   const int rc = app.exec();
   kernel.StopAll();
