A request whose key went to another is told that its stages ran

Cause: OnClaim answered "not_run" for a key that stands for another request, whatever had been called before the claim. Ruled out: "unknown": the key never stood for this request, so no other attempt can have run it.

--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -122,7 +122,9 @@
       Finish(RunState::kRan, Errc::kOk, "");
       return;
     case ClaimState::kOtherRequest:
-      Finish(RunState::kNotRun, Errc::kIdempotencyKeyReused,
+      // The key never stood for this request, so no attempt but this ran it.
+      Finish(any_sent_ ? RunState::kFailed : RunState::kNotRun,
+             Errc::kIdempotencyKeyReused,
              "the idempotency key stands for another request");
       return;
     case ClaimState::kFree:
