--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -34,11 +34,17 @@
   void Stop() override;
   /**
    * Turns unhealthy, so that the balancer looks elsewhere; after the grace
-   * stops taking new work, and calls `done` when nothing is in flight or the
-   * drain timeout passes.
+   * stops taking new work, and calls `done` when nothing is in flight and all
+   * answers have left the process, or the drain timeout passes. Requests that
+   * would outlast it get a final answer in its last part.
    * @param done called once.
    */
   void Drain(std::function<void()> done);
+  /**
+   * After Drain, before the exit: closes the listening socket and refuses what
+   * is still on its way. @param done called once.
+   */
+  void Close(std::function<void()> done);
   /** @return bound port. */
   uint16_t port() const { return port_; }
   /** @return the instance's metrics. */
@@ -53,6 +59,8 @@
   void WatchInstanceList();
   /** @param all list all claims, else only those completed here. */
   void SweepClaims(bool all);
+  /** Sends what the system takes at once. @return true if that was all. */
+  bool FlushAnswers();
   int LiveInstances() const;
 
   config::InstanceSettings settings_;
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -122,7 +122,9 @@
       Finish(RunState::kRan, Errc::kOk, "");
       return;
     case ClaimState::kOtherRequest:
-      Finish(RunState::kNotRun, Errc::kIdempotencyKeyReused,
+      // The key never stood for this request, so no attempt but this ran it.
+      Finish(any_sent_ ? RunState::kFailed : RunState::kNotRun,
+             Errc::kIdempotencyKeyReused,
              "the idempotency key stands for another request");
       return;
     case ClaimState::kFree:
@@ -300,6 +302,16 @@
          "the caller closed its connection");
 }
 
+void PipelineRun::CutOff() {
+  if (!on_done_) return;
+  if (!calls_.empty()) any_sent_ = true;
+  CancelCalls();
+  answer_.cut_off = true;
+  Finish(UnfinishedState(),
+         non_idempotent_sent_ ? Errc::kOutcomeUnknown : Errc::kDraining,
+         "the instance stopped before the request ended");
+}
+
 void PipelineRun::Finish(RunState state, Errc code, std::string detail) {
   deadline_.stop();
   hedge_.stop();
--- a/libs/http/include/turmeric/http/responder.h
+++ b/libs/http/include/turmeric/http/responder.h
@@ -57,6 +57,10 @@
   void EndStream();
   /** Closes the connection so that the answer cannot look complete. */
   void Abort();
+  /** As Abort, once all that was written has been sent. */
+  void BreakOff();
+  /** The whole answer to come is the last on its connection, and says so. */
+  void CloseAfterwards() { closes_ = true; }
   /** @return true once the caller's connection is gone. */
   bool gone() const;
   /** @param callback called once when the caller goes before the answer. */
@@ -64,6 +68,7 @@
 
  private:
   std::shared_ptr<details::Exchange> exchange_;
+  bool closes_ = false;
 };
 
 }  // namespace turmeric::http
