A stopping owner finishes the calls that it has for other instances

Cause: the stop's own callers were all that it waited for; the pieces of other instances' requests in its queues and calls went with the process 2.6 s after the SIGTERM. They were made a second time by the next owner.

Change: a stop also waits until no wanted piece of a guest is open here and the last results have had time to arrive, within the same schedule. Guests are told at its beginning that it leaves, so nothing new comes.

--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -40,6 +40,9 @@
   utils::Result<void> Listen(const std::string& address);
   /** A planned stop: guests are told to go elsewhere. */
   void Leave();
+  /** @return true while pieces of guests are being made here, or their results
+   * may not have arrived. @param now the time. */
+  bool busy(stages::Clock::time_point now) const;
 
  private:
   struct Guest;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -210,7 +210,10 @@
   if (since < kBalancerNotices && now < stop.last_answers) return;
   const auto open = callers_;
   std::ranges::for_each(open, [](auto* c) { c->CloseWhenIdle(); });
-  if (!callers_.empty() && now < stop.exit) return;
+  // Guard: calls for other instances' pieces are work in flight too. Left with
+  // the process, they were made a second time, and their requests waited.
+  const bool open_work = !callers_.empty() || host_->busy(now);
+  if (open_work && now < stop.exit) return;
   drain_check_.stop();
   utils::DecisionLog("stopped")
       .Add("open_requests", open_requests())
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -1,5 +1,6 @@
 #include "turmeric/entry/piece_host.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,9 @@
 
 /** An instance whose connection broke is back by then, or has gone. */
 constexpr milliseconds kAbsentFor{1000};
+/** A result has reached its guest by then: an event loop with a small processor
+ * quota may pause for a tenth of a second. */
+constexpr milliseconds kResultTravels{100};
 
 /** @return the instance's name in an identity "name#start". */
 std::string NameOf(const std::string& identity) {
@@ -236,6 +240,21 @@
   }
 }
 
+bool PieceHost::busy(Clock::time_point now) const {
+  return std::ranges::any_of(guests_, [now](const auto& entry) {
+    const Guest& guest = *entry.second;
+    const auto is_wanted = [](const auto& order) {
+      return !order.second.cancelled;
+    };
+    const auto may_be_travelling = [now](const auto& told) {
+      return now - told.second.at < kResultTravels;
+    };
+    return guest.link != nullptr &&
+           (std::ranges::any_of(guest.orders, is_wanted) ||
+            std::ranges::any_of(guest.told, may_be_travelling));
+  });
+}
+
 void PieceHost::Leave() {
   leaving_ = true;
   for (const auto& [link, identity] : identity_of_) {
