--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <QObject>
-#include <QPointer>
 #include <QTimer>
 #include <chrono>
 #include <memory>
@@ -10,12 +9,12 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/entry/caller_answer.h"
 #include "turmeric/entry/repeat_policy.h"
 #include "turmeric/entry/request_admission.h"
 #include "turmeric/entry/stream_relay.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
-#include "turmeric/http/server_connection.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -75,7 +74,6 @@
   bool MaySendAgain(SendEnd end);
   void SendAgain();
   void OnStreamBytes(std::string_view bytes);
-  void HoldBackIfSlow();
   void PassHead();
   // The final answer.
   void PassAnswer();
@@ -94,7 +92,7 @@
   double MsSinceArrival() const;
 
   EntryContext& context_;
-  QPointer<http::ServerConnection> connection_;
+  CallerAnswer answer_;
   CallerRequest request_;
   routing::RouteTablePtr table_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
@@ -119,8 +117,6 @@
   int64_t stages_done_ms_ = -1;
   int64_t first_byte_ms_ = -1;
 
-  bool streaming_ = false;  ///< The head has been passed on.
-  bool paused_ = false;
   StreamRelay relay_;
   bool finished_ = false;
 };
--- /dev/null
+++ b/libs/entry/src/caller_answer.cc
@@ -0,0 +1,52 @@
+#include "turmeric/entry/caller_answer.h"
+
+#include <cstddef>
+#include <utility>
+
+namespace turmeric::entry {
+
+namespace {
+
+/** Unsent bytes of a slow reader at which its upstream is held back; it goes
+ * on when all have left. */
+constexpr size_t kPauseAt = 256 * 1024;
+
+}  // namespace
+
+CallerAnswer::CallerAnswer(http::ServerConnection& connection,
+                           std::function<void()> on_gone)
+    : connection_(&connection) {
+  connection.set_on_gone(std::move(on_gone));
+}
+
+void CallerAnswer::Respond(const http::ResponseMessage& message) {
+  if (connection_) connection_->Respond(message);
+}
+
+void CallerAnswer::BeginStream(const http::ResponseHead& head) {
+  streaming_ = true;
+  if (connection_) connection_->StartChunked(head.status, head.headers);
+}
+
+void CallerAnswer::PassEvents(std::string_view events,
+                              const PauseUpstream& pause) {
+  if (!connection_) return;
+  connection_->WriteChunk(events);
+  if (connection_->unsent() <= kPauseAt || paused_) return;
+  paused_ = true;
+  pause(true);
+  connection_->set_on_drained([this, pause] {
+    paused_ = false;
+    pause(false);
+  });
+}
+
+void CallerAnswer::EndStream() {
+  if (connection_) connection_->EndChunked();
+}
+
+void CallerAnswer::BreakOff() {
+  if (connection_) connection_->Abort();
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -35,9 +35,6 @@
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
 constexpr milliseconds kInputFetchTime{50};
-/** Unsent bytes of a slow reader at which its upstream is held back, and
- * below which it goes on. */
-constexpr size_t kPauseAt = 256 * 1024;
 /** Engines take priorities from 0, first, to this. */
 constexpr int kLowestEnginePriority = 9;
 
@@ -53,11 +50,9 @@
                        CallerRequest request, QObject* parent)
     : QObject(parent),
       context_(context),
-      connection_(&connection),
+      answer_(connection, [this] { OnCallerGone(); }),
       request_(std::move(request)),
-      arrived_(Clock::now()) {
-  connection.set_on_gone([this] { OnCallerGone(); });
-}
+      arrived_(Clock::now()) {}
 
 RequestRun::~RequestRun() {
   // An instance that ends with requests open leaves no other trace of them.
@@ -256,21 +251,12 @@
   const AnswerInfo& info = send_->info();
   if (!info.sealed || info.attempt_id.empty()) return;
   const std::string events = relay_.Feed(bytes);
-  if (events.empty() || !connection_) return;
-  if (!streaming_) PassHead();
+  if (events.empty() || !answer_.caller_waits()) return;
+  if (!answer_.streaming()) PassHead();
   send_->PromptRead();
-  connection_->WriteChunk(events);
-  HoldBackIfSlow();
-}
-
-void RequestRun::HoldBackIfSlow() {
-  if (connection_->unsent() <= kPauseAt || paused_ || !send_->open()) return;
-  paused_ = true;
-  send_->PauseReading(true);
-  connection_->set_on_drained([this] {
-    paused_ = false;
-    send_->PauseReading(false);
-  });
+  // Its upstream may be another one by the time that the caller goes on.
+  answer_.PassEvents(events,
+                     [this](bool paused) { send_->PauseReading(paused); });
 }
 
 milliseconds RequestRun::PromptTime() const {
@@ -278,13 +264,12 @@
 }
 
 void RequestRun::PassHead() {
-  streaming_ = true;
   first_byte_ms_ = static_cast<int64_t>(MsSinceArrival());
   if (sends_ == 1 && stages_done_ms_ >= 0) {
     context_.engine_times.Note(service_, PromptTime(),
                                milliseconds(first_byte_ms_ - stages_done_ms_));
   }
-  connection_->StartChunked(send_->head().status, send_->head().headers);
+  answer_.BeginStream(send_->head());
 }
 
 void RequestRun::OnEnd() {
@@ -347,7 +332,7 @@
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
   if (MaySendAgain(end)) return SendAgain();
-  if (streaming_) return Fail(kBadGateway, "stream_not_resumed");
+  if (answer_.streaming()) return Fail(kBadGateway, "stream_not_resumed");
   if (may_have_run_) return Fail(kBadGateway, "not_repeated");
   Refuse("upstreams_full", ComeBack::kSoon);
 }
@@ -372,7 +357,7 @@
     end = SendEnd::kNotRun;
   }
   const Repeat repeat = MayRepeat({.end = end,
-                                   .caller_waits = !connection_.isNull(),
+                                   .caller_waits = answer_.caller_waits(),
                                    .left = TimeLeft(),
                                    .sends = sends_,
                                    .max_sends = route_->max_attempts,
@@ -395,36 +380,36 @@
 // The final answer.
 
 void RequestRun::PassAnswer() {
-  if (!connection_) return;
+  if (!answer_.caller_waits()) return;
   const http::ResponseHead& head = send_->head();
   if (send_->IsEventStream()) {
-    if (!streaming_) PassHead();
-    connection_->EndChunked();
+    if (!answer_.streaming()) PassHead();
+    answer_.EndStream();
     context_.stream_times.Note(
         route_->name,
         std::chrono::duration_cast<milliseconds>(Clock::now() - arrived_));
   } else {
-    connection_->Respond({head.status, head.headers, send_->body()});
+    answer_.Respond({head.status, head.headers, send_->body()});
   }
   Finish(head.status, "answered");
 }
 
 void RequestRun::Refuse(std::string_view why, ComeBack when) {
-  if (!connection_) return;
-  connection_->Respond(context_.wire.encode_own_answer(
+  if (!answer_.caller_waits()) return;
+  answer_.Respond(context_.wire.encode_own_answer(
       kUnavailable, request_.attempt_id, ComeBackAfter(when, Uniform())));
   Finish(kUnavailable, why);
 }
 
 void RequestRun::Fail(int status, std::string_view why) {
-  if (!connection_) return;
-  if (streaming_) {
-    connection_->Abort();
+  if (!answer_.caller_waits()) return;
+  if (answer_.streaming()) {
+    answer_.BreakOff();
   } else if (last_error_ && status >= kServerError) {
-    connection_->Respond(*last_error_);
+    answer_.Respond(*last_error_);
   } else {
-    connection_->Respond(context_.wire.encode_own_answer(
-        status, request_.attempt_id, milliseconds(0)));
+    answer_.Respond(context_.wire.encode_own_answer(status, request_.attempt_id,
+                                                    milliseconds(0)));
   }
   Finish(status, why);
 }
@@ -433,7 +418,7 @@
   // Guard: the margin in which a final answer still travels is no reason to
   // break off a stream whose caller is there to take the rest.
   const auto stream_left = admission_.stream_limit - Clock::now();
-  if (streaming_ && send_->open() && stream_left > milliseconds(0)) {
+  if (answer_.streaming() && send_->open() && stream_left > milliseconds(0)) {
     return limit_timer_.start(std::chrono::ceil<milliseconds>(stream_left));
   }
   GiveUp("time_limit", "time_limit_before_send", ComeBack::kLater);
@@ -457,7 +442,7 @@
 // nothing on it. The caller can't tell whether it has run, and does not ask
 // again; an answer says so, or that another instance should be asked at once.
 void RequestRun::EndBeforeExit() {
-  if (streaming_) return;
+  if (answer_.streaming()) return;
   GiveUp("stopped", "stopped_before_send", ComeBack::kAtOnce);
 }
 
@@ -468,7 +453,7 @@
 }
 
 std::string_view RequestRun::Phase() const {
-  if (streaming_) return "answer";
+  if (answer_.streaming()) return "answer";
   if (send_ && send_->open()) return "sent";
   if (placement_) return "placement";
   return stages_ && !stages_->done() ? "stages" : "admission";
