Revert "While stopping, streams are taken by the time that their route is seen to last"

Hypothesis: the exit cuts streams because all were thought to end in five seconds; with the learnt time fewer are taken.

--- a/libs/entry/include/turmeric/entry/drain_policy.h
+++ b/libs/entry/include/turmeric/entry/drain_policy.h
@@ -25,12 +25,10 @@
  * once, the caller gets it whole from another instance.
  * @param is_long true for streams and requests with stages, which last for
  *     seconds. @param since_stop time since the stop began.
- * @param grace time from then to the kill. @param seen what few requests of
- *     this route were seen to exceed; 0 if none was.
+ * @param grace time from then to the kill.
  * @return true if the request can be expected to end before the process.
  */
 bool TakesWhileStopping(bool is_long, std::chrono::milliseconds since_stop,
-                        std::chrono::milliseconds grace,
-                        std::chrono::milliseconds seen = {});
+                        std::chrono::milliseconds grace);
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -8,7 +8,6 @@
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
 #include "turmeric/entry/store_news.h"
-#include "turmeric/entry/stream_times.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/usual_deadlines.h"
 #include "turmeric/entry/wire_format.h"
@@ -59,7 +58,6 @@
   stages::StageTimes stage_times;
   stages::EngineTimes engine_times;
   UsualDeadlines usual_deadlines;
-  StreamTimes stream_times;
   StoreNews news;         ///< Between instances.
   BacklogBoard backlogs;  ///< Of stage services that others own.
   /** When a planned stop began; none: it has not. */
--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -12,7 +12,6 @@
 namespace turmeric::entry {
 
 struct CallerRequest;
-class StreamTimes;
 
 /** Why a request is answered without being sent anywhere. */
 enum class AdmissionRefusal {
@@ -30,7 +29,6 @@
   /** Time since a planned stop began; none: it has not. */
   std::optional<std::chrono::milliseconds> since_stop;
   std::chrono::milliseconds stop_grace{0};
-  const StreamTimes* stream_times = nullptr;  ///< Null: none were seen.
 };
 
 /** The decision on one request. */
--- a/libs/entry/src/drain_policy.cc
+++ b/libs/entry/src/drain_policy.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-/** Least time assumed of long requests: stages, prompt and events. */
+/** Time that nearly all long requests end in: stages, prompt and events. */
 constexpr milliseconds kLongRequest{5000};
-/** Least time assumed of other requests, their timeouts included. */
+/** Time that other requests end in, their timeouts included. */
 constexpr milliseconds kShortRequest{1500};
 /** Time kept of the stop grace for the process to exit. */
 constexpr milliseconds kExitMargin{300};
@@ -27,9 +27,8 @@
 }
 
 bool TakesWhileStopping(bool is_long, milliseconds since_stop,
-                        milliseconds grace, milliseconds seen) {
-  const milliseconds assumed = is_long ? kLongRequest : kShortRequest;
-  return since_stop + std::max(assumed, seen) < grace;
+                        milliseconds grace) {
+  return since_stop + (is_long ? kLongRequest : kShortRequest) < grace;
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "turmeric/entry/drain_policy.h"
-#include "turmeric/entry/stream_times.h"
 #include "turmeric/entry/wire_format.h"
 
 namespace turmeric::entry {
@@ -33,10 +32,7 @@
   if (!state.since_stop) return true;
   const bool is_long =
       route.kind == RequestKind::kStream || !route.stages.empty();
-  const auto seen = state.stream_times == nullptr
-                        ? milliseconds(0)
-                        : state.stream_times->Expected(route.name);
-  return TakesWhileStopping(is_long, *state.since_stop, state.stop_grace, seen);
+  return TakesWhileStopping(is_long, *state.since_stop, state.stop_grace);
 }
 
 }  // namespace
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -85,8 +85,7 @@
   AdmissionState state{.table = table_.get(),
                        .upstreams_known = context_.upstreams_known,
                        .since_stop = {},
-                       .stop_grace = context_.settings.stop_grace,
-                       .stream_times = &context_.stream_times};
+                       .stop_grace = context_.settings.stop_grace};
   if (context_.stopping_since) {
     state.since_stop = std::chrono::duration_cast<milliseconds>(
         arrived_ - *context_.stopping_since);
@@ -385,9 +384,6 @@
   if (send_->IsEventStream()) {
     if (!answer_.streaming()) PassHead();
     answer_.EndStream();
-    context_.stream_times.Note(
-        route_->name,
-        std::chrono::duration_cast<milliseconds>(Clock::now() - arrived_));
   } else {
     answer_.Respond({head.status, head.headers, send_->body()});
   }
--- a/libs/stages/include/turmeric/stages/engine_times.h
+++ b/libs/stages/include/turmeric/stages/engine_times.h
@@ -5,8 +5,6 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "turmeric/utils/tail_estimate.h"
-
 namespace turmeric::stages {
 
 /**
@@ -29,9 +27,12 @@
                                      std::chrono::milliseconds prompt) const;
 
  private:
-  /** Beyond the estimate for the prompt, ms; negative where parts are cached.
-   */
-  std::unordered_map<std::string, utils::TailEstimate> beyond_ms_;
+  /** Beyond the estimate for the prompt; negative where parts are cached. */
+  struct Beyond {
+    double mean_ms = 0;
+    double deviation_ms = 0;
+  };
+  std::unordered_map<std::string, Beyond> beyond_;
 };
 
 }  // namespace turmeric::stages
--- a/libs/stages/src/engine_times.cc
+++ b/libs/stages/src/engine_times.cc
@@ -1,6 +1,7 @@
 #include "turmeric/stages/engine_times.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace turmeric::stages {
@@ -11,22 +12,31 @@
 
 /** Assumed beyond the prompt before the first request was seen. */
 constexpr double kFirstGuessMs = 200;
+/** Weight of the newest request in mean and deviation. */
+constexpr double kNewest = 0.1;
+/** Deviations above the mean, as in the retransmission timer of TCP but for
+ * half of them: a late estimate costs one request, a long one all. */
+constexpr double kDeviations = 2;
 
 }  // namespace
 
 void EngineTimes::Note(const std::string& service, milliseconds prompt,
                        milliseconds took) {
-  utils::TailEstimate& beyond =
-      beyond_ms_.try_emplace(service, utils::TailEstimate{kFirstGuessMs, 0})
-          .first->second;
-  utils::Note(beyond, static_cast<double>((took - prompt).count()));
+  Beyond& beyond =
+      beyond_.try_emplace(service, Beyond{kFirstGuessMs, 0}).first->second;
+  const double error =
+      static_cast<double>((took - prompt).count()) - beyond.mean_ms;
+  beyond.mean_ms += kNewest * error;
+  beyond.deviation_ms += kNewest * (std::abs(error) - beyond.deviation_ms);
 }
 
 milliseconds EngineTimes::Expected(std::string_view service,
                                    milliseconds prompt) const {
-  const auto it = beyond_ms_.find(std::string(service));
+  const auto it = beyond_.find(std::string(service));
   const double beyond =
-      it == beyond_ms_.end() ? kFirstGuessMs : utils::Expected(it->second);
+      it == beyond_.end()
+          ? kFirstGuessMs
+          : it->second.mean_ms + kDeviations * it->second.deviation_ms;
   return std::max(milliseconds(0),
                   prompt + milliseconds(static_cast<int64_t>(beyond)));
 }
