--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -93,7 +93,9 @@
 
 PieceHost::Guest& PieceHost::GuestOf(peer::PeerLink* link,
                                      const std::string& identity) {
-  identity_of_[link] = identity;
+  // A link may have been accepted before Leave and named its guest after it.
+  const bool is_new = identity_of_.insert_or_assign(link, identity).second;
+  if (is_new && leaving_) link->outgoing().leaving = true;
   auto& guest = guests_[identity];
   if (!guest) guest = std::make_unique<Guest>();
   if (guest->link != nullptr && guest->link != link) {
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -111,6 +111,9 @@
          .on_end = [this, name = instance.name](
                        std::string_view why) { OnInstanceLost(name, why); }},
         this);
+    // Guard: a first frame takes back what was said on an earlier link. Silent
+    // on this one, an instance that leaves would be handed pieces again.
+    if (leaving_) instance.link->outgoing().leaving = true;
   }
   return *instance.link;
 }
