--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -30,6 +30,9 @@
   std::chrono::milliseconds lapsed_grace{2000};
   /** A leaving upstream gets nothing new after this. */
   std::chrono::milliseconds drain_bound{2000};
+  /** Share of a core that this instance may use; larger instances relay the
+   * store's changes to others. 0: not stated. */
+  double cpu_share = 0;
   double retry_ratio = 0.2;  ///< Repeats per request, fleet-wide.
   double retry_slack = 50;   ///< Repeats beyond that, fleet-wide.
   std::chrono::milliseconds retry_window{10000};
--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -49,9 +49,11 @@
   kEnginePriority,
   /** Watches of the store wait for longer while other instances are heard. */
   kLongWatches,
+  /** Few instances follow the store and pass its changes on to the others. */
+  kStoreRelays,
 };
 
-inline constexpr size_t kMechanisms = 19;
+inline constexpr size_t kMechanisms = 20;
 
 /** @param mechanism one of them. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -25,6 +25,8 @@
 /** Largest ratio and slack of a retry budget that are no typing error. */
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetrySlack = 1e6;
+/** Most cores that an instance may state as its share. */
+constexpr double kMaxCpuShare = 1024;
 
 /** Reads keys of the [entry] section and remembers the first mistake. */
 class Reader {
@@ -142,6 +144,7 @@
   reader.Ms("stop_grace_ms", s.stop_grace);
   reader.Ms("lapsed_grace_ms", s.lapsed_grace);
   reader.Ms("drain_bound_ms", s.drain_bound);
+  reader.Number("cpu_share", s.cpu_share, kMaxCpuShare);
   reader.Number("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.Number("retry_slack", s.retry_slack, kMaxRetrySlack);
   reader.Ms("retry_window_ms", s.retry_window);
--- a/libs/entry/include/turmeric/entry/engine_placer.h
+++ b/libs/entry/include/turmeric/entry/engine_placer.h
@@ -15,8 +15,8 @@
 namespace turmeric::entry {
 
 struct EntryContext;
+class InstanceLinks;
 class PlacementDesk;
-class StageRouter;
 
 /**
  * Finds engines for this instance's requests: asks the instance that owns the
@@ -28,10 +28,11 @@
   /** Told the engine; nullptr: none is left. */
   using Chosen = std::function<void(const routing::UpstreamPtr&)>;
 
-  /** @param context the instance's state. @param router knows the other
+  /** @param context the instance's state. @param links to the other
    * instances. @param desk places what this instance owns. All must outlive
    * this. */
-  EnginePlacer(EntryContext& context, StageRouter& router, PlacementDesk& desk);
+  EnginePlacer(EntryContext& context, InstanceLinks& links,
+               PlacementDesk& desk);
   ~EnginePlacer() override;
 
   /** @return a ticket for one request's placement. */
@@ -59,7 +60,7 @@
   void CheckOverdue();
 
   EntryContext& context_;
-  StageRouter& router_;
+  InstanceLinks& links_;
   PlacementDesk& desk_;
   std::map<uint64_t, Open> open_;  ///< By ticket: in the order of asking.
   QTimer overdue_;
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -2,9 +2,11 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -25,8 +27,13 @@
                  double seconds);
   /** One send to an upstream beyond a request's first. */
   void OnRepeat(std::string_view service);
-  /** One call to the platform's store. @param outcome a short fixed word. */
-  void OnStoreCall(std::string_view outcome);
+  /** One call to the platform's store. @param kind of objects. @param call
+   * list, stale_list, watch or put. @param outcome a short fixed word. */
+  void OnStoreCall(std::string_view kind, std::string_view call,
+                   std::string_view outcome);
+  /** @param followers instances that changes are passed on to.
+   * @param store_age since the store was last heard by any path. */
+  void SetStorePaths(int followers, std::chrono::milliseconds store_age);
   /** @return the text exposition. */
   std::string Render();
 
@@ -35,6 +42,8 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& repeats_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Gauge& followers_;
+  prometheus::Gauge& store_age_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
 };
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -14,13 +14,15 @@
 
 namespace turmeric::entry {
 
-class InstanceDirectory;
 class EnginePlacer;
+class InstanceDirectory;
+class InstanceLinks;
 class PieceHost;
 class PlacementDesk;
 class RequestRun;
 class StageDispatcher;
 class StageRouter;
+class StoreSharing;
 class TopologyFeed;
 
 /**
@@ -51,6 +53,7 @@
   uint16_t readiness_port() const { return readiness_->port(); }
 
  private:
+  void JoinInstances();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
   void AcceptProbe(int fd);
@@ -65,9 +68,10 @@
   bool ready() const;
   int open_requests() const;
 
-  PlatformLink link_;
   EntryMetrics metrics_;
+  PlatformLink link_;
   EntryContext context_;
+  std::unique_ptr<InstanceLinks> links_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementDesk> desk_;
@@ -75,6 +79,7 @@
   std::unique_ptr<PieceHost> host_;
   std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
+  std::unique_ptr<StoreSharing> sharing_;
   std::unique_ptr<http::Listener> front_;
   std::unique_ptr<http::Listener> readiness_;
   std::unique_ptr<http::Listener> metrics_listener_;
--- a/libs/entry/include/turmeric/entry/instance_directory.h
+++ b/libs/entry/include/turmeric/entry/instance_directory.h
@@ -3,16 +3,13 @@
 #include <QObject>
 #include <QTimer>
 #include <functional>
-#include <map>
 #include <string>
 
+#include "turmeric/entry/instance_info.h"
 #include "turmeric/store/object_source.h"
 
 namespace turmeric::entry {
 
-/** The instances of the fleet by name, with their peer addresses. */
-using InstanceAddresses = std::map<std::string, std::string>;
-
 /**
  * Enters this instance into the store's list of instances and reads the
  * list: at the start, then seldom, from reads that may be stale. Entries of
@@ -21,15 +18,15 @@
 class InstanceDirectory : public QObject {
  public:
   /** Told the list each time it was read. */
-  using ChangeCallback = std::function<void(const InstanceAddresses&)>;
+  using ChangeCallback = std::function<void(const Instances&)>;
 
   /**
    * @param source the store; must outlive this. @param kind kind of the
-   * entries. @param name our name. @param address our peer address.
+   * entries. @param name our name. @param info what others are to know of us.
    * @param on_change see ChangeCallback.
    */
   InstanceDirectory(store::ObjectSource& source, std::string kind,
-                    std::string name, std::string address,
+                    std::string name, InstanceInfo info,
                     ChangeCallback on_change);
 
   /** Enters this instance and begins to read. */
@@ -42,7 +39,7 @@
   store::ObjectSource& source_;
   std::string kind_;
   std::string name_;
-  std::string address_;
+  InstanceInfo info_;
   ChangeCallback on_change_;
   QTimer next_;
   int reads_ = 0;
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/instance_info.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace turmeric::entry {
+
+/** What the fleet's list says of one instance. */
+struct InstanceInfo {
+  std::string address;   ///< "ip:port" for other instances.
+  std::string zone;      ///< Availability zone; empty: not stated.
+  double cpu_share = 0;  ///< Of a core; 0: not stated.
+};
+
+/** The instances of the fleet by name. */
+using Instances = std::map<std::string, InstanceInfo>;
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "turmeric/entry/instance_links.h"
 #include "turmeric/http/listener.h"
 #include "turmeric/peer/peer_link.h"
 
@@ -24,9 +25,12 @@
  */
 class PieceHost : public QObject {
  public:
-  /** Told that an instance has connected or said that it is leaving. */
+  /** Told what an instance's connection to us says of it. */
   using SeenCallback =
-      std::function<void(const std::string& name, bool leaving)>;
+      std::function<void(const std::string& name, Presence presence)>;
+  /** Told that a guest asks for the store's changes. */
+  using FollowCallback = std::function<void(const std::string& identity,
+                                            const peer::FollowRequest&)>;
 
   /** @param local our dispatcher. @param desk places what we own. @param news
    * of the store, to and from guests. All must outlive this.
@@ -38,6 +42,13 @@
   /** @param address "ip:port" where other instances reach us.
    * @return kIniInvalid if it cannot be bound. */
   utils::Result<void> Listen(const std::string& address);
+  /** @param callback see FollowCallback. */
+  void set_on_follow(FollowCallback callback) {
+    on_follow_ = std::move(callback);
+  }
+  /** @param identity one start of an instance. @return the frame that leaves
+   * next to it, or nullptr if it has no connection to us. */
+  peer::Frame* FrameTo(const std::string& identity);
   /** A planned stop: guests are told to go elsewhere. */
   void Leave();
   /** @return true while pieces of guests are being made here, or their results
@@ -66,6 +77,7 @@
   PlacementDesk& desk_;
   StoreNews& news_;
   SeenCallback on_seen_;
+  FollowCallback on_follow_;
   std::unique_ptr<http::Listener> listener_;
   std::map<std::string, std::unique_ptr<Guest>> guests_;  ///< By identity.
   std::unordered_map<peer::PeerLink*, std::string> identity_of_;
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -2,12 +2,18 @@
 
 #include <QObject>
 #include <QTimer>
+#include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 
+#include "turmeric/entry/store_news.h"
+#include "turmeric/peer/frame.h"
 #include "turmeric/routing/upstream.h"
+#include "turmeric/store/kind_replica.h"
 #include "turmeric/store/reflector.h"
 
 namespace turmeric::entry {
@@ -16,18 +22,58 @@
 struct PlatformLink;
 
 /**
- * Keeps an instance's route table and upstreams as the store has them. A
- * table is replaced only by one of a higher version, so an accepted
- * configuration never reverts, whatever a read returns.
+ * Keeps an instance's route table and upstreams as the store has them, by its
+ * own calls or by what other instances pass on. A table is replaced only by
+ * one of a higher version, so an accepted configuration never reverts,
+ * whatever a read returns or another instance tells.
  */
 class TopologyFeed : public QObject {
  public:
+  using Clock = std::chrono::steady_clock;
+  /** Told of changes that are in force here now. */
+  using MergedCallback =
+      std::function<void(peer::StoreKind, const store::ChangeBatch&)>;
+
   /** @param context what is kept up to date. @param link the platform. */
   TopologyFeed(EntryContext& context, PlatformLink& link);
   ~TopologyFeed() override;
 
-  /** Begins to follow the store. */
+  /** Reads the store, and follows it unless told otherwise. */
   void Start();
+  /** @param watch false: changes come from other instances; the store is only
+   * asked for what they lack. @param patient see store::Reflector. */
+  void Watch(bool watch, bool patient);
+  /** @param watchers how many instances wait at the store; their answers come
+   * at different times, so each may wait for longer. */
+  void set_watchers(int watchers) { watchers_ = watchers; }
+  /**
+   * Another instance passes on changes.
+   * @param source its name, for the log. @param changes they.
+   */
+  void Merge(const std::string& source, const peer::StoreChanges& changes);
+  /** Another instance knows when the store's last outage ended.
+   * @param at when. */
+  void NoteOutageEnded(Clock::time_point at);
+  /** @param callback see MergedCallback. */
+  void set_on_merged(MergedCallback callback) {
+    on_merged_ = std::move(callback);
+  }
+  /** @param age gives since when no other instance that we follow has heard
+   * the store. */
+  void set_others_store_age(std::function<std::chrono::milliseconds()> age) {
+    others_store_age_ = std::move(age);
+  }
+  /** @return when the store last answered us for both kinds. */
+  Clock::time_point store_heard() const;
+  /** @return the end of its last outage, if one is known. */
+  std::optional<Clock::time_point> outage_ended() const {
+    return outage_ended_;
+  }
+  /** @param kind one of the kinds. @return up to which revision all its
+   * changes are known. */
+  int64_t revision(peer::StoreKind kind) const;
+  /** @return the newest changes known. */
+  StoreNews::Seen newest() const;
   /** @return true once both a table and the upstreams were read. */
   bool complete() const;
   /** @param callback called when complete() turns true. */
@@ -36,26 +82,40 @@
   }
 
  private:
-  void OnConfig(const store::SourceObject& object);
+  /** How one kind is followed. */
+  struct Kind {
+    store::KindReplica replica;
+    std::unique_ptr<store::Reflector> reflector;
+  };
+
+  store::ReflectorEvents EventsOf(peer::StoreKind kind);
+  Kind& Of(peer::StoreKind kind) { return kinds_.at(kind); }
+  void OnList(peer::StoreKind kind, const store::SourceBatch& list,
+              std::chrono::milliseconds outage);
+  void OnChanges(peer::StoreKind kind, const store::ChangeBatch& batch,
+                 std::chrono::milliseconds outage);
+  void Apply(peer::StoreKind kind, std::span<const store::SourceObject> news,
+             const std::string& source);
+  std::chrono::milliseconds NoteOutage(std::chrono::milliseconds outage);
+  void OnConfig(const store::SourceObject& object, const std::string& source);
   void OnUpstreamList(std::span<const store::SourceObject> objects,
                       std::chrono::milliseconds outage);
   void OnUpstreamChange(const store::SourceObject& object,
-                        std::chrono::milliseconds outage);
+                        Clock::time_point keep_till);
   std::optional<routing::UpstreamEntry> ReadEntry(
       const store::SourceObject& object);
-  void OnReachable(const std::string& what, bool reachable,
-                   const std::string& why);
   void NoteComplete();
   /** Till when an entry that is missing after an outage is still used. */
-  std::chrono::steady_clock::time_point KeepTill(
-      std::chrono::milliseconds outage);
+  Clock::time_point KeepTill() const;
 
   EntryContext& context_;
   PlatformLink& link_;
-  std::unique_ptr<store::Reflector> config_;
-  std::unique_ptr<store::Reflector> upstreams_;
-  std::chrono::steady_clock::time_point outage_over_;
+  std::map<peer::StoreKind, Kind> kinds_;
+  int watchers_ = 1;
+  std::optional<Clock::time_point> outage_ended_;
   std::function<void()> on_complete_;
+  MergedCallback on_merged_;
+  std::function<std::chrono::milliseconds()> others_store_age_;
   QTimer expire_;
 };
 
--- a/libs/entry/src/engine_placer.cc
+++ b/libs/entry/src/engine_placer.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/placement_desk.h"
-#include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/wanted_upstream.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/stages/shard.h"
@@ -34,9 +34,9 @@
   Clock::time_point asked;
 };
 
-EnginePlacer::EnginePlacer(EntryContext& context, StageRouter& router,
+EnginePlacer::EnginePlacer(EntryContext& context, InstanceLinks& links,
                            PlacementDesk& desk)
-    : context_(context), router_(router), desk_(desk) {
+    : context_(context), links_(links), desk_(desk) {
   overdue_.setSingleShot(true);
   connect(&overdue_, &QTimer::timeout, this, [this] { CheckOverdue(); });
 }
@@ -50,17 +50,18 @@
   order.service = stages::CellName(
       order.service, key, context_.upstreams.ForService(order.service).size());
   const bool asks = context_.Uses(config::Mechanism::kOneOwnerPlaces);
-  const auto owner = router_.LinkToOwner(order.service);
+  const auto owner = links_.OwnerOf(order.service);
   Open& open = open_[ticket];
   open = {std::move(order), std::move(done), {}, Clock::now()};
   if (!asks) return ChooseHere(ticket, "switched_off");
-  if (!owner) {
+  peer::PeerLink* link = owner ? links_.Open(*owner) : nullptr;
+  if (link == nullptr) {
     const UpstreamPtr engine = desk_.Place({}, open.order, open.asked);
     if (!engine) return ChooseHere(ticket, "cell_empty");
     return Answer(ticket, engine);
   }
-  open.owner = owner->name;
-  owner->link->outgoing().placements.push_back(open.order);
+  open.owner = *owner;
+  link->outgoing().placements.push_back(open.order);
   if (!overdue_.isActive()) overdue_.start(kAnswerWithin);
 }
 
@@ -133,7 +134,7 @@
 void EnginePlacer::PromptRead(uint64_t ticket) {
   const auto it = open_.find(ticket);
   if (it == open_.end()) return;
-  if (peer::PeerLink* link = router_.LinkTo(it->second.owner)) {
+  if (peer::PeerLink* link = links_.Find(it->second.owner)) {
     link->outgoing().prompts_read.push_back(ticket);
   } else {
     desk_.PromptRead({}, ticket);
@@ -143,7 +144,7 @@
 void EnginePlacer::End(const peer::PlacementEnd& end) {
   const auto it = open_.find(end.ticket);
   if (it == open_.end()) return;
-  if (peer::PeerLink* link = router_.LinkTo(it->second.owner)) {
+  if (peer::PeerLink* link = links_.Find(it->second.owner)) {
     link->outgoing().ended.push_back(end);
   } else {
     desk_.End({}, end);
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -29,8 +29,18 @@
                    .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("turmeric_entry_store_calls_total")
-                       .Help("Calls to the platform's store by outcome")
+                       .Help("Calls to the platform's store")
                        .Register(*registry_)),
+      followers_(prometheus::BuildGauge()
+                     .Name("turmeric_entry_store_followers")
+                     .Help("Instances that the store's changes are passed to")
+                     .Register(*registry_)
+                     .Add({})),
+      store_age_(prometheus::BuildGauge()
+                     .Name("turmeric_entry_store_age_seconds")
+                     .Help("Since the store was last heard by any path")
+                     .Register(*registry_)
+                     .Add({})),
       latency_(prometheus::BuildHistogram()
                    .Name("turmeric_entry_latency_seconds")
                    .Help("Time from arrival to the final answer")
@@ -56,8 +66,19 @@
   repeats_.Add({{"service", std::string(service)}}).Increment();
 }
 
-void EntryMetrics::OnStoreCall(std::string_view outcome) {
-  store_calls_.Add({{"outcome", std::string(outcome)}}).Increment();
+void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
+                               std::string_view outcome) {
+  store_calls_
+      .Add({{"kind", std::string(kind)},
+            {"call", std::string(call)},
+            {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+void EntryMetrics::SetStorePaths(int followers,
+                                 std::chrono::milliseconds store_age) {
+  followers_.Set(followers);
+  store_age_.Set(std::chrono::duration<double>(store_age).count());
 }
 
 std::string EntryMetrics::Render() {
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
 #include "turmeric/entry/instance_directory.h"
+#include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/piece_host.h"
 #include "turmeric/entry/placement_desk.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
+#include "turmeric/entry/store_sharing.h"
 #include "turmeric/entry/topology_feed.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -33,28 +36,35 @@
   return http::ParseEndpoint(address);
 }
 
+PlatformLink CountCalls(PlatformLink link, EntryMetrics& metrics) {
+  link.source =
+      std::make_unique<CountedSource>(std::move(link.source), metrics);
+  return link;
+}
+
 }  // namespace
 
 EntryService::EntryService(config::EntrySettings settings, PlatformLink link)
-    : link_(std::move(link)),
+    : link_(CountCalls(std::move(link), metrics_)),
       context_(std::move(settings), link_.wire),
+      links_(std::make_unique<InstanceLinks>(context_)),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
-      router_(std::make_unique<StageRouter>(context_, *dispatcher_)),
+      router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       desk_(std::make_unique<PlacementDesk>(context_)),
-      placer_(std::make_unique<EnginePlacer>(context_, *router_, *desk_)),
+      placer_(std::make_unique<EnginePlacer>(context_, *links_, *desk_)),
       host_(std::make_unique<PieceHost>(
           *dispatcher_, *desk_, context_.news,
-          [this](const std::string& name, bool leaving) {
-            router_->OnSeen(name, leaving);
+          [this](const std::string& name, Presence presence) {
+            links_->OnSeen(name, presence);
           })),
-      feed_(std::make_unique<TopologyFeed>(context_, link_)) {
+      feed_(std::make_unique<TopologyFeed>(context_, link_)),
+      sharing_(std::make_unique<StoreSharing>(
+          context_, *links_, *feed_,
+          [this](const std::string& name) { return host_->FrameTo(name); })) {
   context_.metrics = &metrics_;
   context_.stages = router_.get();
   context_.placer = placer_.get();
-  router_->set_placement_events(
-      {.on_placed = [this](auto placed) { placer_->OnPlaced(placed); },
-       .on_owner_lost =
-           [this](std::string_view owner) { placer_->OnOwnerLost(owner); }});
+  JoinInstances();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
   readiness_ =
@@ -65,6 +75,26 @@
   connect(&drain_check_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
 
+void EntryService::JoinInstances() {
+  links_->set_events(
+      {.on_frame =
+           [this](const std::string& name, const peer::Frame& frame) {
+             sharing_->OnFrame(name, frame);
+             if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
+             router_->OnFrame(frame);
+           },
+       .on_lost =
+           [this](const std::string& name, bool again_there) {
+             placer_->OnOwnerLost(name);
+             router_->OnLost(name, again_there);
+             sharing_->OnLost(name);
+           }});
+  host_->set_on_follow(
+      [this](const std::string& identity, const peer::FollowRequest& request) {
+        sharing_->OnFollow(identity, request);
+      });
+}
+
 EntryService::~EntryService() {
   // Guard: open requests and connections are children of this object, and as
   // such would be destroyed after the members that they use. A process told
@@ -101,10 +131,13 @@
     return boost::outcome_v2::success();
   }
   if (auto up = host_->Listen(s.peer_address); !up) return up;
+  sharing_->Start();
   directory_ = std::make_unique<InstanceDirectory>(
-      *link_.source, link_.instances_kind, s.name, s.peer_address,
-      [this](const InstanceAddresses& addresses) {
-        router_->SetInstances(addresses);
+      *link_.source, link_.instances_kind, s.name,
+      InstanceInfo{s.peer_address, s.zone, s.cpu_share},
+      [this](const Instances& fleet) {
+        links_->SetInstances(fleet);
+        sharing_->SetInstances(fleet);
       });
   directory_->Start();
   return boost::outcome_v2::success();
@@ -183,7 +216,7 @@
   on_drained_ = std::move(done);
   drain_began_ = std::chrono::steady_clock::now();
   context_.stopping_since = drain_began_;
-  router_->Leave();
+  links_->Leave();
   host_->Leave();
   utils::DecisionLog("stop_begins")
       .Add("open_requests", open_requests())
--- a/libs/entry/src/instance_directory.cc
+++ b/libs/entry/src/instance_directory.cc
@@ -20,17 +20,19 @@
 constexpr milliseconds kLateRead{10000};
 
 constexpr auto kAddressField = "peer_address";
+constexpr auto kZoneField = "zone";
+constexpr auto kCpuShareField = "cpu_share";
 
 }  // namespace
 
 InstanceDirectory::InstanceDirectory(store::ObjectSource& source,
                                      std::string kind, std::string name,
-                                     std::string address,
+                                     InstanceInfo info,
                                      ChangeCallback on_change)
     : source_(source),
       kind_(std::move(kind)),
       name_(std::move(name)),
-      address_(std::move(address)),
+      info_(std::move(info)),
       on_change_(std::move(on_change)) {
   next_.setSingleShot(true);
   connect(&next_, &QTimer::timeout, this, [this] {
@@ -42,7 +44,9 @@
 void InstanceDirectory::Start() { Enter(); }
 
 void InstanceDirectory::Enter() {
-  const QJsonObject spec{{kAddressField, QString::fromStdString(address_)}};
+  const QJsonObject spec{{kAddressField, QString::fromStdString(info_.address)},
+                         {kZoneField, QString::fromStdString(info_.zone)},
+                         {kCpuShareField, info_.cpu_share}};
   source_.Put(kind_, name_, spec, [this](const auto& written) {
     if (!written) {
       utils::DecisionLog("instance_not_entered")
@@ -61,7 +65,7 @@
       utils::DecisionLog("instances_not_read").Add("why", batch.error().detail);
       return;
     }
-    InstanceAddresses addresses{{name_, address_}};
+    Instances instances{{name_, info_}};
     for (const store::SourceObject& object : batch.value().objects) {
       const std::string address =
           object.spec[kAddressField].toString().toStdString();
@@ -71,9 +75,12 @@
             .Add("revision", object.revision);
         continue;
       }
-      addresses[object.name] = address;
+      instances[object.name] = {
+          .address = address,
+          .zone = object.spec[kZoneField].toString().toStdString(),
+          .cpu_share = object.spec[kCpuShareField].toDouble()};
     }
-    on_change_(addresses);
+    on_change_(instances);
   });
 }
 
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -114,8 +114,10 @@
   news_.Hear(frame, Clock::now());
   Guest& guest = GuestOf(link, identity);
   if (!frame.sender.empty() || frame.leaving) {
-    on_seen_(NameOf(identity), frame.leaving);
+    on_seen_(NameOf(identity),
+             frame.leaving ? Presence::kLeaving : Presence::kHere);
   }
+  if (frame.follow && on_follow_) on_follow_(identity, *frame.follow);
   Place(identity, frame, guest);
   for (peer::PieceOrder& order : frame.pieces) {
     Take(identity, guest, std::move(order));
@@ -215,6 +217,13 @@
   if (it == guests_.end() || it->second->link != link) return;
   it->second->link = nullptr;
   it->second->absent_since = Clock::now();
+  on_seen_(NameOf(identity), Presence::kGone);
+}
+
+peer::Frame* PieceHost::FrameTo(const std::string& identity) {
+  const auto it = guests_.find(identity);
+  if (it == guests_.end() || it->second->link == nullptr) return nullptr;
+  return &it->second->link->outgoing();
 }
 
 void PieceHost::DropAbsent() {
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -5,30 +5,14 @@
 #include <vector>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/stage_dispatcher.h"
-#include "turmeric/routing/choice.h"
 #include "turmeric/stages/shard.h"
-#include "turmeric/utils/decision_log.h"
-#include "turmeric/utils/random_id.h"
 
 namespace turmeric::entry {
 
 using stages::PieceFailure;
 using stages::PieceResult;
-using std::chrono::milliseconds;
-
-namespace {
-
-/** An instance that did not answer is left alone this long. One that
- * restarts makes itself known at once, so this is for cut links. */
-constexpr milliseconds kDownFor{3000};
-/** Fleet size assumed for the retry budget before the list is read: above
- * the fleets in use, so that too little is spent, not too much. */
-constexpr int kUnknownFleet = 16;
-/** Enough to tell two starts of one instance apart. */
-constexpr size_t kIdentityDigits = 8;
-
-}  // namespace
 
 /** A piece of a request of ours, wherever it waits. */
 struct StageRouter::Pending {
@@ -42,38 +26,12 @@
   uint64_t local_ticket = 0;
 };
 
-/** Another instance of the fleet. */
-struct StageRouter::Instance {
-  std::string name;
-  std::string address;
-  peer::PeerLink* link = nullptr;
-  Clock::time_point down_till;
-  bool leaving = false;
-};
-
-StageRouter::StageRouter(EntryContext& context, StageDispatcher& local)
-    : context_(context),
-      local_(local),
-      identity_(context.settings.name + "#" +
-                utils::RandomHex(kIdentityDigits)) {
-  context_.retries.set_live_instances(kUnknownFleet);
-}
+StageRouter::StageRouter(EntryContext& context, InstanceLinks& links,
+                         StageDispatcher& local)
+    : context_(context), links_(links), local_(local) {}
 
 StageRouter::~StageRouter() = default;
 
-void StageRouter::SetInstances(const InstanceAddresses& addresses) {
-  for (const auto& [name, address] : addresses) {
-    if (name == context_.settings.name) continue;
-    const bool is_new = !instances_.contains(name);
-    Instance& instance = instances_[name];
-    instance.name = name;
-    instance.address = address;
-    // A first connection tells the other that we are here (again).
-    if (is_new) LinkTo(instance).outgoing();
-  }
-  context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
-}
-
 std::string StageRouter::ShardFor(const std::string& service,
                                   const stages::ShardWish& wish) const {
   const bool by_zone = context_.Uses(config::Mechanism::kZoneShards);
@@ -84,52 +42,6 @@
       spills ? local_.KnownBacklogs() : std::map<std::string, double>());
 }
 
-StageRouter::Instance* StageRouter::Owner(const std::string& shard) {
-  const auto now = Clock::now();
-  Instance* owner = nullptr;
-  uint64_t best =
-      leaving_ ? 0 : routing::RendezvousWeight(shard, context_.settings.name);
-  for (auto& [name, instance] : instances_) {
-    if (instance.leaving || now < instance.down_till) continue;
-    const uint64_t weight = routing::RendezvousWeight(shard, name);
-    if (weight <= best) continue;
-    owner = &instance;
-    best = weight;
-  }
-  return owner;
-}
-
-peer::PeerLink& StageRouter::LinkTo(Instance& instance) {
-  if (instance.link == nullptr) {
-    instance.link = new peer::PeerLink(
-        http::ParseEndpoint(instance.address), identity_,
-        {.on_frame =
-             [this, name = instance.name](peer::Frame&& frame) {
-               OnInstanceFrame(name, std::move(frame));
-             },
-         .on_flush = [this](peer::Frame& frame) { context_.news.Tell(frame); },
-         .on_end = [this, name = instance.name](
-                       std::string_view why) { OnInstanceLost(name, why); }},
-        this);
-    // Guard: a first frame takes back what was said on an earlier link. Silent
-    // on this one, an instance that leaves would be handed pieces again.
-    if (leaving_) instance.link->outgoing().leaving = true;
-  }
-  return *instance.link;
-}
-
-std::optional<StageRouter::OwnerLink> StageRouter::LinkToOwner(
-    const std::string& shard) {
-  Instance* owner = Owner(shard);
-  if (owner == nullptr) return std::nullopt;
-  return OwnerLink{owner->name, &LinkTo(*owner)};
-}
-
-peer::PeerLink* StageRouter::LinkTo(const std::string& name) {
-  const auto it = instances_.find(name);
-  return it == instances_.end() ? nullptr : it->second.link;
-}
-
 uint64_t StageRouter::Submit(const std::string& service, stages::Piece piece,
                              stages::PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
@@ -153,12 +65,11 @@
 
 void StageRouter::Place(uint64_t ticket) {
   Pending& pending = pending_.at(ticket);
-  Instance* owner = Owner(pending.shard);
-  if (owner != nullptr) {
-    pending.owner = owner->name;
-    peer::PeerLink& link = LinkTo(*owner);
-    pending.reached = pending.reached || link.heard();
-    link.outgoing().pieces.push_back({ticket, pending.shard, pending.piece});
+  const auto owner = links_.OwnerOf(pending.shard);
+  if (peer::PeerLink* link = owner ? links_.Open(*owner) : nullptr) {
+    pending.owner = *owner;
+    pending.reached = pending.reached || link->heard();
+    link->outgoing().pieces.push_back({ticket, pending.shard, pending.piece});
     return;
   }
   pending.owner.clear();
@@ -210,9 +121,8 @@
     if (!local_.Cancel(it->second.shard, it->second.local_ticket)) return false;
   } else {
     // The owner releases the result, should a call with it be in progress.
-    const auto owner = instances_.find(it->second.owner);
-    if (owner != instances_.end() && owner->second.link != nullptr) {
-      owner->second.link->outgoing().cancelled.push_back(ticket);
+    if (peer::PeerLink* link = links_.Find(it->second.owner)) {
+      link->outgoing().cancelled.push_back(ticket);
     }
   }
   pending_.erase(it);
@@ -232,49 +142,24 @@
         std::move(handle));
   }
   for (auto& [shard, held] : by_shard) {
-    Instance* owner = Owner(shard);
-    if (owner == nullptr) {
-      local_.Release(shard, std::move(held));
+    const auto owner = links_.OwnerOf(shard);
+    if (peer::PeerLink* link = owner ? links_.Open(*owner) : nullptr) {
+      link->outgoing().releases.push_back({shard, std::move(held)});
     } else {
-      LinkTo(*owner).outgoing().releases.push_back({shard, std::move(held)});
+      local_.Release(shard, std::move(held));
     }
   }
 }
 
-void StageRouter::OnInstanceFrame(const std::string& name,
-                                  peer::Frame&& frame) {
-  context_.news.Hear(frame, Clock::now());
-  Instance& instance = instances_[name];
-  instance.leaving = frame.leaving || instance.leaving;
+void StageRouter::OnFrame(const peer::Frame& frame) {
   for (const peer::Backlog& backlog : frame.backlogs) {
     context_.backlogs.Note(backlog.service, backlog.calls, Clock::now());
   }
-  if (!frame.placed.empty()) placement_events_.on_placed(frame.placed);
   for (const uint64_t ticket : frame.taken) Taken(ticket);
   for (const peer::PieceDone& done : frame.done) Done(done.ticket, done.result);
 }
 
-void StageRouter::OnInstanceLost(const std::string& name,
-                                 std::string_view why) {
-  Instance& instance = instances_[name];
-  const bool heard = instance.link->heard();
-  const bool silent = instance.link->silent();
-  std::exchange(instance.link, nullptr)->deleteLater();
-  instance.leaving = false;
-  // Guard: a reset of a connection says nothing of the instance behind it.
-  // Taken as its loss, its pieces would be made twice, and for seconds two
-  // owners would fill half calls each. It is tried once more.
-  const bool again_there = heard && !silent;
-  if (!again_there) instance.down_till = Clock::now() + kDownFor;
-  utils::DecisionLog("peer_lost")
-      .Add("peer", name)
-      .Add("why", why)
-      .Add("tried_again", again_there);
-  placement_events_.on_owner_lost(name);
-  MoveOn(name, again_there);
-}
-
-void StageRouter::MoveOn(const std::string& name, bool again_there) {
+void StageRouter::OnLost(const std::string& name, bool again_there) {
   std::vector<uint64_t> there;
   for (const auto& [ticket, pending] : pending_) {
     if (pending.owner == name) there.push_back(ticket);
@@ -302,18 +187,4 @@
   }
 }
 
-void StageRouter::OnSeen(const std::string& name, bool leaving) {
-  const auto it = instances_.find(name);
-  if (it == instances_.end()) return;
-  it->second.leaving = leaving;
-  it->second.down_till = {};
-}
-
-void StageRouter::Leave() {
-  leaving_ = true;
-  for (auto& [name, instance] : instances_) {
-    if (instance.link != nullptr) instance.link->outgoing().leaving = true;
-  }
-}
-
 }  // namespace turmeric::entry
--- a/libs/entry/src/store_news.cc
+++ b/libs/entry/src/store_news.cc
@@ -17,7 +17,7 @@
  * instance tells the others: well within the second or two in which a change
  * must be in force. */
 constexpr milliseconds kFleetInterval{250};
-constexpr milliseconds kLongest{15000};
+constexpr milliseconds kLongest{5000};
 /** Silence of the others after which their news cannot be relied on. */
 constexpr milliseconds kHeardLately{2000};
 
--- /dev/null
+++ b/libs/entry/src/store_relay.cc
@@ -0,0 +1,150 @@
+#include "turmeric/entry/store_relay.h"
+
+#include <QJsonDocument>
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace turmeric::entry {
+
+using peer::StoreKind;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Objects remembered for a follower that comes from another relay: what a
+ * release of some tens of upstreams changes within seconds. */
+constexpr size_t kHistory = 128;
+/** A follower that has not asked again for so long has gone or follows
+ * others; it asks every second or two. */
+constexpr milliseconds kForgetAfter{5000};
+
+constexpr std::array kBothKinds = {StoreKind::kConfig, StoreKind::kUpstreams};
+
+int64_t KnownOf(const peer::FollowRequest& request, StoreKind kind) {
+  return kind == StoreKind::kConfig ? request.config_revision
+                                    : request.upstreams_revision;
+}
+
+}  // namespace
+
+StoreRelay::StoreRelay(FrameTo frame_to)
+    : frame_to_(std::move(frame_to)),
+      histories_{store::ChangeHistory(kHistory),
+                 store::ChangeHistory(kHistory)} {}
+
+store::ChangeHistory& StoreRelay::HistoryOf(StoreKind kind) {
+  return histories_.at(static_cast<size_t>(kind));
+}
+
+void StoreRelay::OnFollow(const std::string& follower,
+                          const peer::FollowRequest& request,
+                          const peer::RelayStatus& status,
+                          Clock::time_point now) {
+  if (!request.wanted) {
+    followers_.erase(follower);
+    return;
+  }
+  const auto [it, is_new] = followers_.try_emplace(follower);
+  it->second.asked = now;
+  if (!is_new && !request.resync) return;
+  peer::Frame* frame = frame_to_(follower);
+  if (frame == nullptr) return;
+  for (const StoreKind kind : kBothKinds) {
+    Resync(*frame, it->second, kind, KnownOf(request, kind));
+  }
+  frame->relay = status;
+}
+
+void StoreRelay::Resync(peer::Frame& frame, Follower& follower, StoreKind kind,
+                        int64_t known) {
+  const store::ChangeHistory& history = HistoryOf(kind);
+  const int64_t revision = history.revision();
+  follower.sent.at(static_cast<size_t>(kind)) = revision;
+  if (known >= revision) return;
+  // Without the changes between, the follower sees a gap and reads them from
+  // the store.
+  const auto changes = history.Since(known).value_or(store::ChangeBatch{
+      .follows = revision, .revision = revision, .objects = {}});
+  frame.store_changes.push_back({.kind = kind,
+                                 .follows = changes.follows,
+                                 .revision = revision,
+                                 .objects = ToWire(changes.objects)});
+}
+
+void StoreRelay::OnMerged(StoreKind kind, const store::ChangeBatch& batch,
+                          const peer::RelayStatus& status) {
+  HistoryOf(kind).Add(batch);
+  if (batch.objects.empty() || followers_.empty()) return;
+  const std::vector<peer::StoreObject> objects = ToWire(batch.objects);
+  for (auto& [name, follower] : followers_) {
+    peer::Frame* frame = frame_to_(name);
+    if (frame == nullptr) continue;
+    int64_t& sent = follower.sent.at(static_cast<size_t>(kind));
+    frame->store_changes.push_back({.kind = kind,
+                                    .follows = sent,
+                                    .revision = batch.revision,
+                                    .objects = objects});
+    // Whether an outage has just ended decides about what is missing.
+    frame->relay = status;
+    sent = batch.revision;
+  }
+}
+
+void StoreRelay::Beat(const peer::RelayStatus& status, Clock::time_point now) {
+  std::erase_if(followers_, [now](const auto& entry) {
+    return now - entry.second.asked > kForgetAfter;
+  });
+  for (auto& [name, follower] : followers_) {
+    peer::Frame* frame = frame_to_(name);
+    if (frame == nullptr) continue;
+    for (const StoreKind kind : kBothKinds) {
+      // The store's revision grows with changes of other kinds, too. Not told,
+      // the next change would look like one after a gap.
+      const int64_t revision = HistoryOf(kind).revision();
+      int64_t& sent = follower.sent.at(static_cast<size_t>(kind));
+      if (revision <= sent) continue;
+      frame->store_changes.push_back(
+          {.kind = kind, .follows = sent, .revision = revision, .objects = {}});
+      sent = revision;
+    }
+    frame->relay = status;
+  }
+}
+
+std::vector<peer::StoreObject> ToWire(
+    const std::vector<store::SourceObject>& objects) {
+  std::vector<peer::StoreObject> out;
+  std::ranges::transform(
+      objects, std::back_inserter(out), [](const store::SourceObject& o) {
+        const QByteArray spec =
+            o.deleted ? QByteArray()
+                      : QJsonDocument(o.spec).toJson(QJsonDocument::Compact);
+        return peer::StoreObject{.name = o.name,
+                                 .spec = spec.toStdString(),
+                                 .revision = o.revision,
+                                 .deleted = o.deleted};
+      });
+  return out;
+}
+
+std::optional<store::ChangeBatch> FromWire(const peer::StoreChanges& changes) {
+  store::ChangeBatch batch{
+      .follows = changes.follows, .revision = changes.revision, .objects = {}};
+  for (const peer::StoreObject& o : changes.objects) {
+    store::SourceObject object{.name = o.name,
+                               .spec = {},
+                               .revision = o.revision,
+                               .deleted = o.deleted};
+    if (!o.deleted) {
+      const QJsonDocument spec =
+          QJsonDocument::fromJson(QByteArray::fromStdString(o.spec));
+      if (!spec.isObject()) return std::nullopt;
+      object.spec = spec.object();
+    }
+    batch.objects.push_back(std::move(object));
+  }
+  return batch;
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -6,11 +6,12 @@
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/platform_link.h"
+#include "turmeric/entry/store_relay.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
 
-using routing::Clock;
+using peer::StoreKind;
 using std::chrono::milliseconds;
 using store::SourceObject;
 
@@ -22,56 +23,37 @@
 constexpr milliseconds kShortOutage{1000};
 /** How often lapsed entries are looked for. */
 constexpr milliseconds kExpireInterval{100};
+/** Where a change came from, in logs: our own calls. */
+constexpr auto kStoreSource = "store";
+
+std::string_view NameOf(StoreKind kind) {
+  return kind == StoreKind::kConfig ? "config" : "upstreams";
+}
 
 }  // namespace
 
 TopologyFeed::TopologyFeed(EntryContext& context, PlatformLink& link)
     : context_(context), link_(link) {
-  config_ = std::make_unique<store::Reflector>(
-      *link.source, link.config_kind,
-      store::ReflectorEvents{
-          .on_list =
-              [this](std::span<const SourceObject> objects, milliseconds) {
-                std::ranges::for_each(
-                    objects, [this](const SourceObject& o) { OnConfig(o); });
-              },
-          .on_change = [this](const SourceObject& object,
-                              milliseconds) { OnConfig(object); },
-          .on_reachable =
-              [this](bool reachable, const std::string& why) {
-                OnReachable("config", reachable, why);
-              }});
-  upstreams_ = std::make_unique<store::Reflector>(
-      *link.source, link.upstreams_kind,
-      store::ReflectorEvents{
-          .on_list =
-              [this](std::span<const SourceObject> objects,
-                     milliseconds outage) { OnUpstreamList(objects, outage); },
-          .on_change =
-              [this](const SourceObject& object, milliseconds outage) {
-                OnUpstreamChange(object, outage);
-              },
-          .on_reachable =
-              [this](bool reachable, const std::string& why) {
-                OnReachable("upstreams", reachable, why);
-              }});
-  const auto wait = [this] {
-    const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
-    return context_.news.WatchWait(
-        is_long ? context_.retries.live_instances() : 1, Clock::now());
-  };
+  for (const auto& [kind, name] :
+       {std::pair(StoreKind::kConfig, link.config_kind),
+        std::pair(StoreKind::kUpstreams, link.upstreams_kind)}) {
+    kinds_[kind].reflector =
+        std::make_unique<store::Reflector>(*link.source, name, EventsOf(kind));
+    kinds_[kind].reflector->set_watch_wait([this] {
+      const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
+      return context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
+    });
+  }
   // That upstreams have left must be known sooner than a new configuration.
-  config_->Follow(*upstreams_);
-  config_->set_watch_wait(wait);
-  upstreams_->set_watch_wait(wait);
+  Of(StoreKind::kConfig)
+      .reflector->Follow(*Of(StoreKind::kUpstreams).reflector);
   context_.news.Connect(
-      [this] {
-        return StoreNews::Seen{config_->newest_change(),
-                               upstreams_->newest_change()};
-      },
+      [this] { return newest(); },
       [this](const StoreNews::Seen& seen) {
-        config_->NoteChangeElsewhere(seen.config_change);
-        upstreams_->NoteChangeElsewhere(seen.upstreams_change);
+        Of(StoreKind::kConfig)
+            .reflector->NoteChangeElsewhere(seen.config_change);
+        Of(StoreKind::kUpstreams)
+            .reflector->NoteChangeElsewhere(seen.upstreams_change);
       });
   context_.upstreams.set_on_leave([this](const routing::UpstreamPtr& u) {
     context_.client.Forget(u->entry.id);
@@ -84,19 +66,84 @@
   expire_.setInterval(kExpireInterval);
   connect(&expire_, &QTimer::timeout, this, [this] {
     context_.upstreams.Expire(Clock::now());
-    config_->CheckWait();
-    upstreams_->CheckWait();
+    for (auto& [kind, state] : kinds_) state.reflector->CheckWait();
   });
 }
 
 TopologyFeed::~TopologyFeed() = default;
 
+store::ReflectorEvents TopologyFeed::EventsOf(StoreKind kind) {
+  return {
+      .on_list = [this, kind](
+                     const store::SourceBatch& list,
+                     milliseconds outage) { OnList(kind, list, outage); },
+      .on_changes =
+          [this, kind](const store::ChangeBatch& batch, milliseconds outage) {
+            OnChanges(kind, batch, outage);
+          },
+      .on_reachable =
+          [kind](bool reachable, const std::string& why) {
+            utils::DecisionLog(reachable ? "store_regained" : "store_lost")
+                .Add("watch", NameOf(kind))
+                .Add("why", why);
+          }};
+}
+
 void TopologyFeed::Start() {
-  config_->Start();
-  upstreams_->Start();
+  for (auto& [kind, state] : kinds_) state.reflector->Start();
   expire_.start();
 }
 
+void TopologyFeed::Watch(bool watch, bool patient) {
+  for (auto& [kind, state] : kinds_) {
+    state.reflector->set_patient(patient);
+    state.reflector->Rest(!watch);
+  }
+}
+
+void TopologyFeed::Merge(const std::string& source,
+                         const peer::StoreChanges& changes) {
+  const auto batch = FromWire(changes);
+  if (!batch) {
+    utils::DecisionLog("relayed_changes_unreadable")
+        .Add("source", source)
+        .Add("revision", changes.revision);
+    return;
+  }
+  Kind& kind = Of(changes.kind);
+  const auto merged = kind.replica.Merge(*batch);
+  if (merged.outcome == store::KindReplica::Outcome::kGap) {
+    utils::DecisionLog("relayed_changes_gap")
+        .Add("source", source)
+        .Add("watch", NameOf(changes.kind))
+        .Add("follows", batch->follows)
+        .Add("known", kind.replica.revision());
+    return kind.reflector->CatchUp();
+  }
+  if (merged.outcome == store::KindReplica::Outcome::kKnown) return;
+  kind.reflector->AdvanceTo(kind.replica.revision());
+  Apply(changes.kind, merged.news, source);
+  if (on_merged_) on_merged_(changes.kind, *batch);
+}
+
+void TopologyFeed::NoteOutageEnded(Clock::time_point at) {
+  if (!outage_ended_ || *outage_ended_ < at) outage_ended_ = at;
+}
+
+TopologyFeed::Clock::time_point TopologyFeed::store_heard() const {
+  return std::min(kinds_.at(StoreKind::kConfig).reflector->heard_at(),
+                  kinds_.at(StoreKind::kUpstreams).reflector->heard_at());
+}
+
+int64_t TopologyFeed::revision(StoreKind kind) const {
+  return kinds_.at(kind).replica.revision();
+}
+
+StoreNews::Seen TopologyFeed::newest() const {
+  return {kinds_.at(StoreKind::kConfig).replica.newest_change(),
+          kinds_.at(StoreKind::kUpstreams).replica.newest_change()};
+}
+
 bool TopologyFeed::complete() const {
   return context_.table != nullptr && context_.upstreams_known;
 }
@@ -106,7 +153,53 @@
   if (auto callback = std::exchange(on_complete_, nullptr)) callback();
 }
 
-void TopologyFeed::OnConfig(const SourceObject& object) {
+void TopologyFeed::OnList(StoreKind kind, const store::SourceBatch& list,
+                          milliseconds outage) {
+  outage = NoteOutage(outage);
+  const auto changes = Of(kind).replica.MergeList(list);
+  // A list that is older than what others have passed on says nothing new.
+  if (!changes) return;
+  if (kind == StoreKind::kConfig) {
+    Apply(kind, changes->objects, kStoreSource);
+  } else {
+    OnUpstreamList(list.objects, outage);
+  }
+  if (on_merged_) on_merged_(kind, *changes);
+}
+
+void TopologyFeed::OnChanges(StoreKind kind, const store::ChangeBatch& batch,
+                             milliseconds outage) {
+  NoteOutage(outage);
+  const auto merged = Of(kind).replica.Merge(batch);
+  if (merged.outcome != store::KindReplica::Outcome::kMerged) return;
+  Apply(kind, merged.news, kStoreSource);
+  if (on_merged_) on_merged_(kind, batch);
+}
+
+// While others have heard the store, only we were without it: its entries have
+// not lapsed, and what is missing is gone.
+milliseconds TopologyFeed::NoteOutage(milliseconds outage) {
+  if (others_store_age_) outage = std::min(outage, others_store_age_());
+  if (outage > kShortOutage) NoteOutageEnded(Clock::now());
+  return outage;
+}
+
+void TopologyFeed::Apply(StoreKind kind, std::span<const SourceObject> news,
+                         const std::string& source) {
+  if (news.empty()) return;
+  if (kind == StoreKind::kConfig) {
+    std::ranges::for_each(news,
+                          [&](const SourceObject& o) { OnConfig(o, source); });
+    return;
+  }
+  const auto keep_till = KeepTill();
+  std::ranges::for_each(
+      news, [&](const SourceObject& o) { OnUpstreamChange(o, keep_till); });
+  context_.upstreams.Expire(Clock::now());
+}
+
+void TopologyFeed::OnConfig(const SourceObject& object,
+                            const std::string& source) {
   if (object.name != link_.config_name || object.deleted) return;
   auto table = link_.decode_table(object.spec);
   if (!table) {
@@ -119,21 +212,20 @@
       .Add("version", table->version)
       .Add("before", held)
       .Add("revision", object.revision)
+      .Add("source", source)
       .Add("routes", table->routes.size());
   context_.table =
       std::make_shared<const routing::RouteTable>(std::move(*table));
   NoteComplete();
 }
 
-std::chrono::steady_clock::time_point TopologyFeed::KeepTill(
-    milliseconds outage) {
+TopologyFeed::Clock::time_point TopologyFeed::KeepTill() const {
   // Guard: entries lapse while the store is away, though their processes
   // live; taken as gone at once, a whole service would have no upstream when
   // the store returns. They are back within the grace, or gone.
   const auto now = Clock::now();
-  if (outage > kShortOutage) outage_over_ = now;
-  const auto grace_ends = outage_over_ + context_.settings.lapsed_grace;
-  return std::max(now, grace_ends);
+  if (!outage_ended_) return now;
+  return std::max(now, *outage_ended_ + context_.settings.lapsed_grace);
 }
 
 void TopologyFeed::OnUpstreamList(std::span<const SourceObject> objects,
@@ -143,7 +235,7 @@
     auto entry = ReadEntry(object);
     if (entry) entries.push_back(std::move(*entry));
   }
-  context_.upstreams.ReplaceAll(entries, KeepTill(outage));
+  context_.upstreams.ReplaceAll(entries, KeepTill());
   context_.upstreams.Expire(Clock::now());
   context_.upstreams_known = true;
   utils::DecisionLog("upstreams_listed")
@@ -154,17 +246,11 @@
 }
 
 void TopologyFeed::OnUpstreamChange(const SourceObject& object,
-                                    milliseconds outage) {
-  const auto keep_till = KeepTill(outage);
-  if (object.deleted) {
-    context_.upstreams.Remove(object.name, keep_till);
-    context_.upstreams.Expire(Clock::now());
-    return;
-  }
+                                    Clock::time_point keep_till) {
+  if (object.deleted) return context_.upstreams.Remove(object.name, keep_till);
   const auto entry = ReadEntry(object);
   if (entry) return context_.upstreams.Put(*entry);
   context_.upstreams.Remove(object.name, Clock::now());
-  context_.upstreams.Expire(Clock::now());
 }
 
 // Another writer may have written the entry: it names no upstream, and one
@@ -180,11 +266,4 @@
   return entry;
 }
 
-void TopologyFeed::OnReachable(const std::string& what, bool reachable,
-                               const std::string& why) {
-  utils::DecisionLog(reachable ? "store_regained" : "store_lost")
-      .Add("watch", what)
-      .Add("why", why);
-}
-
 }  // namespace turmeric::entry
--- /dev/null
+++ b/libs/entry/test/relay_choice_test.cc
@@ -0,0 +1,99 @@
+#include "turmeric/entry/relay_choice.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using turmeric::entry::CountRelays;
+using turmeric::entry::Instances;
+using turmeric::entry::RelaysOfZone;
+using turmeric::entry::SourcesFor;
+
+namespace {
+
+/** A fleet with some larger instances in each zone. */
+Instances MakeFleet(int zones, int small, int large) {
+  Instances fleet;
+  for (int z = 0; z < zones; ++z) {
+    const std::string zone = "zone-" + std::to_string(z);
+    for (int i = 0; i < small + large; ++i) {
+      const std::string name = zone + "-" + std::to_string(i);
+      fleet[name] = {.address = "10.0.0.1:1",
+                     .zone = zone,
+                     .cpu_share = i < small ? 0.12 : 0.5};
+    }
+  }
+  return fleet;
+}
+
+}  // namespace
+
+TEST_CASE("a zone's relays are few and its largest instances first") {
+  const Instances fleet = MakeFleet(5, 56, 3);
+  const auto relays = RelaysOfZone(fleet, "zone-1");
+  REQUIRE(relays.size() == 4);
+  for (size_t i = 0; i < 3; ++i) {
+    REQUIRE(fleet.at(relays[i]).cpu_share == 0.5);
+  }
+  REQUIRE(CountRelays(fleet) == 20);
+}
+
+TEST_CASE("a small zone has two relays, a zone of one has one") {
+  REQUIRE(RelaysOfZone(MakeFleet(3, 3, 0), "zone-0").size() == 2);
+  REQUIRE(RelaysOfZone(MakeFleet(1, 1, 0), "zone-0").size() == 1);
+  REQUIRE(RelaysOfZone(MakeFleet(1, 3, 0), "elsewhere").empty());
+}
+
+// Story: if all followers of a zone chose the same two relays, the others would
+// read the store for nobody, and these two would pass on everything.
+TEST_CASE("followers share a zone's relays") {
+  const Instances fleet = MakeFleet(1, 90, 6);
+  const auto relays = RelaysOfZone(fleet, "zone-0");
+  std::map<std::string, int> first;
+  for (const auto& [name, info] : fleet) {
+    const auto sources = SourcesFor(fleet, name);
+    REQUIRE(std::ranges::count(sources, name) == 0);
+    if (std::ranges::count(relays, name) > 0) continue;
+    REQUIRE(std::ranges::count(relays, sources[0]) == 1);
+    REQUIRE(std::ranges::count(relays, sources[1]) == 1);
+    ++first[sources[0]];
+  }
+  REQUIRE(first.size() == relays.size());
+  for (const auto& [name, followers] : first) REQUIRE(followers < 30);
+}
+
+// Story: one zone loses its way to the store, its instances still reach each
+// other and the other zones. If its relays followed only each other, none of
+// them would hear of a new configuration.
+TEST_CASE("a relay's second source is in another zone") {
+  const Instances fleet = MakeFleet(3, 20, 2);
+  for (const std::string& relay : RelaysOfZone(fleet, "zone-0")) {
+    const auto sources = SourcesFor(fleet, relay);
+    REQUIRE(fleet.at(sources[0]).zone == "zone-0");
+    REQUIRE(fleet.at(sources[1]).zone != "zone-0");
+  }
+}
+
+TEST_CASE("an instance alone in its zone follows another zone's relays") {
+  Instances fleet = MakeFleet(2, 3, 0);
+  fleet["alone"] = {.address = "10.0.0.1:1", .zone = "far", .cpu_share = 0.1};
+  REQUIRE(SourcesFor(fleet, "alone").size() == 4);
+  REQUIRE(SourcesFor({{"only", {}}}, "only").empty());
+  REQUIRE(SourcesFor(fleet, "unknown").empty());
+}
+
+// Story: all relays of a zone lose power. Those that would be next are asked
+// before other zones are, so that the zone's traffic stays there.
+TEST_CASE("behind the relays stand those that would take their place") {
+  const Instances fleet = MakeFleet(2, 30, 0);
+  const auto sources = SourcesFor(fleet, "zone-0-7");
+  const auto far = std::ranges::find_if(sources, [&](const auto& name) {
+    return fleet.at(name).zone != "zone-0";
+  });
+  REQUIRE(far - sources.begin() >= 4);
+  REQUIRE(std::set<std::string>(sources.begin(), sources.end()).size() ==
+          sources.size());
+}
--- /dev/null
+++ b/libs/entry/test/store_relay_test.cc
@@ -0,0 +1,135 @@
+#include "turmeric/entry/store_relay.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::entry::FromWire;
+using turmeric::entry::StoreRelay;
+using turmeric::peer::FollowRequest;
+using turmeric::peer::Frame;
+using turmeric::peer::RelayStatus;
+using turmeric::peer::StoreKind;
+using turmeric::store::ChangeBatch;
+using turmeric::store::SourceObject;
+
+namespace {
+
+const StoreRelay::Clock::time_point kNow = StoreRelay::Clock::time_point(100s);
+
+/** A relay whose frames to its followers the test reads. */
+struct Relay {
+  Frame Take(const std::string& follower) {
+    return std::exchange(frames[follower], {});
+  }
+  void Merge(int64_t follows, int64_t revision, const std::string& name) {
+    relay.OnMerged(StoreKind::kUpstreams,
+                   {follows,
+                    revision,
+                    {SourceObject{.name = name,
+                                  .spec = QJsonObject{{"state", "ready"}},
+                                  .revision = revision,
+                                  .deleted = false}}},
+                   {});
+  }
+  void Follow(const std::string& follower, int64_t known, bool resync = true) {
+    relay.OnFollow(follower,
+                   {.wanted = true,
+                    .resync = resync,
+                    .config_revision = known,
+                    .upstreams_revision = known},
+                   {}, kNow);
+  }
+
+  std::map<std::string, Frame> frames;
+  StoreRelay relay{[this](const std::string& name) { return &frames[name]; }};
+};
+
+}  // namespace
+
+TEST_CASE("a follower gets what came after the revision that it knows") {
+  Relay r;
+  r.Merge(10, 12, "a");
+  r.Merge(12, 15, "b");
+  r.Follow("f", 12);
+  const Frame frame = r.Take("f");
+  REQUIRE(frame.relay);
+  REQUIRE(frame.store_changes.size() == 1);
+  REQUIRE(frame.store_changes[0].follows == 12);
+  REQUIRE(frame.store_changes[0].revision == 15);
+  REQUIRE(frame.store_changes[0].objects.size() == 1);
+  REQUIRE(frame.store_changes[0].objects[0].name == "b");
+  r.Merge(15, 18, "c");
+  const Frame next = r.Take("f");
+  REQUIRE(next.store_changes[0].follows == 15);
+  REQUIRE(next.store_changes[0].revision == 18);
+  REQUIRE(next.relay);
+}
+
+// Story: a follower comes from a relay that is gone and knows less than this
+// one remembers. It must see that changes are missing, and not take the next
+// ones for all there are.
+TEST_CASE("a follower that is too far back sees a gap") {
+  Relay r;
+  r.Merge(10, 12, "a");
+  r.Follow("f", 5);
+  const Frame frame = r.Take("f");
+  REQUIRE(frame.store_changes[0].follows > 5);
+  REQUIRE(frame.store_changes[0].objects.empty());
+}
+
+// Story: other kinds of objects change, and the store's revision grows. Each
+// batch must join on what the follower was told last.
+TEST_CASE("a beat tells how far the store is known") {
+  Relay r;
+  r.Merge(10, 12, "a");
+  r.Follow("f", 12);
+  r.Take("f");
+  r.relay.OnMerged(StoreKind::kUpstreams, {12, 40, {}}, {});
+  REQUIRE(r.Take("f").store_changes.empty());
+  r.relay.Beat({}, kNow);
+  const Frame beat = r.Take("f");
+  REQUIRE(beat.relay);
+  REQUIRE(beat.store_changes[0].follows == 12);
+  REQUIRE(beat.store_changes[0].revision == 40);
+  r.Merge(40, 41, "b");
+  REQUIRE(r.Take("f").store_changes[0].follows == 40);
+}
+
+TEST_CASE("a follower that does not ask again is forgotten") {
+  Relay r;
+  r.Follow("f", 0);
+  r.relay.Beat({}, kNow + 4s);
+  REQUIRE(r.relay.followers() == 1);
+  r.relay.Beat({}, kNow + 6s);
+  REQUIRE(r.relay.followers() == 0);
+  r.Follow("f", 0);
+  r.relay.OnFollow("f", {.wanted = false}, {}, kNow);
+  REQUIRE(r.relay.followers() == 0);
+}
+
+TEST_CASE("asking again brings no second copy") {
+  Relay r;
+  r.Merge(10, 12, "a");
+  r.Follow("f", 10);
+  REQUIRE(r.Take("f").store_changes.size() == 1);
+  r.Follow("f", 10, false);
+  REQUIRE(r.Take("f").store_changes.empty());
+}
+
+// Story: an instance of another program, or a spoiled frame: what is no JSON
+// object names nothing, and nothing of the batch is used.
+TEST_CASE("changes with unreadable content are not taken") {
+  turmeric::peer::StoreChanges changes{
+      .kind = StoreKind::kConfig,
+      .follows = 1,
+      .revision = 2,
+      .objects = {{.name = "a", .spec = "[1", .revision = 2}}};
+  REQUIRE_FALSE(FromWire(changes));
+  changes.objects[0].spec = R"({"version":3})";
+  REQUIRE(FromWire(changes)->objects[0].spec["version"].toInt() == 3);
+  changes.objects[0] = {
+      .name = "a", .spec = "", .revision = 2, .deleted = true};
+  REQUIRE(FromWire(changes)->objects[0].deleted);
+}
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -63,6 +64,44 @@
   std::optional<routing::Outcome> outcome;
 };
 
+/** What of the platform's store instances pass on to each other. */
+enum class StoreKind : int8_t { kConfig, kUpstreams };
+
+/** One object of the store, as it was read from there. */
+struct StoreObject {
+  std::string name;
+  std::string spec;      ///< JSON text; empty if deleted.
+  int64_t revision = 0;  ///< Store-wide revision of its last change.
+  bool deleted = false;
+};
+
+/** All changes of one kind after one revision and up to another. */
+struct StoreChanges {
+  StoreKind kind = StoreKind::kConfig;
+  int64_t follows = 0;
+  int64_t revision = 0;
+  std::vector<StoreObject> objects;
+};
+
+/** Asks another instance to pass on the store's changes; said again every
+ * second or two, or it is forgotten. */
+struct FollowRequest {
+  bool wanted = true;
+  bool resync = false;  ///< Send what came after the revisions below.
+  int64_t config_revision = 0;
+  int64_t upstreams_revision = 0;
+};
+
+/** How well an instance that passes on the store's changes knows it. */
+struct RelayStatus {
+  /** Since the store was last heard by anybody on the sender's path to it. */
+  std::chrono::milliseconds store_age{0};
+  /** Since the store's last outage ended; nullopt: none is known. */
+  std::optional<std::chrono::milliseconds> outage_ended;
+  int64_t config_revision = 0;  ///< Up to which it knows all changes.
+  int64_t upstreams_revision = 0;
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Set in the first frame only.
@@ -83,6 +122,9 @@
    * their revisions: of the configuration and of the upstreams' entries. */
   int64_t config_change = 0;
   int64_t upstreams_change = 0;
+  std::optional<FollowRequest> follow;
+  std::optional<RelayStatus> relay;
+  std::vector<StoreChanges> store_changes;
 };
 
 /**
--- a/libs/peer/include/turmeric/peer/peer_link.h
+++ b/libs/peer/include/turmeric/peer/peer_link.h
@@ -14,7 +14,7 @@
 
 /**
  * One connection between two instances. What is queued in one turn of the
- * event loop leaves as one frame. A frame with pieces is acknowledged by the
+ * event loop leaves as one frame. A frame with orders is acknowledged by the
  * other side's event loop; without that, the link ends: an instance that is
  * frozen or cut off keeps its TCP connection open for seconds.
  */
@@ -39,6 +39,8 @@
 
   /** @return the frame that leaves at the end of this turn; add to it. */
   Frame& outgoing();
+  /** Asks the other side for a sign of life: its silence ends the link. */
+  void Greet();
   /** Ends the link without a callback. */
   void Close();
   /** @return true until the link has ended. */
@@ -65,6 +67,7 @@
   uint64_t sent_sequence_ = 0;
   uint64_t acknowledged_ = 0;  ///< By the other side.
   uint64_t seen_sequence_ = 0;
+  bool greets_ = false;  ///< The next frame wants an acknowledgement.
   bool alive_ = true;
   bool heard_ = false;
   bool silent_ = false;
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -38,6 +38,18 @@
 struct PlacementEnd;
 struct PlacementEndBuilder;
 
+struct StoreObject;
+struct StoreObjectBuilder;
+
+struct StoreChanges;
+struct StoreChangesBuilder;
+
+struct FollowRequest;
+struct FollowRequestBuilder;
+
+struct RelayStatus;
+struct RelayStatusBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -748,6 +760,325 @@
   return builder_.Finish();
 }
 
+struct StoreObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreObjectBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_SPEC = 6,
+    VT_REVISION = 8,
+    VT_DELETED = 10
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *spec() const {
+    return GetPointer<const flatbuffers::String *>(VT_SPEC);
+  }
+  int64_t revision() const {
+    return GetField<int64_t>(VT_REVISION, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_SPEC) &&
+           verifier.VerifyString(spec()) &&
+           VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreObjectBuilder {
+  typedef StoreObject Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(StoreObject::VT_NAME, name);
+  }
+  void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
+    fbb_.AddOffset(StoreObject::VT_SPEC, spec);
+  }
+  void add_revision(int64_t revision) {
+    fbb_.AddElement<int64_t>(StoreObject::VT_REVISION, revision, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(StoreObject::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit StoreObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreObject> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreObject>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreObject> CreateStoreObject(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> spec = 0,
+    int64_t revision = 0,
+    bool deleted = false) {
+  StoreObjectBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_spec(spec);
+  builder_.add_name(name);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreObject> CreateStoreObjectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *spec = nullptr,
+    int64_t revision = 0,
+    bool deleted = false) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto spec__ = spec ? _fbb.CreateString(spec) : 0;
+  return turmeric::peer::wire::CreateStoreObject(
+      _fbb,
+      name__,
+      spec__,
+      revision,
+      deleted);
+}
+
+struct StoreChanges FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreChangesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_FOLLOWS = 6,
+    VT_REVISION = 8,
+    VT_OBJECTS = 10
+  };
+  int8_t kind() const {
+    return GetField<int8_t>(VT_KIND, 0);
+  }
+  int64_t follows() const {
+    return GetField<int64_t>(VT_FOLLOWS, 0);
+  }
+  int64_t revision() const {
+    return GetField<int64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *objects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *>(VT_OBJECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<int64_t>(verifier, VT_FOLLOWS, 8) &&
+           VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_OBJECTS) &&
+           verifier.VerifyVector(objects()) &&
+           verifier.VerifyVectorOfTables(objects()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreChangesBuilder {
+  typedef StoreChanges Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(int8_t kind) {
+    fbb_.AddElement<int8_t>(StoreChanges::VT_KIND, kind, 0);
+  }
+  void add_follows(int64_t follows) {
+    fbb_.AddElement<int64_t>(StoreChanges::VT_FOLLOWS, follows, 0);
+  }
+  void add_revision(int64_t revision) {
+    fbb_.AddElement<int64_t>(StoreChanges::VT_REVISION, revision, 0);
+  }
+  void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>> objects) {
+    fbb_.AddOffset(StoreChanges::VT_OBJECTS, objects);
+  }
+  explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreChanges> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreChanges>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChanges(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int8_t kind = 0,
+    int64_t follows = 0,
+    int64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>> objects = 0) {
+  StoreChangesBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_follows(follows);
+  builder_.add_objects(objects);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChangesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int8_t kind = 0,
+    int64_t follows = 0,
+    int64_t revision = 0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *objects = nullptr) {
+  auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>(*objects) : 0;
+  return turmeric::peer::wire::CreateStoreChanges(
+      _fbb,
+      kind,
+      follows,
+      revision,
+      objects__);
+}
+
+struct FollowRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FollowRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WANTED = 4,
+    VT_RESYNC = 6,
+    VT_CONFIG_REVISION = 8,
+    VT_UPSTREAMS_REVISION = 10
+  };
+  bool wanted() const {
+    return GetField<uint8_t>(VT_WANTED, 0) != 0;
+  }
+  bool resync() const {
+    return GetField<uint8_t>(VT_RESYNC, 0) != 0;
+  }
+  int64_t config_revision() const {
+    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
+  }
+  int64_t upstreams_revision() const {
+    return GetField<int64_t>(VT_UPSTREAMS_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_WANTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RESYNC, 1) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct FollowRequestBuilder {
+  typedef FollowRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_wanted(bool wanted) {
+    fbb_.AddElement<uint8_t>(FollowRequest::VT_WANTED, static_cast<uint8_t>(wanted), 0);
+  }
+  void add_resync(bool resync) {
+    fbb_.AddElement<uint8_t>(FollowRequest::VT_RESYNC, static_cast<uint8_t>(resync), 0);
+  }
+  void add_config_revision(int64_t config_revision) {
+    fbb_.AddElement<int64_t>(FollowRequest::VT_CONFIG_REVISION, config_revision, 0);
+  }
+  void add_upstreams_revision(int64_t upstreams_revision) {
+    fbb_.AddElement<int64_t>(FollowRequest::VT_UPSTREAMS_REVISION, upstreams_revision, 0);
+  }
+  explicit FollowRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FollowRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FollowRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FollowRequest> CreateFollowRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool wanted = false,
+    bool resync = false,
+    int64_t config_revision = 0,
+    int64_t upstreams_revision = 0) {
+  FollowRequestBuilder builder_(_fbb);
+  builder_.add_upstreams_revision(upstreams_revision);
+  builder_.add_config_revision(config_revision);
+  builder_.add_resync(resync);
+  builder_.add_wanted(wanted);
+  return builder_.Finish();
+}
+
+struct RelayStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayStatusBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STORE_AGE_MS = 4,
+    VT_OUTAGE_ENDED_MS = 6,
+    VT_CONFIG_REVISION = 8,
+    VT_UPSTREAMS_REVISION = 10
+  };
+  int32_t store_age_ms() const {
+    return GetField<int32_t>(VT_STORE_AGE_MS, 0);
+  }
+  int32_t outage_ended_ms() const {
+    return GetField<int32_t>(VT_OUTAGE_ENDED_MS, 0);
+  }
+  int64_t config_revision() const {
+    return GetField<int64_t>(VT_CONFIG_REVISION, 0);
+  }
+  int64_t upstreams_revision() const {
+    return GetField<int64_t>(VT_UPSTREAMS_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int32_t>(verifier, VT_STORE_AGE_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_OUTAGE_ENDED_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RelayStatusBuilder {
+  typedef RelayStatus Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_store_age_ms(int32_t store_age_ms) {
+    fbb_.AddElement<int32_t>(RelayStatus::VT_STORE_AGE_MS, store_age_ms, 0);
+  }
+  void add_outage_ended_ms(int32_t outage_ended_ms) {
+    fbb_.AddElement<int32_t>(RelayStatus::VT_OUTAGE_ENDED_MS, outage_ended_ms, 0);
+  }
+  void add_config_revision(int64_t config_revision) {
+    fbb_.AddElement<int64_t>(RelayStatus::VT_CONFIG_REVISION, config_revision, 0);
+  }
+  void add_upstreams_revision(int64_t upstreams_revision) {
+    fbb_.AddElement<int64_t>(RelayStatus::VT_UPSTREAMS_REVISION, upstreams_revision, 0);
+  }
+  explicit RelayStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayStatus> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayStatus>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayStatus> CreateRelayStatus(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    int32_t store_age_ms = 0,
+    int32_t outage_ended_ms = 0,
+    int64_t config_revision = 0,
+    int64_t upstreams_revision = 0) {
+  RelayStatusBuilder builder_(_fbb);
+  builder_.add_upstreams_revision(upstreams_revision);
+  builder_.add_config_revision(config_revision);
+  builder_.add_outage_ended_ms(outage_ended_ms);
+  builder_.add_store_age_ms(store_age_ms);
+  return builder_.Finish();
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -766,7 +1097,10 @@
     VT_PROMPTS_READ = 28,
     VT_ENDED = 30,
     VT_CONFIG_CHANGE = 32,
-    VT_UPSTREAMS_CHANGE = 34
+    VT_UPSTREAMS_CHANGE = 34,
+    VT_FOLLOW = 36,
+    VT_RELAY = 38,
+    VT_STORE_CHANGES = 40
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -816,6 +1150,15 @@
   int64_t upstreams_change() const {
     return GetField<int64_t>(VT_UPSTREAMS_CHANGE, 0);
   }
+  const turmeric::peer::wire::FollowRequest *follow() const {
+    return GetPointer<const turmeric::peer::wire::FollowRequest *>(VT_FOLLOW);
+  }
+  const turmeric::peer::wire::RelayStatus *relay() const {
+    return GetPointer<const turmeric::peer::wire::RelayStatus *>(VT_RELAY);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *>(VT_STORE_CHANGES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -852,6 +1195,13 @@
            verifier.VerifyVectorOfTables(ended()) &&
            VerifyField<int64_t>(verifier, VT_CONFIG_CHANGE, 8) &&
            VerifyField<int64_t>(verifier, VT_UPSTREAMS_CHANGE, 8) &&
+           VerifyOffset(verifier, VT_FOLLOW) &&
+           verifier.VerifyTable(follow()) &&
+           VerifyOffset(verifier, VT_RELAY) &&
+           verifier.VerifyTable(relay()) &&
+           VerifyOffset(verifier, VT_STORE_CHANGES) &&
+           verifier.VerifyVector(store_changes()) &&
+           verifier.VerifyVectorOfTables(store_changes()) &&
            verifier.EndTable();
   }
 };
@@ -908,6 +1258,15 @@
   void add_upstreams_change(int64_t upstreams_change) {
     fbb_.AddElement<int64_t>(Frame::VT_UPSTREAMS_CHANGE, upstreams_change, 0);
   }
+  void add_follow(flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow) {
+    fbb_.AddOffset(Frame::VT_FOLLOW, follow);
+  }
+  void add_relay(flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay) {
+    fbb_.AddOffset(Frame::VT_RELAY, relay);
+  }
+  void add_store_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes) {
+    fbb_.AddOffset(Frame::VT_STORE_CHANGES, store_changes);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -936,12 +1295,18 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prompts_read = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>> ended = 0,
     int64_t config_change = 0,
-    int64_t upstreams_change = 0) {
+    int64_t upstreams_change = 0,
+    flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
+    flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_store_changes(store_changes);
+  builder_.add_relay(relay);
+  builder_.add_follow(follow);
   builder_.add_ended(ended);
   builder_.add_prompts_read(prompts_read);
   builder_.add_placed(placed);
@@ -974,7 +1339,10 @@
     const std::vector<uint64_t> *prompts_read = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>> *ended = nullptr,
     int64_t config_change = 0,
-    int64_t upstreams_change = 0) {
+    int64_t upstreams_change = 0,
+    flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
+    flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -986,6 +1354,7 @@
   auto placed__ = placed ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Placed>>(*placed) : 0;
   auto prompts_read__ = prompts_read ? _fbb.CreateVector<uint64_t>(*prompts_read) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>(*ended) : 0;
+  auto store_changes__ = store_changes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>(*store_changes) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -1003,7 +1372,10 @@
       prompts_read__,
       ended__,
       config_change,
-      upstreams_change);
+      upstreams_change,
+      follow,
+      relay,
+      store_changes__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -133,6 +133,99 @@
            .zone = Text(d.zone())}};
 }
 
+Offset<wire::StoreChanges> Write(FlatBufferBuilder& b,
+                                 const StoreChanges& changes) {
+  std::vector<Offset<wire::StoreObject>> objects;
+  std::ranges::transform(
+      changes.objects, std::back_inserter(objects), [&b](const StoreObject& o) {
+        return wire::CreateStoreObject(b, b.CreateString(o.name),
+                                       b.CreateString(o.spec), o.revision,
+                                       o.deleted);
+      });
+  return wire::CreateStoreChanges(b, static_cast<int8_t>(changes.kind),
+                                  changes.follows, changes.revision,
+                                  b.CreateVector(objects));
+}
+
+/** @return the changes, or nullopt of a kind that is not known here. */
+std::optional<StoreChanges> Read(const wire::StoreChanges& c) {
+  const bool known =
+      c.kind() >= 0 && c.kind() <= static_cast<int8_t>(StoreKind::kUpstreams);
+  if (!known) return std::nullopt;
+  StoreChanges changes{.kind = static_cast<StoreKind>(c.kind()),
+                       .follows = c.follows(),
+                       .revision = c.revision(),
+                       .objects = {}};
+  if (c.objects() == nullptr) return changes;
+  std::ranges::transform(*c.objects(), std::back_inserter(changes.objects),
+                         [](const auto* o) {
+                           return StoreObject{.name = Text(o->name()),
+                                              .spec = Text(o->spec()),
+                                              .revision = o->revision(),
+                                              .deleted = o->deleted()};
+                         });
+  return changes;
+}
+
+/** No outage of the store is known. */
+constexpr int32_t kNoOutage = -1;
+
+Offset<wire::FollowRequest> Write(FlatBufferBuilder& b,
+                                  const FollowRequest& follow) {
+  return wire::CreateFollowRequest(b, follow.wanted, follow.resync,
+                                   follow.config_revision,
+                                   follow.upstreams_revision);
+}
+
+int32_t WireMs(milliseconds time) {
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(time.count(), 0, kMaxRelativeMs));
+}
+
+Offset<wire::RelayStatus> Write(FlatBufferBuilder& b,
+                                const RelayStatus& status) {
+  const int32_t ended =
+      status.outage_ended ? WireMs(*status.outage_ended) : kNoOutage;
+  return wire::CreateRelayStatus(b, WireMs(status.store_age), ended,
+                                 status.config_revision,
+                                 status.upstreams_revision);
+}
+
+RelayStatus Read(const wire::RelayStatus& status) {
+  // A negative age would count as fresher than anything that can be known.
+  const auto read_ms = [](int32_t ms) {
+    return milliseconds(std::max<int32_t>(0, ms));
+  };
+  RelayStatus out{.store_age = read_ms(status.store_age_ms()),
+                  .outage_ended = std::nullopt,
+                  .config_revision = status.config_revision(),
+                  .upstreams_revision = status.upstreams_revision()};
+  if (status.outage_ended_ms() != kNoOutage) {
+    out.outage_ended = read_ms(status.outage_ended_ms());
+  }
+  return out;
+}
+
+/** Reads the parts of a frame that pass on the store's changes. */
+void ReadStoreParts(const wire::Frame& f, Frame& frame) {
+  frame.config_change = f.config_change();
+  frame.upstreams_change = f.upstreams_change();
+  if (f.follow() != nullptr) {
+    frame.follow =
+        FollowRequest{.wanted = f.follow()->wanted(),
+                      .resync = f.follow()->resync(),
+                      .config_revision = f.follow()->config_revision(),
+                      .upstreams_revision = f.follow()->upstreams_revision()};
+  }
+  if (f.relay() != nullptr) frame.relay = Read(*f.relay());
+  if (f.store_changes() == nullptr) return;
+  for (const auto* c : *f.store_changes()) {
+    if (auto changes = Read(*c)) {
+      frame.store_changes.push_back(std::move(*changes));
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<uint8_t> Encode(const Frame& frame, Clock::time_point now) {
@@ -170,12 +263,22 @@
   std::vector<Offset<wire::PlacementEnd>> ends;
   for (const PlacementEnd& end : frame.ended) ends.push_back(Write(b, end));
   const auto ended = b.CreateVector(ends);
+  std::vector<Offset<wire::StoreChanges>> changes;
+  for (const StoreChanges& c : frame.store_changes) {
+    changes.push_back(Write(b, c));
+  }
+  const auto change_list = b.CreateVector(changes);
+  const Offset<wire::FollowRequest> follow =
+      frame.follow ? Write(b, *frame.follow) : 0;
+  const Offset<wire::RelayStatus> relay =
+      frame.relay ? Write(b, *frame.relay) : 0;
   wire::FinishFrameBuffer(
-      b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
-                           frame.leaving, piece_list, taken, done_list,
-                           cancelled, release_list, backlog_list,
-                           placement_list, placed_list, prompts_read, ended,
-                           frame.config_change, frame.upstreams_change));
+      b,
+      wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
+                        frame.leaving, piece_list, taken, done_list, cancelled,
+                        release_list, backlog_list, placement_list, placed_list,
+                        prompts_read, ended, frame.config_change,
+                        frame.upstreams_change, follow, relay, change_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -191,8 +294,7 @@
   frame.sequence = f.sequence();
   frame.acknowledged = f.acknowledged();
   frame.leaving = f.leaving();
-  frame.config_change = f.config_change();
-  frame.upstreams_change = f.upstreams_change();
+  ReadStoreParts(f, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
--- a/libs/peer/src/peer_link.cc
+++ b/libs/peer/src/peer_link.cc
@@ -78,12 +78,18 @@
   return next_;
 }
 
+void PeerLink::Greet() {
+  greets_ = true;
+  outgoing();
+}
+
 void PeerLink::Flush() {
   if (!alive_) return;
   Frame frame = std::exchange(next_, {});
   frame.sender = std::exchange(sender_, {});
   frame.acknowledged = seen_sequence_;
-  if (!frame.pieces.empty() || !frame.placements.empty()) {
+  const bool greets = std::exchange(greets_, false);
+  if (greets || !frame.pieces.empty() || !frame.placements.empty()) {
     frame.sequence = ++sent_sequence_;
     if (!ack_timeout_.isActive()) ack_timeout_.start(kAckTimeout);
   }
--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -4,9 +4,9 @@
 #include <QTimer>
 #include <chrono>
 #include <functional>
-#include <span>
 #include <string>
 
+#include "turmeric/store/change_batch.h"
 #include "turmeric/store/object_source.h"
 
 namespace turmeric::store {
@@ -14,19 +14,19 @@
 /** What a reflector reports. */
 struct ReflectorEvents {
   /** A full list; `outage` is how long nothing had been heard before it. */
-  std::function<void(std::span<const SourceObject>,
-                     std::chrono::milliseconds outage)>
+  std::function<void(const SourceBatch&, std::chrono::milliseconds outage)>
       on_list;
-  /** One change. `outage` as above, for the first after a gap. */
-  std::function<void(const SourceObject&, std::chrono::milliseconds outage)>
-      on_change;
+  /** Changes, none or some. `outage` as above, for the first after a gap. */
+  std::function<void(const ChangeBatch&, std::chrono::milliseconds outage)>
+      on_changes;
   /** The store answers again, or has stopped answering. */
   std::function<void(bool reachable, const std::string& why)> on_reachable;
 };
 
 /**
  * Follows all objects of one kind: lists them, waits for changes, lists anew
- * when the history is gone. One call to the store at a time.
+ * when the history is gone. One call to the store at a time. It can rest
+ * while the changes come another way, and goes on from what is known then.
  */
 class Reflector : public QObject {
  public:
@@ -49,6 +49,16 @@
   void Follow(const Reflector& lead) { lead_ = &lead; }
   /** Begins with a list. */
   void Start();
+  /** @param resting true: no further call, except one for CatchUp. */
+  void Rest(bool resting);
+  /** @param patient true: others find out when the store is back; while it is
+   * away this one asks seldom. */
+  void set_patient(bool patient);
+  /** All changes up to this revision have come another way.
+   * @param revision the store's. */
+  void AdvanceTo(int64_t revision);
+  /** Changes are missing: asks the store for them once, also while resting. */
+  void CatchUp();
   /**
    * Somebody else has seen a change of the kind. If our watch does not bring it
    * within a moment, it is lost, and another one is begun.
@@ -58,8 +68,6 @@
   /** To be called several times a second: begins another watch if the one that
    * waits has been waiting for longer than it should by now. */
   void CheckWait();
-  /** @return the newest change seen, by its revision; 0: none. */
-  int64_t newest_change() const { return newest_change_; }
   /** @return true once a list was read. */
   bool synced() const { return synced_; }
   /** @return true while the store answers. */
@@ -72,10 +80,10 @@
   void List();
   void Watch();
   void OnListed(const utils::Result<SourceBatch>& batch);
-  void OnChanges(const utils::Result<SourceBatch>& batch);
+  void OnChanges(int64_t follows, const utils::Result<SourceBatch>& batch);
+  void Continue(std::chrono::milliseconds pause);
   void Heard();
   void OnError(const utils::Error& error);
-  void NoteSeen(std::span<const SourceObject> objects);
   void WatchAnew();
   std::chrono::milliseconds UsualWait() const;
   std::chrono::milliseconds Outage() const;
@@ -88,13 +96,17 @@
   QTimer again_;
   QTimer behind_;
   bool list_next_ = true;
+  bool resting_ = false;
+  bool patient_ = false;
+  bool catch_up_ = false;         ///< One watch is wanted while resting.
+  bool was_catching_up_ = false;  ///< The open call is that one.
   bool synced_ = false;
   bool reachable_ = false;
   int failures_ = 0;
   int64_t revision_ = 0;
-  int64_t newest_change_ = 0;
   int64_t elsewhere_ = 0;      ///< The newest change that others have seen.
-  bool waiting_ = false;       ///< A watch is open.
+  bool calling_ = false;       ///< A call is open.
+  bool waiting_ = false;       ///< It is a watch.
   uint64_t watch_number_ = 0;  ///< Tells the open watch from those given up.
   std::chrono::steady_clock::time_point called_at_;
   std::chrono::steady_clock::time_point anew_at_;
--- /dev/null
+++ b/libs/store/src/change_history.cc
@@ -0,0 +1,39 @@
+#include "turmeric/store/change_history.h"
+
+#include <algorithm>
+
+namespace turmeric::store {
+
+void ChangeHistory::Add(const ChangeBatch& batch) {
+  if (batch.revision <= revision_) return;
+  // A batch that does not join on what is here begins a new history.
+  if (batch.follows > revision_ || revision_ == 0) {
+    batches_.clear();
+    objects_ = 0;
+    first_ = batch.follows;
+  }
+  revision_ = batch.revision;
+  if (batch.objects.empty()) return;
+  batches_.push_back(batch);
+  objects_ += batch.objects.size();
+  while (objects_ > most_ && !batches_.empty()) {
+    first_ = batches_.front().revision;
+    objects_ -= batches_.front().objects.size();
+    batches_.pop_front();
+  }
+}
+
+std::optional<ChangeBatch> ChangeHistory::Since(int64_t revision) const {
+  if (revision_ == 0 || revision < first_) return std::nullopt;
+  ChangeBatch changes{.follows = revision,
+                      .revision = std::max(revision, revision_),
+                      .objects = {}};
+  for (const ChangeBatch& batch : batches_) {
+    if (batch.revision <= revision) continue;
+    changes.objects.insert(changes.objects.end(), batch.objects.begin(),
+                           batch.objects.end());
+  }
+  return changes;
+}
+
+}  // namespace turmeric::store
--- /dev/null
+++ b/libs/store/src/kind_replica.cc
@@ -0,0 +1,65 @@
+#include "turmeric/store/kind_replica.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace turmeric::store {
+
+bool KindReplica::IsNew(const SourceObject& object) const {
+  const auto it = held_.find(object.name);
+  if (object.deleted) {
+    // The store may tell a deletion by the revision of the last change before,
+    // so it is new as long as nothing later is held under the name.
+    return it != held_.end() && object.revision >= it->second;
+  }
+  // A list of several pages may hold objects newer than its revision; changes
+  // between the two that come later must not take them back.
+  const int64_t held = it == held_.end() ? 0 : it->second;
+  return !synced_ || object.revision > std::max(revision_, held);
+}
+
+void KindReplica::Note(const SourceObject& object) {
+  if (object.deleted) {
+    held_.erase(object.name);
+  } else {
+    held_[object.name] = object.revision;
+  }
+  newest_change_ = std::max(newest_change_, object.revision);
+}
+
+std::optional<ChangeBatch> KindReplica::MergeList(const SourceBatch& list) {
+  if (synced_ && list.revision < revision_) return std::nullopt;
+  ChangeBatch changes{
+      .follows = revision_, .revision = list.revision, .objects = {}};
+  std::set<std::string_view> listed;
+  for (const SourceObject& object : list.objects) {
+    listed.insert(object.name);
+    if (IsNew(object)) changes.objects.push_back(object);
+  }
+  for (const auto& [name, revision] : held_) {
+    if (listed.contains(name)) continue;
+    changes.objects.push_back(
+        {.name = name, .spec = {}, .revision = revision, .deleted = true});
+  }
+  std::ranges::for_each(changes.objects,
+                        [this](const SourceObject& o) { Note(o); });
+  revision_ = list.revision;
+  synced_ = true;
+  return changes;
+}
+
+KindReplica::Merged KindReplica::Merge(const ChangeBatch& batch) {
+  if (!synced_ || batch.follows > revision_) return {Outcome::kGap, {}};
+  if (batch.revision <= revision_) return {};
+  Merged merged{Outcome::kMerged, {}};
+  for (const SourceObject& object : batch.objects) {
+    if (!IsNew(object)) continue;
+    Note(object);
+    merged.news.push_back(object);
+  }
+  revision_ = batch.revision;
+  return merged;
+}
+
+}  // namespace turmeric::store
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -31,6 +31,12 @@
 /** Wait of a watch while the store is not answering: it only asks whether
  * the store is back, and its loss must cost little. */
 constexpr milliseconds kProbeWait{100};
+/** How much later than others a change may come another way before the store
+ * is asked for it: relays pass it on as soon as one of them has seen it. */
+constexpr milliseconds kBehindWhileResting{1000};
+/** Time between two calls to a store that is away, for one of many that rely
+ * on others to find out that it is back. */
+constexpr milliseconds kPatientPeriod{2500};
 /** Pause after a change before waiting for the next: well below the two
  * seconds in which a change must be in force. */
 constexpr milliseconds kCoalesce{400};
@@ -48,14 +54,55 @@
   again_.setSingleShot(true);
   behind_.setSingleShot(true);
   connect(&behind_, &QTimer::timeout, this, [this] {
-    if (waiting_ && elsewhere_ > revision_) WatchAnew();
+    if (elsewhere_ <= revision_) return;
+    if (waiting_) return WatchAnew();
+    if (resting_) CatchUp();
   });
   connect(&again_, &QTimer::timeout, this, [this] { CallAgain(); });
 }
 
 void Reflector::Start() { List(); }
 
+void Reflector::Rest(bool resting) {
+  if (std::exchange(resting_, resting) == resting || !synced_) return;
+  if (resting) return;
+  // What failed before it rested says nothing of the store now, and counted as
+  // an outage it would keep upstreams that have left.
+  reachable_ = true;
+  failures_ = 0;
+  heard_at_ = steady_clock::now();
+  if (!calling_ && !again_.isActive()) CallAgain();
+}
+
+void Reflector::set_patient(bool patient) {
+  const bool was_patient = std::exchange(patient_, patient);
+  if (was_patient && !patient && again_.isActive()) again_.start(kLeadCheck);
+}
+
+void Reflector::AdvanceTo(int64_t revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+void Reflector::CatchUp() {
+  if (waiting_ && was_catching_up_) return;
+  catch_up_ = true;
+  if (calling_ || again_.isActive()) return;
+  const auto now = steady_clock::now();
+  const auto since = std::chrono::duration_cast<milliseconds>(now - anew_at_);
+  if (since < kAnewPause) return again_.start(kAnewPause - since);
+  anew_at_ = now;
+  CallAgain();
+}
+
+// Begins the next call after a pause, unless there is none to make.
+void Reflector::Continue(milliseconds pause) {
+  if (resting_ && !catch_up_) return;
+  if (pause > milliseconds(0)) return again_.start(pause);
+  CallAgain();
+}
+
 void Reflector::CallAgain() {
+  if (resting_ && !catch_up_ && synced_) return;
   // A store that is away is asked by every instance several times a second; one
   // of its reflectors is enough for that.
   const bool lead_asks =
@@ -66,6 +113,7 @@
 
 void Reflector::List() {
   called_at_ = steady_clock::now();
+  calling_ = true;
   source_.List(kind_, ObjectSource::Freshness::kLinearizable,
                [this](const auto& batch) { OnListed(batch); });
 }
@@ -74,13 +122,17 @@
   // Guard: a call sent just before a silent store returns is never answered.
   // With the full wait it would be given up seconds after the return, and a
   // configuration accepted meanwhile would come into force too late.
-  const milliseconds wait = reachable_ ? UsualWait() : kProbeWait;
+  const bool only_asks = !reachable_ || resting_;
+  const milliseconds wait = only_asks ? kProbeWait : UsualWait();
   called_at_ = steady_clock::now();
+  calling_ = true;
   waiting_ = true;
-  source_.Watch(kind_, revision_, wait,
-                [this, number = ++watch_number_](const auto& batch) {
-                  if (number == watch_number_) OnChanges(batch);
-                });
+  was_catching_up_ = std::exchange(catch_up_, false);
+  source_.Watch(
+      kind_, revision_, wait,
+      [this, number = ++watch_number_, from = revision_](const auto& batch) {
+        if (number == watch_number_) OnChanges(from, batch);
+      });
 }
 
 milliseconds Reflector::UsualWait() const {
@@ -96,26 +148,21 @@
 
 void Reflector::NoteChangeElsewhere(int64_t revision) {
   elsewhere_ = std::max(elsewhere_, revision);
-  if (!waiting_ || elsewhere_ <= revision_ || behind_.isActive()) return;
-  behind_.start(kBehindFor);
+  const bool could_act = waiting_ || resting_;
+  if (!could_act || elsewhere_ <= revision_ || behind_.isActive()) return;
+  behind_.start(resting_ ? kBehindWhileResting : kBehindFor);
 }
 
 // Guard: a long watch that is lost with a silent store shows only at its end.
 // Long ones are begun while other instances are heard, which would tell of
 // changes; once they are not, the watch must not go on for longer than usual.
 void Reflector::CheckWait() {
-  if (!waiting_ || !reachable_) return;
+  if (!waiting_ || !reachable_ || resting_) return;
   const auto waited = std::chrono::duration_cast<milliseconds>(
       steady_clock::now() - called_at_);
   if (waited > UsualWait() + kWatchOverdue) WatchAnew();
 }
 
-void Reflector::NoteSeen(std::span<const SourceObject> objects) {
-  for (const SourceObject& object : objects) {
-    newest_change_ = std::max(newest_change_, object.revision);
-  }
-}
-
 milliseconds Reflector::Outage() const {
   if (reachable_ || !synced_) return milliseconds(0);
   return std::chrono::duration_cast<milliseconds>(steady_clock::now() -
@@ -129,32 +176,34 @@
 }
 
 void Reflector::OnListed(const utils::Result<SourceBatch>& batch) {
+  calling_ = false;
   if (!batch) return OnError(batch.error());
   const milliseconds outage = Outage();
   Heard();
   synced_ = true;
   list_next_ = false;
-  revision_ = batch.value().revision;
-  NoteSeen(batch.value().objects);
-  events_.on_list(batch.value().objects, outage);
-  Watch();
+  AdvanceTo(batch.value().revision);
+  events_.on_list(batch.value(), outage);
+  Continue(milliseconds(0));
 }
 
-void Reflector::OnChanges(const utils::Result<SourceBatch>& batch) {
+void Reflector::OnChanges(int64_t follows,
+                          const utils::Result<SourceBatch>& batch) {
+  calling_ = false;
   waiting_ = false;
   if (!batch) return OnError(batch.error());
   const milliseconds outage = Outage();
   Heard();
-  revision_ = std::max(revision_, batch.value().revision);
-  NoteSeen(batch.value().objects);
-  for (const SourceObject& object : batch.value().objects) {
-    events_.on_change(object, outage);
-  }
+  const SourceBatch& answer = batch.value();
+  AdvanceTo(answer.revision);
+  events_.on_changes({.follows = follows,
+                      .revision = std::max(follows, answer.revision),
+                      .objects = answer.objects},
+                     outage);
   // Changes come in series (upstreams replaced one after the other, stores of
   // settings): what follows within the pause comes with one call instead of
   // one each.
-  if (batch.value().objects.empty()) return Watch();
-  again_.start(kCoalesce);
+  Continue(answer.objects.empty() ? milliseconds(0) : kCoalesce);
 }
 
 void Reflector::OnError(const utils::Error& error) {
@@ -163,13 +212,18 @@
     return List();
   }
   ++failures_;
+  catch_up_ = catch_up_ || was_catching_up_;
   const bool was_reachable = std::exchange(reachable_, false);
   if (was_reachable || failures_ == 1) {
     events_.on_reachable(false, error.detail);
   }
   const auto call_took = std::chrono::duration_cast<milliseconds>(
       steady_clock::now() - called_at_);
-  again_.start(PauseAfterFailure(failures_, call_took, DrawSpread()));
+  const double spread = DrawSpread();
+  const milliseconds pause = PauseAfterFailure(failures_, call_took, spread);
+  if (!patient_ || !synced_) return again_.start(pause);
+  again_.start(std::max(pause, std::chrono::duration_cast<milliseconds>(
+                                   kPatientPeriod * spread)));
 }
 
 }  // namespace turmeric::store
