Relays answer before there is a configuration; a first list is no history

Cause: relays said nothing until a configuration was written, so at a fleet's start every instance passed all of them by and watched the store itself. relay_protocol_test found that a restarted relay passed its first list on as changes since the beginning: a follower kept what had been deleted. kind_replica_test has it alone. Change: a relay answers once it has read the store; a first list follows nothing but itself.

--- a/libs/entry/include/turmeric/entry/store_relay.h
+++ b/libs/entry/include/turmeric/entry/store_relay.h
@@ -34,6 +34,9 @@
    */
   void OnFollow(const std::string& follower, const peer::FollowRequest& request,
                 const peer::RelayStatus& status, Clock::time_point now);
+  /** @param expects true: followers may come at any moment, and changes are
+   * remembered for them. */
+  void set_expects_followers(bool expects) { expects_followers_ = expects; }
   /** Changes were merged here. @param kind theirs. @param batch they.
    * @param status our state. */
   void OnMerged(peer::StoreKind kind, const store::ChangeBatch& batch,
@@ -56,6 +59,7 @@
               int64_t known);
 
   FrameTo frame_to_;
+  bool expects_followers_ = false;
   std::array<store::ChangeHistory, kKinds> histories_;
   std::map<std::string, Follower> followers_;
 };
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -74,6 +74,8 @@
   int64_t revision(peer::StoreKind kind) const;
   /** @return the newest changes known. */
   StoreNews::Seen newest() const;
+  /** @return true once the store was read, also if it holds no table yet. */
+  bool read() const;
   /** @return true once both a table and the upstreams were read. */
   bool complete() const;
   /** @param callback called when complete() turns true. */
--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -13,8 +13,8 @@
 namespace {
 
 /** Objects remembered for a follower that comes from another relay: what a
- * release of some tens of upstreams changes within seconds. */
-constexpr size_t kHistory = 128;
+ * fleet of hundreds of upstreams writes when it starts. */
+constexpr size_t kHistory = 512;
 /** A follower that has not asked again for so long has gone or follows
  * others; it asks every second or two. */
 constexpr milliseconds kForgetAfter{5000};
@@ -74,7 +74,11 @@
 
 void StoreRelay::OnMerged(StoreKind kind, const store::ChangeBatch& batch,
                           const peer::RelayStatus& status) {
-  HistoryOf(kind).Add(batch);
+  if (expects_followers_ || !followers_.empty()) {
+    HistoryOf(kind).Add(batch);
+  } else {
+    HistoryOf(kind).BeginAt(batch.revision);
+  }
   if (batch.objects.empty() || followers_.empty()) return;
   const std::vector<peer::StoreObject> objects = ToWire(batch.objects);
   for (auto& [name, follower] : followers_) {
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -52,6 +52,7 @@
   preferred_ = SourcesFor(fleet, context_.settings.name);
   const auto relays = RelaysOfZone(fleet, context_.settings.zone);
   ranked_relay_ = std::ranges::count(relays, context_.settings.name) > 0;
+  relay_.set_expects_followers(ranked_relay_);
   feed_.set_watchers(CountRelays(fleet));
   if (tick_.isActive()) Decide();
 }
@@ -164,7 +165,7 @@
 }
 
 std::optional<peer::RelayStatus> StoreSharing::Status() const {
-  if (!feed_.complete()) return std::nullopt;
+  if (!feed_.read()) return std::nullopt;
   const auto now = Clock::now();
   peer::RelayStatus status{
       .store_age = policy_.StoreAge(feed_.store_heard(), now),
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -144,6 +144,11 @@
           kinds_.at(StoreKind::kUpstreams).replica.newest_change()};
 }
 
+bool TopologyFeed::read() const {
+  return std::ranges::all_of(
+      kinds_, [](const auto& kind) { return kind.second.replica.synced(); });
+}
+
 bool TopologyFeed::complete() const {
   return context_.table != nullptr && context_.upstreams_known;
 }
--- a/libs/entry/test/store_relay_test.cc
+++ b/libs/entry/test/store_relay_test.cc
@@ -42,6 +42,8 @@
                    {}, kNow);
   }
 
+  Relay() { relay.set_expects_followers(true); }
+
   std::map<std::string, Frame> frames;
   StoreRelay relay{[this](const std::string& name) { return &frames[name]; }};
 };
@@ -79,6 +81,19 @@
   REQUIRE(frame.store_changes[0].objects.empty());
 }
 
+// Story: three hundred instances that nobody follows would each keep hundreds
+// of entries in memory.
+TEST_CASE("without followers nothing is remembered") {
+  Relay r;
+  r.relay.set_expects_followers(false);
+  r.Merge(10, 12, "a");
+  r.Follow("f", 10);
+  REQUIRE(r.Take("f").store_changes[0].follows == 12);
+  r.Merge(12, 14, "b");
+  r.Follow("g", 12);
+  REQUIRE(r.Take("g").store_changes[0].objects.size() == 1);
+}
+
 // Story: other kinds of objects change, and the store's revision grows. Each
 // batch must join on what the follower was told last.
 TEST_CASE("a beat tells how far the store is known") {
--- a/libs/store/include/turmeric/store/change_history.h
+++ b/libs/store/include/turmeric/store/change_history.h
@@ -19,6 +19,8 @@
 
   /** @param batch changes that were merged, in the order of merging. */
   void Add(const ChangeBatch& batch);
+  /** Nobody needs changes up to this revision. @param revision the store's. */
+  void BeginAt(int64_t revision);
   /**
    * @param revision up to which somebody knows all changes.
    * @return the changes after it; nullopt if some are no longer remembered.
--- a/libs/store/include/turmeric/store/kind_replica.h
+++ b/libs/store/include/turmeric/store/kind_replica.h
@@ -32,7 +32,8 @@
   /**
    * Takes over a full list of the store.
    * @param list all objects there are. @return the changes that lead from what
-   *     was known to the list; nullopt if it is older than what is known.
+   *     was known to the list; of a first list its objects, as changes that
+   *     follow nothing but itself; nullopt if it is older than what is known.
    */
   std::optional<ChangeBatch> MergeList(const SourceBatch& list);
   /** @param batch changes. @return what is new in them. */
--- a/libs/store/src/change_history.cc
+++ b/libs/store/src/change_history.cc
@@ -4,16 +4,19 @@
 
 namespace turmeric::store {
 
+void ChangeHistory::BeginAt(int64_t revision) {
+  batches_.clear();
+  objects_ = 0;
+  first_ = revision;
+  revision_ = revision;
+}
+
 void ChangeHistory::Add(const ChangeBatch& batch) {
   if (batch.revision <= revision_) return;
   // A batch that does not join on what is here begins a new history.
-  if (batch.follows > revision_ || revision_ == 0) {
-    batches_.clear();
-    objects_ = 0;
-    first_ = batch.follows;
-  }
+  if (batch.follows > revision_ || revision_ == 0) BeginAt(batch.follows);
   revision_ = batch.revision;
-  if (batch.objects.empty()) return;
+  if (batch.objects.empty() || batch.follows == batch.revision) return;
   batches_.push_back(batch);
   objects_ += batch.objects.size();
   while (objects_ > most_ && !batches_.empty()) {
--- a/libs/store/src/kind_replica.cc
+++ b/libs/store/src/kind_replica.cc
@@ -30,8 +30,12 @@
 
 std::optional<ChangeBatch> KindReplica::MergeList(const SourceBatch& list) {
   if (synced_ && list.revision < revision_) return std::nullopt;
-  ChangeBatch changes{
-      .follows = revision_, .revision = list.revision, .objects = {}};
+  // A first list holds no changes: what was deleted before it is not told.
+  // Passed on as changes since the beginning, it would leave a follower with
+  // upstreams that are gone.
+  ChangeBatch changes{.follows = synced_ ? revision_ : list.revision,
+                      .revision = list.revision,
+                      .objects = {}};
   std::set<std::string_view> listed;
   for (const SourceObject& object : list.objects) {
     listed.insert(object.name);
--- a/libs/store/test/kind_replica_test.cc
+++ b/libs/store/test/kind_replica_test.cc
@@ -119,6 +119,18 @@
   REQUIRE(history.Since(12)->objects.size() == 3);
 }
 
+// Story: a relay restarts and lists the store. A follower that knew an upstream
+// which has gone meanwhile asks it for what it missed: the list does not tell
+// that the upstream is gone, so the follower must see a gap.
+TEST_CASE("a first list is no history") {
+  KindReplica relay;
+  ChangeHistory history(10);
+  history.Add(*relay.MergeList(
+      {.objects = {Object("a", 4), Object("b", 8)}, .revision = 10}));
+  REQUIRE_FALSE(history.Since(5));
+  REQUIRE(history.Since(10)->objects.empty());
+}
+
 // A store whose objects are written and deleted in any order, and an instance
 // that gets any parts of its history, in any order, again and again, lists
 // among them: it always holds what the store held at its revision, and the
