--- a/libs/entry/include/turmeric/entry/relay_choice.h
+++ b/libs/entry/include/turmeric/entry/relay_choice.h
@@ -28,8 +28,8 @@
  * Whom an instance asks for the store's changes: relays of its zone first,
  * each instance in an order of its own so that relays share the work; then
  * those that would be relays if the first were gone, then other zones'. A
- * relay's second choice is in another zone, so that what one zone's relays
- * cannot read reaches them from there.
+ * relay asks relays only, the second in another zone, so that what one zone's
+ * relays cannot read reaches them from there.
  * @param instances the fleet. @param self our name, one of them.
  * @return names in the order of preference; empty if there is nobody else.
  */
--- a/libs/entry/src/relay_choice.cc
+++ b/libs/entry/src/relay_choice.cc
@@ -95,14 +95,15 @@
   ShuffleFor(self, near);
   ShuffleFor(self, far);
   std::vector<std::string> order = std::move(near);
+  if (is_relay) {
+    // One source in the own zone, the next elsewhere. A relay asks no
+    // substitutes: it follows the store, and they would have to for its sake.
+    const auto second = order.begin() + (order.empty() ? 0 : 1);
+    order.insert(second, far.begin(), far.end());
+    return order;
+  }
   std::ranges::move(substitutes, std::back_inserter(order));
   std::ranges::move(far, std::back_inserter(order));
-  if (!is_relay || order.empty()) return order;
-  const auto elsewhere = std::ranges::find_if(
-      order, [&](const auto& name) { return instances.at(name).zone != zone; });
-  const bool has_choice =
-      elsewhere != order.end() && elsewhere - order.begin() > 1;
-  if (has_choice) std::rotate(order.begin() + 1, elsewhere, elsewhere + 1);
   return order;
 }
 
--- a/libs/entry/test/relay_choice_test.cc
+++ b/libs/entry/test/relay_choice_test.cc
@@ -77,6 +77,12 @@
   }
 }
 
+TEST_CASE("a relay asks relays only") {
+  const Instances fleet = MakeFleet(1, 20, 0);
+  const auto relays = RelaysOfZone(fleet, "zone-0");
+  REQUIRE(SourcesFor(fleet, relays[0]) == std::vector<std::string>{relays[1]});
+}
+
 TEST_CASE("an instance alone in its zone follows another zone's relays") {
   Instances fleet = MakeFleet(2, 3, 0);
   fleet["alone"] = {.address = "10.0.0.1:1", .zone = "far", .cpu_share = 0.1};
