--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -48,7 +48,7 @@
   void SetInstances(const Instances& fleet);
   /** @param name an instance that has a connection to us, or had. @param
    * presence what that says of it. */
-  void OnSeen(const std::string& name, Presence presence);
+  void OnSeen(std::string_view name, Presence presence);
   /** A planned stop: all are told, and we own nothing any more. */
   void Leave();
 
@@ -73,7 +73,7 @@
     std::string address;
     peer::PeerLink* link = nullptr;
     Clock::time_point used;
-    bool leaving = false;
+    Clock::time_point leaving_till;  ///< It has begun a planned stop.
     bool down = false;  ///< Not reached; not asked until it is heard again.
     int failures = 0;   ///< Connections in a row that failed.
     Clock::time_point retry_at;
@@ -84,6 +84,7 @@
   peer::PeerLink& Connect(const std::string& name, Instance& instance);
   void OnFrame(const std::string& name, peer::Frame&& frame);
   void OnEnd(const std::string& name, std::string_view why);
+  Clock::time_point LeavingTill() const;
   void NoteDown(Instance& instance);
   void RetryDown();
   void CloseUnused();
@@ -91,7 +92,8 @@
   EntryContext& context_;
   std::string identity_;  ///< Our name and which start of it this is.
   Events events_;
-  std::map<std::string, Instance> instances_;  ///< By name, without us.
+  /** By name, without us. */
+  std::map<std::string, Instance, std::less<>> instances_;
   QTimer retry_;
   bool leaving_ = false;
 };
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/presence_book.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "turmeric/peer/frame.h"
+
+namespace turmeric::entry {
+
+/**
+ * An instance's name and which start of it this is, "name#start"; starts of one
+ * instance are in the order of time as texts.
+ */
+struct Identity {
+  std::string_view name;
+  std::string_view start;
+};
+
+/** @param identity as told by an instance. @return its parts. */
+Identity ParseIdentity(std::string_view identity);
+
+/** @param name ours. @return an identity for this start of us. */
+std::string MakeIdentity(std::string_view name);
+
+/**
+ * Which instances have started or are leaving, as they tell by way of others.
+ * Says what is news, so that each piece of news is passed on once: without
+ * connections of each to each, an owner that stops or is back would be found
+ * out by every instance alone, and its queue be in several places meanwhile.
+ */
+class PresenceBook {
+ public:
+  /** @param presence of an instance. @return true if it is news. */
+  bool Learn(const peer::PresenceNews& presence);
+
+ private:
+  struct Known {
+    std::string start;
+    bool leaving = false;
+  };
+  std::map<std::string, Known, std::less<>> known_;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/store_relay.h
+++ b/libs/entry/include/turmeric/entry/store_relay.h
@@ -41,6 +41,8 @@
    * @param status our state. */
   void OnMerged(peer::StoreKind kind, const store::ChangeBatch& batch,
                 const peer::RelayStatus& status);
+  /** @param presence news of an instance, told to all followers. */
+  void PassOn(const peer::PresenceNews& presence);
   /** Tells followers that we are at work and how far we know the store.
    * @param status our state. @param now the time. */
   void Beat(const peer::RelayStatus& status, Clock::time_point now);
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/presence_book.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
-#include "turmeric/utils/random_id.h"
 
 namespace turmeric::entry {
 
@@ -17,8 +17,8 @@
 /** Fleet size assumed for the retry budget before the list is read: above
  * the fleets in use, so that too little is spent, not too much. */
 constexpr int kUnknownFleet = 16;
-/** Enough to tell two starts of one instance apart. */
-constexpr size_t kIdentityDigits = 8;
+/** How much longer than its stop grace an instance that leaves may be there. */
+constexpr milliseconds kLeavingSlack{1000};
 /** An instance that was not reached is tried again after this, doubled with
  * each further time. One that restarts is back within a second. */
 constexpr milliseconds kFirstRetry{250};
@@ -35,9 +35,7 @@
 }  // namespace
 
 InstanceLinks::InstanceLinks(EntryContext& context)
-    : context_(context),
-      identity_(context.settings.name + "#" +
-                utils::RandomHex(kIdentityDigits)) {
+    : context_(context), identity_(MakeIdentity(context.settings.name)) {
   context_.retries.set_live_instances(kUnknownFleet);
   retry_.setInterval(kRetryCheck);
   connect(&retry_, &QTimer::timeout, this, [this] { RetryDown(); });
@@ -70,7 +68,7 @@
       leaving_ ? 0 : routing::RendezvousWeight(key, context_.settings.name);
   uint64_t best_down = best;
   for (auto& [name, instance] : instances_) {
-    if (instance.leaving) continue;
+    if (now < instance.leaving_till) continue;
     const uint64_t weight = routing::RendezvousWeight(key, name);
     if (instance.down) {
       if (weight <= best_down) continue;
@@ -122,7 +120,7 @@
 
 bool InstanceLinks::leaving(const std::string& name) const {
   const auto it = instances_.find(name);
-  return it != instances_.end() && it->second.leaving;
+  return it != instances_.end() && Clock::now() < it->second.leaving_till;
 }
 
 size_t InstanceLinks::open() const {
@@ -135,7 +133,7 @@
   Instance& instance = instances_[name];
   instance.down = false;
   instance.failures = 0;
-  instance.leaving = frame.leaving || instance.leaving;
+  if (frame.leaving) instance.leaving_till = LeavingTill();
   context_.news.Hear(frame, Clock::now());
   events_.on_frame(name, std::move(frame));
 }
@@ -155,7 +153,7 @@
   // owners would fill half calls each. It is tried once more.
   const bool again_there = instance.link->heard() && !instance.link->silent();
   std::exchange(instance.link, nullptr)->deleteLater();
-  instance.leaving = false;
+  instance.leaving_till = {};
   if (!again_there) NoteDown(instance);
   utils::DecisionLog("peer_lost")
       .Add("peer", name)
@@ -188,13 +186,17 @@
   if (!any_missed) retry_.stop();
 }
 
-void InstanceLinks::OnSeen(const std::string& name, Presence presence) {
+// Guard: news that an instance has restarted may be lost. Taken as leaving for
+// ever, it would own nothing here and everything elsewhere.
+InstanceLinks::Clock::time_point InstanceLinks::LeavingTill() const {
+  return Clock::now() + context_.settings.stop_grace + kLeavingSlack;
+}
+
+void InstanceLinks::OnSeen(std::string_view name, Presence presence) {
   const auto it = instances_.find(name);
   if (it == instances_.end()) return;
-  // Guard: who has left is there again under its name some time later, and need
-  // not connect to us then. Taken as leaving for ever, it would own nothing
-  // here and everything elsewhere.
-  it->second.leaving = presence == Presence::kLeaving;
+  const bool leaves = presence == Presence::kLeaving;
+  it->second.leaving_till = leaves ? LeavingTill() : Clock::time_point();
   if (presence != Presence::kHere) return;
   it->second.down = false;
   it->second.failures = 0;
--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -95,6 +95,13 @@
   }
 }
 
+void StoreRelay::PassOn(const peer::PresenceNews& presence) {
+  for (const auto& [name, follower] : followers_) {
+    peer::Frame* frame = frame_to_(name);
+    if (frame != nullptr) frame->presences.push_back(presence);
+  }
+}
+
 void StoreRelay::Beat(const peer::RelayStatus& status, Clock::time_point now) {
   std::erase_if(followers_, [now](const auto& entry) {
     return now - entry.second.asked > kForgetAfter;
