Content too large for all followers is left to them; packed on the way

Change: one batch takes at most 256 KiB to all followers, compressed; what is larger is told as a gap, and followers read it from the store.

--- a/libs/entry/include/turmeric/entry/presence_book.h
+++ b/libs/entry/include/turmeric/entry/presence_book.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "turmeric/peer/frame.h"
 
@@ -31,13 +33,20 @@
  */
 class PresenceBook {
  public:
-  /** @param presence of an instance. @return true if it is news. */
-  bool Learn(const peer::PresenceNews& presence);
+  using Clock = std::chrono::steady_clock;
+
+  /** @param presence of an instance. @param now the time. @return true if it is
+   * news. */
+  bool Learn(const peer::PresenceNews& presence, Clock::time_point now);
+  /** @param now the time. @return what was learnt lately: who has just started
+   * does not know who is leaving, and would give them work. */
+  std::vector<peer::PresenceNews> Recent(Clock::time_point now) const;
 
  private:
   struct Known {
     std::string start;
     bool leaving = false;
+    Clock::time_point learnt;
   };
   std::map<std::string, Known, std::less<>> known_;
 };
--- a/libs/entry/src/presence_book.cc
+++ b/libs/entry/src/presence_book.cc
@@ -15,6 +15,8 @@
 constexpr int kTimeDigits = 12;
 /** Tells starts within one millisecond apart. */
 constexpr size_t kRandomDigits = 4;
+/** A planned stop is over within this. */
+constexpr std::chrono::seconds kRecent{15};
 
 }  // namespace
 
@@ -34,13 +36,14 @@
   return out.str();
 }
 
-bool PresenceBook::Learn(const peer::PresenceNews& presence) {
+bool PresenceBook::Learn(const peer::PresenceNews& presence,
+                         Clock::time_point now) {
   const Identity identity = ParseIdentity(presence.identity);
   if (identity.name.empty() || identity.start.empty()) return false;
   const auto it = known_.find(identity.name);
   if (it == known_.end()) {
     known_.emplace(identity.name,
-                   Known{std::string(identity.start), presence.leaving});
+                   Known{std::string(identity.start), presence.leaving, now});
     return true;
   }
   Known& known = it->second;
@@ -49,8 +52,18 @@
   const bool is_later = identity.start > known.start;
   const bool begins_to_leave = presence.leaving && !known.leaving;
   if (!is_later && !begins_to_leave) return false;
-  known = {std::string(identity.start), presence.leaving};
+  known = {std::string(identity.start), presence.leaving, now};
   return true;
 }
 
+std::vector<peer::PresenceNews> PresenceBook::Recent(
+    Clock::time_point now) const {
+  std::vector<peer::PresenceNews> recent;
+  for (const auto& [name, known] : known_) {
+    if (now - known.learnt > kRecent) continue;
+    recent.push_back({name + kSeparator + known.start, known.leaving});
+  }
+  return recent;
+}
+
 }  // namespace turmeric::entry
--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -1,8 +1,11 @@
 #include "turmeric/entry/store_relay.h"
 
 #include <QJsonDocument>
+#include <QtEndian>
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace turmeric::entry {
@@ -18,6 +21,14 @@
 /** A follower that has not asked again for so long has gone or follows
  * others; it asks every second or two. */
 constexpr milliseconds kForgetAfter{5000};
+/** Most bytes that one batch takes to all followers: a tenth of a second of a
+ * small instance's link. More than that, in a series of large configurations,
+ * would pile up before the link and reach followers seconds late. */
+constexpr size_t kMostBytes = 256 * 1024;
+/** Content from here on is compressed, bytes. */
+constexpr qsizetype kPackFrom = 512;
+/** Largest content that is unpacked, bytes: larger than the platform takes. */
+constexpr uint32_t kMostUnpacked = 16 * 1024 * 1024;
 
 constexpr std::array kBothKinds = {StoreKind::kConfig, StoreKind::kUpstreams};
 
@@ -26,6 +37,29 @@
                                     : request.upstreams_revision;
 }
 
+size_t BytesOf(const std::vector<peer::StoreObject>& objects) {
+  return std::transform_reduce(
+      objects.begin(), objects.end(), size_t{0}, std::plus(),
+      [](const peer::StoreObject& o) { return o.name.size() + o.spec.size(); });
+}
+
+/** @return the bytes unpacked; empty if they cannot be. */
+QByteArray Unpack(const std::string& packed) {
+  const QByteArray bytes = QByteArray::fromStdString(packed);
+  // The length stands before the content and decides how much is allocated.
+  constexpr qsizetype kLengthBytes = 4;
+  if (bytes.size() < kLengthBytes) return {};
+  if (qFromBigEndian<uint32_t>(bytes.constData()) > kMostUnpacked) return {};
+  return qUncompress(bytes);
+}
+
+/** What a follower sees as a gap, and reads from the store: for changes that
+ * are not remembered or too large to be passed on to all. */
+peer::StoreChanges GapAt(StoreKind kind, int64_t revision) {
+  return {
+      .kind = kind, .follows = revision, .revision = revision, .objects = {}};
+}
+
 }  // namespace
 
 StoreRelay::StoreRelay(FrameTo frame_to)
@@ -40,6 +74,7 @@
 void StoreRelay::OnFollow(const std::string& follower,
                           const peer::FollowRequest& request,
                           const peer::RelayStatus& status,
+                          std::span<const peer::PresenceNews> presences,
                           Clock::time_point now) {
   if (!request.wanted) {
     followers_.erase(follower);
@@ -53,6 +88,8 @@
   for (const StoreKind kind : kBothKinds) {
     Resync(*frame, it->second, kind, KnownOf(request, kind));
   }
+  frame->presences.insert(frame->presences.end(), presences.begin(),
+                          presences.end());
   frame->relay = status;
 }
 
@@ -62,14 +99,17 @@
   const int64_t revision = history.revision();
   follower.sent.at(static_cast<size_t>(kind)) = revision;
   if (known >= revision) return;
-  // Without the changes between, the follower sees a gap and reads them from
-  // the store.
-  const auto changes = history.Since(known).value_or(store::ChangeBatch{
-      .follows = revision, .revision = revision, .objects = {}});
+  const auto changes = history.Since(known);
+  const auto objects =
+      changes ? ToWire(changes->objects) : std::vector<peer::StoreObject>();
+  if (!changes || BytesOf(objects) > kMostBytes) {
+    frame.store_changes.push_back(GapAt(kind, revision));
+    return;
+  }
   frame.store_changes.push_back({.kind = kind,
-                                 .follows = changes.follows,
+                                 .follows = changes->follows,
                                  .revision = revision,
-                                 .objects = ToWire(changes.objects)});
+                                 .objects = objects});
 }
 
 void StoreRelay::OnMerged(StoreKind kind, const store::ChangeBatch& batch,
@@ -81,14 +121,19 @@
   }
   if (batch.objects.empty() || followers_.empty()) return;
   const std::vector<peer::StoreObject> objects = ToWire(batch.objects);
+  const bool too_large = BytesOf(objects) * followers_.size() > kMostBytes;
   for (auto& [name, follower] : followers_) {
     peer::Frame* frame = frame_to_(name);
     if (frame == nullptr) continue;
     int64_t& sent = follower.sent.at(static_cast<size_t>(kind));
-    frame->store_changes.push_back({.kind = kind,
-                                    .follows = sent,
-                                    .revision = batch.revision,
-                                    .objects = objects});
+    if (too_large) {
+      frame->store_changes.push_back(GapAt(kind, batch.revision));
+    } else {
+      frame->store_changes.push_back({.kind = kind,
+                                      .follows = sent,
+                                      .revision = batch.revision,
+                                      .objects = objects});
+    }
     // Whether an outage has just ended decides about what is missing.
     frame->relay = status;
     sent = batch.revision;
@@ -128,11 +173,15 @@
   std::vector<peer::StoreObject> out;
   std::ranges::transform(
       objects, std::back_inserter(out), [](const store::SourceObject& o) {
-        const QByteArray spec =
-            o.deleted ? QByteArray()
-                      : QJsonDocument(o.spec).toJson(QJsonDocument::Compact);
+        QByteArray spec;
+        if (!o.deleted) {
+          spec = QJsonDocument(o.spec).toJson(QJsonDocument::Compact);
+        }
+        const bool packed = spec.size() >= kPackFrom;
+        if (packed) spec = qCompress(spec);
         return peer::StoreObject{.name = o.name,
                                  .spec = spec.toStdString(),
+                                 .packed = packed,
                                  .revision = o.revision,
                                  .deleted = o.deleted};
       });
@@ -148,8 +197,9 @@
                                .revision = o.revision,
                                .deleted = o.deleted};
     if (!o.deleted) {
-      const QJsonDocument spec =
-          QJsonDocument::fromJson(QByteArray::fromStdString(o.spec));
+      const QByteArray text =
+          o.packed ? Unpack(o.spec) : QByteArray::fromStdString(o.spec);
+      const QJsonDocument spec = QJsonDocument::fromJson(text);
       if (!spec.isObject()) return std::nullopt;
       object.spec = spec.object();
     }
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -133,7 +133,8 @@
   // Until all was read there is nothing to pass on; who asks finds another.
   const auto status = Status();
   if (!status) return;
-  relay_.OnFollow(follower, request, *status, Clock::now());
+  const auto now = Clock::now();
+  relay_.OnFollow(follower, request, *status, presences_.Recent(now), now);
   if (had_followers || relay_.followers() == 0 || ranked_relay_) return;
   utils::DecisionLog("relays_for_others").Add("first", follower);
 }
@@ -147,9 +148,8 @@
 
 void StoreSharing::Learn(const peer::PresenceNews& presence) {
   const Identity identity = ParseIdentity(presence.identity);
-  if (identity.name == context_.settings.name || !presences_.Learn(presence)) {
-    return;
-  }
+  if (identity.name == context_.settings.name) return;
+  if (!presences_.Learn(presence, Clock::now())) return;
   links_.OnSeen(identity.name,
                 presence.leaving ? Presence::kLeaving : Presence::kHere);
   relay_.PassOn(presence);
--- a/libs/entry/test/store_relay_test.cc
+++ b/libs/entry/test/store_relay_test.cc
@@ -39,7 +39,7 @@
                     .resync = resync,
                     .config_revision = known,
                     .upstreams_revision = known},
-                   {}, kNow);
+                   {}, {}, kNow);
   }
 
   Relay() { relay.set_expects_followers(true); }
@@ -120,7 +120,7 @@
   r.relay.Beat({}, kNow + 6s);
   REQUIRE(r.relay.followers() == 0);
   r.Follow("f", 0);
-  r.relay.OnFollow("f", {.wanted = false}, {}, kNow);
+  r.relay.OnFollow("f", {.wanted = false}, {}, {}, kNow);
   REQUIRE(r.relay.followers() == 0);
 }
 
@@ -140,7 +140,7 @@
       .kind = StoreKind::kConfig,
       .follows = 1,
       .revision = 2,
-      .objects = {{.name = "a", .spec = "[1", .revision = 2}}};
+      .objects = {{.name = "a", .spec = "[1", .packed = false, .revision = 2}}};
   REQUIRE_FALSE(FromWire(changes));
   changes.objects[0].spec = R"({"version":3})";
   REQUIRE(FromWire(changes)->objects[0].spec["version"].toInt() == 3);
@@ -148,3 +148,46 @@
       .name = "a", .spec = "", .revision = 2, .deleted = true};
   REQUIRE(FromWire(changes)->objects[0].deleted);
 }
+
+// Story: configurations of some hundred routes come in quick succession. Passed
+// on to thirty followers each, they wait before the relay's link, and followers
+// act on a version that is five seconds old.
+TEST_CASE("what is too large for all followers is left to them to read") {
+  Relay r;
+  for (int i = 0; i < 30; ++i) r.Follow("f" + std::to_string(i), 0);
+  r.frames.clear();
+  QJsonObject spec;
+  std::string noise;
+  uint32_t state = 1;
+  for (int i = 0; i < 20000; ++i) {
+    state = state * 1664525 + 1013904223;
+    noise.push_back(static_cast<char>('a' + (state >> 24) % 26));
+  }
+  spec["routes"] = QString::fromStdString(noise);
+  const ChangeBatch batch{
+      10,
+      12,
+      {SourceObject{
+          .name = "main", .spec = spec, .revision = 12, .deleted = false}}};
+  r.relay.OnMerged(StoreKind::kConfig, batch, {});
+  const Frame notice = r.Take("f3");
+  REQUIRE(notice.store_changes[0].objects.empty());
+  REQUIRE(notice.store_changes[0].follows == 12);
+}
+
+TEST_CASE("large content is packed on the way") {
+  const QJsonObject spec{{"text", QString(5000, 'x')}};
+  const auto wire = turmeric::entry::ToWire({SourceObject{
+      .name = "main", .spec = spec, .revision = 12, .deleted = false}});
+  REQUIRE(wire[0].packed);
+  REQUIRE(wire[0].spec.size() < 200);
+  turmeric::peer::StoreChanges changes{.kind = StoreKind::kConfig,
+                                       .follows = 1,
+                                       .revision = 12,
+                                       .objects = wire};
+  REQUIRE(FromWire(changes)->objects[0].spec == spec);
+  changes.objects[0].spec[0] = '\x7f';  // Claims two gigabytes.
+  REQUIRE_FALSE(FromWire(changes));
+  changes.objects[0].spec = "x";
+  REQUIRE_FALSE(FromWire(changes));
+}
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -71,6 +71,7 @@
 struct StoreObject {
   std::string name;
   std::string spec;      ///< JSON text; empty if deleted.
+  bool packed = false;   ///< The text is compressed.
   int64_t revision = 0;  ///< Store-wide revision of its last change.
   bool deleted = false;
 };
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -768,8 +768,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_SPEC = 6,
-    VT_REVISION = 8,
-    VT_DELETED = 10
+    VT_PACKED = 8,
+    VT_REVISION = 10,
+    VT_DELETED = 12
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -777,6 +778,9 @@
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
   }
+  bool packed() const {
+    return GetField<uint8_t>(VT_PACKED, 0) != 0;
+  }
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
   }
@@ -789,6 +793,7 @@
            verifier.VerifyString(name()) &&
            VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyString(spec()) &&
+           VerifyField<uint8_t>(verifier, VT_PACKED, 1) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
            verifier.EndTable();
@@ -805,6 +810,9 @@
   void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
     fbb_.AddOffset(StoreObject::VT_SPEC, spec);
   }
+  void add_packed(bool packed) {
+    fbb_.AddElement<uint8_t>(StoreObject::VT_PACKED, static_cast<uint8_t>(packed), 0);
+  }
   void add_revision(int64_t revision) {
     fbb_.AddElement<int64_t>(StoreObject::VT_REVISION, revision, 0);
   }
@@ -826,6 +834,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     flatbuffers::Offset<flatbuffers::String> spec = 0,
+    bool packed = false,
     int64_t revision = 0,
     bool deleted = false) {
   StoreObjectBuilder builder_(_fbb);
@@ -833,6 +842,7 @@
   builder_.add_spec(spec);
   builder_.add_name(name);
   builder_.add_deleted(deleted);
+  builder_.add_packed(packed);
   return builder_.Finish();
 }
 
@@ -840,6 +850,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
     const char *spec = nullptr,
+    bool packed = false,
     int64_t revision = 0,
     bool deleted = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
@@ -848,6 +859,7 @@
       _fbb,
       name__,
       spec__,
+      packed,
       revision,
       deleted);
 }
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -161,6 +161,7 @@
                          [](const auto* o) {
                            return StoreObject{.name = Text(o->name()),
                                               .spec = Text(o->spec()),
+                                              .packed = o->packed(),
                                               .revision = o->revision(),
                                               .deleted = o->deleted()};
                          });
