--- a/libs/entry/test/store_relay_test.cc
+++ b/libs/entry/test/store_relay_test.cc
@@ -185,6 +185,12 @@
                                        .follows = 1,
                                        .revision = 12,
                                        .objects = wire};
+  Frame frame;
+  frame.store_changes.push_back(changes);
+  const auto sent =
+      turmeric::peer::Decode(turmeric::peer::Encode(frame, kNow), kNow);
+  REQUIRE(sent);
+  REQUIRE(FromWire(sent->store_changes[0])->objects[0].spec == spec);
   REQUIRE(FromWire(changes)->objects[0].spec == spec);
   changes.objects[0].spec[0] = '\x7f';  // Claims two gigabytes.
   REQUIRE_FALSE(FromWire(changes));
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -139,8 +139,8 @@
   std::ranges::transform(
       changes.objects, std::back_inserter(objects), [&b](const StoreObject& o) {
         return wire::CreateStoreObject(b, b.CreateString(o.name),
-                                       b.CreateString(o.spec), o.revision,
-                                       o.deleted);
+                                       b.CreateString(o.spec), o.packed,
+                                       o.revision, o.deleted);
       });
   return wire::CreateStoreChanges(b, static_cast<int8_t>(changes.kind),
                                   changes.follows, changes.revision,
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -54,6 +54,28 @@
   frame.ended = {{14, turmeric::routing::Outcome::kNotSent}, {15, {}}};
   frame.config_change = 530;
   frame.upstreams_change = 1LL << 40;
+  frame.follow = {.wanted = true,
+                  .resync = true,
+                  .config_revision = 16,
+                  .upstreams_revision = 17};
+  frame.relay = {.store_age = 250ms,
+                 .outage_ended = 3s,
+                 .config_revision = 18,
+                 .upstreams_revision = 19};
+  frame.store_changes.push_back({.kind = turmeric::peer::StoreKind::kUpstreams,
+                                 .follows = 20,
+                                 .revision = 23,
+                                 .objects = {{.name = "i-3",
+                                              .spec = "{}",
+                                              .packed = false,
+                                              .revision = 21,
+                                              .deleted = false},
+                                             {.name = "i-4",
+                                              .spec = std::string("\0x", 2),
+                                              .packed = true,
+                                              .revision = 22,
+                                              .deleted = true}}});
+  frame.presences.push_back({.identity = "entry-2#01", .leaving = true});
   return frame;
 }
 
@@ -86,6 +108,44 @@
   REQUIRE_FALSE(frame->ended[1].outcome);
 }
 
+TEST_CASE("what is passed on of the store is read as it was written") {
+  const Clock::time_point now = Clock::now();
+  const auto frame = Decode(Encode(MakeFrame(now), now), now);
+  REQUIRE(frame);
+  REQUIRE(frame->follow->resync);
+  REQUIRE(frame->follow->config_revision == 16);
+  REQUIRE(frame->follow->upstreams_revision == 17);
+  REQUIRE(frame->relay->store_age == 250ms);
+  REQUIRE(frame->relay->outage_ended == 3s);
+  REQUIRE(frame->relay->config_revision == 18);
+  REQUIRE(frame->relay->upstreams_revision == 19);
+  REQUIRE(frame->store_changes.size() == 1);
+  const auto& changes = frame->store_changes[0];
+  REQUIRE(changes.kind == turmeric::peer::StoreKind::kUpstreams);
+  REQUIRE(changes.follows == 20);
+  REQUIRE(changes.revision == 23);
+  REQUIRE(changes.objects.size() == 2);
+  REQUIRE(changes.objects[0].name == "i-3");
+  REQUIRE(changes.objects[0].spec == "{}");
+  REQUIRE_FALSE(changes.objects[0].packed);
+  REQUIRE(changes.objects[0].revision == 21);
+  REQUIRE_FALSE(changes.objects[0].deleted);
+  REQUIRE(changes.objects[1].spec == std::string("\0x", 2));
+  REQUIRE(changes.objects[1].packed);
+  REQUIRE(changes.objects[1].deleted);
+  REQUIRE(frame->presences[0].identity == "entry-2#01");
+  REQUIRE(frame->presences[0].leaving);
+}
+
+TEST_CASE("a frame that passes nothing on says so") {
+  const Clock::time_point now = Clock::now();
+  const auto frame = Decode(Encode(Frame{}, now), now);
+  REQUIRE(frame);
+  REQUIRE_FALSE(frame->follow);
+  REQUIRE_FALSE(frame->relay);
+  REQUIRE(frame->store_changes.empty());
+}
+
 // Story: two instances' clocks differ by any amount. Times cross as what is
 // left, so a piece is due at the same distance on both.
 TEST_CASE("times are counted from when a frame arrives") {
