--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -285,12 +285,12 @@
   const Offset<wire::RelayStatus> relay =
       frame.relay ? Write(b, *frame.relay) : 0;
   wire::FinishFrameBuffer(
-      b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
-                           frame.leaving, piece_list, taken, done_list,
-                           cancelled, release_list, backlog_list,
-                           placement_list, placed_list, prompts_read, ended,
-                           frame.config_change, frame.upstreams_change, follow,
-                           relay, change_list, presence_list));
+      b,
+      wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
+                        frame.leaving, piece_list, taken, done_list, cancelled,
+                        release_list, backlog_list, placement_list, placed_list,
+                        prompts_read, ended, frame.config_change,
+                        frame.upstreams_change, follow, relay, change_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
