Each instance connects to each once, as before; starts and stops by them

Change: the first connection to each instance is back, the news of starts and stops by relays goes. What was split out (InstanceLinks, greeting instances that are down) stays.

--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -24,9 +24,9 @@
 
 /**
  * The other instances of the fleet, which of them can be reached, and the
- * connections that we open to them: only to those that are needed, closed once
- * they are not. In a fleet of hundreds a connection of each to each would cost
- * a restarted instance its first seconds.
+ * connections that we open to them. Each is connected to once, so that all know
+ * at the same time who is here again and who leaves: found out by every
+ * instance alone, the queue of an owner would be in several places meanwhile.
  */
 class InstanceLinks : public QObject {
  public:
@@ -48,7 +48,7 @@
   void SetInstances(const Instances& fleet);
   /** @param name an instance that has a connection to us, or had. @param
    * presence what that says of it. */
-  void OnSeen(std::string_view name, Presence presence);
+  void OnSeen(const std::string& name, Presence presence);
   /** A planned stop: all are told, and we own nothing any more. */
   void Leave();
 
@@ -72,8 +72,7 @@
   struct Instance {
     std::string address;
     peer::PeerLink* link = nullptr;
-    Clock::time_point used;
-    Clock::time_point leaving_till;  ///< It has begun a planned stop.
+    bool leaving = false;
     bool down = false;  ///< Not reached; not asked until it is heard again.
     int failures = 0;   ///< Connections in a row that failed.
     Clock::time_point retry_at;
@@ -84,16 +83,13 @@
   peer::PeerLink& Connect(const std::string& name, Instance& instance);
   void OnFrame(const std::string& name, peer::Frame&& frame);
   void OnEnd(const std::string& name, std::string_view why);
-  Clock::time_point LeavingTill() const;
   void NoteDown(Instance& instance);
   void RetryDown();
-  void CloseUnused();
 
   EntryContext& context_;
   std::string identity_;  ///< Our name and which start of it this is.
   Events events_;
-  /** By name, without us. */
-  std::map<std::string, Instance, std::less<>> instances_;
+  std::map<std::string, Instance> instances_;  ///< By name, without us.
   QTimer retry_;
   bool leaving_ = false;
 };
--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -27,7 +27,7 @@
  public:
   /** Told what an instance's connection to us says of it. */
   using SeenCallback =
-      std::function<void(const std::string& identity, Presence presence)>;
+      std::function<void(const std::string& name, Presence presence)>;
   /** Told that a guest asks for the store's changes. */
   using FollowCallback = std::function<void(const std::string& identity,
                                             const peer::FollowRequest&)>;
--- a/libs/entry/include/turmeric/entry/store_relay.h
+++ b/libs/entry/include/turmeric/entry/store_relay.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <functional>
 #include <map>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -31,13 +30,10 @@
   /**
    * An instance asks for changes, asks again, or needs them no more.
    * @param follower who, by one start of it. @param request what it wants.
-   * @param status our state, told with the answer. @param presences what a
-   *     new follower may have missed. @param now the time.
+   * @param status our state, told with the answer. @param now the time.
    */
   void OnFollow(const std::string& follower, const peer::FollowRequest& request,
-                const peer::RelayStatus& status,
-                std::span<const peer::PresenceNews> presences,
-                Clock::time_point now);
+                const peer::RelayStatus& status, Clock::time_point now);
   /** @param expects true: followers may come at any moment, and changes are
    * remembered for them. */
   void set_expects_followers(bool expects) { expects_followers_ = expects; }
@@ -45,8 +41,6 @@
    * @param status our state. */
   void OnMerged(peer::StoreKind kind, const store::ChangeBatch& batch,
                 const peer::RelayStatus& status);
-  /** @param presence news of an instance, told to all followers. */
-  void PassOn(const peer::PresenceNews& presence);
   /** Tells followers that we are at work and how far we know the store.
    * @param status our state. @param now the time. */
   void Beat(const peer::RelayStatus& status, Clock::time_point now);
--- a/libs/entry/include/turmeric/entry/store_sharing.h
+++ b/libs/entry/include/turmeric/entry/store_sharing.h
@@ -8,7 +8,6 @@
 
 #include "turmeric/entry/follow_policy.h"
 #include "turmeric/entry/instance_info.h"
-#include "turmeric/entry/presence_book.h"
 #include "turmeric/entry/store_relay.h"
 #include "turmeric/peer/frame.h"
 
@@ -16,14 +15,12 @@
 
 struct EntryContext;
 class InstanceLinks;
-enum class Presence;
 class TopologyFeed;
 
 /**
- * Shares between instances what the platform's store says and who of them has
- * started or is leaving: asks relays for it, and passes on what is new here to
- * those that ask us. Joins the decisions of FollowPolicy, StoreRelay and
- * PresenceBook with the connections.
+ * Shares what the platform's store says between instances: asks relays for its
+ * changes, and passes on what is in force here to those that ask us. Joins the
+ * decisions of FollowPolicy and StoreRelay with the connections.
  */
 class StoreSharing : public QObject {
  public:
@@ -41,9 +38,6 @@
    * @param request what it wants. */
   void OnFollow(const std::string& follower,
                 const peer::FollowRequest& request);
-  /** @param identity one start of an instance. @param presence what its
-   * connection to us says of it. */
-  void OnSeen(const std::string& identity, Presence presence);
   /** @param name an instance that we have a connection to. @param frame from
    * it. */
   void OnFrame(const std::string& name, const peer::Frame& frame);
@@ -53,7 +47,6 @@
  private:
   using Clock = std::chrono::steady_clock;
 
-  void Learn(const peer::PresenceNews& presence);
   void Tick();
   void Decide();
   void Ask(const std::string& name, bool resync);
@@ -70,7 +63,6 @@
   TopologyFeed& feed_;
   FollowPolicy policy_;
   StoreRelay relay_;
-  PresenceBook presences_;
   std::optional<std::vector<std::string>> preferred_;
   bool ranked_relay_ = false;
   std::string_view watch_why_;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -9,7 +9,6 @@
 #include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/piece_host.h"
 #include "turmeric/entry/placement_desk.h"
-#include "turmeric/entry/presence_book.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
@@ -55,9 +54,8 @@
       placer_(std::make_unique<EnginePlacer>(context_, *links_, *desk_)),
       host_(std::make_unique<PieceHost>(
           *dispatcher_, *desk_, context_.news,
-          [this](const std::string& identity, Presence presence) {
-            links_->OnSeen(ParseIdentity(identity).name, presence);
-            sharing_->OnSeen(identity, presence);
+          [this](const std::string& name, Presence presence) {
+            links_->OnSeen(name, presence);
           })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)),
       sharing_(std::make_unique<StoreSharing>(
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
-#include "turmeric/entry/presence_book.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
+#include "turmeric/utils/random_id.h"
 
 namespace turmeric::entry {
 
@@ -17,8 +17,8 @@
 /** Fleet size assumed for the retry budget before the list is read: above
  * the fleets in use, so that too little is spent, not too much. */
 constexpr int kUnknownFleet = 16;
-/** How much longer than its stop grace an instance that leaves may be there. */
-constexpr milliseconds kLeavingSlack{1000};
+/** Enough to tell two starts of one instance apart. */
+constexpr size_t kIdentityDigits = 8;
 /** An instance that was not reached is tried again after this, doubled with
  * each further time. One that restarts is back within a second. */
 constexpr milliseconds kFirstRetry{250};
@@ -28,14 +28,13 @@
 constexpr milliseconds kRetryCheck{100};
 /** Only an instance that something was for within this is tried again. */
 constexpr milliseconds kMissedLately{10000};
-/** A connection that nothing was sent on for longer is closed: no request
- * lasts so long. */
-constexpr milliseconds kUnusedFor{30000};
 
 }  // namespace
 
 InstanceLinks::InstanceLinks(EntryContext& context)
-    : context_(context), identity_(MakeIdentity(context.settings.name)) {
+    : context_(context),
+      identity_(context.settings.name + "#" +
+                utils::RandomHex(kIdentityDigits)) {
   context_.retries.set_live_instances(kUnknownFleet);
   retry_.setInterval(kRetryCheck);
   connect(&retry_, &QTimer::timeout, this, [this] { RetryDown(); });
@@ -43,21 +42,14 @@
 
 void InstanceLinks::SetInstances(const Instances& fleet) {
   for (const auto& [name, info] : fleet) {
-    if (name != context_.settings.name) {
-      instances_[name].address = info.address;
-    }
+    if (name == context_.settings.name) continue;
+    const bool is_new = !instances_.contains(name);
+    Instance& instance = instances_[name];
+    instance.address = info.address;
+    // A first connection tells the other that we are here (again).
+    if (is_new) Connect(name, instance).outgoing();
   }
   context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
-  CloseUnused();
-}
-
-void InstanceLinks::CloseUnused() {
-  const auto now = Clock::now();
-  for (auto& [name, instance] : instances_) {
-    if (instance.link == nullptr || now - instance.used < kUnusedFor) continue;
-    instance.link->Close();
-    std::exchange(instance.link, nullptr)->deleteLater();
-  }
 }
 
 std::optional<std::string> InstanceLinks::OwnerOf(const std::string& key) {
@@ -68,7 +60,7 @@
       leaving_ ? 0 : routing::RendezvousWeight(key, context_.settings.name);
   uint64_t best_down = best;
   for (auto& [name, instance] : instances_) {
-    if (now < instance.leaving_till) continue;
+    if (instance.leaving) continue;
     const uint64_t weight = routing::RendezvousWeight(key, name);
     if (instance.down) {
       if (weight <= best_down) continue;
@@ -95,13 +87,11 @@
 peer::PeerLink* InstanceLinks::Find(const std::string& name) {
   const auto it = instances_.find(name);
   if (it == instances_.end() || it->second.link == nullptr) return nullptr;
-  it->second.used = Clock::now();
   return it->second.link;
 }
 
 peer::PeerLink& InstanceLinks::Connect(const std::string& name,
                                        Instance& instance) {
-  instance.used = Clock::now();
   if (instance.link != nullptr) return *instance.link;
   instance.link = new peer::PeerLink(
       http::ParseEndpoint(instance.address), identity_,
@@ -120,7 +110,7 @@
 
 bool InstanceLinks::leaving(const std::string& name) const {
   const auto it = instances_.find(name);
-  return it != instances_.end() && Clock::now() < it->second.leaving_till;
+  return it != instances_.end() && it->second.leaving;
 }
 
 size_t InstanceLinks::open() const {
@@ -133,7 +123,7 @@
   Instance& instance = instances_[name];
   instance.down = false;
   instance.failures = 0;
-  if (frame.leaving) instance.leaving_till = LeavingTill();
+  instance.leaving = frame.leaving || instance.leaving;
   context_.news.Hear(frame, Clock::now());
   events_.on_frame(name, std::move(frame));
 }
@@ -153,7 +143,7 @@
   // owners would fill half calls each. It is tried once more.
   const bool again_there = instance.link->heard() && !instance.link->silent();
   std::exchange(instance.link, nullptr)->deleteLater();
-  instance.leaving_till = {};
+  instance.leaving = false;
   if (!again_there) NoteDown(instance);
   utils::DecisionLog("peer_lost")
       .Add("peer", name)
@@ -186,17 +176,10 @@
   if (!any_missed) retry_.stop();
 }
 
-// Guard: news that an instance has restarted may be lost. Taken as leaving for
-// ever, it would own nothing here and everything elsewhere.
-InstanceLinks::Clock::time_point InstanceLinks::LeavingTill() const {
-  return Clock::now() + context_.settings.stop_grace + kLeavingSlack;
-}
-
-void InstanceLinks::OnSeen(std::string_view name, Presence presence) {
+void InstanceLinks::OnSeen(const std::string& name, Presence presence) {
   const auto it = instances_.find(name);
   if (it == instances_.end()) return;
-  const bool leaves = presence == Presence::kLeaving;
-  it->second.leaving_till = leaves ? LeavingTill() : Clock::time_point();
+  it->second.leaving = presence == Presence::kLeaving;
   if (presence != Presence::kHere) return;
   it->second.down = false;
   it->second.failures = 0;
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -24,6 +24,11 @@
  * quota may pause for a tenth of a second. */
 constexpr milliseconds kResultTravels{100};
 
+/** @return the instance's name in an identity "name#start". */
+std::string NameOf(const std::string& identity) {
+  return identity.substr(0, identity.rfind('#'));
+}
+
 }  // namespace
 
 /** One start of another instance, and its pieces here. */
@@ -109,7 +114,8 @@
   news_.Hear(frame, Clock::now());
   Guest& guest = GuestOf(link, identity);
   if (!frame.sender.empty() || frame.leaving) {
-    on_seen_(identity, frame.leaving ? Presence::kLeaving : Presence::kHere);
+    on_seen_(NameOf(identity),
+             frame.leaving ? Presence::kLeaving : Presence::kHere);
   }
   if (frame.follow && on_follow_) on_follow_(identity, *frame.follow);
   Place(identity, frame, guest);
@@ -211,7 +217,7 @@
   if (it == guests_.end() || it->second->link != link) return;
   it->second->link = nullptr;
   it->second->absent_since = Clock::now();
-  on_seen_(identity, Presence::kGone);
+  on_seen_(NameOf(identity), Presence::kGone);
 }
 
 peer::Frame* PieceHost::FrameTo(const std::string& identity) {
--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -74,7 +74,6 @@
 void StoreRelay::OnFollow(const std::string& follower,
                           const peer::FollowRequest& request,
                           const peer::RelayStatus& status,
-                          std::span<const peer::PresenceNews> presences,
                           Clock::time_point now) {
   if (!request.wanted) {
     followers_.erase(follower);
@@ -88,8 +87,6 @@
   for (const StoreKind kind : kBothKinds) {
     Resync(*frame, it->second, kind, KnownOf(request, kind));
   }
-  frame->presences.insert(frame->presences.end(), presences.begin(),
-                          presences.end());
   frame->relay = status;
 }
 
@@ -140,13 +137,6 @@
   }
 }
 
-void StoreRelay::PassOn(const peer::PresenceNews& presence) {
-  for (const auto& [name, follower] : followers_) {
-    peer::Frame* frame = frame_to_(name);
-    if (frame != nullptr) frame->presences.push_back(presence);
-  }
-}
-
 void StoreRelay::Beat(const peer::RelayStatus& status, Clock::time_point now) {
   std::erase_if(followers_, [now](const auto& entry) {
     return now - entry.second.asked > kForgetAfter;
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -133,28 +133,11 @@
   // Until all was read there is nothing to pass on; who asks finds another.
   const auto status = Status();
   if (!status) return;
-  const auto now = Clock::now();
-  relay_.OnFollow(follower, request, *status, presences_.Recent(now), now);
+  relay_.OnFollow(follower, request, *status, Clock::now());
   if (had_followers || relay_.followers() == 0 || ranked_relay_) return;
   utils::DecisionLog("relays_for_others").Add("first", follower);
 }
 
-void StoreSharing::OnSeen(const std::string& identity, Presence presence) {
-  // That a connection has ended says nothing to others: the instance may have
-  // closed it.
-  if (presence == Presence::kGone) return;
-  Learn({identity, presence == Presence::kLeaving});
-}
-
-void StoreSharing::Learn(const peer::PresenceNews& presence) {
-  const Identity identity = ParseIdentity(presence.identity);
-  if (identity.name == context_.settings.name) return;
-  if (!presences_.Learn(presence, Clock::now())) return;
-  links_.OnSeen(identity.name,
-                presence.leaving ? Presence::kLeaving : Presence::kHere);
-  relay_.PassOn(presence);
-}
-
 void StoreSharing::OnFrame(const std::string& name, const peer::Frame& frame) {
   if (!policy_.Asks(name)) return;
   const auto now = Clock::now();
@@ -164,7 +147,6 @@
   for (const peer::StoreChanges& changes : frame.store_changes) {
     feed_.Merge(name, changes);
   }
-  for (const peer::PresenceNews& presence : frame.presences) Learn(presence);
   if (frame.relay) {
     policy_.OnHeard(name, frame.relay->store_age, IsBehind(*frame.relay), now);
   }
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -103,12 +103,6 @@
   int64_t upstreams_revision = 0;
 };
 
-/** Another instance has started or begun a planned stop. */
-struct PresenceNews {
-  std::string identity;  ///< Its name and which start of it this is.
-  bool leaving = false;
-};
-
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Set in the first frame only.
@@ -132,7 +126,6 @@
   std::optional<FollowRequest> follow;
   std::optional<RelayStatus> relay;
   std::vector<StoreChanges> store_changes;
-  std::vector<PresenceNews> presences;  ///< Of other instances, passed on.
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -50,9 +50,6 @@
 struct RelayStatus;
 struct RelayStatusBuilder;
 
-struct Presence;
-struct PresenceBuilder;
-
 struct Frame;
 struct FrameBuilder;
 
@@ -1094,69 +1091,6 @@
   return builder_.Finish();
 }
 
-struct Presence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef PresenceBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_IDENTITY = 4,
-    VT_LEAVING = 6
-  };
-  const flatbuffers::String *identity() const {
-    return GetPointer<const flatbuffers::String *>(VT_IDENTITY);
-  }
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_IDENTITY) &&
-           verifier.VerifyString(identity()) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           verifier.EndTable();
-  }
-};
-
-struct PresenceBuilder {
-  typedef Presence Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_identity(flatbuffers::Offset<flatbuffers::String> identity) {
-    fbb_.AddOffset(Presence::VT_IDENTITY, identity);
-  }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(Presence::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
-  }
-  explicit PresenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<Presence> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Presence>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<Presence> CreatePresence(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> identity = 0,
-    bool leaving = false) {
-  PresenceBuilder builder_(_fbb);
-  builder_.add_identity(identity);
-  builder_.add_leaving(leaving);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<Presence> CreatePresenceDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *identity = nullptr,
-    bool leaving = false) {
-  auto identity__ = identity ? _fbb.CreateString(identity) : 0;
-  return turmeric::peer::wire::CreatePresence(
-      _fbb,
-      identity__,
-      leaving);
-}
-
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1178,8 +1112,7 @@
     VT_UPSTREAMS_CHANGE = 34,
     VT_FOLLOW = 36,
     VT_RELAY = 38,
-    VT_STORE_CHANGES = 40,
-    VT_PRESENCES = 42
+    VT_STORE_CHANGES = 40
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1238,9 +1171,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *>(VT_STORE_CHANGES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Presence>> *presences() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Presence>> *>(VT_PRESENCES);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1284,9 +1214,6 @@
            VerifyOffset(verifier, VT_STORE_CHANGES) &&
            verifier.VerifyVector(store_changes()) &&
            verifier.VerifyVectorOfTables(store_changes()) &&
-           VerifyOffset(verifier, VT_PRESENCES) &&
-           verifier.VerifyVector(presences()) &&
-           verifier.VerifyVectorOfTables(presences()) &&
            verifier.EndTable();
   }
 };
@@ -1352,9 +1279,6 @@
   void add_store_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes) {
     fbb_.AddOffset(Frame::VT_STORE_CHANGES, store_changes);
   }
-  void add_presences(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Presence>>> presences) {
-    fbb_.AddOffset(Frame::VT_PRESENCES, presences);
-  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1386,14 +1310,12 @@
     int64_t upstreams_change = 0,
     flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Presence>>> presences = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
-  builder_.add_presences(presences);
   builder_.add_store_changes(store_changes);
   builder_.add_relay(relay);
   builder_.add_follow(follow);
@@ -1432,8 +1354,7 @@
     int64_t upstreams_change = 0,
     flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Presence>> *presences = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -1446,7 +1367,6 @@
   auto prompts_read__ = prompts_read ? _fbb.CreateVector<uint64_t>(*prompts_read) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>(*ended) : 0;
   auto store_changes__ = store_changes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>(*store_changes) : 0;
-  auto presences__ = presences ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Presence>>(*presences) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -1467,8 +1387,7 @@
       upstreams_change,
       follow,
       relay,
-      store_changes__,
-      presences__);
+      store_changes__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -219,11 +219,6 @@
                       .upstreams_revision = f.follow()->upstreams_revision()};
   }
   if (f.relay() != nullptr) frame.relay = Read(*f.relay());
-  if (f.presences() != nullptr) {
-    for (const auto* p : *f.presences()) {
-      frame.presences.push_back({Text(p->identity()), p->leaving()});
-    }
-  }
   if (f.store_changes() == nullptr) return;
   for (const auto* c : *f.store_changes()) {
     if (auto changes = Read(*c)) {
@@ -274,12 +269,6 @@
     changes.push_back(Write(b, c));
   }
   const auto change_list = b.CreateVector(changes);
-  std::vector<Offset<wire::Presence>> presences;
-  for (const PresenceNews& p : frame.presences) {
-    presences.push_back(
-        wire::CreatePresence(b, b.CreateString(p.identity), p.leaving));
-  }
-  const auto presence_list = b.CreateVector(presences);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
