--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -65,8 +65,6 @@
   void GiveUp(const std::string& name);
   /** @param name an instance. @return true if it has begun a planned stop. */
   bool leaving(const std::string& name) const;
-  /** @return connections that we have opened. */
-  size_t open() const;
 
  private:
   struct Instance {
@@ -76,8 +74,8 @@
     bool down = false;  ///< Not reached; not asked until it is heard again.
     int failures = 0;   ///< Connections in a row that failed.
     Clock::time_point retry_at;
-    Clock::time_point
-        missed;  ///< When it would have been chosen, but for this.
+    /** When it would last have been chosen, had it not been down. */
+    Clock::time_point missed;
   };
 
   peer::PeerLink& Connect(const std::string& name, Instance& instance);
--- a/libs/entry/src/follow_policy.cc
+++ b/libs/entry/src/follow_policy.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace turmeric::entry {
@@ -158,7 +157,8 @@
 
 std::vector<std::string> FollowPolicy::sources() const {
   std::vector<std::string> names;
-  std::ranges::copy(std::views::keys(sources_), std::back_inserter(names));
+  std::ranges::transform(sources_, std::back_inserter(names),
+                         [](const auto& source) { return source.first; });
   return names;
 }
 
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -86,8 +86,7 @@
 
 peer::PeerLink* InstanceLinks::Find(const std::string& name) {
   const auto it = instances_.find(name);
-  if (it == instances_.end() || it->second.link == nullptr) return nullptr;
-  return it->second.link;
+  return it == instances_.end() ? nullptr : it->second.link;
 }
 
 peer::PeerLink& InstanceLinks::Connect(const std::string& name,
@@ -113,12 +112,6 @@
   return it != instances_.end() && it->second.leaving;
 }
 
-size_t InstanceLinks::open() const {
-  return static_cast<size_t>(std::ranges::count_if(
-      instances_,
-      [](const auto& entry) { return entry.second.link != nullptr; }));
-}
-
 void InstanceLinks::OnFrame(const std::string& name, peer::Frame&& frame) {
   Instance& instance = instances_[name];
   instance.down = false;
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -63,8 +63,8 @@
       .is_relay = ranked_relay_ || relay_.followers() > 0,
       .store_heard = feed_.store_heard()};
   if (situation.preferred) {
-    // One that is down is asked all the same: a relay is not among those that
-    // requests find out about.
+    // One that counts as down is asked all the same: only owners of queues and
+    // cells are tried again by themselves.
     std::erase_if(*situation.preferred, [this](const std::string& name) {
       return links_.leaving(name);
     });
