--- a/libs/entry/include/turmeric/entry/store_news.h
+++ b/libs/entry/include/turmeric/entry/store_news.h
@@ -9,10 +9,10 @@
 namespace turmeric::entry {
 
 /**
- * What instances tell each other of the platform's store: how new the changes
- * are that each has seen. An instance whose watch was lost learns from the next
- * frame of any other that it is behind, so watches may wait for long. Nothing
- * but their revision is passed on; what changed is always read from the store.
+ * How new the store's changes are that each instance knows, told with every
+ * frame between any two. An instance whose watch or relays were lost without a
+ * word learns from the next frame of any other that it is behind, and asks the
+ * store. The changes themselves are passed on by StoreRelay.
  */
 class StoreNews {
  public:
@@ -33,7 +33,7 @@
   /** @param frame of another instance. @param now the time. */
   void Hear(const peer::Frame& frame, Clock::time_point now);
   /**
-   * @param instances at work. @param now the time.
+   * @param instances that wait at the store. @param now the time.
    * @return how long a watch of the store may wait.
    */
   std::chrono::milliseconds WatchWait(int instances,
--- a/libs/entry/src/store_news.cc
+++ b/libs/entry/src/store_news.cc
@@ -17,6 +17,8 @@
  * instance tells the others: well within the second or two in which a change
  * must be in force. */
 constexpr milliseconds kFleetInterval{250};
+/** Few instances wait at the store, so a longer wait would save few calls; the
+ * end of each tells their followers that the store is still heard. */
 constexpr milliseconds kLongest{5000};
 /** Silence of the others after which their news cannot be relied on. */
 constexpr milliseconds kHeardLately{2000};
