Log lines say what a request asks for; explain crashes

An on-call reader could not tell whether one and the same request ends upstreams under many attempt ids, or whether the upstreams end for another reason with some request on them: no line named what copies share.

request_end, upstream_broke_off and upstream_did_not_run now have 'work', a hash of caller, method, host, target and body. turmericctl explain crashes lists by it the upstreams that broke off, and how many copies were answered. No decision changes.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -97,6 +97,7 @@
   routing::RouteTablePtr table_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
   Admission admission_;
+  std::string work_;  ///< What all copies of the request have in common.
   std::string service_;
   Clock::time_point arrived_;
   /** What the caller used of its time in earlier attempts. */
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -13,6 +13,7 @@
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/upstream_send.h"
 #include "turmeric/entry/wanted_upstream.h"
+#include "turmeric/quarantine/fingerprint.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -38,6 +39,17 @@
 /** Engines take priorities from 0, first, to this. */
 constexpr int kLowestEnginePriority = 9;
 
+/** @return what copies of the request have in common, whoever takes them. */
+std::string WorkOf(const CallerRequest& request,
+                   std::string_view organisation) {
+  return quarantine::Fingerprint(
+      {.caller = organisation.empty() ? request.key : organisation,
+       .method = request.method,
+       .host = request.host,
+       .target = request.target,
+       .body = request.body});
+}
+
 double Uniform() {
   static std::mt19937_64 engine{std::random_device{}()};
   return std::uniform_real_distribution<double>(0, 1)(engine);
@@ -92,6 +104,7 @@
   }
   admission_ = Admit(request_, state, arrived_);
   route_ = admission_.route;
+  work_ = WorkOf(request_, admission_.organisation);
   if (admission_.refusal == AdmissionRefusal::kNone) {
     if (!context_.Uses(Mechanism::kUsualDeadlines)) return true;
     time_used_ = context_.usual_deadlines.Used(route_->name, request_.deadline);
@@ -326,6 +339,7 @@
 void RequestRun::OnNotRun(SendEnd end) {
   utils::DecisionLog("upstream_did_not_run")
       .Add("request", request_.attempt_id)
+      .Add("work", work_)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("status", send_->head().status)
       .Add("sends", sends_)
@@ -339,6 +353,7 @@
 void RequestRun::OnBroken(std::string_view why) {
   utils::DecisionLog("upstream_broke_off")
       .Add("request", request_.attempt_id)
+      .Add("work", work_)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("why", why)
       .Add("events", relay_.events())
@@ -473,6 +488,7 @@
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
+      .Add("work", work_)
       .Add("ms", static_cast<int64_t>(ms));
 }
 
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -5,4 +5,4 @@
 set -euo pipefail
 export DEBIAN_FRONTEND=noninteractive
 apt-get update -qq
-apt-get install -y qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libflatbuffers-dev flatbuffers-compiler-dev prometheus-cpp-dev libgflags-dev libeasyloggingpp-dev libboost-dev librapidcheck-dev libbenchmark-dev catch2 cmake g++ clang-format clang-tidy
+apt-get install -y qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libflatbuffers-dev flatbuffers-compiler-dev prometheus-cpp-dev libgflags-dev libeasyloggingpp-dev libboost-dev librapidcheck-dev libbenchmark-dev libxxhash-dev catch2 cmake g++ clang-format clang-tidy
--- a/tools/turmericctl/explain_command.cc
+++ b/tools/turmericctl/explain_command.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "turmeric/insight/control_report.h"
+#include "turmeric/insight/crash_report.h"
 #include "turmeric/insight/loss_report.h"
 #include "turmeric/utils/result.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::string_view kControl = "control";
+constexpr std::string_view kCrashes = "crashes";
 
 template <class Report>
 void Read(std::istream& in, Report& report) {
@@ -52,6 +54,9 @@
   if (!all.empty() && all.front() == kControl) {
     return Explain<insight::ControlReport>(all.subspan(1));
   }
+  if (!all.empty() && all.front() == kCrashes) {
+    return Explain<insight::CrashReport>(all.subspan(1));
+  }
   return Explain<insight::LossReport>(all);
 }
 
--- a/tools/turmericctl/main.cc
+++ b/tools/turmericctl/main.cc
@@ -27,7 +27,7 @@
   gflags::SetUsageMessage(
       "turmericctl run | config get|list|set|diff KEY | load [--scenario=...] "
       "| "
-      "explain [control] LOG...");
+      "explain [control | crashes] LOG...");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   QCoreApplication app(argc, argv);
   turmeric::utils::ConfigureLogging(FLAGS_log_level);
