A send that no upstream received is none of a request's attempts

Callers of requests that may be repeated got 502 after one break-off: their first send had found an upstream that was already gone, and counted as one of the route's two attempts. Seen in the failing test of innocent requests beside a crashing one: first send refused by an ended upstream, second one broken off by another's end, no third.

MayRepeat counts the sends that reached an upstream. Not-run answers still count. Ruled out: the retry budget (the log shows no spent budget).

--- a/libs/entry/include/turmeric/entry/repeat_policy.h
+++ b/libs/entry/include/turmeric/entry/repeat_policy.h
@@ -17,7 +17,7 @@
   SendEnd end = SendEnd::kMayHaveRun;
   bool caller_waits = true;
   std::chrono::milliseconds left{0};  ///< Until the request's limit.
-  int sends = 0;                      ///< So far.
+  int reached = 0;                    ///< Sends that an upstream received.
   int max_sends = 1;  ///< As the route allows for what may have run.
   size_t tried = 0;   ///< Upstreams tried, reached or not.
 };
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -111,6 +111,7 @@
   std::unique_ptr<UpstreamSend> send_;  ///< The last; null before the first.
   std::vector<std::string> tried_;
   int sends_ = 0;
+  int unreached_ = 0;  ///< Of these, sends that no upstream received.
   bool may_have_run_ = false;
   std::optional<http::ResponseMessage> last_error_;  ///< An upstream's own.
 
--- a/libs/entry/src/repeat_policy.cc
+++ b/libs/entry/src/repeat_policy.cc
@@ -23,7 +23,7 @@
     case SendEnd::kMayHaveRun:
       break;
   }
-  return state.sends < state.max_sends ? Repeat::kFromBudget : Repeat::kNo;
+  return state.reached < state.max_sends ? Repeat::kFromBudget : Repeat::kNo;
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -327,6 +327,7 @@
 void RequestRun::OnFailure(http::ExchangeFailure failure) {
   if (failure == http::ExchangeFailure::kNotSent) {
     send_->End(Outcome::kNotSent);
+    ++unreached_;
     return OnNotRun(SendEnd::kUnreached);
   }
   may_have_run_ = true;
@@ -373,7 +374,7 @@
   const Repeat repeat = MayRepeat({.end = end,
                                    .caller_waits = answer_.caller_waits(),
                                    .left = TimeLeft(),
-                                   .sends = sends_,
+                                   .reached = sends_ - unreached_,
                                    .max_sends = route_->max_attempts,
                                    .tried = tried_.size()});
   return repeat == Repeat::kFree ||
--- a/libs/entry/test/repeat_policy_test.cc
+++ b/libs/entry/test/repeat_policy_test.cc
@@ -14,7 +14,7 @@
   return {.end = end,
           .caller_waits = true,
           .left = 1s,
-          .sends = 1,
+          .reached = 1,
           .max_sends = 1,
           .tried = 1};
 }
