--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -51,9 +51,11 @@
   kLongWatches,
   /** Few instances follow the store and pass its changes on to the others. */
   kStoreRelays,
+  /** Requests that end the upstreams which run them are refused. */
+  kQuarantine,
 };
 
-inline constexpr size_t kMechanisms = 20;
+inline constexpr size_t kMechanisms = 21;
 
 /** @param mechanism one of them. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/config/src/mechanisms.cc
+++ b/libs/config/src/mechanisms.cc
@@ -15,7 +15,7 @@
     "large_last",       "stage_times",     "early_release",
     "stages_again",     "usual_deadlines", "ejection",
     "repeats",          "try_next",        "engine_priority",
-    "long_watches",     "store_relays",
+    "long_watches",     "store_relays",    "quarantine",
 };
 
 }  // namespace
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -21,6 +21,7 @@
 
 class EnginePlacer;
 class EntryMetrics;
+class WorkQuarantine;
 
 /** What one instance knows and shares among its requests. */
 struct EntryContext {
@@ -71,6 +72,7 @@
   routing::PromptMemory prompt_memory;
   StageClient* stages = nullptr;
   EnginePlacer* placer = nullptr;
+  WorkQuarantine* quarantine = nullptr;
   EntryMetrics* metrics = nullptr;
 };
 
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -7,6 +7,7 @@
 #include <prometheus/registry.h>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -34,6 +35,8 @@
   /** @param followers instances that changes are passed on to.
    * @param store_age since the store was last heard by any path. */
   void SetStorePaths(int followers, std::chrono::milliseconds store_age);
+  /** @param works requests whose copies are refused, as they end upstreams. */
+  void SetQuarantined(size_t works);
   /** @return the text exposition. */
   std::string Render();
 
@@ -44,6 +47,7 @@
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
+  prometheus::Gauge& quarantined_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
 };
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -24,6 +24,7 @@
 class StageRouter;
 class StoreSharing;
 class TopologyFeed;
+class WorkQuarantine;
 
 /**
  * Service "entry": an instance on the platform, between callers and
@@ -72,6 +73,7 @@
   PlatformLink link_;
   EntryContext context_;
   std::unique_ptr<InstanceLinks> links_;
+  std::unique_ptr<WorkQuarantine> quarantine_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementDesk> desk_;
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -37,6 +37,8 @@
     std::function<void(const std::string& name, peer::Frame&&)> on_frame;
     /** @param again_there true: a reset, which says nothing of the instance. */
     std::function<void(const std::string& name, bool again_there)> on_lost;
+    /** @param frame the first on a new connection; may be added to. */
+    std::function<void(peer::Frame& frame)> on_connect;
   };
 
   /** @param context the instance's state; must outlive this. */
@@ -58,6 +60,8 @@
   /** @param name another instance. @return a connection to it, opened if there
    * is none; nullptr if the name is not known. */
   peer::PeerLink* Open(const std::string& name);
+  /** @param add adds to the next frame to each instance that is not down. */
+  void TellAll(const std::function<void(peer::Frame& frame)>& add);
   /** @param name another instance. @return our open connection, or nullptr. */
   peer::PeerLink* Find(const std::string& name);
   /** @param name another instance that does not answer: its connection ends,
--- a/libs/entry/include/turmeric/entry/piece_host.h
+++ b/libs/entry/include/turmeric/entry/piece_host.h
@@ -46,6 +46,16 @@
   void set_on_follow(FollowCallback callback) {
     on_follow_ = std::move(callback);
   }
+  /** @param callback gets each frame of a guest. */
+  void set_on_frame(
+      std::function<void(const std::string& identity, const peer::Frame&)>
+          callback) {
+    on_frame_ = std::move(callback);
+  }
+  /** @param callback adds to the first frame to each start of an instance. */
+  void set_on_guest(std::function<void(peer::Frame&)> callback) {
+    on_guest_ = std::move(callback);
+  }
   /** @param identity one start of an instance. @return the frame that leaves
    * next to it, or nullptr if it has no connection to us. */
   peer::Frame* FrameTo(const std::string& identity);
@@ -78,6 +88,8 @@
   StoreNews& news_;
   SeenCallback on_seen_;
   FollowCallback on_follow_;
+  std::function<void(peer::Frame&)> on_guest_;
+  std::function<void(const std::string&, const peer::Frame&)> on_frame_;
   std::unique_ptr<http::Listener> listener_;
   std::map<std::string, std::unique_ptr<Guest>> guests_;  ///< By identity.
   std::unordered_map<peer::PeerLink*, std::string> identity_of_;
--- a/libs/entry/include/turmeric/entry/platform_link.h
+++ b/libs/entry/include/turmeric/entry/platform_link.h
@@ -21,6 +21,8 @@
   std::string config_name;     ///< Name of the one object that holds it.
   std::string upstreams_kind;  ///< Kind of the upstreams' entries.
   std::string instances_kind;  ///< Our own kind: the instances at work.
+  /** Our own kind: requests that end the upstreams which run them. */
+  std::string quarantine_kind;
   std::function<std::optional<routing::RouteTable>(const QJsonObject&)>
       decode_table;
   std::function<std::optional<routing::UpstreamEntry>(const std::string& id,
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -71,6 +71,10 @@
   void OnFailure(http::ExchangeFailure failure);
   void OnNotRun(SendEnd end);
   void OnBroken(std::string_view why);
+  /** It is known whether the upstream that broke off has ended. */
+  void AfterBroken(std::string_view why);
+  /** Answers a request that ends upstreams. @return true if it is one. */
+  bool RefusedAsHarmful();
   bool MaySendAgain(SendEnd end);
   void SendAgain();
   void OnStreamBytes(std::string_view bytes);
@@ -78,6 +82,7 @@
   // The final answer.
   void PassAnswer();
   void Refuse(std::string_view why, ComeBack when);
+  void Refuse(std::string_view why, std::chrono::milliseconds come_back);
   void Fail(int status, std::string_view why);
   void OnTimeLimit();
   /** @return true if its caller can't be told that it has not run. */
@@ -110,6 +115,7 @@
   std::unique_ptr<EnginePlacement> placement_;
   std::unique_ptr<UpstreamSend> send_;  ///< The last; null before the first.
   std::vector<std::string> tried_;
+  int64_t events_before_send_ = 0;  ///< Of its stream, from earlier sends.
   int sends_ = 0;
   int unreached_ = 0;  ///< Of these, sends that no upstream received.
   bool may_have_run_ = false;
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -62,6 +63,9 @@
   const routing::StageCallLimits* LimitsOf(const Queue& queue) const;
   Worker& WorkerOf(Queue& queue, const routing::UpstreamPtr& upstream);
   bool CannotBeInTime(const Queue& queue, const stages::Piece& piece) const;
+  /** @return why the piece is not even queued; nullopt: it is. */
+  std::optional<stages::PieceFailure> RefusedAtOnce(
+      const Queue& queue, const stages::Piece& piece) const;
   std::vector<std::string> BackedUp() const;
   void SchedulePump();
   void Pump();
@@ -78,7 +82,10 @@
                   int batch);
   void OnCallFailed(PieceCall& call, routing::Outcome outcome);
   void Deliver(PieceCall& call, std::span<const stages::PieceResult> results);
-  void Retry(PieceCall& call, bool certainly_not_run);
+  /** @param call broke off. */
+  void OnCallBroken(PieceCall& call);
+  void Retry(const std::string& shard, std::vector<stages::QueuedPiece> pieces,
+             bool certainly_not_run);
   void OnInputsTaken(PieceCall& call) const;
   void ForgetHeld(const std::string& shard,
                   const std::vector<std::string>& handles);
--- a/libs/entry/include/turmeric/entry/stage_run.h
+++ b/libs/entry/include/turmeric/entry/stage_run.h
@@ -27,6 +27,7 @@
 struct StagePlan {
   const CallerRequest& request;
   const routing::Route& route;
+  std::string work;  ///< The request's fingerprint.
   int rank = 0;
   stages::Clock::time_point due;    ///< The answer, for the latency target.
   stages::Clock::time_point limit;  ///< The answer's first byte, at the latest.
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -41,6 +41,11 @@
                      .Help("Since the store was last heard by any path")
                      .Register(*registry_)
                      .Add({})),
+      quarantined_(prometheus::BuildGauge()
+                       .Name("turmeric_entry_quarantined_works")
+                       .Help("Requests refused, as upstreams end under them")
+                       .Register(*registry_)
+                       .Add({})),
       latency_(prometheus::BuildHistogram()
                    .Name("turmeric_entry_latency_seconds")
                    .Help("Time from arrival to the final answer")
@@ -81,6 +86,10 @@
   store_age_.Set(std::chrono::duration<double>(store_age).count());
 }
 
+void EntryMetrics::SetQuarantined(size_t works) {
+  quarantined_.Set(static_cast<double>(works));
+}
+
 std::string EntryMetrics::Render() {
   const double seen = static_cast<double>(utils::DecisionLog::dropped());
   dropped_lines_.Increment(seen - dropped_lines_.Value());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -14,6 +14,7 @@
 #include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/store_sharing.h"
 #include "turmeric/entry/topology_feed.h"
+#include "turmeric/entry/work_quarantine.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -48,6 +49,7 @@
     : link_(CountCalls(std::move(link), metrics_)),
       context_(std::move(settings), link_.wire),
       links_(std::make_unique<InstanceLinks>(context_)),
+      quarantine_(std::make_unique<WorkQuarantine>(context_, *links_)),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       desk_(std::make_unique<PlacementDesk>(context_)),
@@ -64,6 +66,7 @@
   context_.metrics = &metrics_;
   context_.stages = router_.get();
   context_.placer = placer_.get();
+  context_.quarantine = quarantine_.get();
   JoinInstances();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
@@ -80,6 +83,7 @@
       {.on_frame =
            [this](const std::string& name, const peer::Frame& frame) {
              sharing_->OnFrame(name, frame);
+             quarantine_->OnFrame(name, frame);
              if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
              router_->OnFrame(frame);
            },
@@ -88,7 +92,15 @@
              placer_->OnOwnerLost(name);
              router_->OnLost(name, again_there);
              sharing_->OnLost(name);
-           }});
+           },
+       .on_connect =
+           [this](peer::Frame& frame) { quarantine_->Introduce(frame); }});
+  host_->set_on_guest(
+      [this](peer::Frame& frame) { quarantine_->Introduce(frame); });
+  host_->set_on_frame(
+      [this](const std::string& identity, const peer::Frame& frame) {
+        quarantine_->OnFrame(identity, frame);
+      });
   host_->set_on_follow(
       [this](const std::string& identity, const peer::FollowRequest& request) {
         sharing_->OnFollow(identity, request);
@@ -116,6 +128,7 @@
   if (auto up = StartPeers(); !up) return up;
   feed_->set_on_complete([] { utils::DecisionLog("ready"); });
   feed_->Start();
+  quarantine_->Start(*link_.source, link_.quarantine_kind);
   utils::DecisionLog("started")
       .Add("instance", s.name)
       .Add("zone", s.zone)
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -104,9 +104,17 @@
   // Guard: a first frame takes back what was said on an earlier link. Silent
   // on this one, an instance that leaves would be handed pieces again.
   if (leaving_) instance.link->outgoing().leaving = true;
+  if (events_.on_connect) events_.on_connect(instance.link->outgoing());
   return *instance.link;
 }
 
+void InstanceLinks::TellAll(const std::function<void(peer::Frame&)>& add) {
+  for (auto& [name, instance] : instances_) {
+    // One that is down is told with its next connection.
+    if (!instance.down) add(Connect(name, instance).outgoing());
+  }
+}
+
 bool InstanceLinks::leaving(const std::string& name) const {
   const auto it = instances_.find(name);
   return it != instances_.end() && it->second.leaving;
--- a/libs/entry/src/piece_host.cc
+++ b/libs/entry/src/piece_host.cc
@@ -96,6 +96,7 @@
   // A link may have been accepted before Leave and named its guest after it.
   const bool is_new = identity_of_.insert_or_assign(link, identity).second;
   if (is_new && leaving_) link->outgoing().leaving = true;
+  if (is_new && on_guest_) on_guest_(link->outgoing());
   auto& guest = guests_[identity];
   if (!guest) guest = std::make_unique<Guest>();
   if (guest->link != nullptr && guest->link != link) {
@@ -118,6 +119,7 @@
              frame.leaving ? Presence::kLeaving : Presence::kHere);
   }
   if (frame.follow && on_follow_) on_follow_(identity, *frame.follow);
+  if (on_frame_) on_frame_(identity, frame);
   Place(identity, frame, guest);
   for (peer::PieceOrder& order : frame.pieces) {
     Take(identity, guest, std::move(order));
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -1,5 +1,6 @@
 #include "turmeric/entry/request_run.h"
 
+#include <QPointer>
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -13,6 +14,7 @@
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/upstream_send.h"
 #include "turmeric/entry/wanted_upstream.h"
+#include "turmeric/entry/work_quarantine.h"
 #include "turmeric/quarantine/fingerprint.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
@@ -33,11 +35,17 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+/** Outcome of a request that ends the upstreams which run it. */
+constexpr std::string_view kQuarantined = "quarantined";
+
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
 constexpr milliseconds kInputFetchTime{50};
 /** Engines take priorities from 0, first, to this. */
 constexpr int kLowestEnginePriority = 9;
+/** Crashes from which a request is kept apart from others that are under
+ * suspicion with it. */
+constexpr int kApartFrom = 2;
 
 /** @return what copies of the request have in common, whoever takes them. */
 std::string WorkOf(const CallerRequest& request,
@@ -106,6 +114,7 @@
   route_ = admission_.route;
   work_ = WorkOf(request_, admission_.organisation);
   if (admission_.refusal == AdmissionRefusal::kNone) {
+    if (RefusedAsHarmful()) return false;
     if (!context_.Uses(Mechanism::kUsualDeadlines)) return true;
     time_used_ = context_.usual_deadlines.Used(route_->name, request_.deadline);
     return true;
@@ -119,12 +128,24 @@
   return false;
 }
 
+bool RequestRun::RefusedAsHarmful() {
+  const auto pause = context_.quarantine->QuarantinedFor(work_);
+  if (!pause) return false;
+  if (may_have_run_) {
+    Fail(kBadGateway, kQuarantined);
+  } else {
+    Refuse(kQuarantined, *pause);
+  }
+  return true;
+}
+
 void RequestRun::StartStages() {
   stages_ = std::make_unique<StageRun>(
       *context_.stages,
       StagePlan{
           .request = request_,
           .route = *route_,
+          .work = work_,
           .rank = admission_.rank,
           .due = arrived_ + route_->latency_target - time_used_,
           .limit = admission_.first_byte_limit,
@@ -149,6 +170,7 @@
 }
 
 void RequestRun::OnStageFailed(PieceFailure failure) {
+  if (failure == PieceFailure::kQuarantined && RefusedAsHarmful()) return;
   if (may_have_run_) return Fail(kBadGateway, "stage_failed");
   if (failure != PieceFailure::kLate) {
     return Refuse("stage_failed", ComeBack::kSoon);
@@ -179,6 +201,10 @@
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   const std::string results_zone = stages_->inputs_zone();
   const WantedUpstream wanted = Wanted(results_zone);
+  if (context_.quarantine->crashes(work_) >= kApartFrom) {
+    return SendTo(routing::ChooseApart(context_.upstreams.ForService(service_),
+                                       work_, tried_, Clock::now()));
+  }
   if (!route_->carries_prompt) {
     return SendTo(ChooseUpstream(context_.upstreams.ForService(service_),
                                  ToChoice(wanted), Clock::now()));
@@ -192,6 +218,8 @@
 
 void RequestRun::SendTo(const routing::UpstreamPtr& upstream) {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
+  // Copies of it may have ended upstreams while this one was in its stages.
+  if (RefusedAsHarmful()) return;
   if (!upstream) {
     if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
     return Refuse("no_upstream", ComeBack::kLater);
@@ -201,6 +229,7 @@
     return Refuse("connections_used_up", ComeBack::kSoon);
   }
   ++sends_;
+  events_before_send_ = relay_.events();
   tried_.push_back(upstream->entry.id);
   send_ = std::make_unique<UpstreamSend>(
       context_,
@@ -309,6 +338,7 @@
     send_->End(Outcome::kBroken);
     return OnBroken(fault);
   }
+  context_.quarantine->OnGoodRun(work_, service_);
   if (send_->IsEventStream()) {
     send_->End(Outcome::kAnswered);
     return PassAnswer();
@@ -360,7 +390,20 @@
       .Add("events", relay_.events())
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
+  const bool progressed = relay_.events() > events_before_send_;
   relay_.RunEnded();
+  const QPointer<RequestRun> self(this);
+  context_.quarantine->OnBrokenOff(send_->upstream(),
+                                   {{.work = work_, .progressed = progressed}},
+                                   [self, reason = std::string(why)] {
+                                     if (self && !self->finished_)
+                                       self->AfterBroken(reason);
+                                   });
+  // Only a repeat depends on what is found out.
+  if (!route_->repeatable()) Fail(kBadGateway, why);
+}
+
+void RequestRun::AfterBroken(std::string_view why) {
   if (route_->repeatable() && MaySendAgain(SendEnd::kMayHaveRun)) {
     return SendAgain();
   }
@@ -368,6 +411,7 @@
 }
 
 bool RequestRun::MaySendAgain(SendEnd end) {
+  if (context_.quarantine->QuarantinedFor(work_)) return false;
   if (end == SendEnd::kUnreached && !context_.Uses(Mechanism::kTryNext)) {
     end = SendEnd::kNotRun;
   }
@@ -407,9 +451,13 @@
 }
 
 void RequestRun::Refuse(std::string_view why, ComeBack when) {
+  Refuse(why, ComeBackAfter(when, Uniform()));
+}
+
+void RequestRun::Refuse(std::string_view why, milliseconds come_back) {
   if (!answer_.caller_waits()) return;
   answer_.Respond(context_.wire.encode_own_answer(
-      kUnavailable, request_.attempt_id, ComeBackAfter(when, Uniform())));
+      kUnavailable, request_.attempt_id, come_back));
   Finish(kUnavailable, why);
 }
 
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/piece_call.h"
+#include "turmeric/entry/work_quarantine.h"
 #include "turmeric/stages/call_plan.h"
 #include "turmeric/stages/result_room.h"
 #include "turmeric/stages/shard.h"
@@ -70,7 +71,10 @@
   if (!queue) {
     queue = std::make_unique<Queue>(
         stages::QueueRules{.late_last = context_.Uses(Mechanism::kLateLast),
-                           .by_zone = context_.Uses(Mechanism::kZoneInQueue)});
+                           .by_zone = context_.Uses(Mechanism::kZoneInQueue),
+                           .crashes = [this](const std::string& work) {
+                             return context_.quarantine->crashes(work);
+                           }});
     queue->name = shard;
     queue->shard = stages::ParseShard(shard);
   }
@@ -144,14 +148,23 @@
   return now + stages::LeastTime(limits, before, usable) > piece.deadline;
 }
 
+std::optional<PieceFailure> StageDispatcher::RefusedAtOnce(
+    const Queue& queue, const stages::Piece& piece) const {
+  if (context_.quarantine->QuarantinedFor(piece.work)) {
+    return PieceFailure::kQuarantined;
+  }
+  if (CannotBeInTime(queue, piece)) return PieceFailure::kLate;
+  return std::nullopt;
+}
+
 uint64_t StageDispatcher::Submit(const std::string& shard, stages::Piece piece,
                                  stages::PieceEvents events) {
   Queue& queue = QueueOf(shard);
-  if (CannotBeInTime(queue, piece)) {
-    // Refused now rather than when its time has run out: the caller can
-    // still come back, and the queue serves those that it can.
-    QTimer::singleShot(0, this, [done = std::move(events.on_done)] {
-      done({.failure = PieceFailure::kLate, .handle = {}, .zone = {}});
+  // Refused now rather than when its time has run out: the caller can still
+  // come back, and the queue serves those that it can.
+  if (const auto failure = RefusedAtOnce(queue, piece)) {
+    QTimer::singleShot(0, this, [done = std::move(events.on_done), failure] {
+      done({.failure = *failure, .handle = {}, .zone = {}});
     });
     return 0;
   }
@@ -292,6 +305,10 @@
       .Add("bytes", call.bytes())
       .Add("waiting", QueueOf(call.shard()).pieces.size())
       .Add("ms", call.age().count());
+  for (size_t i = 0; i < results.size(); ++i) {
+    if (results[i].failure != PieceFailure::kNone) continue;
+    context_.quarantine->OnGoodRun(call.pieces()[i].piece.work, call.service());
+  }
   Deliver(call, results);
   SchedulePump();
 }
@@ -344,16 +361,39 @@
       .Add("status", call.status())
       .Add("pieces", call.pieces().size())
       .Add("first_request", call.pieces().front().piece.request_id);
-  Retry(call, outcome == Outcome::kNotSent);
+  if (outcome == Outcome::kBroken) return OnCallBroken(call);
+  Retry(call.shard(), std::move(call.pieces()), outcome == Outcome::kNotSent);
   SchedulePump();
 }
 
-void StageDispatcher::Retry(PieceCall& call, bool certainly_not_run) {
-  Queue& queue = QueueOf(call.shard());
-  for (QueuedPiece& piece : call.pieces()) {
-    const bool may = certainly_not_run ||
-                     (piece.sends < kMaxSends &&
-                      context_.retries.TrySpend(call.service(), Clock::now()));
+void StageDispatcher::OnCallBroken(PieceCall& call) {
+  std::vector<BrokenRequest> requests;
+  for (const QueuedPiece& piece : call.pieces()) {
+    requests.push_back({.work = piece.piece.work, .progressed = false});
+  }
+  auto pieces =
+      std::make_shared<std::vector<QueuedPiece>>(std::move(call.pieces()));
+  context_.quarantine->OnBrokenOff(call.upstream(), std::move(requests),
+                                   [this, shard = call.shard(), pieces] {
+                                     Retry(shard, std::move(*pieces), false);
+                                     SchedulePump();
+                                   });
+}
+
+void StageDispatcher::Retry(const std::string& shard,
+                            std::vector<QueuedPiece> pieces,
+                            bool certainly_not_run) {
+  Queue& queue = QueueOf(shard);
+  const std::string& service = queue.shard.service;
+  for (QueuedPiece& piece : pieces) {
+    if (context_.quarantine->QuarantinedFor(piece.piece.work)) {
+      piece.events.on_done(
+          {.failure = PieceFailure::kQuarantined, .handle = {}, .zone = {}});
+      continue;
+    }
+    const bool may =
+        certainly_not_run || (piece.sends < kMaxSends &&
+                              context_.retries.TrySpend(service, Clock::now()));
     if (may) {
       queue.pieces.PushBack(std::move(piece));
     } else {
--- a/libs/entry/src/stage_run.cc
+++ b/libs/entry/src/stage_run.cc
@@ -29,10 +29,10 @@
 
 StageRun::StageRun(StageClient& client, StagePlan plan, StageRunEvents events)
     : client_(client),
-      plan_(plan),
+      plan_(std::move(plan)),
       events_(std::move(events)),
-      progress_(plan.route.stages, plan.request.stage_pieces,
-                plan.mechanisms.Uses(Mechanism::kLargeLast)) {}
+      progress_(plan_.route.stages, plan_.request.stage_pieces,
+                plan_.mechanisms.Uses(Mechanism::kLargeLast)) {}
 
 StageRun::~StageRun() = default;
 
@@ -79,6 +79,7 @@
   piece.deadline = plan_.limit - rest;
   piece.zone = ZoneFor(stage);
   piece.next_services = progress_.ServicesAfter(stage);
+  piece.work = plan_.work;
   const auto now = Clock::now();
   handed_over_[stage] = {now,
                          now + plan_.times.Expected(spec.service) < piece.due};
--- /dev/null
+++ b/libs/entry/test/quarantine_archive_test.cc
@@ -0,0 +1,111 @@
+#include "turmeric/entry/quarantine_archive.h"
+
+#include <QEventLoop>
+#include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
+
+#include "turmeric/quarantine/stored_crashes.h"
+
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
+using turmeric::entry::QuarantineArchive;
+using turmeric::quarantine::Clock;
+using turmeric::quarantine::Crash;
+using turmeric::quarantine::EncodeCrashes;
+using turmeric::quarantine::Moment;
+using turmeric::store::ObjectSource;
+using turmeric::store::SourceBatch;
+using turmeric::store::SourceCallback;
+using turmeric::store::SourceObject;
+using turmeric::utils::Errc;
+using turmeric::utils::Error;
+
+namespace {
+
+/** A store that answers at once, or refuses its first writes. */
+class CountingSource : public ObjectSource {
+ public:
+  void List(const std::string&, Freshness freshness,
+            SourceCallback done) override {
+    lists.push_back(freshness);
+    done(SourceBatch{.objects = objects, .revision = 5});
+  }
+  void Watch(const std::string&, int64_t, std::chrono::milliseconds,
+             SourceCallback) override {}
+  void Put(const std::string&, const std::string& name, const QJsonObject& spec,
+           SourceCallback done) override {
+    puts.emplace_back(name, spec);
+    if (refusals-- > 0) {
+      return done(
+          boost::outcome_v2::failure(Error{Errc::kStoreUnavailable, "away"}));
+    }
+    done(SourceBatch{});
+  }
+
+  std::vector<SourceObject> objects;
+  std::vector<Freshness> lists;
+  std::vector<std::pair<std::string, QJsonObject>> puts;
+  int refusals = 0;
+};
+
+std::vector<Crash> OneCrash() {
+  return {{.work = "w",
+           .service = "llm",
+           .upstream = "i-1",
+           .at = Clock::now(),
+           .progressed = false}};
+}
+
+void Wait(std::chrono::milliseconds time) {
+  QEventLoop loop;
+  QTimer::singleShot(time, &loop, &QEventLoop::quit);
+  loop.exec();
+}
+
+}  // namespace
+
+TEST_CASE(
+    "quarantined work is read from what may be stale, unreadable left out") {
+  CountingSource source;
+  source.objects = {
+      {.name = "w", .spec = EncodeCrashes(OneCrash(), Moment::Now())},
+      {.name = "x", .spec = {{"crashes", "many"}}}};
+  std::vector<Crash> read;
+  QuarantineArchive archive(source, "quarantine", [&](auto crashes) {
+    read.assign(crashes.begin(), crashes.end());
+  });
+  archive.Read();
+  REQUIRE(source.lists == std::vector{ObjectSource::Freshness::kMayBeStale});
+  REQUIRE(read.size() == 1);
+  REQUIRE(read[0].work == "w");
+}
+
+// Guards against a call to the store for each of the crashes of a second.
+TEST_CASE("crashes in a row read the store once a second") {
+  CountingSource source;
+  QuarantineArchive archive(source, "quarantine", [](auto) {});
+  for (int i = 0; i < 10; ++i) archive.ReadSoon();
+  REQUIRE(source.lists.size() == 1);
+  // What was written since is read all the same.
+  Wait(1200ms);
+  REQUIRE(source.lists.size() == 2);
+  Wait(1200ms);
+  REQUIRE(source.lists.size() == 2);
+}
+
+// Guards against a quarantine that is lost as the store was away just then.
+TEST_CASE(
+    "a write that the store refused is made again, more and more seldom") {
+  CountingSource source;
+  source.refusals = 2;
+  QuarantineArchive archive(source, "quarantine", [](auto) {});
+  archive.Write("w", OneCrash());
+  REQUIRE(source.puts.size() == 1);
+  Wait(1200ms);
+  REQUIRE(source.puts.size() == 2);
+  Wait(2000ms);
+  REQUIRE(source.puts.size() == 3);
+  REQUIRE(source.puts[2].first == "w");
+  Wait(2500ms);
+  REQUIRE(source.puts.size() == 3);
+}
--- a/libs/http/include/turmeric/http/tcp_socket.h
+++ b/libs/http/include/turmeric/http/tcp_socket.h
@@ -79,12 +79,15 @@
   bool open() const { return fd_ >= 0 && connected_ && !closing_; }
   /** @return true once the connection was established. */
   bool connected() const { return connected_; }
+  /** @return true if the peer's machine answered that nobody listens there. */
+  bool refused() const { return refused_; }
 
  private:
   void Arm();
   void OnReadable();
   void OnWritable();
   void FinishConnect();
+  void NoteConnectError(int error);
   bool Flush();
   void WaitForFlush();
   void FinishClose();
@@ -93,6 +96,7 @@
 
   int fd_ = -1;
   bool connected_ = false;
+  bool refused_ = false;
   bool closing_ = false;
   std::string out_;
   size_t out_at_ = 0;
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -72,7 +72,10 @@
     SetTimeouts(fd_);
     const int rc =
         ::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    if (rc != 0 && errno != EINPROGRESS) CloseFd();
+    if (rc != 0 && errno != EINPROGRESS) {
+      NoteConnectError(errno);
+      CloseFd();
+    }
   }
   if (fd_ < 0) {
     QTimer::singleShot(0, this, [this] { End(SocketEnd::kConnectFailed); });
@@ -106,11 +109,18 @@
   writes_->setEnabled(unsent() > 0);
 }
 
+void TcpSocket::NoteConnectError(int error) {
+  refused_ = error == ECONNREFUSED || error == ECONNRESET;
+}
+
 void TcpSocket::FinishConnect() {
   int error = 0;
   socklen_t size = sizeof(error);
   ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
-  if (error != 0) return End(SocketEnd::kConnectFailed);
+  if (error != 0) {
+    NoteConnectError(error);
+    return End(SocketEnd::kConnectFailed);
+  }
   connected_ = true;
   Arm();
   if (events_.on_connected) events_.on_connected();
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "turmeric/quarantine/crash.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
 
@@ -126,6 +127,8 @@
   std::optional<FollowRequest> follow;
   std::optional<RelayStatus> relay;
   std::vector<StoreChanges> store_changes;
+  std::vector<quarantine::Crash> crashes;      ///< Upstreams that have ended.
+  std::vector<quarantine::GoodRun> good_runs;  ///< Of work with crashes.
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -50,6 +50,12 @@
 struct RelayStatus;
 struct RelayStatusBuilder;
 
+struct Crash;
+struct CrashBuilder;
+
+struct GoodRun;
+struct GoodRunBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -68,7 +74,8 @@
     VT_DUE_IN_MS = 22,
     VT_DEADLINE_IN_MS = 24,
     VT_ZONE = 26,
-    VT_NEXT_SERVICES = 28
+    VT_NEXT_SERVICES = 28,
+    VT_WORK = 30
   };
   uint64_t ticket() const {
     return GetField<uint64_t>(VT_TICKET, 0);
@@ -109,6 +116,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *next_services() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NEXT_SERVICES);
   }
+  const flatbuffers::String *work() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
@@ -132,6 +142,8 @@
            VerifyOffset(verifier, VT_NEXT_SERVICES) &&
            verifier.VerifyVector(next_services()) &&
            verifier.VerifyVectorOfStrings(next_services()) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyString(work()) &&
            verifier.EndTable();
   }
 };
@@ -179,6 +191,9 @@
   void add_next_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> next_services) {
     fbb_.AddOffset(Piece::VT_NEXT_SERVICES, next_services);
   }
+  void add_work(flatbuffers::Offset<flatbuffers::String> work) {
+    fbb_.AddOffset(Piece::VT_WORK, work);
+  }
   explicit PieceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -204,10 +219,12 @@
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> next_services = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> next_services = 0,
+    flatbuffers::Offset<flatbuffers::String> work = 0) {
   PieceBuilder builder_(_fbb);
   builder_.add_result_bytes(result_bytes);
   builder_.add_ticket(ticket);
+  builder_.add_work(work);
   builder_.add_next_services(next_services);
   builder_.add_zone(zone);
   builder_.add_deadline_in_ms(deadline_in_ms);
@@ -236,13 +253,15 @@
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
     const char *zone = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *next_services = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *next_services = nullptr,
+    const char *work = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto next_services__ = next_services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*next_services) : 0;
+  auto work__ = work ? _fbb.CreateString(work) : 0;
   return turmeric::peer::wire::CreatePiece(
       _fbb,
       ticket,
@@ -257,7 +276,8 @@
       due_in_ms,
       deadline_in_ms,
       zone__,
-      next_services__);
+      next_services__,
+      work__);
 }
 
 struct PieceDone FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1091,6 +1111,186 @@
   return builder_.Finish();
 }
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORK = 4,
+    VT_SERVICE = 6,
+    VT_UPSTREAM = 8,
+    VT_AGE_MS = 10,
+    VT_PROGRESSED = 12
+  };
+  const flatbuffers::String *work() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORK);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  int32_t age_ms() const {
+    return GetField<int32_t>(VT_AGE_MS, 0);
+  }
+  bool progressed() const {
+    return GetField<uint8_t>(VT_PROGRESSED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyString(work()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PROGRESSED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_work(flatbuffers::Offset<flatbuffers::String> work) {
+    fbb_.AddOffset(Crash::VT_WORK, work);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(Crash::VT_SERVICE, service);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Crash::VT_UPSTREAM, upstream);
+  }
+  void add_age_ms(int32_t age_ms) {
+    fbb_.AddElement<int32_t>(Crash::VT_AGE_MS, age_ms, 0);
+  }
+  void add_progressed(bool progressed) {
+    fbb_.AddElement<uint8_t>(Crash::VT_PROGRESSED, static_cast<uint8_t>(progressed), 0);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> work = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    int32_t age_ms = 0,
+    bool progressed = false) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_upstream(upstream);
+  builder_.add_service(service);
+  builder_.add_work(work);
+  builder_.add_progressed(progressed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *work = nullptr,
+    const char *service = nullptr,
+    const char *upstream = nullptr,
+    int32_t age_ms = 0,
+    bool progressed = false) {
+  auto work__ = work ? _fbb.CreateString(work) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreateCrash(
+      _fbb,
+      work__,
+      service__,
+      upstream__,
+      age_ms,
+      progressed);
+}
+
+struct GoodRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GoodRunBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORK = 4,
+    VT_SERVICE = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *work() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORK);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  int32_t age_ms() const {
+    return GetField<int32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_WORK) &&
+           verifier.VerifyString(work()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct GoodRunBuilder {
+  typedef GoodRun Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_work(flatbuffers::Offset<flatbuffers::String> work) {
+    fbb_.AddOffset(GoodRun::VT_WORK, work);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(GoodRun::VT_SERVICE, service);
+  }
+  void add_age_ms(int32_t age_ms) {
+    fbb_.AddElement<int32_t>(GoodRun::VT_AGE_MS, age_ms, 0);
+  }
+  explicit GoodRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GoodRun> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GoodRun>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GoodRun> CreateGoodRun(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> work = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    int32_t age_ms = 0) {
+  GoodRunBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_service(service);
+  builder_.add_work(work);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<GoodRun> CreateGoodRunDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *work = nullptr,
+    const char *service = nullptr,
+    int32_t age_ms = 0) {
+  auto work__ = work ? _fbb.CreateString(work) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return turmeric::peer::wire::CreateGoodRun(
+      _fbb,
+      work__,
+      service__,
+      age_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1112,7 +1312,9 @@
     VT_UPSTREAMS_CHANGE = 34,
     VT_FOLLOW = 36,
     VT_RELAY = 38,
-    VT_STORE_CHANGES = 40
+    VT_STORE_CHANGES = 40,
+    VT_CRASHES = 42,
+    VT_GOOD_RUNS = 44
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1171,6 +1373,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *>(VT_STORE_CHANGES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *>(VT_GOOD_RUNS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1214,6 +1422,12 @@
            VerifyOffset(verifier, VT_STORE_CHANGES) &&
            verifier.VerifyVector(store_changes()) &&
            verifier.VerifyVectorOfTables(store_changes()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_GOOD_RUNS) &&
+           verifier.VerifyVector(good_runs()) &&
+           verifier.VerifyVectorOfTables(good_runs()) &&
            verifier.EndTable();
   }
 };
@@ -1279,6 +1493,12 @@
   void add_store_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes) {
     fbb_.AddOffset(Frame::VT_STORE_CHANGES, store_changes);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>>> crashes) {
+    fbb_.AddOffset(Frame::VT_CRASHES, crashes);
+  }
+  void add_good_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs) {
+    fbb_.AddOffset(Frame::VT_GOOD_RUNS, good_runs);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1310,12 +1530,16 @@
     int64_t upstreams_change = 0,
     flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_good_runs(good_runs);
+  builder_.add_crashes(crashes);
   builder_.add_store_changes(store_changes);
   builder_.add_relay(relay);
   builder_.add_follow(follow);
@@ -1354,7 +1578,9 @@
     int64_t upstreams_change = 0,
     flatbuffers::Offset<turmeric::peer::wire::FollowRequest> follow = 0,
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Crash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -1367,6 +1593,8 @@
   auto prompts_read__ = prompts_read ? _fbb.CreateVector<uint64_t>(*prompts_read) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PlacementEnd>>(*ended) : 0;
   auto store_changes__ = store_changes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>(*store_changes) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Crash>>(*crashes) : 0;
+  auto good_runs__ = good_runs ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>(*good_runs) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -1387,7 +1615,9 @@
       upstreams_change,
       follow,
       relay,
-      store_changes__);
+      store_changes__,
+      crashes__,
+      good_runs__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -49,7 +49,8 @@
       b.CreateSharedString(p.request_id), p.stage, p.index,
       b.CreateSharedString(p.key), WriteTexts(b, p.inputs), p.result_bytes,
       p.rank, RelativeMs(p.due, now), RelativeMs(p.deadline, now),
-      b.CreateSharedString(p.zone), WriteTexts(b, p.next_services));
+      b.CreateSharedString(p.zone), WriteTexts(b, p.next_services),
+      b.CreateSharedString(p.work));
 }
 
 Offset<wire::PieceDone> Write(FlatBufferBuilder& b, const PieceDone& done) {
@@ -118,14 +119,15 @@
                  .due = now + milliseconds(p.due_in_ms()),
                  .deadline = now + milliseconds(p.deadline_in_ms()),
                  .zone = Text(p.zone()),
-                 .next_services = Texts(p.next_services())};
+                 .next_services = Texts(p.next_services()),
+                 .work = Text(p.work())};
   return order;
 }
 
 PieceDone Read(const wire::PieceDone& d) {
   const bool known =
       d.failure() >= 0 &&
-      d.failure() <= static_cast<int8_t>(PieceFailure::kNoUpstream);
+      d.failure() <= static_cast<int8_t>(PieceFailure::kQuarantined);
   return {d.ticket(),
           {.failure = known ? static_cast<PieceFailure>(d.failure())
                             : PieceFailure::kFailed,
@@ -207,6 +209,50 @@
   return out;
 }
 
+/** @return the time that a message of now gives as its age. */
+Clock::time_point TimeOf(int32_t age_ms, Clock::time_point now) {
+  return now - milliseconds(std::max<int32_t>(0, age_ms));
+}
+
+Offset<wire::Crash> Write(FlatBufferBuilder& b, const quarantine::Crash& crash,
+                          Clock::time_point now) {
+  return wire::CreateCrash(b, b.CreateSharedString(crash.work),
+                           b.CreateSharedString(crash.service),
+                           b.CreateSharedString(crash.upstream),
+                           RelativeMs(now, crash.at), crash.progressed);
+}
+
+Offset<wire::GoodRun> Write(FlatBufferBuilder& b,
+                            const quarantine::GoodRun& run,
+                            Clock::time_point now) {
+  return wire::CreateGoodRun(b, b.CreateSharedString(run.work),
+                             b.CreateSharedString(run.service),
+                             RelativeMs(now, run.at));
+}
+
+/** Reads the parts of a frame that tell of upstreams which ended. */
+void ReadCrashParts(const wire::Frame& f, Clock::time_point now, Frame& frame) {
+  if (f.crashes() != nullptr) {
+    std::ranges::transform(
+        *f.crashes(), std::back_inserter(frame.crashes), [now](const auto* c) {
+          return quarantine::Crash{.work = Text(c->work()),
+                                   .service = Text(c->service()),
+                                   .upstream = Text(c->upstream()),
+                                   .at = TimeOf(c->age_ms(), now),
+                                   .progressed = c->progressed()};
+        });
+  }
+  if (f.good_runs() != nullptr) {
+    std::ranges::transform(*f.good_runs(), std::back_inserter(frame.good_runs),
+                           [now](const auto* r) {
+                             return quarantine::GoodRun{
+                                 .work = Text(r->work()),
+                                 .service = Text(r->service()),
+                                 .at = TimeOf(r->age_ms(), now)};
+                           });
+  }
+}
+
 /** Reads the parts of a frame that pass on the store's changes. */
 void ReadStoreParts(const wire::Frame& f, Frame& frame) {
   frame.config_change = f.config_change();
@@ -269,17 +315,25 @@
     changes.push_back(Write(b, c));
   }
   const auto change_list = b.CreateVector(changes);
+  std::vector<Offset<wire::Crash>> crashes;
+  for (const auto& crash : frame.crashes) {
+    crashes.push_back(Write(b, crash, now));
+  }
+  const auto crash_list = b.CreateVector(crashes);
+  std::vector<Offset<wire::GoodRun>> runs;
+  for (const auto& run : frame.good_runs) runs.push_back(Write(b, run, now));
+  const auto run_list = b.CreateVector(runs);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
       frame.relay ? Write(b, *frame.relay) : 0;
   wire::FinishFrameBuffer(
-      b,
-      wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
-                        frame.leaving, piece_list, taken, done_list, cancelled,
-                        release_list, backlog_list, placement_list, placed_list,
-                        prompts_read, ended, frame.config_change,
-                        frame.upstreams_change, follow, relay, change_list));
+      b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
+                           frame.leaving, piece_list, taken, done_list,
+                           cancelled, release_list, backlog_list,
+                           placement_list, placed_list, prompts_read, ended,
+                           frame.config_change, frame.upstreams_change, follow,
+                           relay, change_list, crash_list, run_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -296,6 +350,7 @@
   frame.acknowledged = f.acknowledged();
   frame.leaving = f.leaving();
   ReadStoreParts(f, frame);
+  ReadCrashParts(f, now, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -31,7 +31,8 @@
                                     .rank = 1,
                                     .due = now + 900ms,
                                     .deadline = now + 5000ms,
-                                    .zone = "zone-a"}});
+                                    .zone = "zone-a",
+                                    .work = "f00d"}});
   frame.taken = {7};
   frame.done.push_back(
       {.ticket = 8,
@@ -75,6 +76,12 @@
                                               .packed = true,
                                               .revision = 22,
                                               .deleted = true}}});
+  frame.crashes = {{.work = "f00d",
+                    .service = "llm",
+                    .upstream = "i-5@9",
+                    .at = now - 1500ms,
+                    .progressed = true}};
+  frame.good_runs = {{.work = "cafe", .service = "app", .at = now - 2s}};
   return frame;
 }
 
@@ -143,6 +150,24 @@
   REQUIRE(frame->store_changes.empty());
 }
 
+TEST_CASE("crashes and good runs are read as they were written") {
+  const Clock::time_point now = Clock::now();
+  const auto later = now + 1h;
+  const auto frame = Decode(Encode(MakeFrame(now), now), later);
+  REQUIRE(frame);
+  REQUIRE(frame->pieces[0].piece.work == "f00d");
+  REQUIRE(frame->crashes.size() == 1);
+  REQUIRE(frame->crashes[0].work == "f00d");
+  REQUIRE(frame->crashes[0].service == "llm");
+  REQUIRE(frame->crashes[0].upstream == "i-5@9");
+  REQUIRE(frame->crashes[0].at == later - 1500ms);
+  REQUIRE(frame->crashes[0].progressed);
+  REQUIRE(frame->good_runs.size() == 1);
+  REQUIRE(frame->good_runs[0].work == "cafe");
+  REQUIRE(frame->good_runs[0].service == "app");
+  REQUIRE(frame->good_runs[0].at == later - 2s);
+}
+
 // Story: two instances' clocks differ by any amount. Times cross as what is
 // left, so a piece is due at the same distance on both.
 TEST_CASE("times are counted from when a frame arrives") {
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -48,6 +48,20 @@
 UpstreamPtr ChooseUpstream(std::span<const UpstreamPtr> upstreams,
                            const ChoiceRequest& request, Clock::time_point now);
 
+/**
+ * Chooses an upstream for work under which others have ended. Whatever ran
+ * there beside it is under the same suspicion, and prefers the same upstreams:
+ * sent on by load or prompt, the innocent would meet the cause again. The
+ * choice is by the work alone, so that they part.
+ * @param upstreams of the service. @param work its fingerprint.
+ * @param tried ids not to be used again. @param now the time.
+ * @return the choice, or nullptr if no listed upstream is left.
+ */
+UpstreamPtr ChooseApart(std::span<const UpstreamPtr> upstreams,
+                        std::string_view work,
+                        std::span<const std::string> tried,
+                        Clock::time_point now);
+
 /**
  * @param upstreams of the service. @param request what is known of it.
  * @param now the time.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -113,6 +113,19 @@
   return FindCandidates(upstreams, request, now).home;
 }
 
+UpstreamPtr ChooseApart(std::span<const UpstreamPtr> upstreams,
+                        std::string_view work,
+                        std::span<const std::string> tried,
+                        Clock::time_point now) {
+  const ChoiceRequest request{.tried = tried};
+  const Candidates found = FindCandidates(upstreams, request, now);
+  const auto best =
+      std::ranges::max_element(found.usable, {}, [work](const UpstreamPtr& u) {
+        return RendezvousWeight(work, u->entry.id);
+      });
+  return best == found.usable.end() ? nullptr : *best;
+}
+
 UpstreamPtr ChooseUpstream(std::span<const UpstreamPtr> upstreams,
                            const ChoiceRequest& request,
                            Clock::time_point now) {
--- a/libs/routing/test/choice_test.cc
+++ b/libs/routing/test/choice_test.cc
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
 
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 using turmeric::routing::ChoiceRequest;
+using turmeric::routing::ChooseApart;
 using turmeric::routing::ChooseUpstream;
 using turmeric::routing::Clock;
 using turmeric::routing::HomeUpstream;
@@ -119,3 +121,35 @@
   }
   REQUIRE(kNow < all[0]->ejected_till);
 }
+
+// Guards against the innocent that meet the cause of a crash again wherever
+// they are sent on, until they count as the cause themselves.
+TEST_CASE("works that were on one upstream when it ended part") {
+  const auto all = MakeUpstreams(12);
+  const std::vector<std::string> tried{"i-3"};
+  std::map<std::string, int> placed;
+  for (int i = 0; i < 120; ++i) {
+    const auto u = ChooseApart(all, "work" + std::to_string(i), tried, kNow);
+    REQUIRE(u->entry.id != "i-3");
+    ++placed[u->entry.id];
+  }
+  REQUIRE(placed.size() == 11);
+  REQUIRE(std::ranges::max(placed | std::views::values) < 30);
+}
+
+TEST_CASE(
+    "work that is kept apart goes to no upstream that fails or has left") {
+  const auto all = MakeUpstreams(3);
+  const auto first = ChooseApart(all, "work", {}, kNow);
+  first->ejected_till = kNow + 1s;
+  const auto second = ChooseApart(all, "work", {}, kNow);
+  REQUIRE(second != first);
+  second->listed = false;
+  const auto third = ChooseApart(all, "work", {}, kNow);
+  REQUIRE(third != second);
+  REQUIRE(third != first);
+  third->listed = false;
+  REQUIRE(ChooseApart(all, "work", {}, kNow) == first);
+  first->listed = false;
+  REQUIRE(ChooseApart(all, "work", {}, kNow) == nullptr);
+}
--- a/libs/stages/include/turmeric/stages/piece.h
+++ b/libs/stages/include/turmeric/stages/piece.h
@@ -26,16 +26,18 @@
   std::string zone;
   /** Services of the stages that follow it, which its result waits for. */
   std::vector<std::string> next_services;
+  std::string work;  ///< Fingerprint of its request.
 };
 
 /** Why a piece was not made. */
 enum class PieceFailure {
   kNone,
-  kLate,        ///< Its deadline had passed, or cannot be met.
-  kInputGone,   ///< A result it needs no longer exists.
-  kNoRoom,      ///< The upstream has no memory for the result.
-  kFailed,      ///< The upstream failed or broke off.
-  kNoUpstream,  ///< No upstream of the service is left.
+  kLate,         ///< Its deadline had passed, or cannot be met.
+  kInputGone,    ///< A result it needs no longer exists.
+  kNoRoom,       ///< The upstream has no memory for the result.
+  kFailed,       ///< The upstream failed or broke off.
+  kNoUpstream,   ///< No upstream of the service is left.
+  kQuarantined,  ///< Its request ends the upstreams that run it.
 };
 
 /** What became of a piece. */
--- a/libs/stages/include/turmeric/stages/piece_queue.h
+++ b/libs/stages/include/turmeric/stages/piece_queue.h
@@ -55,6 +55,9 @@
 struct QueueRules {
   bool late_last = true;  ///< Late pieces are behind all that can be in time.
   bool by_zone = true;    ///< Pieces prefer upstreams of their zone.
+  /** @return upstreams that have ended under a request, by its fingerprint;
+   * empty: none ever. */
+  std::function<int(const std::string& work)> crashes;
 };
 
 /** What an upstream that is free can take in its next call. */
@@ -88,7 +91,9 @@
   /** @param ticket from Push. @return true if the piece was waiting. */
   bool Cancel(uint64_t ticket);
   /**
-   * Takes the pieces for one call, most urgent first.
+   * Takes the pieces for one call, most urgent first. All of a call are under
+   * suspicion if its upstream ends; so a call has pieces of one request at most
+   * under which an upstream has ended, and no others if two have.
    * @param space what the upstream can take. @param now the time.
    * @return the pieces, at least one if any fits.
    */
@@ -121,6 +126,8 @@
                      std::chrono::milliseconds call_time) const;
 
  private:
+  int Crashes(const Piece& piece) const;
+
   QueueRules rules_;
   std::list<QueuedPiece> waiting_;
   LateRate late_rate_;
--- a/libs/stages/src/piece_queue.cc
+++ b/libs/stages/src/piece_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 
 namespace turmeric::stages {
@@ -36,6 +37,32 @@
          now + space.call_time + kZoneWait < piece.due;
 }
 
+/** Crashes from which the pieces of a request are called for alone. */
+constexpr int kAloneFrom = 2;
+
+/** Which requests have pieces in one call. */
+class CallMix {
+ public:
+  /** @param work a piece's request. @param crashes upstreams that have ended
+   * under it. @return true if the piece joins the call. */
+  bool Admit(const std::string& work, int crashes) {
+    if (crashes == 0) {
+      has_others_ = has_others_ || !alone_;
+      return !alone_;
+    }
+    if (suspect_ && *suspect_ != work) return false;
+    if (crashes >= kAloneFrom && has_others_) return false;
+    suspect_ = work;
+    alone_ = crashes >= kAloneFrom;
+    return true;
+  }
+
+ private:
+  std::optional<std::string> suspect_;  ///< The one request with crashes.
+  bool has_others_ = false;             ///< Pieces of requests without any.
+  bool alone_ = false;
+};
+
 /** @return true if what follows the piece has work enough for now. */
 bool IsBackedUp(const Piece& piece, const CallSpace& space) {
   return std::ranges::any_of(
@@ -56,6 +83,10 @@
   return {late, (late ? piece.deadline : piece.due) + kRankStep * piece.rank};
 }
 
+int PieceQueue::Crashes(const Piece& piece) const {
+  return rules_.crashes ? rules_.crashes(piece.work) : 0;
+}
+
 uint64_t PieceQueue::Push(Piece piece, PieceEvents events) {
   const uint64_t ticket = next_ticket_++;
   waiting_.push_back({ticket, std::move(piece), std::move(events), 0});
@@ -97,9 +128,11 @@
   std::vector<QueuedPiece> call;
   int64_t room = space.room_bytes;
   size_t late = 0;
+  CallMix mix;
   for (const auto& [urgency, it] : order) {
     if (static_cast<int>(call.size()) >= space.pieces) break;
     if (it->piece.result_bytes > room) continue;
+    if (!mix.Admit(it->piece.work, Crashes(it->piece))) continue;
     room -= it->piece.result_bytes;
     if (urgency.late) ++late;
     call.push_back(std::move(*it));
--- a/libs/stages/test/piece_queue_test.cc
+++ b/libs/stages/test/piece_queue_test.cc
@@ -1,6 +1,7 @@
 #include "turmeric/stages/piece_queue.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -145,3 +146,53 @@
   }
   REQUIRE(queue.TakeCall(space, kNow).size() == 4);
 }
+
+namespace {
+
+/** A queue whose pieces' ids are their works, with crashes by work. */
+PieceQueue QueueWithCrashes(std::map<std::string, int> crashes) {
+  return PieceQueue({.late_last = true,
+                     .by_zone = true,
+                     .crashes = [crashes](const std::string& work) {
+                       const auto it = crashes.find(work);
+                       return it == crashes.end() ? 0 : it->second;
+                     }});
+}
+
+void PushWork(PieceQueue& queue, const std::string& work,
+              std::chrono::milliseconds due_in) {
+  Piece piece = MakePiece(work, due_in);
+  piece.work = work;
+  queue.Push(std::move(piece), {});
+}
+
+}  // namespace
+
+// Guards against pieces that share each call with the one that ends upstreams.
+TEST_CASE("requests that were in a call whose upstream ended part") {
+  PieceQueue queue = QueueWithCrashes({{"a", 1}, {"b", 1}});
+  PushWork(queue, "a", 500ms);
+  PushWork(queue, "b", 600ms);
+  PushWork(queue, "a", 700ms);
+  PushWork(queue, "new", 800ms);
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) ==
+          std::vector<std::string>{"a", "a", "new"});
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) == std::vector<std::string>{"b"});
+}
+
+TEST_CASE(
+    "a request under which two upstreams have ended is called for alone") {
+  PieceQueue queue = QueueWithCrashes({{"a", 2}, {"b", 2}});
+  PushWork(queue, "new", 500ms);
+  PushWork(queue, "a", 600ms);
+  PushWork(queue, "a", 700ms);
+  PushWork(queue, "b", 800ms);
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) ==
+          std::vector<std::string>{"new"});
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) ==
+          std::vector<std::string>{"a", "a"});
+  PushWork(queue, "new", 900ms);
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) == std::vector<std::string>{"b"});
+  REQUIRE(Ids(queue.TakeCall(Space(8), kNow)) ==
+          std::vector<std::string>{"new"});
+}
