A state of the store is known by its era and its revision

What callers saw after the store came back from an older copy (tests first, on the code as it was): a new route in force on no instance within 2 s, on one instance and on four; an upstream that began to leave at a revision given out again got 4 of 8 requests, on four instances 16 of 32; an instance whose entry was lost never entered itself again; 90,480 to 148,174 calls in 4 s to a store that answers 410, 85,897 to one that goes back and says nothing.

Cause: every comparison of two states of the store was one of revisions, and revisions go back. A list with a lower one was thrown away, the watch from the higher one was answered 410, which led to the same list, at once.

One that has left stays away from a copy that lists it, until its entry changes or would have lapsed. What the copy lacks counts as lapsed while the store was away. - Instances enter themselves again, each at a time of its own within 2 s; quarantined work of the last two minutes is written again. - No answer of the store is asked for again without a pause that grows. - Log lines store_era, store_came_back, instance_not_listed.

--- a/libs/entry/include/turmeric/entry/instance_directory.h
+++ b/libs/entry/include/turmeric/entry/instance_directory.h
@@ -35,6 +35,8 @@
 
  private:
   void Enter();
+  /** Enters, at a time of its own. */
+  void EnterLater();
   void Read();
   void OnRead(std::span<const store::SourceObject> objects);
 
@@ -44,6 +46,7 @@
   InstanceInfo info_;
   ChangeCallback on_change_;
   QTimer next_;
+  QTimer enter_;
   int reads_ = 0;
   bool entered_ = false;
 };
--- a/libs/entry/include/turmeric/entry/quarantine_archive.h
+++ b/libs/entry/include/turmeric/entry/quarantine_archive.h
@@ -41,10 +41,13 @@
    *     if it no longer is.
    */
   void Write(const std::string& work, std::vector<quarantine::Crash> crashes);
+  /** The store has lost what was written to it lately: writes it again. */
+  void WriteAgain();
 
  private:
   void OnRead(std::span<const store::SourceObject> objects);
   void Send(const std::string& work);
+  void NoteWritten(const std::string& work);
 
   store::ObjectSource& source_;
   std::string kind_;
@@ -54,6 +57,12 @@
   /** By work; not yet taken by the store. */
   std::map<std::string, std::vector<quarantine::Crash>> unwritten_;
   std::chrono::milliseconds pause_;
+  /** Taken by the store, lately. */
+  struct Written {
+    std::vector<quarantine::Crash> crashes;
+    Clock::time_point at;
+  };
+  std::map<std::string, Written> written_;  ///< By work.
   QTimer retry_;
 };
 
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -63,6 +63,10 @@
   void set_others_store_age(std::function<std::chrono::milliseconds()> age) {
     others_store_age_ = std::move(age);
   }
+  /** @param callback called when the store has begun a new era. */
+  void set_on_new_era(std::function<void()> callback) {
+    on_new_era_ = std::move(callback);
+  }
   /** @return when the store last answered us for both kinds. */
   Clock::time_point store_heard() const;
   /** @return the end of its last outage, if one is known. */
@@ -97,13 +101,18 @@
   void OnChanges(peer::StoreKind kind, const store::ChangeBatch& batch,
                  std::chrono::milliseconds outage);
   void Apply(peer::StoreKind kind, std::span<const store::SourceObject> news,
-             const std::string& source);
+             const std::string& source, bool from_copy = false);
   std::chrono::milliseconds NoteOutage(std::chrono::milliseconds outage);
   void OnConfig(const store::SourceObject& object, const std::string& source);
   void OnUpstreamList(std::span<const store::SourceObject> objects,
-                      std::chrono::milliseconds outage);
+                      std::chrono::milliseconds outage, bool from_copy);
   void OnUpstreamChange(const store::SourceObject& object,
-                        Clock::time_point keep_till);
+                        Clock::time_point keep_till, bool from_copy);
+  /** @param before position of the kind. @param after position that it gets
+   * now.
+   * @return true if a new era of the store begins with it. */
+  bool NoteEra(peer::StoreKind kind, store::Position before,
+               store::Position after, const std::string& source);
   std::optional<routing::UpstreamEntry> ReadEntry(
       const store::SourceObject& object);
   void NoteComplete();
@@ -117,6 +126,7 @@
   std::optional<Clock::time_point> outage_ended_;
   std::function<void()> on_complete_;
   MergedCallback on_merged_;
+  std::function<void()> on_new_era_;
   std::function<std::chrono::milliseconds()> others_store_age_;
   QTimer expire_;
 };
--- a/libs/entry/include/turmeric/entry/work_quarantine.h
+++ b/libs/entry/include/turmeric/entry/work_quarantine.h
@@ -71,6 +71,8 @@
   /** @param work a fingerprint. @return upstreams that have ended under it. */
   int crashes(std::string_view work) const;
 
+  /** The store has lost what was written to it lately. */
+  void OnNewEra();
   /** @param source who sent it. @param frame another instance's news. */
   void OnFrame(const std::string& source, const peer::Frame& frame);
   /** @param frame the first to an instance that may have just started: gets
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -127,6 +127,7 @@
   }
   if (auto up = StartPeers(); !up) return up;
   feed_->set_on_complete([] { utils::DecisionLog("ready"); });
+  feed_->set_on_new_era([this] { quarantine_->OnNewEra(); });
   feed_->Start();
   quarantine_->Start(*link_.source, link_.quarantine_kind);
   utils::DecisionLog("started")
--- a/libs/entry/src/instance_directory.cc
+++ b/libs/entry/src/instance_directory.cc
@@ -1,5 +1,6 @@
 #include "turmeric/entry/instance_directory.h"
 
+#include <random>
 #include <utility>
 
 #include "turmeric/utils/decision_log.h"
@@ -12,6 +13,10 @@
 
 /** Pause before entering again after the store did not answer. */
 constexpr milliseconds kEnterAgain{1000};
+/** An instance that no longer stands in the list enters itself again within
+ * this, at a time of its own: with a store that came back from an older copy,
+ * all of a fleet do. */
+constexpr milliseconds kEnterAgainWithin{2000};
 /** Reads while a fleet is starting, in this distance; its instances enter
  * within a second of each other. */
 constexpr milliseconds kEarlyRead{1500};
@@ -35,11 +40,21 @@
       info_(std::move(info)),
       on_change_(std::move(on_change)) {
   next_.setSingleShot(true);
+  enter_.setSingleShot(true);
+  connect(&enter_, &QTimer::timeout, this, [this] { Enter(); });
   connect(&next_, &QTimer::timeout, this, [this] { Read(); });
 }
 
 void InstanceDirectory::Start() { Read(); }
 
+void InstanceDirectory::EnterLater() {
+  if (enter_.isActive()) return;
+  utils::DecisionLog("instance_not_listed");
+  static std::minstd_rand engine{std::random_device{}()};
+  std::uniform_int_distribution<int64_t> pause(0, kEnterAgainWithin.count());
+  enter_.start(milliseconds(pause(engine)));
+}
+
 void InstanceDirectory::Enter() {
   const QJsonObject spec{{kAddressField, QString::fromStdString(info_.address)},
                          {kZoneField, QString::fromStdString(info_.zone)},
@@ -85,8 +100,10 @@
   // An instance that has restarted stands in the list as it is; writing the
   // same again would cost two calls for each restart of a fleet.
   const auto own = instances.find(name_);
-  if (own != instances.end() && own->second == info_) entered_ = true;
-  if (!entered_) Enter();
+  const bool stands = own != instances.end() && own->second == info_;
+  if (!stands && entered_) EnterLater();
+  if (stands) entered_ = true;
+  if (!entered_ && !enter_.isActive()) Enter();
   instances[name_] = info_;
   on_change_(instances);
 }
--- a/libs/entry/src/quarantine_archive.cc
+++ b/libs/entry/src/quarantine_archive.cc
@@ -21,6 +21,8 @@
 /** Pause after the store has not taken a write, doubled up to the longest. */
 constexpr milliseconds kFirstPause{500};
 constexpr milliseconds kLongestPause{30000};
+/** A copy from which the store comes back has all that was written before. */
+constexpr milliseconds kCopyIsYounger = std::chrono::minutes(2);
 
 }  // namespace
 
@@ -80,13 +82,31 @@
   Send(work);
 }
 
+void QuarantineArchive::NoteWritten(const std::string& work) {
+  auto node = unwritten_.extract(work);
+  if (node.empty()) return;
+  const auto now = Clock::now();
+  std::erase_if(written_, [now](const auto& entry) {
+    return entry.second.at + kCopyIsYounger < now;
+  });
+  written_.insert_or_assign(work, Written{std::move(node.mapped()), now});
+}
+
+void QuarantineArchive::WriteAgain() {
+  if (written_.empty()) return;
+  for (auto& [work, written] : std::exchange(written_, {})) {
+    unwritten_.emplace(work, std::move(written.crashes));
+  }
+  if (!retry_.isActive()) retry_.start(kFirstPause);
+}
+
 void QuarantineArchive::Send(const std::string& work) {
   const auto spec =
       quarantine::EncodeCrashes(unwritten_.at(work), quarantine::Moment::Now());
   source_.Put(kind_, work, spec, [this, work](const auto& written) {
     if (written) {
       pause_ = kFirstPause;
-      unwritten_.erase(work);
+      NoteWritten(work);
     } else {
       utils::DecisionLog("quarantine_not_written")
           .Add("work", work)
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kShortOutage{1000};
 /** How often lapsed entries are looked for. */
 constexpr milliseconds kExpireInterval{100};
+/** An entry of an older copy whose process has gone lapses by then: after three
+ * beats of a second and more. */
+constexpr milliseconds kCopiedEntryLapses{5000};
 /** Where a change came from, in logs: our own calls. */
 constexpr auto kStoreSource = "store";
 
@@ -111,6 +114,7 @@
     return;
   }
   Kind& kind = Of(changes.kind);
+  const store::Position before = kind.replica.revision();
   const auto merged = kind.replica.Merge(*batch);
   if (merged.outcome == store::KindReplica::Outcome::kGap) {
     utils::DecisionLog("relayed_changes_gap")
@@ -118,11 +122,15 @@
         .Add("watch", NameOf(changes.kind))
         .Add("follows", batch->follows)
         .Add("known", kind.replica.revision());
-    return kind.reflector->CatchUp();
+    const bool later_era = store::EraOf(batch->revision) > store::EraOf(before);
+    return later_era ? kind.reflector->CatchUpByList()
+                     : kind.reflector->CatchUp();
   }
   if (merged.outcome == store::KindReplica::Outcome::kKnown) return;
+  const bool from_copy =
+      NoteEra(changes.kind, before, kind.replica.revision(), source);
   kind.reflector->AdvanceTo(kind.replica.revision());
-  Apply(changes.kind, merged.news, source);
+  Apply(changes.kind, merged.news, source, from_copy);
   if (on_merged_) on_merged_(changes.kind, *batch);
 }
 
@@ -161,13 +169,18 @@
 void TopologyFeed::OnList(StoreKind kind, const store::SourceBatch& list,
                           milliseconds outage) {
   outage = NoteOutage(outage);
-  const auto changes = Of(kind).replica.MergeList(list);
+  store::KindReplica& replica = Of(kind).replica;
+  const bool is_first = !replica.synced();
+  const store::Position before = replica.revision();
+  const auto changes = replica.MergeList(list);
   // A list that is older than what others have passed on says nothing new.
   if (!changes) return;
+  const bool from_copy =
+      !is_first && NoteEra(kind, before, replica.revision(), kStoreSource);
   if (kind == StoreKind::kConfig) {
     Apply(kind, changes->objects, kStoreSource);
   } else {
-    OnUpstreamList(list.objects, outage);
+    OnUpstreamList(list.objects, outage, from_copy);
   }
   if (on_merged_) on_merged_(kind, *changes);
 }
@@ -181,6 +194,22 @@
   if (on_merged_) on_merged_(kind, batch);
 }
 
+bool TopologyFeed::NoteEra(StoreKind kind, store::Position before,
+                           store::Position after, const std::string& source) {
+  if (store::EraOf(after) == store::EraOf(before)) return false;
+  utils::DecisionLog("store_came_back")
+      .Add("watch", NameOf(kind))
+      .Add("source", source)
+      .Add("era", store::EraOf(after))
+      .Add("revision", store::RevisionOf(after))
+      .Add("era_before", store::EraOf(before))
+      .Add("revision_before", store::RevisionOf(before));
+  // What the copy lacks may have been written since: its entries have lapsed.
+  NoteOutageEnded(Clock::now());
+  if (on_new_era_) on_new_era_();
+  return true;
+}
+
 // While others have heard the store, only we were without it: its entries have
 // not lapsed, and what is missing is gone.
 milliseconds TopologyFeed::NoteOutage(milliseconds outage) {
@@ -190,7 +219,7 @@
 }
 
 void TopologyFeed::Apply(StoreKind kind, std::span<const SourceObject> news,
-                         const std::string& source) {
+                         const std::string& source, bool from_copy) {
   if (news.empty()) return;
   if (kind == StoreKind::kConfig) {
     std::ranges::for_each(news,
@@ -198,8 +227,9 @@
     return;
   }
   const auto keep_till = KeepTill();
-  std::ranges::for_each(
-      news, [&](const SourceObject& o) { OnUpstreamChange(o, keep_till); });
+  std::ranges::for_each(news, [&](const SourceObject& o) {
+    OnUpstreamChange(o, keep_till, from_copy);
+  });
   context_.upstreams.Expire(Clock::now());
 }
 
@@ -234,13 +264,15 @@
 }
 
 void TopologyFeed::OnUpstreamList(std::span<const SourceObject> objects,
-                                  milliseconds outage) {
+                                  milliseconds outage, bool from_copy) {
   std::vector<routing::UpstreamEntry> entries;
   for (const SourceObject& object : objects) {
     auto entry = ReadEntry(object);
     if (entry) entries.push_back(std::move(*entry));
   }
-  context_.upstreams.ReplaceAll(entries, KeepTill());
+  std::optional<Clock::time_point> copy_till;
+  if (from_copy) copy_till = Clock::now() + kCopiedEntryLapses;
+  context_.upstreams.ReplaceAll(entries, KeepTill(), copy_till);
   context_.upstreams.Expire(Clock::now());
   context_.upstreams_known = true;
   utils::DecisionLog("upstreams_listed")
@@ -251,9 +283,14 @@
 }
 
 void TopologyFeed::OnUpstreamChange(const SourceObject& object,
-                                    Clock::time_point keep_till) {
+                                    Clock::time_point keep_till,
+                                    bool from_copy) {
   if (object.deleted) return context_.upstreams.Remove(object.name, keep_till);
   const auto entry = ReadEntry(object);
+  if (entry && from_copy) {
+    return context_.upstreams.PutFromCopy(*entry,
+                                          Clock::now() + kCopiedEntryLapses);
+  }
   if (entry) return context_.upstreams.Put(*entry);
   context_.upstreams.Remove(object.name, Clock::now());
 }
--- a/libs/entry/src/work_quarantine.cc
+++ b/libs/entry/src/work_quarantine.cc
@@ -146,6 +146,10 @@
   for (const GoodRun& run : frame.good_runs) ledger_.Note(run);
 }
 
+void WorkQuarantine::OnNewEra() {
+  if (archive_) archive_->WriteAgain();
+}
+
 void WorkQuarantine::Introduce(peer::Frame& frame) const {
   for (const Crash& crash : ledger_.Crashes()) {
     if (ledger_.CrashesUnder(crash.work).size() < kWorthTelling) continue;
--- a/libs/insight/src/control_report.cc
+++ b/libs/insight/src/control_report.cc
@@ -24,13 +24,15 @@
   std::array<std::string_view, 4> fields;
 };
 
-constexpr std::array<PathEvent, 10> kPathEvents = {{
+constexpr std::array<PathEvent, 12> kPathEvents = {{
     {"started", {"zone", "", "", ""}},
     {kConfigInForce, {"version", "before", "revision", "source"}},
     {"store_watched", {"why", "followers", "store_age_ms", ""}},
     {"store_not_watched", {"why", "followers", "store_age_ms", ""}},
     {"store_lost", {"watch", "why", "", ""}},
     {"store_regained", {"watch", "why", "", ""}},
+    {"store_era", {"before", "era", "", ""}},
+    {"store_came_back", {"watch", "source", "era", "revision"}},
     {"relay_passed_by", {"peer", "why", "", ""}},
     {"relays_for_others", {"first", "", "", ""}},
     {"relayed_changes_gap", {"source", "watch", "follows", "known"}},
--- a/libs/routing/include/turmeric/routing/upstream_table.h
+++ b/libs/routing/include/turmeric/routing/upstream_table.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "turmeric/routing/upstream.h"
@@ -26,10 +28,18 @@
   void set_on_leave(LeaveCallback callback) { on_leave_ = std::move(callback); }
   /**
    * Applies one entry. A later start under a known id is a new upstream
-   * without history; an earlier start than the known one changes nothing.
+   * without history; an earlier start than the known one changes nothing, and
+   * one that has begun to leave goes on leaving.
    * @param entry the entry, as listed.
    */
   void Put(const UpstreamEntry& entry);
+  /**
+   * Applies one entry of a store that came back from an older copy. An upstream
+   * that has left stays away, unless the entry changes again or is still there
+   * when it would have lapsed.
+   * @param entry the entry, as listed. @param till when it would have.
+   */
+  void PutFromCopy(const UpstreamEntry& entry, Clock::time_point till);
   /**
    * An entry was removed.
    * @param id its id. @param keep_till still used till then: an entry that
@@ -39,10 +49,12 @@
   /**
    * Replaces everything by a full list.
    * @param entries the list. @param keep_till as for Remove, for entries
-   *     that the list lacks.
+   *     that the list lacks. @param copy_till as for PutFromCopy, if the store
+   *     came back from an older copy.
    */
   void ReplaceAll(std::span<const UpstreamEntry> entries,
-                  Clock::time_point keep_till);
+                  Clock::time_point keep_till,
+                  std::optional<Clock::time_point> copy_till = std::nullopt);
   /** Drops entries whose time has run out. @param now the time. */
   void Expire(Clock::time_point now);
   /** @param service its name. @return its upstreams, leaving ones too. */
@@ -57,11 +69,21 @@
   size_t size() const { return by_id_.size(); }
 
  private:
+  /** An entry of an older copy, of an upstream that has left. */
+  struct Doubted {
+    UpstreamEntry entry;
+    Clock::time_point till;
+  };
+
   void Add(const UpstreamEntry& entry);
   void Drop(UpstreamPtr upstream);
+  void NoteLeft(const UpstreamEntry& entry, Clock::time_point now);
 
   LeaveCallback on_leave_;
   std::map<std::string, UpstreamPtr, std::less<>> by_id_;
+  /** When the upstreams left that did so lately, by start. */
+  std::map<std::pair<std::string, int64_t>, Clock::time_point> left_;
+  std::map<std::string, Doubted, std::less<>> doubted_;  ///< By id.
   std::unordered_map<std::string, std::vector<UpstreamPtr>> by_service_;
 };
 
--- a/libs/routing/src/upstream_table.cc
+++ b/libs/routing/src/upstream_table.cc
@@ -5,6 +5,13 @@
 
 namespace turmeric::routing {
 
+namespace {
+
+/** An upstream that left longer ago is not in a copy of some seconds ago. */
+constexpr std::chrono::minutes kLeftRemembered{2};
+
+}  // namespace
+
 void UpstreamTable::Add(const UpstreamEntry& entry) {
   auto upstream = std::make_shared<Upstream>();
   upstream->entry = entry;
@@ -13,6 +20,7 @@
 }
 
 void UpstreamTable::Put(const UpstreamEntry& entry) {
+  doubted_.erase(entry.id);
   const UpstreamPtr upstream = Find(entry.id);
   if (!upstream) return Add(entry);
   const int64_t known_start = upstream->entry.started_unix_ms;
@@ -29,12 +37,28 @@
     return Add(entry);
   }
   const bool leaves = entry.draining && !upstream->entry.draining;
-  upstream->entry.draining = entry.draining;
+  // Guard: a store that came back from an older copy lists it as it was before.
+  upstream->entry.draining = upstream->entry.draining || entry.draining;
   upstream->entry.slots = entry.slots;
   upstream->lapses_at = Clock::time_point::max();
   if (leaves && on_leave_) on_leave_(upstream);
 }
 
+void UpstreamTable::PutFromCopy(const UpstreamEntry& entry,
+                                Clock::time_point till) {
+  const bool has_left = left_.contains({entry.id, entry.started_unix_ms});
+  if (Find(entry.id) || !has_left) return Put(entry);
+  doubted_.insert_or_assign(entry.id, Doubted{entry, till});
+}
+
+void UpstreamTable::NoteLeft(const UpstreamEntry& entry,
+                             Clock::time_point now) {
+  std::erase_if(left_, [now](const auto& left) {
+    return left.second + kLeftRemembered < now;
+  });
+  left_[{entry.id, entry.started_unix_ms}] = now;
+}
+
 void UpstreamTable::Drop(UpstreamPtr upstream) {
   upstream->listed = false;
   auto& of_service = by_service_[upstream->entry.service];
@@ -44,18 +68,26 @@
 }
 
 void UpstreamTable::Remove(std::string_view id, Clock::time_point keep_till) {
+  const auto doubted = doubted_.find(id);
+  if (doubted != doubted_.end()) doubted_.erase(doubted);
   const UpstreamPtr upstream = Find(id);
   if (!upstream) return;
   upstream->lapses_at = std::min(upstream->lapses_at, keep_till);
 }
 
 void UpstreamTable::ReplaceAll(std::span<const UpstreamEntry> entries,
-                               Clock::time_point keep_till) {
+                               Clock::time_point keep_till,
+                               std::optional<Clock::time_point> copy_till) {
   std::set<std::string_view> listed;
   for (const UpstreamEntry& entry : entries) {
     listed.insert(entry.id);
-    Put(entry);
+    // A list alone does not say that a doubted entry was written again.
+    if (doubted_.contains(entry.id)) continue;
+    copy_till ? PutFromCopy(entry, *copy_till) : Put(entry);
   }
+  std::erase_if(doubted_, [&](const auto& doubted) {
+    return !listed.contains(doubted.first);
+  });
   for (const auto& [id, upstream] : by_id_) {
     if (!listed.contains(id)) {
       upstream->lapses_at = std::min(upstream->lapses_at, keep_till);
@@ -68,7 +100,15 @@
   for (const auto& [id, upstream] : by_id_) {
     if (upstream->lapses_at <= now) gone.push_back(upstream);
   }
-  std::ranges::for_each(gone, [this](const UpstreamPtr& u) { Drop(u); });
+  for (const UpstreamPtr& u : gone) {
+    NoteLeft(u->entry, now);
+    Drop(u);
+  }
+  std::vector<UpstreamEntry> alive;
+  for (const auto& [id, doubted] : doubted_) {
+    if (doubted.till <= now) alive.push_back(doubted.entry);
+  }
+  std::ranges::for_each(alive, [this](const auto& entry) { Put(entry); });
 }
 
 std::span<const UpstreamPtr> UpstreamTable::ForService(
--- a/libs/routing/test/upstream_table_test.cc
+++ b/libs/routing/test/upstream_table_test.cc
@@ -135,3 +135,44 @@
   table.Put(EntryOfStart("a", 2000));
   REQUIRE(IsListed(*table.Find("a"), kNow));
 }
+
+// Guards against work for an upstream that a store from an older copy lists as
+// if it had not begun to leave.
+TEST_CASE("an upstream that leaves goes on leaving") {
+  UpstreamTable table;
+  table.Put(Entry("i-1", true));
+  table.Put(Entry("i-1", false));
+  REQUIRE(table.Find("i-1")->entry.draining);
+}
+
+// Guards against work for an upstream that has left and that an older copy
+// lists.
+TEST_CASE("an entry of a copy does not bring back an upstream that has left") {
+  UpstreamTable table;
+  const auto now = Clock::time_point(100s);
+  table.Put(Entry("i-1"));
+  table.Remove("i-1", now);
+  table.Expire(now);
+  const std::vector<UpstreamEntry> copy{Entry("i-1"), Entry("i-2")};
+  table.ReplaceAll(copy, now, now + 5s);
+  REQUIRE_FALSE(table.Find("i-1"));
+  REQUIRE(table.Find("i-2"));
+  SECTION("another list says nothing new") {
+    table.ReplaceAll(copy, now);
+    table.Expire(now + 4s);
+    REQUIRE_FALSE(table.Find("i-1"));
+  }
+  SECTION("its removal does") {
+    table.Remove("i-1", now + 1s);
+    table.Expire(now + 6s);
+    REQUIRE_FALSE(table.Find("i-1"));
+  }
+  SECTION("what was written again brings it back at once") {
+    table.Put(Entry("i-1"));
+    REQUIRE(table.Find("i-1"));
+  }
+  SECTION("it is alive if its entry does not lapse") {
+    table.Expire(now + 5s);
+    REQUIRE(table.Find("i-1"));
+  }
+}
--- a/libs/store/include/turmeric/store/kind_replica.h
+++ b/libs/store/include/turmeric/store/kind_replica.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "turmeric/store/change_batch.h"
+#include "turmeric/store/position.h"
 
 namespace turmeric::store {
 
@@ -30,13 +31,16 @@
   };
 
   /**
-   * Takes over a full list of the store.
+   * Takes over a full list of the store. One of a later era may be a copy of
+   * an older state, with revisions given out again: what differs from what is
+   * held is a change, the rest is held from now on as of the new era.
    * @param list all objects there are. @return the changes that lead from what
    *     was known to the list; of a first list its objects, as changes that
    *     follow nothing but itself; nullopt if it is older than what is known.
    */
   std::optional<ChangeBatch> MergeList(const SourceBatch& list);
-  /** @param batch changes. @return what is new in them. */
+  /** @param batch changes; those that lead into a later era must follow just
+   * what is known here. @return what is new in them. */
   Merged Merge(const ChangeBatch& batch);
 
   /** @return true once a full list was merged. */
@@ -48,11 +52,19 @@
 
  private:
   bool IsNew(const SourceObject& object) const;
+  /** @return true if the object is held with this content. */
+  bool IsHeldAsIs(const SourceObject& object) const;
   void Note(const SourceObject& object);
 
-  std::map<std::string, int64_t> held_;  ///< Revisions by name.
-  int64_t revision_ = 0;
-  int64_t newest_change_ = 0;
+  /** What is known of one object. */
+  struct Held {
+    Position position = 0;  ///< Of its last change.
+    size_t content = 0;     ///< Hash of its content.
+  };
+
+  std::map<std::string, Held> held_;  ///< By name.
+  Position revision_ = 0;
+  Position newest_change_ = 0;
   bool synced_ = false;
 };
 
--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -59,6 +59,8 @@
   void AdvanceTo(int64_t revision);
   /** Changes are missing: asks the store for them once, also while resting. */
   void CatchUp();
+  /** The same, if a watch would not tell them: the store has begun an era. */
+  void CatchUpByList();
   /**
    * Somebody else has seen a change of the kind. If our watch does not bring it
    * within a moment, it is lost, and another one is begun.
@@ -84,6 +86,9 @@
   void Continue(std::chrono::milliseconds pause);
   void Heard();
   void OnError(const utils::Error& error);
+  void OnHistoryGone();
+  /** @return the pause after a watch that ended with nothing. */
+  std::chrono::milliseconds PauseAfterNothing();
   void WatchAnew();
   std::chrono::milliseconds UsualWait() const;
   std::chrono::milliseconds Outage() const;
@@ -103,11 +108,14 @@
   bool synced_ = false;
   bool reachable_ = false;
   int failures_ = 0;
+  int gone_ = 0;   ///< Histories in a row that the store did not have.
+  int early_ = 0;  ///< Watches in a row that ended early, for nothing.
   int64_t revision_ = 0;
   int64_t elsewhere_ = 0;      ///< The newest change that others have seen.
   bool calling_ = false;       ///< A call is open.
   bool waiting_ = false;       ///< It is a watch.
   uint64_t watch_number_ = 0;  ///< Tells the open watch from those given up.
+  std::chrono::milliseconds wait_{0};  ///< Of the last watch.
   std::chrono::steady_clock::time_point called_at_;
   std::chrono::steady_clock::time_point anew_at_;
   std::chrono::steady_clock::time_point heard_at_;
--- a/libs/store/src/kind_replica.cc
+++ b/libs/store/src/kind_replica.cc
@@ -1,5 +1,6 @@
 #include "turmeric/store/kind_replica.h"
 
+#include <QHash>
 #include <algorithm>
 #include <set>
 #include <string_view>
@@ -11,19 +12,24 @@
   if (object.deleted) {
     // The store may tell a deletion by the revision of the last change before,
     // so it is new as long as nothing later is held under the name.
-    return it != held_.end() && object.revision >= it->second;
+    return it != held_.end() && object.revision >= it->second.position;
   }
   // A list of several pages may hold objects newer than its revision; changes
   // between the two that come later must not take them back.
-  const int64_t held = it == held_.end() ? 0 : it->second;
+  const Position held = it == held_.end() ? 0 : it->second.position;
   return !synced_ || object.revision > std::max(revision_, held);
 }
 
+bool KindReplica::IsHeldAsIs(const SourceObject& object) const {
+  const auto it = held_.find(object.name);
+  return it != held_.end() && it->second.content == qHash(object.spec);
+}
+
 void KindReplica::Note(const SourceObject& object) {
   if (object.deleted) {
     held_.erase(object.name);
   } else {
-    held_[object.name] = object.revision;
+    held_[object.name] = {object.revision, qHash(object.spec)};
   }
   newest_change_ = std::max(newest_change_, object.revision);
 }
@@ -36,15 +42,20 @@
   ChangeBatch changes{.follows = synced_ ? revision_ : list.revision,
                       .revision = list.revision,
                       .objects = {}};
+  const bool later_era = synced_ && EraOf(list.revision) > EraOf(revision_);
   std::set<std::string_view> listed;
   for (const SourceObject& object : list.objects) {
     listed.insert(object.name);
-    if (IsNew(object)) changes.objects.push_back(object);
+    if (later_era && IsHeldAsIs(object)) {
+      held_[object.name].position = object.revision;
+    } else if (IsNew(object)) {
+      changes.objects.push_back(object);
+    }
   }
-  for (const auto& [name, revision] : held_) {
+  for (const auto& [name, held] : held_) {
     if (listed.contains(name)) continue;
     changes.objects.push_back(
-        {.name = name, .spec = {}, .revision = revision, .deleted = true});
+        {.name = name, .spec = {}, .revision = held.position, .deleted = true});
   }
   std::ranges::for_each(changes.objects,
                         [this](const SourceObject& o) { Note(o); });
@@ -56,6 +67,11 @@
 KindReplica::Merged KindReplica::Merge(const ChangeBatch& batch) {
   if (!synced_ || batch.follows > revision_) return {Outcome::kGap, {}};
   if (batch.revision <= revision_) return {};
+  // Guard: changes into a later era are what differs between the sender's last
+  // state and the store's copy. Applied to another state, they would leave an
+  // upstream in use that the copy lacks.
+  const bool later_era = EraOf(batch.revision) > EraOf(revision_);
+  if (later_era && batch.follows != revision_) return {Outcome::kGap, {}};
   Merged merged{Outcome::kMerged, {}};
   for (const SourceObject& object : batch.objects) {
     if (!IsNew(object)) continue;
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -41,6 +41,17 @@
  * seconds in which a change must be in force. */
 constexpr milliseconds kCoalesce{400};
 
+/** Pause after a second answer in a row that helps nothing, doubled with each
+ * further one: an answer that comes at once must not be asked for in a loop. */
+constexpr milliseconds kFirstUselessPause{100};
+constexpr int kMostUselessDoublings = 6;
+
+/** @param times answers in a row that helped nothing. @return the pause. */
+milliseconds PauseAfterUseless(int times) {
+  if (times < 2) return milliseconds(0);
+  return kFirstUselessPause * (1 << std::min(times - 2, kMostUselessDoublings));
+}
+
 double DrawSpread() {
   static std::minstd_rand engine{std::random_device{}()};
   return std::uniform_real_distribution<double>(0.6, 1.2)(engine);
@@ -94,6 +105,11 @@
   CallAgain();
 }
 
+void Reflector::CatchUpByList() {
+  list_next_ = true;
+  CatchUp();
+}
+
 // Begins the next call after a pause, unless there is none to make.
 void Reflector::Continue(milliseconds pause) {
   if (resting_ && !catch_up_) return;
@@ -123,13 +139,13 @@
   // With the full wait it would be given up seconds after the return, and a
   // configuration accepted meanwhile would come into force too late.
   const bool only_asks = !reachable_ || resting_;
-  const milliseconds wait = only_asks ? kProbeWait : UsualWait();
+  wait_ = only_asks ? kProbeWait : UsualWait();
   called_at_ = steady_clock::now();
   calling_ = true;
   waiting_ = true;
   was_catching_up_ = std::exchange(catch_up_, false);
   source_.Watch(
-      kind_, revision_, wait,
+      kind_, revision_, wait_,
       [this, number = ++watch_number_, from = revision_](const auto& batch) {
         if (number == watch_number_) OnChanges(from, batch);
       });
@@ -182,6 +198,7 @@
   Heard();
   synced_ = true;
   list_next_ = false;
+  catch_up_ = false;
   AdvanceTo(batch.value().revision);
   events_.on_list(batch.value(), outage);
   Continue(milliseconds(0));
@@ -194,6 +211,7 @@
   if (!batch) return OnError(batch.error());
   const milliseconds outage = Outage();
   Heard();
+  gone_ = 0;
   const SourceBatch& answer = batch.value();
   AdvanceTo(answer.revision);
   events_.on_changes({.follows = follows,
@@ -203,14 +221,26 @@
   // Changes come in series (upstreams replaced one after the other, stores of
   // settings): what follows within the pause comes with one call instead of
   // one each.
-  Continue(answer.objects.empty() ? milliseconds(0) : kCoalesce);
+  if (!answer.objects.empty()) early_ = 0;
+  Continue(answer.objects.empty() ? PauseAfterNothing() : kCoalesce);
+}
+
+milliseconds Reflector::PauseAfterNothing() {
+  const bool early = steady_clock::now() - called_at_ < wait_ / 2;
+  early_ = early ? early_ + 1 : 0;
+  return PauseAfterUseless(early_);
+}
+
+// Guard: a store that has no history for what a list has just told would be
+// called in a loop.
+void Reflector::OnHistoryGone() {
+  list_next_ = true;
+  catch_up_ = catch_up_ || was_catching_up_ || !synced_;
+  Continue(PauseAfterUseless(++gone_));
 }
 
 void Reflector::OnError(const utils::Error& error) {
-  if (error.code == utils::Errc::kStoreRevisionGone) {
-    list_next_ = true;
-    return List();
-  }
+  if (error.code == utils::Errc::kStoreRevisionGone) return OnHistoryGone();
   ++failures_;
   catch_up_ = catch_up_ || was_catching_up_;
   const bool was_reachable = std::exchange(reachable_, false);
--- a/libs/store/test/kind_replica_test.cc
+++ b/libs/store/test/kind_replica_test.cc
@@ -12,6 +12,8 @@
 using turmeric::store::ChangeBatch;
 using turmeric::store::ChangeHistory;
 using turmeric::store::KindReplica;
+using turmeric::store::MakePosition;
+using turmeric::store::Position;
 using turmeric::store::SourceBatch;
 using turmeric::store::SourceObject;
 using Outcome = turmeric::store::KindReplica::Outcome;
@@ -193,3 +195,65 @@
     }
   });
 }
+
+namespace {
+
+SourceObject With(const std::string& name, const char* content,
+                  Position position) {
+  return {.name = name,
+          .spec = {{"content", content}},
+          .revision = position,
+          .deleted = false};
+}
+
+/** Knows "a" and "b" at revision 30 of era 1. */
+KindReplica BeforeReturn() {
+  return ListedAt(MakePosition(1, 30), {With("a", "x", MakePosition(1, 10)),
+                                        With("b", "y", MakePosition(1, 30))});
+}
+
+}  // namespace
+
+// Guards against a list of a store that came back from an older copy being
+// dropped for its lower revision.
+TEST_CASE("a list of a later era is taken, and only what differs is a change") {
+  KindReplica replica = BeforeReturn();
+  const auto changes =
+      replica.MergeList({.objects = {With("a", "x", MakePosition(2, 10)),
+                                     With("c", "z", MakePosition(2, 12))},
+                         .revision = MakePosition(2, 20)});
+  REQUIRE(changes);
+  REQUIRE(changes->follows == MakePosition(1, 30));
+  REQUIRE(changes->revision == MakePosition(2, 20));
+  REQUIRE(changes->objects.size() == 2);
+  REQUIRE(changes->objects[0].name == "c");
+  REQUIRE(changes->objects[1].name == "b");
+  REQUIRE(changes->objects[1].deleted);
+  // A change at a revision that was given out before.
+  const auto merged = replica.Merge({MakePosition(2, 20),
+                                     MakePosition(2, 25),
+                                     {With("a", "w", MakePosition(2, 25))}});
+  REQUIRE(merged.news.size() == 1);
+}
+
+// Guards against a slow answer that takes back what a new era has told.
+TEST_CASE("what an earlier era says is never applied") {
+  KindReplica replica = BeforeReturn();
+  replica.MergeList({.objects = {}, .revision = MakePosition(2, 20)});
+  REQUIRE_FALSE(
+      replica.MergeList({.objects = {}, .revision = MakePosition(1, 90)}));
+  const auto merged = replica.Merge({MakePosition(1, 30),
+                                     MakePosition(1, 90),
+                                     {With("a", "w", MakePosition(1, 90))}});
+  REQUIRE(merged.outcome == Outcome::kKnown);
+  REQUIRE(replica.revision() == MakePosition(2, 20));
+}
+
+// Guards against an upstream that stays in use as the relay never knew of it.
+TEST_CASE("changes into a later era need the state that they follow") {
+  KindReplica replica = BeforeReturn();
+  const ChangeBatch from_other{MakePosition(1, 28), MakePosition(2, 20), {}};
+  REQUIRE(replica.Merge(from_other).outcome == Outcome::kGap);
+  const ChangeBatch from_same{MakePosition(1, 30), MakePosition(2, 20), {}};
+  REQUIRE(replica.Merge(from_same).outcome == Outcome::kMerged);
+}
--- /dev/null
+++ b/libs/store/test/position_test.cc
@@ -0,0 +1,24 @@
+#include "turmeric/store/position.h"
+
+#include <catch2/catch.hpp>
+
+using turmeric::store::EraOf;
+using turmeric::store::kMostEra;
+using turmeric::store::kMostRevision;
+using turmeric::store::MakePosition;
+using turmeric::store::RevisionOf;
+
+TEST_CASE("a position keeps its era and its revision") {
+  const auto position = MakePosition(7, 123456789);
+  REQUIRE(EraOf(position) == 7);
+  REQUIRE(RevisionOf(position) == 123456789);
+  REQUIRE(EraOf(MakePosition(kMostEra, kMostRevision)) == kMostEra);
+  REQUIRE(RevisionOf(MakePosition(kMostEra, kMostRevision)) == kMostRevision);
+}
+
+// Guards against changes of a new era that look older than what they replace.
+TEST_CASE("every position of a later era is later") {
+  REQUIRE(MakePosition(2, 1) > MakePosition(1, kMostRevision));
+  REQUIRE(MakePosition(1, 2) > MakePosition(1, 1));
+  REQUIRE(MakePosition(0, 5) == 5);
+}
--- a/libs/store/test/reflector_test.cc
+++ b/libs/store/test/reflector_test.cc
@@ -314,3 +314,39 @@
   RunLoop(700ms);
   REQUIRE(source.watched_after == std::vector<int64_t>{7});
 }
+
+// Guards against a loop of calls to a store whose every answer is that it has
+// no history.
+TEST_CASE("a history that is gone again and again is asked for more seldom") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  const auto answer_all = [&](std::chrono::milliseconds time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+      if (source.pending) source.Fail(Errc::kStoreRevisionGone);
+      RunLoop(2ms);
+    }
+  };
+  answer_all(1000ms);
+  const int first = source.lists;
+  REQUIRE(first <= 6);
+  answer_all(1000ms);
+  REQUIRE(source.lists - first <= 2);
+}
+
+// Guards against a loop of watches that end at once and tell nothing.
+TEST_CASE("watches that end at once for nothing are begun more seldom") {
+  ScriptedSource source;
+  Seen seen;
+  Reflector reflector(source, "kind", Into(seen));
+  reflector.Start();
+  source.Answer({.objects = {}, .revision = 7});
+  const auto end = std::chrono::steady_clock::now() + 2s;
+  while (std::chrono::steady_clock::now() < end) {
+    if (source.pending) source.Answer({.objects = {}, .revision = 7});
+    RunLoop(2ms);
+  }
+  REQUIRE(source.watched_after.size() <= 8);
+}
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -41,6 +41,7 @@
   kStoreNotFound = 5003,
   kStoreAnswerLost = 5004,
   kStoreRevisionGone = 5005,
+  kStoreEraInvalid = 5006,
   // 6xxx: settings.
   kConfigInvalid = 6001,
   kConfigUnknownKey = 6002,
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -52,6 +52,8 @@
       return "store_answer_lost";
     case Errc::kStoreRevisionGone:
       return "store_revision_gone";
+    case Errc::kStoreEraInvalid:
+      return "store_era_invalid";
     case Errc::kConfigInvalid:
       return "config_invalid";
     case Errc::kConfigUnknownKey:
