--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -393,12 +393,13 @@
   const bool progressed = relay_.events() > events_before_send_;
   relay_.RunEnded();
   const QPointer<RequestRun> self(this);
+  auto go_on = [self, reason = std::string(why)] {
+    if (!self || self->finished_) return;
+    self->AfterBroken(reason);
+  };
   context_.quarantine->OnBrokenOff(send_->upstream(),
                                    {{.work = work_, .progressed = progressed}},
-                                   [self, reason = std::string(why)] {
-                                     if (self && !self->finished_)
-                                       self->AfterBroken(reason);
-                                   });
+                                   std::move(go_on));
   // Only a repeat depends on what is found out.
   if (!route_->repeatable()) Fail(kBadGateway, why);
 }
--- a/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
+++ b/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
@@ -58,7 +58,6 @@
     std::map<std::string, Clock::time_point> good_runs;  ///< By service.
 
     bool Counts(const Crash& crash) const;
-    bool AnyCounts() const;
     std::optional<Clock::time_point> QuarantinedTill() const;
     Clock::time_point last() const;
   };
--- a/libs/quarantine/src/crash_ledger.cc
+++ b/libs/quarantine/src/crash_ledger.cc
@@ -1,7 +1,7 @@
 #include "turmeric/quarantine/crash_ledger.h"
 
 #include <algorithm>
-#include <ranges>
+#include <iterator>
 
 namespace turmeric::quarantine {
 
@@ -39,11 +39,6 @@
   return run == good_runs.end() || crash.at > run->second;
 }
 
-bool CrashLedger::Work::AnyCounts() const {
-  return std::ranges::any_of(crashes | std::views::values,
-                             [this](const Crash& c) { return Counts(c); });
-}
-
 Clock::time_point CrashLedger::Work::last() const {
   Clock::time_point last{};
   for (const auto& [upstream, crash] : crashes) last = std::max(last, crash.at);
@@ -84,8 +79,9 @@
   const auto it = works_.find(run.work);
   if (it == works_.end()) return false;
   Work& work = it->second;
-  const bool counted_before = std::ranges::any_of(
-      work.crashes | std::views::values, [&](const Crash& c) {
+  const bool counted_before =
+      std::ranges::any_of(work.crashes, [&](const auto& entry) {
+        const Crash& c = entry.second;
         return c.service == run.service && work.Counts(c) && c.at <= run.at;
       });
   auto& at = work.good_runs[run.service];
@@ -94,11 +90,7 @@
 }
 
 int CrashLedger::crashes(std::string_view work) const {
-  const Work* found = Find(work);
-  if (found == nullptr) return 0;
-  return static_cast<int>(
-      std::ranges::count_if(found->crashes | std::views::values,
-                            [&](const Crash& c) { return found->Counts(c); }));
+  return static_cast<int>(CrashesUnder(work).size());
 }
 
 std::optional<milliseconds> CrashLedger::QuarantinedFor(
@@ -114,9 +106,9 @@
   std::vector<Crash> crashes;
   const Work* found = Find(work);
   if (found == nullptr) return crashes;
-  std::ranges::copy_if(found->crashes | std::views::values,
-                       std::back_inserter(crashes),
-                       [&](const Crash& c) { return found->Counts(c); });
+  for (const auto& [upstream, crash] : found->crashes) {
+    if (found->Counts(crash)) crashes.push_back(crash);
+  }
   return crashes;
 }
 
@@ -129,9 +121,10 @@
 }
 
 size_t CrashLedger::quarantined(Clock::time_point now) const {
-  return static_cast<size_t>(std::ranges::count_if(
-      works_ | std::views::keys,
-      [&](const auto& work) { return QuarantinedFor(work, now).has_value(); }));
+  return static_cast<size_t>(
+      std::ranges::count_if(works_, [&](const auto& entry) {
+        return QuarantinedFor(entry.first, now).has_value();
+      }));
 }
 
 void CrashLedger::Expire(Clock::time_point now) {
--- a/libs/routing/test/choice_test.cc
+++ b/libs/routing/test/choice_test.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
-#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -134,7 +133,8 @@
     ++placed[u->entry.id];
   }
   REQUIRE(placed.size() == 11);
-  REQUIRE(std::ranges::max(placed | std::views::values) < 30);
+  REQUIRE(std::ranges::all_of(
+      placed, [](const auto& entry) { return entry.second < 30; }));
 }
 
 TEST_CASE(
--- a/tools/turmericgated/entry_main.cc
+++ b/tools/turmericgated/entry_main.cc
@@ -1,6 +1,7 @@
 #include "entry_main.h"
 
 #include <QCoreApplication>
+#include <chrono>
 #include <csignal>
 #include <memory>
 
@@ -36,21 +37,31 @@
     return kBadSettings;
   }
   utils::ConfigureLogging(settings.value().log_level);
-  kernel::Kernel kernel;
-  auto* service = static_cast<entry::EntryService*>(
-      kernel.Register(std::make_unique<entry::EntryService>(
-          settings.value(),
-          platform::MakeLink(settings.value().store_address))));
-  if (auto started = kernel.StartAll(); !started) {
-    ReportError(started.error());
-    return kBadSettings;
+  std::chrono::steady_clock::time_point stopped;
+  int rc = 0;
+  {
+    kernel::Kernel kernel;
+    auto* service = static_cast<entry::EntryService*>(
+        kernel.Register(std::make_unique<entry::EntryService>(
+            settings.value(),
+            platform::MakeLink(settings.value().store_address))));
+    if (auto started = kernel.StartAll(); !started) {
+      ReportError(started.error());
+      return kBadSettings;
+    }
+    const SignalPipe signals([&](int number) {
+      if (number == SIGHUP) return Reload(*service, settings_file);
+      service->Drain([&app] { app.quit(); });
+    });
+    rc = app.exec();
+    stopped = std::chrono::steady_clock::now();
+    kernel.StopAll();
   }
-  const SignalPipe signals([&](int number) {
-    if (number == SIGHUP) return Reload(*service, settings_file);
-    service->Drain([&app] { app.quit(); });
-  });
-  const int rc = app.exec();
-  kernel.StopAll();
+  // The stop grace ends with the process, not with its last answer.
+  utils::DecisionLog("torn_down")
+      .Add("ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::steady_clock::now() - stopped)
+                     .count());
   return rc;
 }
 
