--- a/libs/entry/include/turmeric/entry/upstream_probe.h
+++ b/libs/entry/include/turmeric/entry/upstream_probe.h
@@ -3,8 +3,6 @@
 #include <QObject>
 #include <functional>
 #include <map>
-#include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
