Evacuated zones get nothing new

Ruled out: a watch of its own, which would have no part in relays, gaps, positions and eras.

Change: a third kind beside configuration and upstreams, followed through the same replicas, relays and policy (StoreRevisions holds one revision for each). EvacuatedZones keeps what is evacuated; the upstreams of its zones are not listed any more, so choices, placements, stage calls and home zones move at once. Stage shards leave the zone, and what waits in its queues is made elsewhere. An instance is ready only once it has read the kind. A request of which some service has no upstream left is refused before its stages begin.

--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -37,6 +37,8 @@
   void SetStorePaths(int followers, std::chrono::milliseconds store_age);
   /** @param works requests whose copies are refused, as they end upstreams. */
   void SetQuarantined(size_t works);
+  /** @param upstreams that get nothing new since their zone is evacuated. */
+  void SetEvacuated(size_t upstreams);
   /** @return the text exposition. */
   std::string Render();
 
@@ -48,6 +50,7 @@
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
   prometheus::Gauge& quarantined_;
+  prometheus::Gauge& evacuated_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
 };
--- a/libs/entry/include/turmeric/entry/platform_link.h
+++ b/libs/entry/include/turmeric/entry/platform_link.h
@@ -20,6 +20,9 @@
   std::string config_kind;     ///< Kind of the operator's configuration.
   std::string config_name;     ///< Name of the one object that holds it.
   std::string upstreams_kind;  ///< Kind of the upstreams' entries.
+  /** Kind of the operator's entries that each name a zone, whose upstreams get
+   * nothing new while the entry is there. */
+  std::string evacuations_kind;
   std::string instances_kind;  ///< Our own kind: the instances at work.
   /** Our own kind: requests that end the upstreams which run them. */
   std::string quarantine_kind;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -56,6 +56,8 @@
 
  private:
   bool Admitted();
+  /** @return true if each service that the request needs has an upstream. */
+  bool HasUpstreams() const;
   void StartStages();
   void OnStageFailed(stages::PieceFailure failure);
   // One send.
--- a/libs/entry/include/turmeric/entry/store_news.h
+++ b/libs/entry/include/turmeric/entry/store_news.h
@@ -19,10 +19,7 @@
   using Clock = std::chrono::steady_clock;
 
   /** Newest changes seen, by their revisions; 0: none. */
-  struct Seen {
-    int64_t config_change = 0;
-    int64_t upstreams_change = 0;
-  };
+  using Seen = peer::StoreRevisions;
 
   /** @param own gives what this instance has seen. @param on_heard told what
    * another one has seen. */
--- a/libs/entry/include/turmeric/entry/store_relay.h
+++ b/libs/entry/include/turmeric/entry/store_relay.h
@@ -48,10 +48,9 @@
   size_t followers() const { return followers_.size(); }
 
  private:
-  static constexpr size_t kKinds = 2;
   struct Follower {
     Clock::time_point asked;
-    std::array<int64_t, kKinds> sent{};  ///< Revisions, by kind.
+    peer::StoreRevisions sent;
   };
 
   store::ChangeHistory& HistoryOf(peer::StoreKind kind);
@@ -60,7 +59,7 @@
 
   FrameTo frame_to_;
   bool expects_followers_ = false;
-  std::array<store::ChangeHistory, kKinds> histories_;
+  std::array<store::ChangeHistory, peer::kAllStoreKinds.size()> histories_;
   std::map<std::string, Follower> followers_;
 };
 
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -12,6 +12,7 @@
 
 #include "turmeric/entry/store_news.h"
 #include "turmeric/peer/frame.h"
+#include "turmeric/routing/evacuated_zones.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/store/kind_replica.h"
 #include "turmeric/store/reflector.h"
@@ -67,20 +68,19 @@
   void set_on_new_era(std::function<void()> callback) {
     on_new_era_ = std::move(callback);
   }
-  /** @return when the store last answered us for both kinds. */
+  /** @return when the store last answered us for all kinds. */
   Clock::time_point store_heard() const;
   /** @return the end of its last outage, if one is known. */
   std::optional<Clock::time_point> outage_ended() const {
     return outage_ended_;
   }
-  /** @param kind one of the kinds. @return up to which revision all its
-   * changes are known. */
-  int64_t revision(peer::StoreKind kind) const;
+  /** @return up to which revisions all changes are known. */
+  peer::StoreRevisions revisions() const;
   /** @return the newest changes known. */
   StoreNews::Seen newest() const;
   /** @return true once the store was read, also if it holds no table yet. */
   bool read() const;
-  /** @return true once both a table and the upstreams were read. */
+  /** @return true once a table, the upstreams and the evacuations were read. */
   bool complete() const;
   /** @param callback called when complete() turns true. */
   void set_on_complete(std::function<void()> callback) {
@@ -113,6 +113,10 @@
    * @return true if a new era of the store begins with it. */
   bool NoteEra(peer::StoreKind kind, store::Position before,
                store::Position after, const std::string& source);
+  void OnEvacuation(const store::SourceObject& object,
+                    const std::string& source, bool from_copy);
+  /** Puts into force which zones are evacuated now. */
+  void ApplyEvacuations();
   std::optional<routing::UpstreamEntry> ReadEntry(
       const store::SourceObject& object);
   void NoteComplete();
@@ -122,6 +126,7 @@
   EntryContext& context_;
   PlatformLink& link_;
   std::map<peer::StoreKind, Kind> kinds_;
+  routing::EvacuatedZones evacuations_;
   int watchers_ = 1;
   std::optional<Clock::time_point> outage_ended_;
   std::function<void()> on_complete_;
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -46,6 +46,11 @@
                        .Help("Requests refused, as upstreams end under them")
                        .Register(*registry_)
                        .Add({})),
+      evacuated_(prometheus::BuildGauge()
+                     .Name("turmeric_entry_evacuated_upstreams")
+                     .Help("Upstreams that get nothing new, by their zone")
+                     .Register(*registry_)
+                     .Add({})),
       latency_(prometheus::BuildHistogram()
                    .Name("turmeric_entry_latency_seconds")
                    .Help("Time from arrival to the final answer")
@@ -90,6 +95,10 @@
   quarantined_.Set(static_cast<double>(works));
 }
 
+void EntryMetrics::SetEvacuated(size_t upstreams) {
+  evacuated_.Set(static_cast<double>(upstreams));
+}
+
 std::string EntryMetrics::Render() {
   const double seen = static_cast<double>(utils::DecisionLog::dropped());
   dropped_lines_.Increment(seen - dropped_lines_.Value());
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -94,9 +94,24 @@
   const auto now = Clock::now();
   service_ = routing::PickTarget(route_->targets, Uniform());
   context_.retries.OnRequest(service_, now);
+  if (!HasUpstreams()) return Refuse("no_upstream", ComeBack::kLater);
   StartStages();
 }
 
+bool RequestRun::HasUpstreams() const {
+  const auto now = Clock::now();
+  const auto has = [&](const std::string& service) {
+    return AnyListed(context_.upstreams.ForService(service), now);
+  };
+  if (!has(service_)) return false;
+  for (size_t i = 0; i < route_->stages.size(); ++i) {
+    const bool needed =
+        i < request_.stage_pieces.size() && request_.stage_pieces[i] > 0;
+    if (needed && !has(route_->stages[i].service)) return false;
+  }
+  return true;
+}
+
 bool RequestRun::Admitted() {
   table_ = context_.table;
   AdmissionState state{.table = table_.get(),
--- a/libs/entry/src/result_releases.cc
+++ b/libs/entry/src/result_releases.cc
@@ -42,8 +42,9 @@
                           std::vector<std::string> handles) {
   const UpstreamPtr holder =
       context_.upstreams.FindAt(stages::ParseShard(shard).service, address);
-  // A result does not outlive its maker: nothing to release then.
-  if (!holder) return;
+  // A result does not outlive its maker: nothing to release then. In a zone
+  // that gets nothing new it is dropped when its time is over.
+  if (!holder || holder->evacuated) return;
   const std::string request = context_.wire.encode_release(address, handles);
   auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
   // Their room counts as taken until the holder has answered.
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -14,15 +14,22 @@
 using stages::PieceFailure;
 using stages::PieceResult;
 
+namespace {
+
+/** Shards that a piece may leave, as none of their upstreams is left. */
+constexpr int kMostShardsLeft = 3;
+
+}  // namespace
+
 /** A piece of a request of ours, wherever it waits. */
 struct StageRouter::Pending {
   std::string shard;
   stages::Piece piece;
   stages::PieceEvents events;
-  std::string owner;       ///< Empty: our own dispatcher.
-  bool reached = false;    ///< It was handed to an instance that answered.
-  bool moved = false;      ///< It may have been made where it was before.
-  bool left_zone = false;  ///< No upstream was left where it waited.
+  std::string owner;     ///< Empty: our own dispatcher.
+  bool reached = false;  ///< It was handed to an instance that answered.
+  bool moved = false;    ///< It may have been made where it was before.
+  int shards_left = 0;   ///< Where no upstream was left as it waited.
   uint64_t local_ticket = 0;
 };
 
@@ -57,7 +64,7 @@
                                    .owner = {},
                                    .reached = false,
                                    .moved = false,
-                                   .left_zone = false,
+                                   .shards_left = 0,
                                    .local_ticket = 0});
   Place(ticket);
   return ticket;
@@ -106,7 +113,7 @@
   const std::string service = stages::ParseShard(pending.shard).service;
   std::string shard =
       ShardFor(service, {pending.piece.request_id, pending.piece.zone});
-  if (shard == pending.shard || std::exchange(pending.left_zone, true)) {
+  if (shard == pending.shard || ++pending.shards_left > kMostShardsLeft) {
     return false;
   }
   pending.shard = std::move(shard);
--- a/libs/entry/src/store_news.cc
+++ b/libs/entry/src/store_news.cc
@@ -33,14 +33,12 @@
 
 void StoreNews::Tell(peer::Frame& frame) const {
   if (!own_) return;
-  const Seen seen = own_();
-  frame.config_change = seen.config_change;
-  frame.upstreams_change = seen.upstreams_change;
+  frame.newest_changes = own_();
 }
 
 void StoreNews::Hear(const peer::Frame& frame, Clock::time_point now) {
   heard_at_ = now;
-  if (on_heard_) on_heard_({frame.config_change, frame.upstreams_change});
+  if (on_heard_) on_heard_(frame.newest_changes);
 }
 
 milliseconds StoreNews::WatchWait(int instances, Clock::time_point now) const {
--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -30,13 +30,6 @@
 /** Largest content that is unpacked, bytes: larger than the platform takes. */
 constexpr uint32_t kMostUnpacked = 16 * 1024 * 1024;
 
-constexpr std::array kBothKinds = {StoreKind::kConfig, StoreKind::kUpstreams};
-
-int64_t KnownOf(const peer::FollowRequest& request, StoreKind kind) {
-  return kind == StoreKind::kConfig ? request.config_revision
-                                    : request.upstreams_revision;
-}
-
 size_t BytesOf(const std::vector<peer::StoreObject>& objects) {
   return std::transform_reduce(
       objects.begin(), objects.end(), size_t{0}, std::plus(),
@@ -64,7 +57,7 @@
 
 StoreRelay::StoreRelay(FrameTo frame_to)
     : frame_to_(std::move(frame_to)),
-      histories_{store::ChangeHistory(kHistory),
+      histories_{store::ChangeHistory(kHistory), store::ChangeHistory(kHistory),
                  store::ChangeHistory(kHistory)} {}
 
 store::ChangeHistory& StoreRelay::HistoryOf(StoreKind kind) {
@@ -84,8 +77,8 @@
   if (!is_new && !request.resync) return;
   peer::Frame* frame = frame_to_(follower);
   if (frame == nullptr) return;
-  for (const StoreKind kind : kBothKinds) {
-    Resync(*frame, it->second, kind, KnownOf(request, kind));
+  for (const StoreKind kind : peer::kAllStoreKinds) {
+    Resync(*frame, it->second, kind, request.known.Of(kind));
   }
   frame->relay = status;
 }
@@ -94,7 +87,7 @@
                         int64_t known) {
   const store::ChangeHistory& history = HistoryOf(kind);
   const int64_t revision = history.revision();
-  follower.sent.at(static_cast<size_t>(kind)) = revision;
+  follower.sent.Of(kind) = revision;
   if (known >= revision) return;
   const auto changes = history.Since(known);
   const auto objects =
@@ -122,7 +115,7 @@
   for (auto& [name, follower] : followers_) {
     peer::Frame* frame = frame_to_(name);
     if (frame == nullptr) continue;
-    int64_t& sent = follower.sent.at(static_cast<size_t>(kind));
+    int64_t& sent = follower.sent.Of(kind);
     if (too_large) {
       frame->store_changes.push_back(GapAt(kind, batch.revision));
     } else {
@@ -144,11 +137,11 @@
   for (auto& [name, follower] : followers_) {
     peer::Frame* frame = frame_to_(name);
     if (frame == nullptr) continue;
-    for (const StoreKind kind : kBothKinds) {
+    for (const StoreKind kind : peer::kAllStoreKinds) {
       // The store's revision grows with changes of other kinds, too. Not told,
       // the next change would look like one after a gap.
       const int64_t revision = HistoryOf(kind).revision();
-      int64_t& sent = follower.sent.at(static_cast<size_t>(kind));
+      int64_t& sent = follower.sent.Of(kind);
       if (revision <= sent) continue;
       frame->store_changes.push_back(
           {.kind = kind, .follows = sent, .revision = revision, .objects = {}});
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -109,10 +109,7 @@
   peer::PeerLink* link = links_.Open(name);
   if (link == nullptr) return;
   link->outgoing().follow = peer::FollowRequest{
-      .wanted = true,
-      .resync = resync,
-      .config_revision = feed_.revision(StoreKind::kConfig),
-      .upstreams_revision = feed_.revision(StoreKind::kUpstreams)};
+      .wanted = true, .resync = resync, .known = feed_.revisions()};
 }
 
 void StoreSharing::Drop(const FollowPolicy::Dropped& dropped) {
@@ -160,8 +157,9 @@
 
 bool StoreSharing::IsBehind(const peer::RelayStatus& status) const {
   const StoreNews::Seen newest = feed_.newest();
-  return status.config_revision < newest.config_change ||
-         status.upstreams_revision < newest.upstreams_change;
+  return std::ranges::any_of(peer::kAllStoreKinds, [&](StoreKind kind) {
+    return status.known.Of(kind) < newest.Of(kind);
+  });
 }
 
 std::optional<peer::RelayStatus> StoreSharing::Status() const {
@@ -170,8 +168,7 @@
   peer::RelayStatus status{
       .store_age = policy_.StoreAge(feed_.store_heard(), now),
       .outage_ended = std::nullopt,
-      .config_revision = feed_.revision(StoreKind::kConfig),
-      .upstreams_revision = feed_.revision(StoreKind::kUpstreams)};
+      .known = feed_.revisions()};
   if (const auto ended = feed_.outage_ended()) {
     status.outage_ended =
         std::chrono::duration_cast<milliseconds>(now - *ended);
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -1,10 +1,13 @@
 #include "turmeric/entry/topology_feed.h"
 
 #include <algorithm>
+#include <array>
+#include <set>
 #include <utility>
 #include <vector>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/platform_link.h"
 #include "turmeric/entry/store_relay.h"
 #include "turmeric/utils/decision_log.h"
@@ -30,7 +33,10 @@
 constexpr auto kStoreSource = "store";
 
 std::string_view NameOf(StoreKind kind) {
-  return kind == StoreKind::kConfig ? "config" : "upstreams";
+  // In the order of StoreKind.
+  constexpr std::array<std::string_view, peer::kAllStoreKinds.size()> kNames = {
+      "config", "upstreams", "evacuations"};
+  return kNames.at(static_cast<size_t>(kind));
 }
 
 }  // namespace
@@ -39,7 +45,8 @@
     : context_(context), link_(link) {
   for (const auto& [kind, name] :
        {std::pair(StoreKind::kConfig, link.config_kind),
-        std::pair(StoreKind::kUpstreams, link.upstreams_kind)}) {
+        std::pair(StoreKind::kUpstreams, link.upstreams_kind),
+        std::pair(StoreKind::kEvacuations, link.evacuations_kind)}) {
     kinds_[kind].reflector =
         std::make_unique<store::Reflector>(*link.source, name, EventsOf(kind));
     kinds_[kind].reflector->set_watch_wait([this] {
@@ -47,17 +54,16 @@
       return context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
     });
   }
-  // That upstreams have left must be known sooner than a new configuration.
-  Of(StoreKind::kConfig)
-      .reflector->Follow(*Of(StoreKind::kUpstreams).reflector);
-  context_.news.Connect(
-      [this] { return newest(); },
-      [this](const StoreNews::Seen& seen) {
-        Of(StoreKind::kConfig)
-            .reflector->NoteChangeElsewhere(seen.config_change);
-        Of(StoreKind::kUpstreams)
-            .reflector->NoteChangeElsewhere(seen.upstreams_change);
-      });
+  // That upstreams have left must be known sooner than the rest.
+  for (const StoreKind kind : {StoreKind::kConfig, StoreKind::kEvacuations}) {
+    Of(kind).reflector->Follow(*Of(StoreKind::kUpstreams).reflector);
+  }
+  context_.news.Connect([this] { return newest(); },
+                        [this](const StoreNews::Seen& seen) {
+                          for (auto& [kind, state] : kinds_) {
+                            state.reflector->NoteChangeElsewhere(seen.Of(kind));
+                          }
+                        });
   context_.upstreams.set_on_leave([this](const routing::UpstreamPtr& u) {
     context_.client.Forget(u->entry.id);
     context_.prompt_memory.Forget(u->entry.id);
@@ -69,6 +75,7 @@
   expire_.setInterval(kExpireInterval);
   connect(&expire_, &QTimer::timeout, this, [this] {
     context_.upstreams.Expire(Clock::now());
+    ApplyEvacuations();
     for (auto& [kind, state] : kinds_) state.reflector->CheckWait();
   });
 }
@@ -139,17 +146,27 @@
 }
 
 TopologyFeed::Clock::time_point TopologyFeed::store_heard() const {
-  return std::min(kinds_.at(StoreKind::kConfig).reflector->heard_at(),
-                  kinds_.at(StoreKind::kUpstreams).reflector->heard_at());
+  auto oldest = Clock::time_point::max();
+  for (const auto& [kind, state] : kinds_) {
+    oldest = std::min(oldest, state.reflector->heard_at());
+  }
+  return oldest;
 }
 
-int64_t TopologyFeed::revision(StoreKind kind) const {
-  return kinds_.at(kind).replica.revision();
+peer::StoreRevisions TopologyFeed::revisions() const {
+  peer::StoreRevisions known;
+  for (const auto& [kind, state] : kinds_) {
+    known.Of(kind) = state.replica.revision();
+  }
+  return known;
 }
 
 StoreNews::Seen TopologyFeed::newest() const {
-  return {kinds_.at(StoreKind::kConfig).replica.newest_change(),
-          kinds_.at(StoreKind::kUpstreams).replica.newest_change()};
+  StoreNews::Seen newest;
+  for (const auto& [kind, state] : kinds_) {
+    newest.Of(kind) = state.replica.newest_change();
+  }
+  return newest;
 }
 
 bool TopologyFeed::read() const {
@@ -158,7 +175,8 @@
 }
 
 bool TopologyFeed::complete() const {
-  return context_.table != nullptr && context_.upstreams_known;
+  return context_.table != nullptr && context_.upstreams_known &&
+         kinds_.at(StoreKind::kEvacuations).replica.synced();
 }
 
 void TopologyFeed::NoteComplete() {
@@ -177,11 +195,12 @@
   if (!changes) return;
   const bool from_copy =
       !is_first && NoteEra(kind, before, replica.revision(), kStoreSource);
-  if (kind == StoreKind::kConfig) {
-    Apply(kind, changes->objects, kStoreSource);
-  } else {
+  if (kind == StoreKind::kUpstreams) {
     OnUpstreamList(list.objects, outage, from_copy);
+  } else {
+    Apply(kind, changes->objects, kStoreSource, from_copy);
   }
+  NoteComplete();
   if (on_merged_) on_merged_(kind, *changes);
 }
 
@@ -226,6 +245,12 @@
                           [&](const SourceObject& o) { OnConfig(o, source); });
     return;
   }
+  if (kind == StoreKind::kEvacuations) {
+    std::ranges::for_each(news, [&](const SourceObject& o) {
+      OnEvacuation(o, source, from_copy);
+    });
+    return ApplyEvacuations();
+  }
   const auto keep_till = KeepTill();
   std::ranges::for_each(news, [&](const SourceObject& o) {
     OnUpstreamChange(o, keep_till, from_copy);
@@ -254,6 +279,45 @@
   NoteComplete();
 }
 
+void TopologyFeed::OnEvacuation(const SourceObject& object,
+                                const std::string& source, bool from_copy) {
+  utils::DecisionLog(object.deleted ? "evacuation_taken_back" : "evacuation")
+      .Add("zone", object.name)
+      .Add("revision", object.revision)
+      .Add("source", source)
+      .Add("from_copy", from_copy);
+  if (!object.deleted) return evacuations_.Begin(object.name);
+  // Guard: a copy of the store may lack an evacuation that is still wanted and
+  // is being written again.
+  const auto now = Clock::now();
+  evacuations_.End(object.name, from_copy ? now + kCopiedEntryLapses : now);
+}
+
+void TopologyFeed::ApplyEvacuations() {
+  auto zones = evacuations_.Zones(Clock::now());
+  const std::set<std::string, std::less<>> before =
+      context_.upstreams.evacuated();
+  if (zones == before) return;
+  context_.upstreams.SetEvacuated(std::move(zones));
+  const auto& evacuated = context_.upstreams.evacuated();
+  size_t upstreams = 0;
+  for (const std::string& zone : evacuated) {
+    upstreams += context_.upstreams.InZone(zone).size();
+  }
+  for (const std::string& zone : before) {
+    if (evacuated.contains(zone)) continue;
+    // Nothing was read there meanwhile, and its processes may be new.
+    for (const auto& u : context_.upstreams.InZone(zone)) {
+      context_.prompt_memory.Forget(u->entry.id);
+    }
+  }
+  utils::DecisionLog("evacuations_in_force")
+      .Add("zones", evacuated.size())
+      .Add("zones_before", before.size())
+      .Add("upstreams", upstreams);
+  context_.metrics->SetEvacuated(upstreams);
+}
+
 TopologyFeed::Clock::time_point TopologyFeed::KeepTill() const {
   // Guard: entries lapse while the store is away, though their processes
   // live; taken as gone at once, a whole service would have no upstream when
@@ -279,7 +343,6 @@
       .Add("listed", entries.size())
       .Add("held", context_.upstreams.size())
       .Add("outage_ms", outage.count());
-  NoteComplete();
 }
 
 void TopologyFeed::OnUpstreamChange(const SourceObject& object,
--- a/libs/entry/test/relay_protocol_test.cc
+++ b/libs/entry/test/relay_protocol_test.cc
@@ -271,8 +271,7 @@
   RelayStatus StatusOf(const Node& node) const {
     return {.store_age = node.policy->StoreAge(node.store_heard, now_),
             .outage_ended = std::nullopt,
-            .config_revision = 0,
-            .upstreams_revision = node.replica->revision()};
+            .known = {0, node.replica->revision(), 0}};
   }
 
   void Apply(Node& node, const std::vector<SourceObject>& news) {
@@ -323,8 +322,7 @@
     Frame frame;
     frame.follow = {.wanted = true,
                     .resync = resync,
-                    .config_revision = 0,
-                    .upstreams_revision = node.replica->revision()};
+                    .known = {0, node.replica->revision(), 0}};
     Send({.arrives = {},
           .from = node.name,
           .to = source,
@@ -387,7 +385,7 @@
     }
     if (!flight.frame.relay) return;
     const bool behind =
-        flight.frame.relay->upstreams_revision < node.replica->newest_change();
+        flight.frame.relay->known.upstreams < node.replica->newest_change();
     node.policy->OnHeard(flight.from, flight.frame.relay->store_age, behind,
                          now_);
   }
--- a/libs/entry/test/store_news_test.cc
+++ b/libs/entry/test/store_news_test.cc
@@ -18,18 +18,19 @@
   std::vector<int64_t> heard;
   news.Connect(
       [] {
-        return StoreNews::Seen{5, 9};
+        return StoreNews::Seen{5, 9, 11};
       },
       [&](const StoreNews::Seen& seen) {
-        heard = {seen.config_change, seen.upstreams_change};
+        heard = {seen.config, seen.upstreams, seen.evacuations};
       });
   Frame frame;
   news.Tell(frame);
-  REQUIRE(frame.config_change == 5);
-  REQUIRE(frame.upstreams_change == 9);
-  frame.config_change = 7;
+  REQUIRE(frame.newest_changes.config == 5);
+  REQUIRE(frame.newest_changes.upstreams == 9);
+  REQUIRE(frame.newest_changes.evacuations == 11);
+  frame.newest_changes.config = 7;
   news.Hear(frame, kNow);
-  REQUIRE(heard == std::vector<int64_t>{7, 9});
+  REQUIRE(heard == std::vector<int64_t>{7, 9, 11});
 }
 
 // Story: sixty instances each renew two watches every three seconds, and the
--- a/libs/entry/test/store_relay_test.cc
+++ b/libs/entry/test/store_relay_test.cc
@@ -34,12 +34,10 @@
                    {});
   }
   void Follow(const std::string& follower, int64_t known, bool resync = true) {
-    relay.OnFollow(follower,
-                   {.wanted = true,
-                    .resync = resync,
-                    .config_revision = known,
-                    .upstreams_revision = known},
-                   {}, kNow);
+    relay.OnFollow(
+        follower,
+        {.wanted = true, .resync = resync, .known = {known, known, known}}, {},
+        kNow);
   }
 
   Relay() { relay.set_expects_followers(true); }
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -66,7 +67,33 @@
 };
 
 /** What of the platform's store instances pass on to each other. */
-enum class StoreKind : int8_t { kConfig, kUpstreams };
+enum class StoreKind : int8_t { kConfig, kUpstreams, kEvacuations };
+
+inline constexpr std::array kAllStoreKinds = {
+    StoreKind::kConfig, StoreKind::kUpstreams, StoreKind::kEvacuations};
+
+/** One revision of the store for each kind; 0: none is known. */
+struct StoreRevisions {
+  int64_t config = 0;
+  int64_t upstreams = 0;
+  int64_t evacuations = 0;
+
+  /** @param kind one of the kinds. @return its revision. */
+  int64_t& Of(StoreKind kind) {
+    switch (kind) {
+      case StoreKind::kConfig:
+        return config;
+      case StoreKind::kUpstreams:
+        return upstreams;
+      default:
+        return evacuations;
+    }
+  }
+  int64_t Of(StoreKind kind) const {
+    StoreRevisions copy = *this;
+    return copy.Of(kind);
+  }
+};
 
 /** One object of the store, as it was read from there. */
 struct StoreObject {
@@ -90,8 +117,7 @@
 struct FollowRequest {
   bool wanted = true;
   bool resync = false;  ///< Send what came after the revisions below.
-  int64_t config_revision = 0;
-  int64_t upstreams_revision = 0;
+  StoreRevisions known;
 };
 
 /** How well an instance that passes on the store's changes knows it. */
@@ -100,8 +126,7 @@
   std::chrono::milliseconds store_age{0};
   /** Since the store's last outage ended; nullopt: none is known. */
   std::optional<std::chrono::milliseconds> outage_ended;
-  int64_t config_revision = 0;  ///< Up to which it knows all changes.
-  int64_t upstreams_revision = 0;
+  StoreRevisions known;  ///< Up to which it knows all changes.
 };
 
 /** One message between two instances. */
@@ -121,9 +146,8 @@
   std::vector<uint64_t> prompts_read;  ///< Placements whose answer has begun.
   std::vector<PlacementEnd> ended;
   /** The newest changes in the platform's store that the sender has seen, by
-   * their revisions: of the configuration and of the upstreams' entries. */
-  int64_t config_change = 0;
-  int64_t upstreams_change = 0;
+   * their revisions. */
+  StoreRevisions newest_changes;
   std::optional<FollowRequest> follow;
   std::optional<RelayStatus> relay;
   std::vector<StoreChanges> store_changes;
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -975,7 +975,8 @@
     VT_WANTED = 4,
     VT_RESYNC = 6,
     VT_CONFIG_REVISION = 8,
-    VT_UPSTREAMS_REVISION = 10
+    VT_UPSTREAMS_REVISION = 10,
+    VT_EVACUATIONS_REVISION = 12
   };
   bool wanted() const {
     return GetField<uint8_t>(VT_WANTED, 0) != 0;
@@ -989,12 +990,16 @@
   int64_t upstreams_revision() const {
     return GetField<int64_t>(VT_UPSTREAMS_REVISION, 0);
   }
+  int64_t evacuations_revision() const {
+    return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_WANTED, 1) &&
            VerifyField<uint8_t>(verifier, VT_RESYNC, 1) &&
            VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1015,6 +1020,9 @@
   void add_upstreams_revision(int64_t upstreams_revision) {
     fbb_.AddElement<int64_t>(FollowRequest::VT_UPSTREAMS_REVISION, upstreams_revision, 0);
   }
+  void add_evacuations_revision(int64_t evacuations_revision) {
+    fbb_.AddElement<int64_t>(FollowRequest::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
+  }
   explicit FollowRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1031,8 +1039,10 @@
     bool wanted = false,
     bool resync = false,
     int64_t config_revision = 0,
-    int64_t upstreams_revision = 0) {
+    int64_t upstreams_revision = 0,
+    int64_t evacuations_revision = 0) {
   FollowRequestBuilder builder_(_fbb);
+  builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_upstreams_revision(upstreams_revision);
   builder_.add_config_revision(config_revision);
   builder_.add_resync(resync);
@@ -1046,7 +1056,8 @@
     VT_STORE_AGE_MS = 4,
     VT_OUTAGE_ENDED_MS = 6,
     VT_CONFIG_REVISION = 8,
-    VT_UPSTREAMS_REVISION = 10
+    VT_UPSTREAMS_REVISION = 10,
+    VT_EVACUATIONS_REVISION = 12
   };
   int32_t store_age_ms() const {
     return GetField<int32_t>(VT_STORE_AGE_MS, 0);
@@ -1060,12 +1071,16 @@
   int64_t upstreams_revision() const {
     return GetField<int64_t>(VT_UPSTREAMS_REVISION, 0);
   }
+  int64_t evacuations_revision() const {
+    return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STORE_AGE_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_OUTAGE_ENDED_MS, 4) &&
            VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1086,6 +1101,9 @@
   void add_upstreams_revision(int64_t upstreams_revision) {
     fbb_.AddElement<int64_t>(RelayStatus::VT_UPSTREAMS_REVISION, upstreams_revision, 0);
   }
+  void add_evacuations_revision(int64_t evacuations_revision) {
+    fbb_.AddElement<int64_t>(RelayStatus::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
+  }
   explicit RelayStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1102,8 +1120,10 @@
     int32_t store_age_ms = 0,
     int32_t outage_ended_ms = 0,
     int64_t config_revision = 0,
-    int64_t upstreams_revision = 0) {
+    int64_t upstreams_revision = 0,
+    int64_t evacuations_revision = 0) {
   RelayStatusBuilder builder_(_fbb);
+  builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_upstreams_revision(upstreams_revision);
   builder_.add_config_revision(config_revision);
   builder_.add_outage_ended_ms(outage_ended_ms);
@@ -1314,7 +1334,8 @@
     VT_RELAY = 38,
     VT_STORE_CHANGES = 40,
     VT_CRASHES = 42,
-    VT_GOOD_RUNS = 44
+    VT_GOOD_RUNS = 44,
+    VT_EVACUATIONS_CHANGE = 46
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1379,6 +1400,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *>(VT_GOOD_RUNS);
   }
+  int64_t evacuations_change() const {
+    return GetField<int64_t>(VT_EVACUATIONS_CHANGE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1428,6 +1452,7 @@
            VerifyOffset(verifier, VT_GOOD_RUNS) &&
            verifier.VerifyVector(good_runs()) &&
            verifier.VerifyVectorOfTables(good_runs()) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_CHANGE, 8) &&
            verifier.EndTable();
   }
 };
@@ -1499,6 +1524,9 @@
   void add_good_runs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs) {
     fbb_.AddOffset(Frame::VT_GOOD_RUNS, good_runs);
   }
+  void add_evacuations_change(int64_t evacuations_change) {
+    fbb_.AddElement<int64_t>(Frame::VT_EVACUATIONS_CHANGE, evacuations_change, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1532,8 +1560,10 @@
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs = 0,
+    int64_t evacuations_change = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
@@ -1580,7 +1610,8 @@
     flatbuffers::Offset<turmeric::peer::wire::RelayStatus> relay = 0,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Crash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs = nullptr,
+    int64_t evacuations_change = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -1617,7 +1648,8 @@
       relay,
       store_changes__,
       crashes__,
-      good_runs__);
+      good_runs__,
+      evacuations_change);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -152,7 +152,7 @@
 /** @return the changes, or nullopt of a kind that is not known here. */
 std::optional<StoreChanges> Read(const wire::StoreChanges& c) {
   const bool known =
-      c.kind() >= 0 && c.kind() <= static_cast<int8_t>(StoreKind::kUpstreams);
+      c.kind() >= 0 && c.kind() <= static_cast<int8_t>(StoreKind::kEvacuations);
   if (!known) return std::nullopt;
   StoreChanges changes{.kind = static_cast<StoreKind>(c.kind()),
                        .follows = c.follows(),
@@ -176,8 +176,8 @@
 Offset<wire::FollowRequest> Write(FlatBufferBuilder& b,
                                   const FollowRequest& follow) {
   return wire::CreateFollowRequest(b, follow.wanted, follow.resync,
-                                   follow.config_revision,
-                                   follow.upstreams_revision);
+                                   follow.known.config, follow.known.upstreams,
+                                   follow.known.evacuations);
 }
 
 int32_t WireMs(milliseconds time) {
@@ -190,8 +190,8 @@
   const int32_t ended =
       status.outage_ended ? WireMs(*status.outage_ended) : kNoOutage;
   return wire::CreateRelayStatus(b, WireMs(status.store_age), ended,
-                                 status.config_revision,
-                                 status.upstreams_revision);
+                                 status.known.config, status.known.upstreams,
+                                 status.known.evacuations);
 }
 
 RelayStatus Read(const wire::RelayStatus& status) {
@@ -199,10 +199,11 @@
   const auto read_ms = [](int32_t ms) {
     return milliseconds(std::max<int32_t>(0, ms));
   };
-  RelayStatus out{.store_age = read_ms(status.store_age_ms()),
-                  .outage_ended = std::nullopt,
-                  .config_revision = status.config_revision(),
-                  .upstreams_revision = status.upstreams_revision()};
+  RelayStatus out{
+      .store_age = read_ms(status.store_age_ms()),
+      .outage_ended = std::nullopt,
+      .known = {status.config_revision(), status.upstreams_revision(),
+                status.evacuations_revision()}};
   if (status.outage_ended_ms() != kNoOutage) {
     out.outage_ended = read_ms(status.outage_ended_ms());
   }
@@ -255,14 +256,14 @@
 
 /** Reads the parts of a frame that pass on the store's changes. */
 void ReadStoreParts(const wire::Frame& f, Frame& frame) {
-  frame.config_change = f.config_change();
-  frame.upstreams_change = f.upstreams_change();
+  frame.newest_changes = {f.config_change(), f.upstreams_change(),
+                          f.evacuations_change()};
   if (f.follow() != nullptr) {
-    frame.follow =
-        FollowRequest{.wanted = f.follow()->wanted(),
-                      .resync = f.follow()->resync(),
-                      .config_revision = f.follow()->config_revision(),
-                      .upstreams_revision = f.follow()->upstreams_revision()};
+    frame.follow = FollowRequest{.wanted = f.follow()->wanted(),
+                                 .resync = f.follow()->resync(),
+                                 .known = {f.follow()->config_revision(),
+                                           f.follow()->upstreams_revision(),
+                                           f.follow()->evacuations_revision()}};
   }
   if (f.relay() != nullptr) frame.relay = Read(*f.relay());
   if (f.store_changes() == nullptr) return;
@@ -328,12 +329,13 @@
   const Offset<wire::RelayStatus> relay =
       frame.relay ? Write(b, *frame.relay) : 0;
   wire::FinishFrameBuffer(
-      b, wire::CreateFrame(b, sender, frame.sequence, frame.acknowledged,
-                           frame.leaving, piece_list, taken, done_list,
-                           cancelled, release_list, backlog_list,
-                           placement_list, placed_list, prompts_read, ended,
-                           frame.config_change, frame.upstreams_change, follow,
-                           relay, change_list, crash_list, run_list));
+      b, wire::CreateFrame(
+             b, sender, frame.sequence, frame.acknowledged, frame.leaving,
+             piece_list, taken, done_list, cancelled, release_list,
+             backlog_list, placement_list, placed_list, prompts_read, ended,
+             frame.newest_changes.config, frame.newest_changes.upstreams,
+             follow, relay, change_list, crash_list, run_list,
+             frame.newest_changes.evacuations));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -53,16 +53,9 @@
   frame.placed.push_back({.ticket = 12, .upstream = "i-2"});
   frame.prompts_read = {13};
   frame.ended = {{14, turmeric::routing::Outcome::kNotSent}, {15, {}}};
-  frame.config_change = 530;
-  frame.upstreams_change = 1LL << 40;
-  frame.follow = {.wanted = true,
-                  .resync = true,
-                  .config_revision = 16,
-                  .upstreams_revision = 17};
-  frame.relay = {.store_age = 250ms,
-                 .outage_ended = 3s,
-                 .config_revision = 18,
-                 .upstreams_revision = 19};
+  frame.newest_changes = {530, 1LL << 40, 531};
+  frame.follow = {.wanted = true, .resync = true, .known = {16, 17, 24}};
+  frame.relay = {.store_age = 250ms, .outage_ended = 3s, .known = {18, 19, 25}};
   frame.store_changes.push_back({.kind = turmeric::peer::StoreKind::kUpstreams,
                                  .follows = 20,
                                  .revision = 23,
@@ -107,8 +100,9 @@
   REQUIRE(frame->placements[0].excluded == std::vector<std::string>{"i-1"});
   REQUIRE(frame->placed[0].upstream == "i-2");
   REQUIRE(frame->prompts_read == std::vector<uint64_t>{13});
-  REQUIRE(frame->config_change == 530);
-  REQUIRE(frame->upstreams_change == 1LL << 40);
+  REQUIRE(frame->newest_changes.config == 530);
+  REQUIRE(frame->newest_changes.upstreams == 1LL << 40);
+  REQUIRE(frame->newest_changes.evacuations == 531);
   REQUIRE(frame->ended.size() == 2);
   REQUIRE(frame->ended[0].outcome == turmeric::routing::Outcome::kNotSent);
   REQUIRE_FALSE(frame->ended[1].outcome);
@@ -119,12 +113,14 @@
   const auto frame = Decode(Encode(MakeFrame(now), now), now);
   REQUIRE(frame);
   REQUIRE(frame->follow->resync);
-  REQUIRE(frame->follow->config_revision == 16);
-  REQUIRE(frame->follow->upstreams_revision == 17);
+  REQUIRE(frame->follow->known.config == 16);
+  REQUIRE(frame->follow->known.upstreams == 17);
+  REQUIRE(frame->follow->known.evacuations == 24);
   REQUIRE(frame->relay->store_age == 250ms);
   REQUIRE(frame->relay->outage_ended == 3s);
-  REQUIRE(frame->relay->config_revision == 18);
-  REQUIRE(frame->relay->upstreams_revision == 19);
+  REQUIRE(frame->relay->known.config == 18);
+  REQUIRE(frame->relay->known.upstreams == 19);
+  REQUIRE(frame->relay->known.evacuations == 25);
   REQUIRE(frame->store_changes.size() == 1);
   const auto& changes = frame->store_changes[0];
   REQUIRE(changes.kind == turmeric::peer::StoreKind::kUpstreams);
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace turmeric::routing {
@@ -30,6 +31,7 @@
   /** It has started again under its id, as another Upstream: what it held is
    * gone, and its address may serve later results under earlier names. */
   bool restarted = false;
+  bool evacuated = false;  ///< Its zone is to get nothing new.
   /** Its entry vanished with the store; kept till then, unless it returns. */
   Clock::time_point lapses_at = Clock::time_point::max();
 
@@ -75,6 +77,12 @@
  */
 bool IsListed(const Upstream& upstream, Clock::time_point now);
 
+/**
+ * @param upstreams of a service. @param now the time.
+ * @return true if any may be given new work as far as its entry goes.
+ */
+bool AnyListed(std::span<const UpstreamPtr> upstreams, Clock::time_point now);
+
 /**
  * @param upstream an upstream. @param now the time.
  * @return true if its history speaks against giving it work now.
--- a/libs/routing/include/turmeric/routing/upstream_table.h
+++ b/libs/routing/include/turmeric/routing/upstream_table.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,6 +56,17 @@
   void ReplaceAll(std::span<const UpstreamEntry> entries,
                   Clock::time_point keep_till,
                   std::optional<Clock::time_point> copy_till = std::nullopt);
+  /**
+   * @param zones whose upstreams, those of now and those to come, get nothing
+   *     new; the upstreams of other zones are used again.
+   */
+  void SetEvacuated(std::set<std::string, std::less<>> zones);
+  /** @return the zones that were set. */
+  const std::set<std::string, std::less<>>& evacuated() const {
+    return evacuated_;
+  }
+  /** @param zone an availability zone. @return its upstreams. */
+  std::vector<UpstreamPtr> InZone(std::string_view zone) const;
   /** Drops entries whose time has run out. @param now the time. */
   void Expire(Clock::time_point now);
   /** @param service its name. @return its upstreams, leaving ones too. */
@@ -85,6 +97,7 @@
   std::map<std::pair<std::string, int64_t>, Clock::time_point> left_;
   std::map<std::string, Doubted, std::less<>> doubted_;  ///< By id.
   std::unordered_map<std::string, std::vector<UpstreamPtr>> by_service_;
+  std::set<std::string, std::less<>> evacuated_;
 };
 
 }  // namespace turmeric::routing
--- a/libs/routing/src/upstream.cc
+++ b/libs/routing/src/upstream.cc
@@ -57,10 +57,15 @@
 }
 
 bool IsListed(const Upstream& upstream, Clock::time_point now) {
-  return upstream.listed && !upstream.entry.draining &&
+  return upstream.listed && !upstream.entry.draining && !upstream.evacuated &&
          now < upstream.lapses_at;
 }
 
+bool AnyListed(std::span<const UpstreamPtr> upstreams, Clock::time_point now) {
+  return std::ranges::any_of(
+      upstreams, [now](const UpstreamPtr& u) { return IsListed(*u, now); });
+}
+
 bool IsAvoided(const Upstream& upstream, Clock::time_point now) {
   return now < upstream.ejected_till || now < upstream.full_till;
 }
--- a/libs/routing/src/upstream_table.cc
+++ b/libs/routing/src/upstream_table.cc
@@ -1,7 +1,6 @@
 #include "turmeric/routing/upstream_table.h"
 
 #include <algorithm>
-#include <set>
 
 namespace turmeric::routing {
 
@@ -15,6 +14,7 @@
 void UpstreamTable::Add(const UpstreamEntry& entry) {
   auto upstream = std::make_shared<Upstream>();
   upstream->entry = entry;
+  upstream->evacuated = evacuated_.contains(entry.zone);
   by_id_.emplace(entry.id, upstream);
   by_service_[entry.service].push_back(std::move(upstream));
 }
@@ -111,6 +111,21 @@
   std::ranges::for_each(alive, [this](const auto& entry) { Put(entry); });
 }
 
+void UpstreamTable::SetEvacuated(std::set<std::string, std::less<>> zones) {
+  evacuated_ = std::move(zones);
+  for (const auto& [id, upstream] : by_id_) {
+    upstream->evacuated = evacuated_.contains(upstream->entry.zone);
+  }
+}
+
+std::vector<UpstreamPtr> UpstreamTable::InZone(std::string_view zone) const {
+  std::vector<UpstreamPtr> found;
+  for (const auto& [id, upstream] : by_id_) {
+    if (upstream->entry.zone == zone) found.push_back(upstream);
+  }
+  return found;
+}
+
 std::span<const UpstreamPtr> UpstreamTable::ForService(
     const std::string& service) const {
   const auto it = by_service_.find(service);
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -53,7 +53,9 @@
 std::map<std::string, size_t> CountByZone(
     std::span<const UpstreamPtr> upstreams) {
   std::map<std::string, size_t> count;
-  for (const UpstreamPtr& u : upstreams) ++count[u->entry.zone];
+  for (const UpstreamPtr& u : upstreams) {
+    if (!u->evacuated) ++count[u->entry.zone];
+  }
   return count;
 }
 
@@ -68,8 +70,10 @@
 
 /** @return one of the zones, drawn by the request's id and their sizes. */
 const std::string& DrawZone(const std::map<std::string, size_t>& zones,
-                            size_t upstreams, std::string_view request_id) {
-  double left = Fraction(request_id, "zone") * static_cast<double>(upstreams);
+                            std::string_view request_id) {
+  double left = 0;
+  for (const auto& [zone, count] : zones) left += static_cast<double>(count);
+  left *= Fraction(request_id, "zone");
   for (const auto& [zone, count] : zones) {
     left -= static_cast<double>(count);
     if (left < 0) return zone;
@@ -125,11 +129,10 @@
                         const std::map<std::string, double>& backlogs) {
   if (upstreams.size() <= kWholeService) return service;
   const auto zones = CountByZone(upstreams);
+  if (zones.empty()) return service;
   const std::string wished(wish.zone);
   const std::string& home =
-      zones.contains(wished)
-          ? wished
-          : DrawZone(zones, upstreams.size(), wish.request_id);
+      zones.contains(wished) ? wished : DrawZone(zones, wish.request_id);
   const auto waiting = [&](const std::string& name) {
     const auto it = backlogs.find(name);
     return it == backlogs.end() ? 0.0 : it->second;
