Changes into an era join on the same content, not only the same position

Ruled out: a higher bound; one list for all kinds, which the store has not.

Change: the batch states a hash of what its sender held before, and joins on any state that holds the same. It is sent at once also if nothing differs.

--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -109,7 +109,9 @@
   } else {
     HistoryOf(kind).BeginAt(batch.revision);
   }
-  if (batch.objects.empty() || followers_.empty()) return;
+  const bool says_nothing =
+      batch.objects.empty() && !store::LeadsIntoEra(batch);
+  if (says_nothing || followers_.empty()) return;
   const std::vector<peer::StoreObject> objects = ToWire(batch.objects);
   const bool too_large = BytesOf(objects) * followers_.size() > kMostBytes;
   for (auto& [name, follower] : followers_) {
@@ -122,7 +124,8 @@
       frame->store_changes.push_back({.kind = kind,
                                       .follows = sent,
                                       .revision = batch.revision,
-                                      .objects = objects});
+                                      .objects = objects,
+                                      .held_before = batch.held_before});
     }
     // Whether an outage has just ended decides about what is missing.
     frame->relay = status;
@@ -172,8 +175,10 @@
 }
 
 std::optional<store::ChangeBatch> FromWire(const peer::StoreChanges& changes) {
-  store::ChangeBatch batch{
-      .follows = changes.follows, .revision = changes.revision, .objects = {}};
+  store::ChangeBatch batch{.follows = changes.follows,
+                           .revision = changes.revision,
+                           .objects = {},
+                           .held_before = changes.held_before};
   for (const peer::StoreObject& o : changes.objects) {
     store::SourceObject object{.name = o.name,
                                .spec = {},
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -110,6 +110,7 @@
   int64_t follows = 0;
   int64_t revision = 0;
   std::vector<StoreObject> objects;
+  uint64_t held_before = 0;  ///< See store::ChangeBatch.
 };
 
 /** Asks another instance to pass on the store's changes; said again every
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -887,7 +887,8 @@
     VT_KIND = 4,
     VT_FOLLOWS = 6,
     VT_REVISION = 8,
-    VT_OBJECTS = 10
+    VT_OBJECTS = 10,
+    VT_HELD_BEFORE = 12
   };
   int8_t kind() const {
     return GetField<int8_t>(VT_KIND, 0);
@@ -901,6 +902,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *objects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *>(VT_OBJECTS);
   }
+  uint64_t held_before() const {
+    return GetField<uint64_t>(VT_HELD_BEFORE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_KIND, 1) &&
@@ -909,6 +913,7 @@
            VerifyOffset(verifier, VT_OBJECTS) &&
            verifier.VerifyVector(objects()) &&
            verifier.VerifyVectorOfTables(objects()) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_BEFORE, 8) &&
            verifier.EndTable();
   }
 };
@@ -929,6 +934,9 @@
   void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>> objects) {
     fbb_.AddOffset(StoreChanges::VT_OBJECTS, objects);
   }
+  void add_held_before(uint64_t held_before) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_HELD_BEFORE, held_before, 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -945,8 +953,10 @@
     int8_t kind = 0,
     int64_t follows = 0,
     int64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>> objects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>> objects = 0,
+    uint64_t held_before = 0) {
   StoreChangesBuilder builder_(_fbb);
+  builder_.add_held_before(held_before);
   builder_.add_revision(revision);
   builder_.add_follows(follows);
   builder_.add_objects(objects);
@@ -959,14 +969,16 @@
     int8_t kind = 0,
     int64_t follows = 0,
     int64_t revision = 0,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *objects = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>> *objects = nullptr,
+    uint64_t held_before = 0) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreObject>>(*objects) : 0;
   return turmeric::peer::wire::CreateStoreChanges(
       _fbb,
       kind,
       follows,
       revision,
-      objects__);
+      objects__,
+      held_before);
 }
 
 struct FollowRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -146,7 +146,7 @@
       });
   return wire::CreateStoreChanges(b, static_cast<int8_t>(changes.kind),
                                   changes.follows, changes.revision,
-                                  b.CreateVector(objects));
+                                  b.CreateVector(objects), changes.held_before);
 }
 
 /** @return the changes, or nullopt of a kind that is not known here. */
@@ -157,7 +157,8 @@
   StoreChanges changes{.kind = static_cast<StoreKind>(c.kind()),
                        .follows = c.follows(),
                        .revision = c.revision(),
-                       .objects = {}};
+                       .objects = {},
+                       .held_before = c.held_before()};
   if (c.objects() == nullptr) return changes;
   std::ranges::transform(*c.objects(), std::back_inserter(changes.objects),
                          [](const auto* o) {
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -68,7 +68,8 @@
                                               .spec = std::string("\0x", 2),
                                               .packed = true,
                                               .revision = 22,
-                                              .deleted = true}}});
+                                              .deleted = true}},
+                                 .held_before = 1ULL << 63});
   frame.crashes = {{.work = "f00d",
                     .service = "llm",
                     .upstream = "i-5@9",
@@ -134,6 +135,7 @@
   REQUIRE_FALSE(changes.objects[0].deleted);
   REQUIRE(changes.objects[1].spec == std::string("\0x", 2));
   REQUIRE(changes.objects[1].packed);
+  REQUIRE(changes.held_before == 1ULL << 63);
   REQUIRE(changes.objects[1].deleted);
 }
 
--- a/libs/store/include/turmeric/store/change_batch.h
+++ b/libs/store/include/turmeric/store/change_batch.h
@@ -17,6 +17,9 @@
   int64_t follows = 0;
   int64_t revision = 0;
   std::vector<SourceObject> objects;
+  /** Of changes that lead into an era: a hash of what they were derived from;
+   * 0: not stated. They join on any state that holds the same. */
+  uint64_t held_before = 0;
 };
 
 /** @param batch changes. @return true if the store came back from a copy in
--- a/libs/store/include/turmeric/store/kind_replica.h
+++ b/libs/store/include/turmeric/store/kind_replica.h
@@ -55,6 +55,8 @@
   /** @return true if the object is held with this content. */
   bool IsHeldAsIs(const SourceObject& object) const;
   void Note(const SourceObject& object);
+  /** @return a hash of all objects held, their positions aside; never 0. */
+  uint64_t HeldContent() const;
 
   /** What is known of one object. */
   struct Held {
--- a/libs/store/src/kind_replica.cc
+++ b/libs/store/src/kind_replica.cc
@@ -34,6 +34,14 @@
   newest_change_ = std::max(newest_change_, object.revision);
 }
 
+uint64_t KindReplica::HeldContent() const {
+  uint64_t sum = 1;
+  for (const auto& [name, held] : held_) {
+    sum = sum * 1099511628211ULL ^ qHash(QByteArrayView(name), held.content);
+  }
+  return std::max<uint64_t>(1, sum);
+}
+
 std::optional<ChangeBatch> KindReplica::MergeList(const SourceBatch& list) {
   if (synced_ && list.revision < revision_) return std::nullopt;
   // A first list holds no changes: what was deleted before it is not told.
@@ -43,6 +51,7 @@
                       .revision = list.revision,
                       .objects = {}};
   const bool later_era = synced_ && EraOf(list.revision) > EraOf(revision_);
+  if (later_era) changes.held_before = HeldContent();
   std::set<std::string_view> listed;
   for (const SourceObject& object : list.objects) {
     listed.insert(object.name);
@@ -67,13 +76,15 @@
 }
 
 KindReplica::Merged KindReplica::Merge(const ChangeBatch& batch) {
-  if (!synced_ || batch.follows > revision_) return {Outcome::kGap, {}};
+  if (!synced_) return {Outcome::kGap, {}};
   if (batch.revision <= revision_) return {};
   // Guard: applied to another state than the one that they follow, they would
   // leave an upstream in use that the copy lacks.
-  if (LeadsIntoEra(batch) && batch.follows != revision_) {
-    return {Outcome::kGap, {}};
-  }
+  const bool joins =
+      LeadsIntoEra(batch)
+          ? batch.follows == revision_ || batch.held_before == HeldContent()
+          : batch.follows <= revision_;
+  if (!joins) return {Outcome::kGap, {}};
   Merged merged{Outcome::kMerged, {}};
   for (const SourceObject& object : batch.objects) {
     if (!IsNew(object)) continue;
