An outage quarantines what ran in it for seconds, not for minutes

Cause: each end of an upstream counted against the work that ran there. A popular request runs on most upstreams; when they lost power at one moment it was quarantined for ten minutes, in which no copy could run to acquit it.

Change: what counts does not change, but if all ends that count came within 100 ms, the quarantine ends after 3 s. The next copy then tells which it was: a good run acquits, another end is a moment of its own and quarantines as before. An end is dated by the exchange that broke off, not by the probe's answer.

--- a/libs/entry/include/turmeric/entry/work_quarantine.h
+++ b/libs/entry/include/turmeric/entry/work_quarantine.h
@@ -86,7 +86,8 @@
   using Clock = quarantine::Clock;
 
   void NoteCrashes(const routing::UpstreamEntry& upstream,
-                   std::span<const BrokenRequest> requests);
+                   std::span<const BrokenRequest> requests,
+                   Clock::time_point at);
   bool Note(const quarantine::Crash& crash, std::string_view source);
   void TellOthers(const std::vector<quarantine::Crash>& crashes);
   void SetMetric() const;
--- a/libs/entry/src/work_quarantine.cc
+++ b/libs/entry/src/work_quarantine.cc
@@ -54,22 +54,24 @@
 void WorkQuarantine::OnBrokenOff(const routing::UpstreamPtr& upstream,
                                  std::vector<BrokenRequest> requests,
                                  std::function<void()> done) {
-  probe_.Ask(upstream, [this, upstream, requests = std::move(requests),
-                        done = std::move(done)](bool has_ended) {
-    if (has_ended) NoteCrashes(upstream->entry, requests);
-    if (done) done();
-  });
+  probe_.Ask(upstream,
+             [this, upstream, requests = std::move(requests),
+              done = std::move(done), at = Clock::now()](bool has_ended) {
+               if (has_ended) NoteCrashes(upstream->entry, requests, at);
+               if (done) done();
+             });
 }
 
 void WorkQuarantine::NoteCrashes(const routing::UpstreamEntry& upstream,
-                                 std::span<const BrokenRequest> requests) {
+                                 std::span<const BrokenRequest> requests,
+                                 Clock::time_point at) {
   const std::string start = StartOf(upstream);
   std::vector<Crash> news;
   for (const BrokenRequest& request : requests) {
     const Crash crash{.work = request.work,
                       .service = upstream.service,
                       .upstream = start,
-                      .at = Clock::now(),
+                      .at = at,
                       .progressed = request.progressed};
     if (!Note(crash, kSeenHere)) continue;
     // All that is known of the work: the others may have missed a part.
--- a/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
+++ b/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
@@ -63,6 +63,8 @@
 
     bool Counts(const Crash& crash) const;
     int weight() const;
+    /** @return true if the crashes that count may be those of one outage. */
+    bool AllAtOneMoment() const;
     std::optional<Clock::time_point> QuarantinedTill() const;
     Clock::time_point last() const;
   };
--- a/libs/quarantine/src/crash_ledger.cc
+++ b/libs/quarantine/src/crash_ledger.cc
@@ -16,6 +16,11 @@
 /** Weight from which a request is held to be the cause: three upstreams that
  * ended as they began to run it. */
 constexpr int kCauseWeight = 3 * kAtTheBeginning;
+/** Upstreams that end within a moment may have lost power together; copies of a
+ * request that ends them do so at moments of their own. The pause is long
+ * enough for them to be back, and the next copy tells which it was. */
+constexpr milliseconds kOneMoment{100};
+constexpr milliseconds kOutagePause{3000};
 /** Weight from which it is kept apart from others. */
 constexpr int kSuspectWeight = kAtTheBeginning;
 /** A first quarantine, doubled by each further crash after it: callers learn
@@ -55,9 +60,24 @@
   return weight;
 }
 
+bool CrashLedger::Work::AllAtOneMoment() const {
+  auto first = Clock::time_point::max();
+  Clock::time_point last{};
+  for (const auto& [upstream, crash] : crashes) {
+    if (!Counts(crash)) continue;
+    first = std::min(first, crash.at);
+    last = std::max(last, crash.at);
+  }
+  return last - first <= kOneMoment;
+}
+
 std::optional<Clock::time_point> CrashLedger::Work::QuarantinedTill() const {
   const int held_against = weight();
   if (held_against < kCauseWeight) return std::nullopt;
+  // Guard: an outage ends many upstreams at one moment, and popular requests
+  // run on most of them. Held to be the cause for minutes, they would be
+  // refused while no copy may run to acquit them.
+  if (AllAtOneMoment()) return last() + kOutagePause;
   milliseconds length = kFirstQuarantine;
   for (int more = kCauseWeight + kAtTheBeginning;
        more <= held_against && length < kLongestQuarantine;
