The fleet's sends to one upstream stay below what it bears while cold

Cause: nobody read cold_left_ms, cold_start_s or cold_per_s. The bound is the fleet's and an upstream may turn cold at any moment, known to us only later.

Change: routing/cold_limit.h splits the bound, ColdGuard keeps it: always where one instance decides for all (cells, shards), for other services while an upstream says that it is cold. Who chooses alone, or hears less than half of the fleet, has a dealt share. What finds no upstream goes elsewhere, waits a little, or is refused. Settings evacuation_bound_ms, cold_over, cold_slack.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -30,6 +30,10 @@
   std::chrono::milliseconds lapsed_grace{2000};
   /** A leaving upstream gets nothing new after this. */
   std::chrono::milliseconds drain_bound{2000};
+  /** An evacuated zone gets nothing new after this. */
+  std::chrono::milliseconds evacuation_bound{5000};
+  double cold_over = 1.5;  ///< Factor on what a cold upstream bears a second.
+  double cold_slack = 5;   ///< Arrivals in a second beyond that, fleet-wide.
   /** Share of a core that this instance may use; larger instances relay the
    * store's changes to others. 0: not stated. */
   double cpu_share = 0;
--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -53,9 +53,11 @@
   kStoreRelays,
   /** Requests that end the upstreams which run them are refused. */
   kQuarantine,
+  /** Upstreams get no more in a second than they bear while they are cold. */
+  kColdLimit,
 };
 
-inline constexpr size_t kMechanisms = 21;
+inline constexpr size_t kMechanisms = 22;
 
 /** @param mechanism one of them. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -25,6 +25,10 @@
 /** Largest ratio and slack of a retry budget that are no typing error. */
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetrySlack = 1e6;
+/** Largest factor and slack on a cold upstream's rate that are no typing
+ * error. */
+constexpr double kMaxColdOver = 100;
+constexpr double kMaxColdSlack = 1e6;
 /** Most cores that an instance may state as its share. */
 constexpr double kMaxCpuShare = 1024;
 
@@ -144,6 +148,9 @@
   reader.Ms("stop_grace_ms", s.stop_grace);
   reader.Ms("lapsed_grace_ms", s.lapsed_grace);
   reader.Ms("drain_bound_ms", s.drain_bound);
+  reader.Ms("evacuation_bound_ms", s.evacuation_bound);
+  reader.Number("cold_over", s.cold_over, kMaxColdOver);
+  reader.Number("cold_slack", s.cold_slack, kMaxColdSlack);
   reader.Number("cpu_share", s.cpu_share, kMaxCpuShare);
   reader.Number("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.Number("retry_slack", s.retry_slack, kMaxRetrySlack);
--- a/libs/config/test/entry_settings_test.cc
+++ b/libs/config/test/entry_settings_test.cc
@@ -54,6 +54,24 @@
   REQUIRE(mistake("no_such=1\n").find("no_such") != std::string::npos);
 }
 
+TEST_CASE("bounds of evacuations and of cold upstreams are read and checked") {
+  const std::string good(kGood);
+  const auto read = Load(good +
+                         "evacuation_bound_ms=4000\ncold_over=2\n"
+                         "cold_slack=3.5\n");
+  REQUIRE(read);
+  REQUIRE(read.value().evacuation_bound == 4000ms);
+  REQUIRE(read.value().cold_over == 2);
+  REQUIRE(read.value().cold_slack == 3.5);
+  for (const auto* line : {"evacuation_bound_ms=soon", "cold_over=-1",
+                           "cold_over=101", "cold_slack=x"}) {
+    const auto wrong = Load(good + line + "\n");
+    REQUIRE_FALSE(wrong);
+    REQUIRE(wrong.error().code == Errc::kIniInvalid);
+    REQUIRE(wrong.error().detail.starts_with(line));
+  }
+}
+
 TEST_CASE("what must be set is missed by name") {
   const auto settings = Load("[entry]\nname=entry-1\n");
   REQUIRE_FALSE(settings);
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -4,6 +4,7 @@
 
 #include "turmeric/config/entry_settings.h"
 #include "turmeric/entry/backlog_board.h"
+#include "turmeric/entry/cold_guard.h"
 #include "turmeric/entry/drain_policy.h"
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/stage_client.h"
@@ -29,10 +30,17 @@
       : settings(std::move(s)),
         wire(std::move(w)),
         retries({settings.retry_ratio, settings.retry_slack,
-                 settings.retry_window}) {
+                 settings.retry_window}),
+        cold({settings.cold_over, settings.cold_slack}, settings.name) {
+    cold.set_on(Uses(config::Mechanism::kColdLimit));
     if (!Uses(config::Mechanism::kRepeats)) retries.set_limits({});
   }
 
+  /** @param service its name. @return its settings, or nullptr. */
+  const routing::ServiceSpec* FindService(const std::string& service) const {
+    return table ? table->FindService(service) : nullptr;
+  }
+
   /** @param mechanism one of them. @return true if it is in use. */
   bool Uses(config::Mechanism mechanism) const {
     return settings.mechanisms.Uses(mechanism);
@@ -56,6 +64,7 @@
   bool upstreams_known = false;  ///< Their list was read at least once.
   UpstreamClient client;
   RetryBudgets retries;
+  ColdGuard cold;
   stages::StageTimes stage_times;
   stages::EngineTimes engine_times;
   UsualDeadlines usual_deadlines;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -63,6 +63,12 @@
   // One send.
   void SendToUpstream();
   WantedUpstream Wanted(std::string_view results_zone) const;
+  /** @return an upstream by what is known here alone, or nullptr. */
+  routing::UpstreamPtr ChooseHere(const WantedUpstream& wanted,
+                                  bool suspect) const;
+  /** @return true if all that are left have as much as they would bear if they
+   * were cold, and one is looked for again soon. */
+  bool WaitForColdUpstreams();
   void SendTo(const routing::UpstreamPtr& upstream);
   std::string HomeZone() const;
   int ConnectionLimit() const;
@@ -119,6 +125,7 @@
   std::vector<std::string> tried_;
   int64_t events_before_send_ = 0;  ///< Of its stream, from earlier sends.
   int sends_ = 0;
+  int cold_waits_ = 0;
   int unreached_ = 0;  ///< Of these, sends that no upstream received.
   bool may_have_run_ = false;
   std::optional<http::ResponseMessage> last_error_;  ///< An upstream's own.
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -117,6 +117,8 @@
                     const std::string& source, bool from_copy);
   /** Puts into force which zones are evacuated now. */
   void ApplyEvacuations();
+  /** Keeps till when an upstream is cold, as its entry says. */
+  void NoteCold(std::string_view upstream);
   std::optional<routing::UpstreamEntry> ReadEntry(
       const store::SourceObject& object);
   void NoteComplete();
--- /dev/null
+++ b/libs/entry/src/cold_guard.cc
@@ -0,0 +1,71 @@
+#include "turmeric/entry/cold_guard.h"
+
+#include <utility>
+
+namespace turmeric::entry {
+
+using routing::Admits;
+using routing::RecentSends;
+using routing::SendGround;
+using routing::ServiceSpec;
+using routing::Upstream;
+
+ColdGuard::ColdGuard(routing::ColdTolerance tolerance, std::string self)
+    : tolerance_(tolerance), self_(std::move(self)) {}
+
+void ColdGuard::CheckOwned() {
+  const bool hears_most = !hears_most_ || hears_most_();
+  std::erase_if(owned_since_, [&](const auto& owned) {
+    return !hears_most || (owns_ && !owns_(owned.first));
+  });
+}
+
+std::optional<int> ColdGuard::BoundOf(const ServiceSpec* spec) const {
+  if (!on_ || spec == nullptr) return std::nullopt;
+  return routing::ArrivalBound(spec->cold_per_s, tolerance_);
+}
+
+Admits ColdGuard::AsOwner(const ServiceSpec* spec, const std::string& part,
+                          Clock::time_point now) {
+  const auto bound = BoundOf(spec);
+  if (!bound) return {};
+  if (hears_most_ && !hears_most_()) return Alone(spec, now);
+  const auto since = owned_since_.try_emplace(part, now).first->second;
+  // What an earlier owner sent in this second is not known here.
+  const bool took_over = now - since < RecentSends::kWindow;
+  if (took_over && !routing::IsSuccessor(part, self_, others_)) {
+    return Alone(spec, now);
+  }
+  const auto most = static_cast<size_t>(routing::ShareOfBound(
+      *bound, took_over ? SendGround::kNewOwner : SendGround::kOwner));
+  return [most, now](const Upstream& u) { return u.sends.Count(now) < most; };
+}
+
+Admits ColdGuard::Alone(const ServiceSpec* spec, Clock::time_point now) const {
+  const auto bound = BoundOf(spec);
+  if (!bound) return {};
+  const int share = routing::ShareOfBound(*bound, SendGround::kAlone);
+  return [this, share, now](const Upstream& u) {
+    const int own = routing::DealtShare(share, u.entry.id, self_, others_);
+    return u.sends.Count(now) < static_cast<size_t>(own);
+  };
+}
+
+Admits ColdGuard::WithoutOwner(const ServiceSpec* spec,
+                               Clock::time_point now) const {
+  const auto bound = BoundOf(spec);
+  if (!bound) return {};
+  const int share = routing::ShareOfBound(*bound, SendGround::kNoOwner);
+  return [this, share, now](const Upstream& u) {
+    if (now >= u.cold_till) return true;
+    const int own = routing::DealtShare(share, u.entry.id, self_, others_);
+    return u.sends.Count(now) < static_cast<size_t>(own);
+  };
+}
+
+void ColdGuard::NoteSend(const ServiceSpec* spec, Upstream& upstream,
+                         Clock::time_point now) const {
+  if (BoundOf(spec)) upstream.sends.Note(now);
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/engine_placer.cc
+++ b/libs/entry/src/engine_placer.cc
@@ -92,9 +92,13 @@
       .Add("owner", open.owner)
       .Add("why", why);
   const std::string service = stages::ParseShard(open.order.service).service;
+  const auto now = Clock::now();
+  const routing::ServiceSpec* spec = context_.FindService(service);
+  routing::ChoiceRequest choice = ToChoice(open.order);
+  choice.admits = context_.cold.Alone(spec, now);
   const UpstreamPtr engine =
-      ChooseUpstream(context_.upstreams.ForService(service),
-                     ToChoice(open.order), Clock::now());
+      ChooseUpstream(context_.upstreams.ForService(service), choice, now);
+  if (engine) context_.cold.NoteSend(spec, *engine, now);
   Answer(ticket, engine);
 }
 
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -79,6 +79,10 @@
 }
 
 void EntryService::JoinInstances() {
+  context_.cold.set_hears_most([this] { return links_->HearsMost(); });
+  context_.cold.set_owns([this](const std::string& part) {
+    return !links_->OwnerOf(part).has_value();
+  });
   links_->set_events(
       {.on_frame =
            [this](const std::string& name, const peer::Frame& frame) {
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -1,6 +1,7 @@
 #include "turmeric/entry/instance_links.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
@@ -50,6 +51,17 @@
     if (is_new) Connect(name, instance).outgoing();
   }
   context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
+  std::set<std::string, std::less<>> others;
+  for (const auto& [name, instance] : instances_) others.insert(name);
+  context_.cold.set_others(std::move(others));
+}
+
+bool InstanceLinks::HearsMost() const {
+  const auto heard = std::ranges::count_if(instances_, [](const auto& entry) {
+    const Instance& instance = entry.second;
+    return instance.link != nullptr && instance.link->heard() && !instance.down;
+  });
+  return 2 * static_cast<size_t>(heard) >= instances_.size();
 }
 
 std::optional<std::string> InstanceLinks::OwnerOf(const std::string& key) {
--- a/libs/entry/src/placement_desk.cc
+++ b/libs/entry/src/placement_desk.cc
@@ -20,10 +20,13 @@
   if (context_.Uses(config::Mechanism::kPromptMemory)) {
     choice.memory = &context_.prompt_memory;
   }
+  const routing::ServiceSpec* spec = context_.FindService(cell.service);
+  choice.admits = context_.cold.AsOwner(spec, order.service, now);
   const auto engines = stages::UpstreamsOfShard(
       cell, context_.upstreams.ForService(cell.service));
   const UpstreamPtr engine = ChooseUpstream(engines, choice, now);
   if (!engine) return nullptr;
+  context_.cold.NoteSend(spec, *engine, now);
   books_[guest].Add(order.ticket, engine, PromptMs(order.prompt_tokens), now);
   Remember(order, *engine);
   return engine;
@@ -31,9 +34,7 @@
 
 void PlacementDesk::Remember(const peer::PlacementOrder& order,
                              const routing::Upstream& engine) {
-  if (!context_.table) return;
-  const routing::ServiceSpec* spec =
-      context_.table->FindService(engine.entry.service);
+  const routing::ServiceSpec* spec = context_.FindService(engine.entry.service);
   const int64_t capacity = spec == nullptr ? 0 : spec->engine_tokens;
   const std::string& id = engine.entry.id;
   routing::PromptMemory& memory = context_.prompt_memory;
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -41,6 +41,10 @@
 /** An engine has fetched a request's inputs so long after the request was
  * sent; it fetches them before it reads the prompt. */
 constexpr milliseconds kInputFetchTime{50};
+/** Pause before upstreams that all have as much as they bear are asked for
+ * again, and how often: what waits for longer is not in time. */
+constexpr milliseconds kColdWait{100};
+constexpr int kMostColdWaits = 8;
 /** Engines take priorities from 0, first, to this. */
 constexpr int kLowestEnginePriority = 9;
 
@@ -213,13 +217,14 @@
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   const std::string results_zone = stages_->inputs_zone();
   const WantedUpstream wanted = Wanted(results_zone);
-  if (context_.quarantine->IsSuspect(work_)) {
-    return SendTo(routing::ChooseApart(context_.upstreams.ForService(service_),
-                                       work_, tried_, Clock::now()));
-  }
-  if (!route_->carries_prompt) {
-    return SendTo(ChooseUpstream(context_.upstreams.ForService(service_),
-                                 ToChoice(wanted), Clock::now()));
+  const bool suspect = context_.quarantine->IsSuspect(work_);
+  if (suspect || !route_->carries_prompt) {
+    const routing::UpstreamPtr upstream = ChooseHere(wanted, suspect);
+    if (upstream) {
+      context_.cold.NoteSend(table_->FindService(service_), *upstream,
+                             Clock::now());
+    }
+    return SendTo(upstream);
   }
   peer::PlacementOrder order = ToPlacement(wanted);
   order.service = service_;
@@ -228,11 +233,48 @@
                      [this](const routing::UpstreamPtr& u) { SendTo(u); });
 }
 
+routing::UpstreamPtr RequestRun::ChooseHere(const WantedUpstream& wanted,
+                                            bool suspect) const {
+  const auto now = Clock::now();
+  const auto upstreams = context_.upstreams.ForService(service_);
+  const routing::ServiceSpec* spec = table_->FindService(service_);
+  const routing::Admits admits = route_->carries_prompt
+                                     ? context_.cold.Alone(spec, now)
+                                     : context_.cold.WithoutOwner(spec, now);
+  if (suspect) {
+    return routing::ChooseApart(upstreams, work_, tried_, now, admits);
+  }
+  routing::ChoiceRequest choice = ToChoice(wanted);
+  choice.admits = admits;
+  return ChooseUpstream(upstreams, choice, now);
+}
+
+bool RequestRun::WaitForColdUpstreams() {
+  const auto now = Clock::now();
+  const auto upstreams = context_.upstreams.ForService(service_);
+  const bool any_left = std::ranges::any_of(upstreams, [&](const auto& u) {
+    return IsListed(*u, now) && std::ranges::count(tried_, u->entry.id) == 0;
+  });
+  const routing::ServiceSpec* spec = table_->FindService(service_);
+  const bool bounded = spec != nullptr && spec->cold_per_s > 0;
+  if (!any_left || !bounded || ++cold_waits_ > kMostColdWaits) return false;
+  utils::DecisionLog("cold_limit_reached")
+      .Add("request", request_.attempt_id)
+      .Add("service", service_)
+      .Add("waits", cold_waits_);
+  placement_.reset();
+  QTimer::singleShot(kColdWait, this, [this] {
+    if (!finished_) SendToUpstream();
+  });
+  return true;
+}
+
 void RequestRun::SendTo(const routing::UpstreamPtr& upstream) {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   // Copies of it may have ended upstreams while this one was in its stages.
   if (RefusedAsHarmful()) return;
   if (!upstream) {
+    if (WaitForColdUpstreams()) return;
     if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
     return Refuse("no_upstream", ComeBack::kLater);
   }
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -229,10 +229,12 @@
   std::vector<UpstreamPtr> free;
   std::vector<std::string> zones;
   bool any_listed = false;
+  const routing::ServiceSpec* spec = context_.FindService(queue.shard.service);
+  const routing::Admits admits = context_.cold.AsOwner(spec, queue.name, now);
   for (const UpstreamPtr& u : UpstreamsOf(queue)) {
     if (!IsListed(*u, now)) continue;
     any_listed = true;
-    if (IsAvoided(*u, now)) continue;
+    if (IsAvoided(*u, now) || (admits && !admits(*u))) continue;
     zones.push_back(u->entry.zone);
     if (WorkerOf(queue, u).calls < limits.slots) free.push_back(u);
   }
@@ -287,6 +289,8 @@
                            Outcome outcome) { OnCallFailed(c, outcome); }},
       this);
   Worker& worker = WorkerOf(queue, upstream);
+  context_.cold.NoteSend(context_.FindService(queue.shard.service), *upstream,
+                         Clock::now());
   worker.room.Reserve(call->bytes());
   ++worker.calls;
   call->Start();
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -29,6 +29,8 @@
 /** An entry of an older copy whose process has gone lapses by then: after three
  * beats of a second and more. */
 constexpr milliseconds kCopiedEntryLapses{5000};
+/** A watch that is lost is noticed so long after its wait. */
+constexpr milliseconds kLossNoticed{1000};
 /** Where a change came from, in logs: our own calls. */
 constexpr auto kStoreSource = "store";
 
@@ -49,9 +51,13 @@
         std::pair(StoreKind::kEvacuations, link.evacuations_kind)}) {
     kinds_[kind].reflector =
         std::make_unique<store::Reflector>(*link.source, name, EventsOf(kind));
-    kinds_[kind].reflector->set_watch_wait([this] {
+    kinds_[kind].reflector->set_watch_wait([this, kind = kind] {
       const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
-      return context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
+      const auto wait =
+          context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
+      // A watch that is lost must be noticed well within the bound.
+      if (kind != StoreKind::kEvacuations) return wait;
+      return std::min(wait, context_.settings.evacuation_bound - kLossNoticed);
     });
   }
   // That upstreams have left must be known sooner than the rest.
@@ -76,6 +82,7 @@
   connect(&expire_, &QTimer::timeout, this, [this] {
     context_.upstreams.Expire(Clock::now());
     ApplyEvacuations();
+    context_.cold.CheckOwned();
     for (auto& [kind, state] : kinds_) state.reflector->CheckWait();
   });
 }
@@ -309,6 +316,8 @@
     // Nothing was read there meanwhile, and its processes may be new.
     for (const auto& u : context_.upstreams.InZone(zone)) {
       context_.prompt_memory.Forget(u->entry.id);
+      const auto* spec = context_.FindService(u->entry.service);
+      if (spec != nullptr) u->cold_till = Clock::now() + spec->cold_start;
     }
   }
   utils::DecisionLog("evacuations_in_force")
@@ -337,6 +346,7 @@
   std::optional<Clock::time_point> copy_till;
   if (from_copy) copy_till = Clock::now() + kCopiedEntryLapses;
   context_.upstreams.ReplaceAll(entries, KeepTill(), copy_till);
+  for (const auto& entry : entries) NoteCold(entry.id);
   context_.upstreams.Expire(Clock::now());
   context_.upstreams_known = true;
   utils::DecisionLog("upstreams_listed")
@@ -354,10 +364,20 @@
     return context_.upstreams.PutFromCopy(*entry,
                                           Clock::now() + kCopiedEntryLapses);
   }
-  if (entry) return context_.upstreams.Put(*entry);
+  if (entry) {
+    context_.upstreams.Put(*entry);
+    return NoteCold(object.name);
+  }
   context_.upstreams.Remove(object.name, Clock::now());
 }
 
+void TopologyFeed::NoteCold(std::string_view upstream) {
+  const routing::UpstreamPtr found = context_.upstreams.Find(upstream);
+  if (!found || found->entry.cold_left <= milliseconds(0)) return;
+  found->cold_till =
+      std::max(found->cold_till, Clock::now() + found->entry.cold_left);
+}
+
 // Another writer may have written the entry: it names no upstream, and one
 // that was known by that name is used no longer.
 std::optional<routing::UpstreamEntry> TopologyFeed::ReadEntry(
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace turmeric::routing {
 
+/** Tells whether an upstream may get one more request; empty: each may. */
+using Admits = std::function<bool(const Upstream&)>;
+
 /** What is known of a request when its upstream is chosen. */
 struct ChoiceRequest {
   /** The first part of its prompt, which many requests share; empty: no
@@ -33,6 +37,7 @@
   const PromptMemory* memory = nullptr;
   /** Ids not to be used again. */
   std::span<const std::string> tried;
+  Admits admits = {};
 };
 
 /**
@@ -55,12 +60,13 @@
  * choice is by the work alone, so that they part.
  * @param upstreams of the service. @param work its fingerprint.
  * @param tried ids not to be used again. @param now the time.
+ * @param admits see Admits.
  * @return the choice, or nullptr if no listed upstream is left.
  */
 UpstreamPtr ChooseApart(std::span<const UpstreamPtr> upstreams,
                         std::string_view work,
                         std::span<const std::string> tried,
-                        Clock::time_point now);
+                        Clock::time_point now, const Admits& admits = {});
 
 /**
  * @param upstreams of the service. @param request what is known of it.
--- a/libs/routing/include/turmeric/routing/route_table.h
+++ b/libs/routing/include/turmeric/routing/route_table.h
@@ -78,6 +78,9 @@
   int engine_slots = 0;       ///< Requests an engine runs at once.
   int64_t engine_tokens = 0;  ///< Memory of an engine.
   std::optional<StageCallLimits> stage;
+  /** How long an upstream is cold after its start. */
+  std::chrono::milliseconds cold_start{0};
+  double cold_per_s = 0;  ///< Arrivals a second it bears then; 0: any number.
 };
 
 /** Who may call, and by which rank. */
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -6,10 +6,10 @@
 #include <span>
 #include <string>
 
-namespace turmeric::routing {
+#include "turmeric/routing/recent_sends.h"
+#include "turmeric/routing/upstream_clock.h"
 
-/** The clock upstream state is kept by. */
-using Clock = std::chrono::steady_clock;
+namespace turmeric::routing {
 
 /** What the platform's list says of one upstream process. */
 struct UpstreamEntry {
@@ -22,6 +22,8 @@
   std::string zone;
   int slots = 1;
   bool draining = false;
+  /** How much longer it was slow and bore little, when it wrote its entry. */
+  std::chrono::milliseconds cold_left{0};
 };
 
 /** One upstream as this instance sees it: its entry and its own history. */
@@ -35,7 +37,9 @@
   /** Its entry vanished with the store; kept till then, unless it returns. */
   Clock::time_point lapses_at = Clock::time_point::max();
 
-  int in_flight = 0;             ///< Our requests open to it.
+  Clock::time_point cold_till;  ///< Known to be cold till then.
+  RecentSends sends;  ///< Sent by us, or by others as we told them to.
+  int in_flight = 0;  ///< Our requests open to it.
   double pending_prompt_ms = 0;  ///< Prompt reading we have asked of it.
   /** Requests of all instances that we have placed on it, if we place those of
    * its service; see PlacementBook. */
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -71,6 +71,7 @@
   std::vector<UpstreamPtr> avoided;
   for (const UpstreamPtr& u : upstreams) {
     if (!IsListed(*u, now) || Tried(request.tried, u->entry.id)) continue;
+    if (request.admits && !request.admits(*u)) continue;
     (IsAvoided(*u, now) ? avoided : found.usable).push_back(u);
   }
   if (found.usable.empty()) found.usable = std::move(avoided);
@@ -116,8 +117,10 @@
 UpstreamPtr ChooseApart(std::span<const UpstreamPtr> upstreams,
                         std::string_view work,
                         std::span<const std::string> tried,
-                        Clock::time_point now) {
-  const ChoiceRequest request{.tried = tried};
+                        Clock::time_point now, const Admits& admits) {
+  ChoiceRequest request;
+  request.tried = tried;
+  request.admits = admits;
   const Candidates found = FindCandidates(upstreams, request, now);
   const auto best =
       std::ranges::max_element(found.usable, {}, [work](const UpstreamPtr& u) {
--- a/libs/routing/src/upstream_table.cc
+++ b/libs/routing/src/upstream_table.cc
@@ -40,6 +40,7 @@
   // Guard: a store that came back from an older copy lists it as it was before.
   upstream->entry.draining = upstream->entry.draining || entry.draining;
   upstream->entry.slots = entry.slots;
+  upstream->entry.cold_left = entry.cold_left;
   upstream->lapses_at = Clock::time_point::max();
   if (leaves && on_leave_) on_leave_(upstream);
 }
