--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,8 +6,10 @@
 : "${RC_PARAMS:=seed=20261202 max_success=200}"
 export RC_PARAMS
 echo "rapidcheck: RC_PARAMS=\"$RC_PARAMS\""
+started=$SECONDS
 cmake -S . -B build -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 cmake --build build -j"$(nproc)"
+echo "== build took $((SECONDS - started)) s"
 
 # Tests named in KNOWN-RED.txt are passed over and printed; no others are.
 known_red=()
@@ -24,5 +26,7 @@
   names=$(printf '%s\n' "${known_red[@]}" | sed 's/ *|.*//' | paste -sd'|')
   passed_over=(-E "^(${names})\$")
 fi
+started=$SECONDS
 cd build
 ctest --output-on-failure -j"$(nproc)" "${passed_over[@]}"
+echo "== tests took $((SECONDS - started)) s"
