What chooses an upstream without its owner leaves RequestRun

HasUpstreams, HomeZone, ChooseAlone and MayHaveRoomSoon are free functions in upstream_choice; the send of a choice is counted there, once.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -56,21 +56,15 @@
 
  private:
   bool Admitted();
-  /** @return true if each service that the request needs has an upstream. */
-  bool HasUpstreams() const;
   void StartStages();
   void OnStageFailed(stages::PieceFailure failure);
   // One send.
   void SendToUpstream();
   WantedUpstream Wanted(std::string_view results_zone) const;
-  /** @return an upstream by what is known here alone, or nullptr. */
-  routing::UpstreamPtr ChooseHere(const WantedUpstream& wanted,
-                                  bool suspect) const;
   /** @return true if all that are left have as much as they would bear if they
    * were cold, and one is looked for again soon. */
-  bool WaitForColdUpstreams();
+  bool WaitsForRoom();
   void SendTo(const routing::UpstreamPtr& upstream);
-  std::string HomeZone() const;
   int ConnectionLimit() const;
   UpstreamCall CallTo(const routing::Upstream& upstream) const;
   void ReleaseInputsOnceFetched();
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -12,11 +12,11 @@
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/repeat_policy.h"
 #include "turmeric/entry/stage_run.h"
+#include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_send.h"
 #include "turmeric/entry/wanted_upstream.h"
 #include "turmeric/entry/work_quarantine.h"
 #include "turmeric/quarantine/fingerprint.h"
-#include "turmeric/routing/choice.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -98,22 +98,10 @@
   const auto now = Clock::now();
   service_ = routing::PickTarget(route_->targets, Uniform());
   context_.retries.OnRequest(service_, now);
-  if (!HasUpstreams()) return Refuse("no_upstream", ComeBack::kLater);
-  StartStages();
-}
-
-bool RequestRun::HasUpstreams() const {
-  const auto now = Clock::now();
-  const auto has = [&](const std::string& service) {
-    return AnyListed(context_.upstreams.ForService(service), now);
-  };
-  if (!has(service_)) return false;
-  for (size_t i = 0; i < route_->stages.size(); ++i) {
-    const bool needed =
-        i < request_.stage_pieces.size() && request_.stage_pieces[i] > 0;
-    if (needed && !has(route_->stages[i].service)) return false;
+  if (!HasUpstreams(context_, service_, *route_, request_.stage_pieces)) {
+    return Refuse("no_upstream", ComeBack::kLater);
   }
-  return true;
+  StartStages();
 }
 
 bool RequestRun::Admitted() {
@@ -175,7 +163,11 @@
                 SendToUpstream();
               },
           .on_failed = [this](PieceFailure failure) { OnStageFailed(failure); },
-          .home_zone = [this] { return HomeZone(); },
+          .home_zone =
+              [this] {
+                if (!route_->carries_prompt) return context_.settings.zone;
+                return HomeZone(context_, service_, Wanted({}));
+              },
           .maker =
               [this](const std::string& service, const std::string& handle) {
                 return context_.upstreams.FindAt(
@@ -205,26 +197,18 @@
           .results_zone = results_zone};
 }
 
-std::string RequestRun::HomeZone() const {
-  if (!route_->carries_prompt) return context_.settings.zone;
-  const peer::PlacementOrder order = ToPlacement(Wanted({}));
-  const auto home = HomeUpstream(context_.upstreams.ForService(service_),
-                                 ToChoice(order), Clock::now());
-  return home ? home->entry.zone : context_.settings.zone;
-}
-
 void RequestRun::SendToUpstream() {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
   const std::string results_zone = stages_->inputs_zone();
   const WantedUpstream wanted = Wanted(results_zone);
   const bool suspect = context_.quarantine->IsSuspect(work_);
   if (suspect || !route_->carries_prompt) {
-    const routing::UpstreamPtr upstream = ChooseHere(wanted, suspect);
-    if (upstream) {
-      context_.cold.NoteSend(table_->FindService(service_), *upstream,
-                             Clock::now());
-    }
-    return SendTo(upstream);
+    return SendTo(ChooseAlone(context_,
+                              {.service = service_,
+                               .work = work_,
+                               .has_owner = route_->carries_prompt,
+                               .suspect = suspect},
+                              wanted));
   }
   peer::PlacementOrder order = ToPlacement(wanted);
   order.service = service_;
@@ -233,31 +217,9 @@
                      [this](const routing::UpstreamPtr& u) { SendTo(u); });
 }
 
-routing::UpstreamPtr RequestRun::ChooseHere(const WantedUpstream& wanted,
-                                            bool suspect) const {
-  const auto now = Clock::now();
-  const auto upstreams = context_.upstreams.ForService(service_);
-  const routing::ServiceSpec* spec = table_->FindService(service_);
-  const routing::Admits admits = route_->carries_prompt
-                                     ? context_.cold.Alone(spec, now)
-                                     : context_.cold.WithoutOwner(spec, now);
-  if (suspect) {
-    return routing::ChooseApart(upstreams, work_, tried_, now, admits);
-  }
-  routing::ChoiceRequest choice = ToChoice(wanted);
-  choice.admits = admits;
-  return ChooseUpstream(upstreams, choice, now);
-}
-
-bool RequestRun::WaitForColdUpstreams() {
-  const auto now = Clock::now();
-  const auto upstreams = context_.upstreams.ForService(service_);
-  const bool any_left = std::ranges::any_of(upstreams, [&](const auto& u) {
-    return IsListed(*u, now) && std::ranges::count(tried_, u->entry.id) == 0;
-  });
-  const routing::ServiceSpec* spec = table_->FindService(service_);
-  const bool bounded = spec != nullptr && spec->cold_per_s > 0;
-  if (!any_left || !bounded || ++cold_waits_ > kMostColdWaits) return false;
+bool RequestRun::WaitsForRoom() {
+  if (!MayHaveRoomSoon(context_, service_, tried_)) return false;
+  if (++cold_waits_ > kMostColdWaits) return false;
   utils::DecisionLog("cold_limit_reached")
       .Add("request", request_.attempt_id)
       .Add("service", service_)
@@ -274,7 +236,7 @@
   // Copies of it may have ended upstreams while this one was in its stages.
   if (RefusedAsHarmful()) return;
   if (!upstream) {
-    if (WaitForColdUpstreams()) return;
+    if (WaitsForRoom()) return;
     if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
     return Refuse("no_upstream", ComeBack::kLater);
   }
