Cells of engines keep their engines and their names

Cause: engines were dealt to cells in turn, in the order of their ids. One that comes or goes shifts all behind it by one, so two thirds of them change their cell; a release, a crash or a scale-in does that once a second. The owner of a cell knows nothing of what its new engines hold, nor what waits there. And the number of cells followed the number of engines in steps of 64: at 140 a crash of a tenth renames all cells, which changes their owners.

Ruled out: eviction (an engine gets some 6,000 tokens a second and holds 218,000).

Change: neighbours by a hash of the id, so that one change moves one engine at most from each cell to the next; cells double in number only as engines do. The test of 140 engines expects two cells of 70 where it expected three of 46 and more: bounds on their size stay exact.

Tests: at most one engine moves for each that is replaced, red before; cells keep their names through a crash, red before (140 engines and 105: three and two). What it does not do: sizes whose loss crosses a bound still rename the cells.

--- a/libs/stages/include/turmeric/stages/shard.h
+++ b/libs/stages/include/turmeric/stages/shard.h
@@ -74,8 +74,9 @@
 
 /**
  * @param shard a shard. @param upstreams all of its service.
- * @return those that serve it: dealt in turn by id, so that every instance
- *     finds the same ones and shards of a zone differ by one at most.
+ * @return those that serve it: the same for every instance; shards of a zone
+ *     differ by one at most, and with one upstream more or less at most one
+ *     changes from each shard to the next.
  */
 std::vector<routing::UpstreamPtr> UpstreamsOfShard(
     const Shard& shard, std::span<const routing::UpstreamPtr> upstreams);
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <numeric>
+#include <utility>
 
 #include "turmeric/routing/choice.h"
 
@@ -20,9 +22,10 @@
 /** Upstreams that one owner serves. A choice; an owner of eight of them used
  * 0.03 of a core. */
 constexpr size_t kUpstreamsPerShard = 12;
-/** Engines whose requests one instance places. A choice: a few hundred requests
- * a second, some per cent of the smallest processor share in use. */
-constexpr size_t kEnginesPerCell = 64;
+/** Engines whose requests one instance places, within a factor of the square
+ * root of two: a few hundred requests a second, some per cent of the smallest
+ * processor share in use. */
+constexpr double kEnginesPerCell = 64;
 /** Calls more that may wait for each upstream of the wished zone than
  * elsewhere: about the time that a result's way to another zone is worth. */
 constexpr double kStayWithin = 1.0;
@@ -43,6 +46,15 @@
       1, (upstreams + upstreams_a_part - 1) / upstreams_a_part);
 }
 
+/** Doubles with the engines: a cell that changes its name changes its owner
+ * too, and the new one knows nothing of what its engines hold.
+ * @return cells of a service with so many engines. */
+size_t CellsOf(size_t engines) {
+  const double wanted = static_cast<double>(engines) / kEnginesPerCell;
+  if (wanted <= 1) return 1;
+  return size_t{1} << std::lround(std::log2(wanted));
+}
+
 /** @return a number in [0, 1) that depends on the texts only. */
 double Fraction(std::string_view key, std::string_view salt) {
   constexpr uint64_t kSteps = 1 << 20;
@@ -163,7 +175,7 @@
 
 std::string CellName(const std::string& service, std::string_view key,
                      size_t upstreams) {
-  const size_t count = PartsOf(upstreams, kEnginesPerCell);
+  const size_t count = CellsOf(upstreams);
   if (count == 1) return service;
   return ShardName(
       {service, {}, routing::RendezvousWeight(service, key) % count, count});
@@ -177,14 +189,17 @@
         return shard.zone.empty() || u->entry.zone == shard.zone;
       });
   if (shard.count == 1) return sorted;
-  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) -> const std::string& {
-    return u->entry.id;
+  // Neighbours by a hash of the id: one that comes or goes moves the bounds
+  // between the parts by one upstream at most.
+  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) {
+    return std::pair(routing::RendezvousWeight(u->entry.service, u->entry.id),
+                     std::string_view(u->entry.id));
   });
-  std::vector<UpstreamPtr> own;
-  for (size_t i = shard.index; i < sorted.size(); i += shard.count) {
-    own.push_back(sorted[i]);
-  }
-  return own;
+  const auto bound = [&](size_t index) {
+    return sorted.begin() +
+           static_cast<std::ptrdiff_t>(sorted.size() * index / shard.count);
+  };
+  return {bound(shard.index), bound(shard.index + 1)};
 }
 
 }  // namespace turmeric::stages
--- a/libs/stages/test/shard_test.cc
+++ b/libs/stages/test/shard_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using turmeric::routing::Upstream;
@@ -115,12 +116,56 @@
   for (int i = 0; i < 100; ++i) {
     names.insert(CellName("llm", "k" + std::to_string(i), 140));
   }
-  REQUIRE(names.size() == 3);
+  REQUIRE(names.size() == 2);
   const auto engines = Upstreams(140, kZones);
   for (const std::string& name : names) {
     REQUIRE(ParseShard(name).service == "llm");
     REQUIRE(ParseShard(name).zone.empty());
-    REQUIRE(UpstreamsOfShard(ParseShard(name), engines).size() >= 46);
+    REQUIRE(UpstreamsOfShard(ParseShard(name), engines).size() == 70);
+  }
+}
+
+// Guards against owners that no longer know what their engines hold, when a
+// release replaces engines one after the other.
+TEST_CASE("an engine that is replaced moves few others to another cell") {
+  auto engines = Upstreams(140, kZones);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i]->entry.id = "old-" + std::to_string(i);
+  }
+  const auto deal = [&] {
+    std::map<std::string, std::string> cells;
+    for (int i = 0; i < 100; ++i) {
+      const std::string name =
+          CellName("llm", "k" + std::to_string(i), engines.size());
+      for (const UpstreamPtr& u : UpstreamsOfShard(ParseShard(name), engines)) {
+        cells[u->entry.id] = name;
+      }
+    }
+    return cells;
+  };
+  auto cell_of = deal();
+  REQUIRE(cell_of.size() == 140);
+  for (size_t replaced = 0; replaced < 60; ++replaced) {
+    auto fresh = std::make_shared<Upstream>(*engines[replaced]);
+    fresh->entry.id = "new-" + std::to_string(replaced);
+    engines[replaced] = fresh;
+    const auto cells = deal();
+    int moved = 0;
+    for (const auto& [id, name] : cells) {
+      moved += cell_of.contains(id) && cell_of[id] != name ? 1 : 0;
+    }
+    REQUIRE(moved <= 1);
+    cell_of = cells;
+  }
+}
+
+// Guards against cells that all change their names, and so their owners, when
+// a crash takes part of the engines for some seconds.
+TEST_CASE("a crash of some of the engines leaves the cells their names") {
+  const std::vector<std::pair<size_t, size_t>> kBeforeAndAfter = {
+      {140, 105}, {240, 200}, {560, 420}, {2500, 1875}};
+  for (const auto& [before, after] : kBeforeAndAfter) {
+    REQUIRE(CellName("llm", "k", before) == CellName("llm", "k", after));
   }
 }
 
