What an engine holds is no load, and a part counts as held with those before it

Cause: the owner of a cell counted a placed request as the reading time of its whole prompt, also where the engine holds two thirds of it; so engines seemed three times as loaded as they were, and sessions left the engines that hold their parts. A session's part counted as held without the part before it, which an engine then reads again.

--- a/libs/entry/src/placement_desk.cc
+++ b/libs/entry/src/placement_desk.cc
@@ -1,5 +1,7 @@
 #include "turmeric/entry/placement_desk.h"
 
+#include <algorithm>
+
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/wanted_upstream.h"
 #include "turmeric/routing/choice.h"
@@ -10,6 +12,19 @@
 using routing::Clock;
 using routing::UpstreamPtr;
 
+namespace {
+
+/** @return time in which the engine reads what it does not hold, ms. */
+double ReadingMs(const peer::PlacementOrder& order,
+                 const routing::ChoiceRequest& choice,
+                 const routing::Upstream& engine) {
+  const double shared = choice.shared_ms + choice.session_ms;
+  const double own = std::max(0.0, PromptMs(order.prompt_tokens) - shared);
+  return own + routing::UnheldMs(choice, engine);
+}
+
+}  // namespace
+
 PlacementDesk::PlacementDesk(EntryContext& context) : context_(context) {}
 
 UpstreamPtr PlacementDesk::Place(const std::string& guest,
@@ -27,7 +42,8 @@
   const UpstreamPtr engine = ChooseUpstream(engines, choice, now);
   if (!engine) return nullptr;
   context_.cold.NoteSend(spec, *engine, now);
-  books_[guest].Add(order.ticket, engine, PromptMs(order.prompt_tokens), now);
+  books_[guest].Add(order.ticket, engine, ReadingMs(order, choice, *engine),
+                    now);
   Remember(order, *engine);
   return engine;
 }
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -77,6 +77,14 @@
 UpstreamPtr HomeUpstream(std::span<const UpstreamPtr> upstreams,
                          const ChoiceRequest& request, Clock::time_point now);
 
+/**
+ * @param request with the memory of what engines hold, or without. @param
+ * upstream an engine.
+ * @return time to read the parts that requests share and the engine does not
+ *     hold, ms. A part is of use only if all parts before it are held too.
+ */
+double UnheldMs(const ChoiceRequest& request, const Upstream& upstream);
+
 /**
  * @param key any key. @param member one of the candidates.
  * @return the member's rendezvous weight for the key; the highest wins.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -56,6 +56,15 @@
   return Hash(member, Hash(key, 0));
 }
 
+double UnheldMs(const ChoiceRequest& request, const Upstream& upstream) {
+  const std::string& id = upstream.entry.id;
+  const double all = request.shared_ms + request.session_ms;
+  if (request.memory == nullptr) return all;
+  if (!request.memory->Holds(id, request.shared_part)) return all;
+  return request.memory->Holds(id, request.session_part) ? 0
+                                                         : request.session_ms;
+}
+
 namespace {
 
 /** What may be chosen from, and who holds the request's prompt parts. */
@@ -95,11 +104,7 @@
 double ReadCost(const Candidates& found, const ChoiceRequest& request,
                 const UpstreamPtr& upstream) {
   if (request.memory != nullptr) {
-    const std::string& id = upstream->entry.id;
-    const bool shared = request.memory->Holds(id, request.shared_part);
-    const bool session = request.memory->Holds(id, request.session_part);
-    return kReadAgainFactor * ((shared ? 0 : request.shared_ms) +
-                               (session ? 0 : request.session_ms));
+    return kReadAgainFactor * UnheldMs(request, *upstream);
   }
   if (!found.home || upstream == found.home) return 0;
   const bool in_group = std::ranges::count(found.group, upstream) > 0;
--- a/libs/routing/test/placement_test.cc
+++ b/libs/routing/test/placement_test.cc
@@ -15,6 +15,7 @@
 using turmeric::routing::Clock;
 using turmeric::routing::PlacementBook;
 using turmeric::routing::PromptMemory;
+using turmeric::routing::UnheldMs;
 using turmeric::routing::Upstream;
 using turmeric::routing::UpstreamPtr;
 
@@ -204,3 +205,21 @@
   engines[1]->placed_prompt_ms = 600;
   REQUIRE(ChooseUpstream(engines, request, kNow) != engines[1]);
 }
+
+TEST_CASE("a part is of use only if the parts before it are held too") {
+  const auto engines = Engines(1);
+  PromptMemory memory;
+  ChoiceRequest request;
+  request.shared_part = "shared";
+  request.session_part = "session";
+  request.shared_ms = 50;
+  request.session_ms = 80;
+  REQUIRE(UnheldMs(request, *engines[0]) == Approx(130));
+  request.memory = &memory;
+  memory.Note("i-0", "session", 3800, 370000);
+  REQUIRE(UnheldMs(request, *engines[0]) == Approx(130));
+  memory.Note("i-0", "shared", 2500, 370000);
+  REQUIRE(UnheldMs(request, *engines[0]) == Approx(0));
+  request.session_part = "other";
+  REQUIRE(UnheldMs(request, *engines[0]) == Approx(80));
+}
