Callers of an instance that starts without the store stay away for longer

Cause: an instance that knows nothing told callers to return after half a second, into the same outage; most return once only, and were refused for good.

Change: while the store does not answer, two seconds, spread by a quarter; the platform's callers wait for a third of their time at most. An instance that just starts still says half a second. Path test red without the change.

--- a/libs/entry/include/turmeric/entry/come_back.h
+++ b/libs/entry/include/turmeric/entry/come_back.h
@@ -10,6 +10,7 @@
   kSoon,    ///< A queue or connection is full and moves on within a call.
   kAfterOverload,  ///< More is asked for than can be served now.
   kLater,  ///< Nothing could serve it; upstreams or knowledge are missing.
+  kAfterOutage,  ///< The store does not answer, and nothing is known yet.
 };
 
 /**
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -62,6 +62,7 @@
   routing::RouteTablePtr table;  ///< Null until the first is read.
   routing::UpstreamTable upstreams;
   bool upstreams_known = false;  ///< Their list was read at least once.
+  bool store_away = false;       ///< The last call to the store has failed.
   UpstreamClient client;
   RetryBudgets retries;
   ColdGuard cold;
--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -17,6 +17,7 @@
 enum class AdmissionRefusal {
   kNone,
   kNotReady,    ///< No configuration or list of upstreams was read yet.
+  kStoreAway,   ///< The same, and the store does not answer.
   kNoRoute,     ///< No route of the host matches the path.
   kStopping,    ///< It would outlast this process.
   kUnknownKey,  ///< The route needs a key, and no organisation holds this one.
@@ -26,6 +27,7 @@
 struct AdmissionState {
   const routing::RouteTable* table = nullptr;
   bool upstreams_known = false;
+  bool store_away = false;  ///< The last call to the store has failed.
   /** Time since a planned stop began; none: it has not. */
   std::optional<std::chrono::milliseconds> since_stop;
   std::chrono::milliseconds stop_grace{0};
--- a/libs/entry/src/come_back.cc
+++ b/libs/entry/src/come_back.cc
@@ -18,6 +18,9 @@
  * again. It can no longer meet its target either way; so it returns once, with
  * most of its time still left. */
 constexpr milliseconds kAfterOverload{1500};
+/** An outage of the store lasts seconds too; the platform's callers wait for a
+ * third of their time at most, whatever they are told. */
+constexpr milliseconds kAfterOutage{2000};
 /** Part by which a pause is shortened or lengthened at most. */
 constexpr double kSpread = 0.25;
 
@@ -29,6 +32,8 @@
       return kSoon;
     case ComeBack::kAfterOverload:
       return kAfterOverload;
+    case ComeBack::kAfterOutage:
+      return kAfterOutage;
     case ComeBack::kLater:
       return kLater;
   }
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -41,7 +41,8 @@
                 routing::Clock::time_point arrived) {
   Admission admission;
   if (state.table == nullptr || !state.upstreams_known) {
-    admission.refusal = AdmissionRefusal::kNotReady;
+    admission.refusal = state.store_away ? AdmissionRefusal::kStoreAway
+                                         : AdmissionRefusal::kNotReady;
     return admission;
   }
   const routing::RouteTable& table = *state.table;
@@ -95,6 +96,8 @@
       break;
     case AdmissionRefusal::kNotReady:
       return {kUnavailable, "not_ready", ComeBack::kLater};
+    case AdmissionRefusal::kStoreAway:
+      return {kUnavailable, "store_away", ComeBack::kAfterOutage};
     case AdmissionRefusal::kNoRoute:
       return {kNotFound, "no_route", std::nullopt};
     case AdmissionRefusal::kStopping:
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -109,6 +109,7 @@
   table_ = context_.table;
   AdmissionState state{.table = table_.get(),
                        .upstreams_known = context_.upstreams_known,
+                       .store_away = context_.store_away,
                        .since_stop = {},
                        .stop_grace = context_.settings.stop_grace};
   if (context_.stopping_since) {
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -99,7 +99,8 @@
             OnChanges(kind, batch, outage);
           },
       .on_reachable =
-          [kind](bool reachable, const std::string& why) {
+          [this, kind](bool reachable, const std::string& why) {
+            context_.store_away = !reachable;
             utils::DecisionLog(reachable ? "store_regained" : "store_lost")
                 .Add("watch", NameOf(kind))
                 .Add("why", why);
--- a/libs/entry/test/come_back_test.cc
+++ b/libs/entry/test/come_back_test.cc
@@ -32,6 +32,13 @@
   REQUIRE(ComeBackAfter(ComeBack::kAfterOverload, 0.999) < 2000ms);
 }
 
+// Guards against callers that spend their only return while the store of an
+// instance that has just started is still away.
+TEST_CASE("who is refused in an outage of the store stays away for longer") {
+  REQUIRE(ComeBackAfter(ComeBack::kAfterOutage, 0) >= 1500ms);
+  REQUIRE(ComeBackAfter(ComeBack::kAfterOutage, 0.999) < 2500ms);
+}
+
 TEST_CASE("a pause is never zero: that would mean none was told") {
   REQUIRE(rc::check([] {
     const double draw = *rc::gen::inRange(0, 10000) / 10000.0;
--- a/libs/entry/test/request_admission_test.cc
+++ b/libs/entry/test/request_admission_test.cc
@@ -59,6 +59,8 @@
 TEST_CASE("nothing is known: not ready, whatever is asked") {
   REQUIRE(Admit(MakeRequest("/closed/x", "key"), {}, kNow).refusal ==
           AdmissionRefusal::kNotReady);
+  REQUIRE(Admit(MakeRequest("/closed/x", "key"), {.store_away = true}, kNow)
+              .refusal == AdmissionRefusal::kStoreAway);
 }
 
 TEST_CASE("route and key decide") {
@@ -122,6 +124,8 @@
   using turmeric::entry::ComeBack;
   REQUIRE(AnswerTo(AdmissionRefusal::kStopping).come_back == ComeBack::kAtOnce);
   REQUIRE(AnswerTo(AdmissionRefusal::kNotReady).come_back == ComeBack::kLater);
+  REQUIRE(AnswerTo(AdmissionRefusal::kStoreAway).come_back ==
+          ComeBack::kAfterOutage);
   REQUIRE(AnswerTo(AdmissionRefusal::kNoRoute).status == 404);
   REQUIRE_FALSE(AnswerTo(AdmissionRefusal::kNoRoute).come_back.has_value());
   REQUIRE(AnswerTo(AdmissionRefusal::kUnknownKey).status == 401);
