Before it knows the fleet an instance sends nothing to what may be cold

Cause: until its first read of the fleet's list an instance dealt itself the whole share of those that choose alone, and took itself for the owner of every cell; each of a fleet that starts at once did.

Change: no upstream with a cold rate is sent to before; prompts wait for the list as they do for room. An instance without peers is told that it is alone. MayHaveRoomSoon no longer waits where the limit is switched off.

--- a/libs/entry/include/turmeric/entry/cold_guard.h
+++ b/libs/entry/include/turmeric/entry/cold_guard.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -26,9 +27,16 @@
   /** @param tolerance of the platform. @param self this instance's name. */
   ColdGuard(routing::ColdTolerance tolerance, std::string self);
 
+  /** @param spec a service, or nullptr. @return true if what its upstreams get
+   * is bounded. */
+  bool Bounds(const routing::ServiceSpec* spec) const {
+    return BoundOf(spec).has_value();
+  }
   /** @param on false: nothing is bounded. */
   void set_on(bool on) { on_ = on; }
-  /** @param others names of all other instances, reachable or not. */
+  /** Until this is told, nothing is sent to an upstream that may be cold: each
+   * instance of a fleet that starts would take itself for the only one.
+   * @param others names of all other instances, reachable or not. */
   void set_others(std::set<std::string, std::less<>> others) {
     others_ = std::move(others);
   }
@@ -73,7 +81,7 @@
   routing::ColdTolerance tolerance_;
   std::string self_;
   bool on_ = true;
-  std::set<std::string, std::less<>> others_;
+  std::optional<std::set<std::string, std::less<>>> others_;
   std::function<bool()> reaches_most_;
   std::function<bool(const std::string& part)> owns_;
   /** Since when this instance has owned each part without a break. */
--- a/libs/entry/src/cold_guard.cc
+++ b/libs/entry/src/cold_guard.cc
@@ -10,6 +10,14 @@
 using routing::ServiceSpec;
 using routing::Upstream;
 
+namespace {
+
+Admits AdmitNone() {
+  return [](const Upstream&) { return false; };
+}
+
+}  // namespace
+
 ColdGuard::ColdGuard(routing::ColdTolerance tolerance, std::string self)
     : tolerance_(tolerance), self_(std::move(self)) {}
 
@@ -29,11 +37,12 @@
                           Clock::time_point now) {
   const auto bound = BoundOf(spec);
   if (!bound) return {};
+  if (!others_) return AdmitNone();
   if (reaches_most_ && !reaches_most_()) return Alone(spec, now);
   const auto since = owned_since_.try_emplace(part, now).first->second;
   // What an earlier owner sent in this second is not known here.
   const bool took_over = now - since < RecentSends::kWindow;
-  if (took_over && !routing::IsSuccessor(part, self_, others_)) {
+  if (took_over && !routing::IsSuccessor(part, self_, *others_)) {
     return Alone(spec, now);
   }
   const auto most = static_cast<size_t>(routing::ShareOfBound(
@@ -44,9 +53,10 @@
 Admits ColdGuard::Alone(const ServiceSpec* spec, Clock::time_point now) const {
   const auto bound = BoundOf(spec);
   if (!bound) return {};
+  if (!others_) return AdmitNone();
   const int share = routing::ShareOfBound(*bound, SendGround::kAlone);
   return [this, share, now](const Upstream& u) {
-    const int own = routing::DealtShare(share, u.entry.id, self_, others_);
+    const int own = routing::DealtShare(share, u.entry.id, self_, *others_);
     return u.sends.Count(now) < static_cast<size_t>(own);
   };
 }
@@ -58,7 +68,8 @@
   const int share = routing::ShareOfBound(*bound, SendGround::kNoOwner);
   return [this, share, now](const Upstream& u) {
     if (now >= u.cold_till) return true;
-    const int own = routing::DealtShare(share, u.entry.id, self_, others_);
+    if (!others_) return false;
+    const int own = routing::DealtShare(share, u.entry.id, self_, *others_);
     return u.sends.Count(now) < static_cast<size_t>(own);
   };
 }
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -146,6 +146,7 @@
   const config::EntrySettings& s = context_.settings;
   if (s.peer_address.empty()) {
     context_.retries.set_live_instances(1);
+    context_.cold.set_others({});
     return boost::outcome_v2::success();
   }
   if (auto up = host_->Listen(s.peer_address); !up) return up;
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -56,8 +56,7 @@
 
 bool MayHaveRoomSoon(const EntryContext& context, const std::string& service,
                      std::span<const std::string> tried) {
-  const routing::ServiceSpec* spec = context.FindService(service);
-  if (spec == nullptr || spec->cold_per_s <= 0) return false;
+  if (!context.cold.Bounds(context.FindService(service))) return false;
   const auto now = Clock::now();
   return std::ranges::any_of(
       context.upstreams.ForService(service), [&](const UpstreamPtr& u) {
--- a/libs/entry/test/cold_fleet_test.cc
+++ b/libs/entry/test/cold_fleet_test.cc
@@ -27,6 +27,8 @@
 constexpr int kEngines = 6;
 constexpr int kBound = 17;
 constexpr std::chrono::milliseconds kStep{10};
+/** From an instance's start until it has read the fleet's list. */
+constexpr int kStepsTillListed = 20;
 /** From the decision to the engine, at most. */
 constexpr int kSlowestMs = 90;
 
@@ -36,6 +38,7 @@
   std::vector<UpstreamPtr> engines;  ///< As it sees them.
   Clock::time_point away_till;       ///< Restarts.
   Clock::time_point alone_till;      ///< Hears nobody.
+  Clock::time_point listed_at;       ///< Reads the fleet's list.
 };
 
 /** How often instances of a fleet restart or lose the others: one in so many
@@ -44,10 +47,14 @@
   int restart = 0;
   int cut = 0;
   bool each = false;
+  /** An instance that starts reads the fleet's list only some time later. */
+  bool late_list = false;
 };
 
 constexpr FaultPace kSeriesInFleet{.restart = 30, .cut = 60, .each = false};
 constexpr FaultPace kOfEachInstance{.restart = 600, .cut = 1200, .each = true};
+constexpr FaultPace kLateLists{
+    .restart = 600, .cut = 1200, .each = true, .late_list = true};
 
 /** Instances that place requests on engines, by one owner or alone. */
 class World {
@@ -69,7 +76,10 @@
     if (Draw(pace_.cut) < chances) {
       AnyNode().alone_till = now_ + Draw(4000) * 1ms;
     }
-    for (Node& node : nodes_) node.guard->CheckOwned();
+    for (Node& node : nodes_) {
+      if (node.listed_at == now_) Tell(node);
+      node.guard->CheckOwned();
+    }
     for (int i = 0; i < requests; ++i) Request(AnyNode());
   }
   /** @return the most arrivals at one engine in one second. */
@@ -109,18 +119,26 @@
     node.guard = std::make_unique<ColdGuard>(turmeric::routing::ColdTolerance{},
                                              node.name);
     node.guard->set_on(limited_);
+    // At a step of its own, without a draw: the draws of other paces stay.
+    node.listed_at = now_ + (away / kStep + kStepsTillListed) * kStep;
+    if (!pace_.late_list) Tell(node);
+    node.guard->set_reaches_most([this, &node] { return Hears(node); });
+    node.guard->set_owns(
+        [this, &node](const std::string&) { return OwnerFor(node) == &node; });
+  }
+
+  void Tell(Node& node) {
+    node.listed_at = {};
     std::set<std::string, std::less<>> others;
     for (const Node& other : nodes_) {
       if (other.name != node.name) others.insert(other.name);
     }
     node.guard->set_others(std::move(others));
-    node.guard->set_reaches_most([this, &node] { return Hears(node); });
-    node.guard->set_owns(
-        [this, &node](const std::string&) { return OwnerFor(node) == &node; });
   }
 
   Node* OwnerFor(Node& node) {
-    if (!Hears(node)) return &node;
+    const bool knows_none = pace_.late_list && node.listed_at > now_;
+    if (!Hears(node) || knows_none) return &node;
     Node* owner = nullptr;
     for (Node& other : nodes_) {
       if (now_ < other.away_till || !Hears(other)) continue;
@@ -169,7 +187,7 @@
 TEST_CASE("no engine gets more in a second than it bears while it is cold") {
   for (uint32_t seed = 1; seed <= 40; ++seed) {
     const int nodes = 2 + static_cast<int>(seed % 4) * 20;
-    for (const FaultPace pace : {kSeriesInFleet, kOfEachInstance}) {
+    for (const FaultPace pace : {kSeriesInFleet, kOfEachInstance, kLateLists}) {
       World world(seed, nodes, true, pace);
       for (int step = 0; step < 1500; ++step) world.Step(3);
       CAPTURE(seed, nodes, pace.each);
