--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <cstdint>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -35,6 +37,13 @@
 constexpr double kHalfMoveAt = 1.0;
 constexpr char kSeparator = '|';
 
+/** Where an upstream is among those of its service. */
+struct Place {
+  uint64_t hash;  ///< Of its id.
+  std::string_view id;
+  size_t index;  ///< As it was listed.
+};
+
 size_t ParseCount(std::string_view text) {
   size_t value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -183,23 +192,30 @@
 
 std::vector<UpstreamPtr> UpstreamsOfShard(
     const Shard& shard, std::span<const UpstreamPtr> upstreams) {
-  std::vector<UpstreamPtr> sorted;
+  std::vector<UpstreamPtr> all;
   std::ranges::copy_if(
-      upstreams, std::back_inserter(sorted), [&](const UpstreamPtr& u) {
+      upstreams, std::back_inserter(all), [&](const UpstreamPtr& u) {
         return shard.zone.empty() || u->entry.zone == shard.zone;
       });
-  if (shard.count == 1) return sorted;
+  if (shard.count == 1) return all;
   // Neighbours by a hash of the id: one that comes or goes moves the bounds
   // between the parts by one upstream at most.
-  std::ranges::sort(sorted, {}, [](const UpstreamPtr& u) {
-    return std::pair(routing::RendezvousWeight(u->entry.service, u->entry.id),
-                     std::string_view(u->entry.id));
-  });
-  const auto bound = [&](size_t index) {
-    return sorted.begin() +
-           static_cast<std::ptrdiff_t>(sorted.size() * index / shard.count);
-  };
-  return {bound(shard.index), bound(shard.index + 1)};
+  std::vector<Place> places;
+  places.reserve(all.size());
+  for (size_t i = 0; i < all.size(); ++i) {
+    const routing::UpstreamEntry& entry = all[i]->entry;
+    places.push_back(
+        {routing::RendezvousWeight(entry.service, entry.id), entry.id, i});
+  }
+  std::ranges::sort(places, {},
+                    [](const Place& p) { return std::pair(p.hash, p.id); });
+  const size_t begin = places.size() * shard.index / shard.count;
+  const size_t end = places.size() * (shard.index + 1) / shard.count;
+  std::vector<UpstreamPtr> own;
+  for (const Place& place : std::span(places).subspan(begin, end - begin)) {
+    own.push_back(all[place.index]);
+  }
+  return own;
 }
 
 }  // namespace turmeric::stages
