--- a/libs/insight/include/turmeric/insight/control_report.h
+++ b/libs/insight/include/turmeric/insight/control_report.h
@@ -13,7 +13,8 @@
 /**
  * Says from the logs of a fleet when and by which path each instance came to
  * act on each configuration: from the store itself or passed on by which other
- * instance, and what happened to its paths before.
+ * instance, and what happened to its paths before; when it learned of
+ * evacuations, and how often requests waited for upstreams that may be cold.
  */
 class ControlReport {
  public:
@@ -39,6 +40,7 @@
   void AddVersion(const LogEvent& event);
 
   std::map<int64_t, Version> versions_;
+  std::map<std::string, int64_t> cold_waits_;  ///< By service.
   std::map<std::string, std::vector<Line>> instances_;
 };
 
--- a/libs/insight/src/control_report.cc
+++ b/libs/insight/src/control_report.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::string_view kConfigInForce = "config_in_force";
+constexpr std::string_view kColdLimitReached = "cold_limit_reached";
 constexpr std::string_view kStoreSource = "store";
 /** Instances whose log does not name them. */
 constexpr std::string_view kUnnamed = "(not named)";
@@ -24,7 +25,7 @@
   std::array<std::string_view, 4> fields;
 };
 
-constexpr std::array<PathEvent, 12> kPathEvents = {{
+constexpr std::array<PathEvent, 15> kPathEvents = {{
     {"started", {"zone", "", "", ""}},
     {kConfigInForce, {"version", "before", "revision", "source"}},
     {"store_watched", {"why", "followers", "store_age_ms", ""}},
@@ -37,6 +38,9 @@
     {"relays_for_others", {"first", "", "", ""}},
     {"relayed_changes_gap", {"source", "watch", "follows", "known"}},
     {"relayed_changes_unreadable", {"source", "revision", "", ""}},
+    {"evacuation", {"zone", "source", "revision", "from_copy"}},
+    {"evacuation_taken_back", {"zone", "source", "revision", "from_copy"}},
+    {"evacuations_in_force", {"zones", "zones_before", "upstreams", ""}},
 }};
 
 std::string Clock(milliseconds time_of_day) {
@@ -61,6 +65,9 @@
 }  // namespace
 
 void ControlReport::Add(const LogEvent& event) {
+  if (event.name == kColdLimitReached) {
+    ++cold_waits_[std::string(event.Text("service"))];
+  }
   const auto* const form =
       std::ranges::find(kPathEvents, event.name, &PathEvent::name);
   if (form == kPathEvents.end()) return;
@@ -87,6 +94,10 @@
         << "  " << std::setw(14) << version.from_store << "  " << std::setw(9)
         << version.from_others << "\n";
   }
+  for (const auto& [service, waits] : cold_waits_) {
+    out << "waits for room at upstreams that may be cold, " << service << ": "
+        << waits << "\n";
+  }
   for (const auto& [instance, lines] : instances_) {
     out << "\n" << instance << "\n";
     std::vector<Line> sorted = lines;
--- a/libs/insight/test/control_report_test.cc
+++ b/libs/insight/test/control_report_test.cc
@@ -46,3 +46,28 @@
   report.Add(*event);
   REQUIRE(report.Render().find("(not named)") != std::string::npos);
 }
+
+TEST_CASE("the report tells of evacuations and of waits for cold upstreams") {
+  ControlReport report;
+  const auto add = [&](const std::string& line) {
+    report.Add(
+        *ParseLogLine("  3.1 entry-2 ts=2026-12-03T01:02:05.250 "
+                      "level=INFO event=" +
+                      line));
+  };
+  add("evacuation zone=zone-a revision=80 source=entry-1 from_copy=0");
+  add("evacuations_in_force zones=1 zones_before=0 upstreams=7");
+  add("evacuation_taken_back zone=zone-a revision=90 source=store from_copy=1");
+  add("cold_limit_reached request=r1 service=llm waits=1");
+  add("cold_limit_reached request=r1 service=llm waits=2");
+  const std::string text = report.Render();
+  CAPTURE(text);
+  for (const char* expected :
+       {"evacuation zone=zone-a source=entry-1 revision=80 from_copy=0",
+        "evacuations_in_force zones=1 zones_before=0 upstreams=7",
+        "evacuation_taken_back zone=zone-a source=store revision=90",
+        "waits for room at upstreams that may be cold, llm: 2"}) {
+    CAPTURE(expected);
+    REQUIRE(text.find(expected) != std::string::npos);
+  }
+}
