--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -62,7 +62,7 @@
   routing::RouteTablePtr table;  ///< Null until the first is read.
   routing::UpstreamTable upstreams;
   bool upstreams_known = false;  ///< Their list was read at least once.
-  bool store_away = false;       ///< The last call to the store has failed.
+  bool store_away = false;       ///< Calls to the store fail.
   UpstreamClient client;
   RetryBudgets retries;
   ColdGuard cold;
--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -27,7 +27,7 @@
 struct AdmissionState {
   const routing::RouteTable* table = nullptr;
   bool upstreams_known = false;
-  bool store_away = false;  ///< The last call to the store has failed.
+  bool store_away = false;  ///< Calls to the store fail.
   /** Time since a planned stop began; none: it has not. */
   std::optional<std::chrono::milliseconds> since_stop;
   std::chrono::milliseconds stop_grace{0};
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -78,8 +78,8 @@
                          const ChoiceRequest& request, Clock::time_point now);
 
 /**
- * @param request with the memory of what engines hold, or without. @param
- * upstream an engine.
+ * @param request with the memory of what engines hold, or without.
+ * @param upstream an engine.
  * @return time to read the parts that requests share and the engine does not
  *     hold, ms. A part is of use only if all parts before it are held too.
  */
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -9,8 +9,7 @@
 namespace {
 
 /** How much dearer reading a part again is than the time it takes: the
- * engine's other requests wait for it too. Chosen between trials at 1.5 and 4
- * with half of the engines to a part; 2 itself was not compared alone. */
+ * engine's other requests wait for it too. */
 constexpr double kReadAgainFactor = 2.0;
 /** How much of the time to read its parts the engine that hashing gives is
  * preferred by for a session that is not known: an owner that has just become
@@ -18,7 +17,7 @@
 constexpr double kHomeFactor = 1.0;
 /** Upstreams that share a first part: half of them, and no fewer than this.
  * Enough for a burst of its requests, few enough that not every engine reads
- * every part; with 3 of 12, the worst seconds attained 0.66 instead of 0.90. */
+ * every part. */
 constexpr size_t kLeastGroup = 6;
 /** Waiting that one open request adds for a new one on an engine, ms: the
  * engine's step grows a little with each. */
--- a/libs/stages/src/piece_queue.cc
+++ b/libs/stages/src/piece_queue.cc
@@ -18,8 +18,7 @@
 constexpr milliseconds kOtherZone{120};
 /** How much later still while it has time to spare: about one more call.
  * Results that cross zones are dear; with a queue to choose from, most pieces
- * find an upstream of their zone in time. Chosen by the price for results of
- * a quiet day, 0.10 of all worth without it and 0.09 with it. */
+ * find an upstream of their zone in time. */
 constexpr milliseconds kOtherZoneWithTime{400};
 /** A piece waits for an upstream of its zone while it has so much time to
  * spare beyond a call: about one more call. */
@@ -75,10 +74,9 @@
 
 Urgency UrgencyOf(const Piece& piece, milliseconds call_time,
                   Clock::time_point now, bool late_last) {
-  // Late ones are behind all that can be in time. Counted as due three seconds
-  // later instead, those of a sustained overload came ahead of new ones after a
-  // while, and at 1.05 times the load that the upstreams carry 2,520 requests
-  // of 6,011 were in time instead of 5,041 (replay in stage_times_test).
+  // Late ones are behind all that can be in time. Counted as due some seconds
+  // later instead, those of a sustained overload would come ahead of new ones
+  // after a while, and make these late too.
   const bool late = late_last && now + call_time > piece.due;
   return {late, (late ? piece.deadline : piece.due) + kRankStep * piece.rank};
 }
--- a/libs/stages/src/shard.cc
+++ b/libs/stages/src/shard.cc
@@ -18,11 +18,9 @@
 namespace {
 
 /** Upstreams up to which a service stays whole: cut by zone, its calls would be
- * filled from a queue for one or two upstreams. A choice: services of four and
- * five run well as one shard. */
+ * filled from a queue for one or two upstreams. */
 constexpr size_t kWholeService = 8;
-/** Upstreams that one owner serves. A choice; an owner of eight of them used
- * 0.03 of a core. */
+/** Upstreams that one owner serves: a few per cent of a core. */
 constexpr size_t kUpstreamsPerShard = 12;
 /** Engines whose requests one instance places, within a factor of the square
  * root of two: a few hundred requests a second, some per cent of the smallest
