--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,104 @@
+// What one placement costs as engines, evacuated zones and instances grow, for
+// docs/CAPACITY.md. Run: build/bench/capacity_bench --benchmark_filter=Place
+#include <benchmark/benchmark.h>
+
+#include <array>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "turmeric/entry/cold_guard.h"
+#include "turmeric/routing/choice.h"
+#include "turmeric/stages/shard.h"
+
+namespace {
+
+using turmeric::entry::ColdGuard;
+using turmeric::routing::ChoiceRequest;
+using turmeric::routing::ChooseUpstream;
+using turmeric::routing::Clock;
+using turmeric::routing::PromptMemory;
+using turmeric::routing::ServiceSpec;
+using turmeric::routing::Upstream;
+using turmeric::routing::UpstreamPtr;
+
+constexpr std::array<const char*, 3> kZones = {"a", "b", "c"};
+constexpr int kSessions = 1000;
+
+/** @param evacuated true: one zone of three is. */
+std::vector<UpstreamPtr> Engines(int64_t count, bool evacuated) {
+  std::vector<UpstreamPtr> engines;
+  for (int64_t i = 0; i < count; ++i) {
+    auto engine = std::make_shared<Upstream>();
+    engine->entry.id = "i-" + std::to_string(i);
+    engine->entry.service = "llm";
+    engine->entry.zone = kZones.at(static_cast<size_t>(i) % kZones.size());
+    engine->evacuated = evacuated && engine->entry.zone == kZones.front();
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+ColdGuard GuardOf(int64_t instances) {
+  ColdGuard guard({}, "entry-0");
+  std::set<std::string, std::less<>> others;
+  for (int64_t i = 1; i < instances; ++i) {
+    others.insert("entry-" + std::to_string(i));
+  }
+  guard.set_others(std::move(others));
+  return guard;
+}
+
+/** The owner of a cell places a prompt: the cell's engines, the choice. */
+void BM_PlaceAsOwner(benchmark::State& state) {
+  const auto engines = Engines(state.range(0), state.range(1) != 0);
+  ColdGuard guard = GuardOf(300);
+  ServiceSpec spec;
+  spec.cold_per_s = 8.4;
+  PromptMemory memory;
+  int request = 0;
+  for (auto _ : state) {
+    const std::string session =
+        "session" + std::to_string(++request % kSessions);
+    const std::string name =
+        turmeric::stages::CellName("llm", session, engines.size());
+    const auto own = turmeric::stages::UpstreamsOfShard(
+        turmeric::stages::ParseShard(name), engines);
+    ChoiceRequest choice;
+    choice.has_prompt = true;
+    choice.shared_part = "shared";
+    choice.session_part = session;
+    choice.shared_ms = 50;
+    choice.session_ms = 80;
+    choice.memory = &memory;
+    const auto now = Clock::now();
+    choice.admits = guard.AsOwner(&spec, name, now);
+    const UpstreamPtr engine = ChooseUpstream(own, choice, now);
+    if (!engine) continue;
+    memory.Note(engine->entry.id, "shared", 2500, 200000);
+    memory.Note(engine->entry.id, session, 3800, 200000);
+  }
+}
+BENCHMARK(BM_PlaceAsOwner)
+    ->ArgsProduct({{60, 140, 560, 2240, 7600}, {0, 1}})
+    ->ArgNames({"engines", "evacuated"});
+
+/** An instance that does not hear the owner chooses among all engines, each of
+ * which it may use a dealt share of. */
+void BM_PlaceAlone(benchmark::State& state) {
+  const auto engines = Engines(140, false);
+  const ColdGuard guard = GuardOf(state.range(0));
+  ServiceSpec spec;
+  spec.cold_per_s = 8.4;
+  for (auto _ : state) {
+    ChoiceRequest choice;
+    choice.has_prompt = true;
+    const auto now = Clock::now();
+    choice.admits = guard.Alone(&spec, now);
+    benchmark::DoNotOptimize(ChooseUpstream(engines, choice, now));
+  }
+}
+BENCHMARK(BM_PlaceAlone)->Arg(6)->Arg(73)->Arg(300)->ArgName("instances");
+
+}  // namespace
