A zone that is taken back is not judged by how slow it was before

Cause: the moving average of an upstream's latency outlives the evacuation. One that answered slowly before is not chosen while the others are not loaded, so the average does not change either. Shown by a test with answers of 150 ms before: red each time, the same figures.

Ruled out: the news, which the same test waits for and which came.

Change: an upstream of a zone that is taken back begins without a latency.

--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -317,6 +317,7 @@
     // Nothing was read there meanwhile, and its processes may be new.
     for (const auto& u : context_.upstreams.InZone(zone)) {
       context_.prompt_memory.Forget(u->entry.id);
+      u->latency_ms = routing::Upstream().latency_ms;
       const auto* spec = context_.FindService(u->entry.service);
       if (spec != nullptr) u->cold_till = Clock::now() + spec->cold_start;
     }
