A process that starts has no credit for repeats until its requests earn it

Callers saw: services that were failing got more repeats than the platform allows, and so failed longer, when instances were killed in series.

Cause: each instance counted its repeats of the last window and forgot them with its process. Every start had the whole share again; with three kills of a fleet in ten seconds four generations spent in one window. Beside it: two instances that take over each other's traffic both spent the ratio of one window's requests, and the slack was divided by the fleet's list as it was read last, or by 16 before it was.

Ruled out: repeats that count as none (the fault shows with credit alone); a wrong number of instances (16 is above the 8 of the site).

Change: a bucket of credit for each service, empty at the start, fed by the instance's own requests, holding at most its share of the slack and a quarter of the ratio of its requests of the last window. What is spent in any window is what the buckets held when it began and what its requests fed, so restarts, cuts and moved traffic need no case of their own. FleetSize deals the slack only among instances that have read each other in the list. The same class elsewhere: connections per upstream were shared by the assumed 16 too; until the list is read it is one.

New log lines repeat_taken and repeat_refused with what decided them, a counter of refused repeats, the setting first_start.

Tests: retry_allowance_test asked that a share of the slack is there again after a window without any request; credit is now earned by requests, and the test asks for that instead and for nothing before it. The crash test of pieces needs a budget at once and so runs an instance without a fleet; its assertions are as they were.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -40,6 +40,8 @@
   double retry_ratio = 0.2;  ///< Repeats per request, fleet-wide.
   double retry_slack = 50;   ///< Repeats beyond that, fleet-wide.
   std::chrono::milliseconds retry_window{10000};
+  /** The whole fleet starts for the first time, and this instance with it. */
+  bool first_start = false;
   /** What decides about requests; some may be switched off to measure them. */
   Mechanisms mechanisms;
 };
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -70,6 +70,16 @@
     out = number;
   }
 
+  void Flag(const char* key, bool& out) {
+    known_.insert(key);
+    const auto value = Value(key);
+    if (!value) return;
+    if (*value != "true" && *value != "false") {
+      return Note(key, *value, "true or false");
+    }
+    out = *value == "true";
+  }
+
   /** Names of mechanisms, separated by spaces, that are not to be used. */
   void SwitchedOff(const char* key, Mechanisms& out) {
     known_.insert(key);
@@ -155,6 +165,7 @@
   reader.Number("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.Number("retry_slack", s.retry_slack, kMaxRetrySlack);
   reader.Ms("retry_window_ms", s.retry_window);
+  reader.Flag("first_start", s.first_start);
   reader.SwitchedOff("switched_off", s.mechanisms);
   reader.CheckUnknown();
   if (!reader.mistake().empty()) {
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -29,8 +29,9 @@
   EntryContext(config::EntrySettings s, WireFormat w)
       : settings(std::move(s)),
         wire(std::move(w)),
-        retries({settings.retry_ratio, settings.retry_slack,
-                 settings.retry_window}),
+        retries(
+            {settings.retry_ratio, settings.retry_slack, settings.retry_window},
+            settings.first_start),
         cold({settings.cold_over, settings.cold_slack}, settings.name) {
     cold.set_on(Uses(config::Mechanism::kColdLimit));
     if (!Uses(config::Mechanism::kRepeats)) retries.set_limits({});
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -28,6 +28,9 @@
                  double seconds);
   /** One send to an upstream beyond a request's first. */
   void OnRepeat(std::string_view service);
+  /** A repeat was not sent, as the retry budget was spent. @param service where
+   * to. */
+  void OnRepeatRefused(std::string_view service);
   /** One call to the platform's store. @param kind of objects. @param call
    * list, stale_list, watch or put. @param outcome a short fixed word. */
   void OnStoreCall(std::string_view kind, std::string_view call,
@@ -46,6 +49,7 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& repeats_;
+  prometheus::Family<prometheus::Counter>& repeats_refused_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
--- a/libs/entry/include/turmeric/entry/instance_directory.h
+++ b/libs/entry/include/turmeric/entry/instance_directory.h
@@ -18,8 +18,9 @@
  */
 class InstanceDirectory : public QObject {
  public:
-  /** Told the list each time it was read. */
-  using ChangeCallback = std::function<void(const Instances&)>;
+  /** Told the list each time it was read, with us in it, and whether we stand
+   * in it for others to read. */
+  using ChangeCallback = std::function<void(const Instances&, bool listed)>;
 
   /**
    * @param source the store; must outlive this. @param kind kind of the
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -46,8 +46,9 @@
 
   /** @param events see Events. */
   void set_events(Events events) { events_ = std::move(events); }
-  /** @param fleet all instances, ourselves included. */
-  void SetInstances(const Instances& fleet);
+  /** The fleet's list was read. @param fleet all instances, ourselves
+   * included. @param listed true if we stand in the list. */
+  void SetInstances(const Instances& fleet, bool listed);
   /** @param name an instance that has a connection to us, or had. @param
    * presence what that says of it. */
   void OnSeen(const std::string& name, Presence presence);
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -27,6 +27,10 @@
                    .Name("turmeric_entry_repeats_total")
                    .Help("Sends beyond a request's first, by service")
                    .Register(*registry_)),
+      repeats_refused_(prometheus::BuildCounter()
+                           .Name("turmeric_entry_repeats_refused_total")
+                           .Help("Repeats not sent for want of retry budget")
+                           .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("turmeric_entry_store_calls_total")
                        .Help("Calls to the platform's store")
@@ -76,6 +80,10 @@
   repeats_.Add({{"service", std::string(service)}}).Increment();
 }
 
+void EntryMetrics::OnRepeatRefused(std::string_view service) {
+  repeats_refused_.Add({{"service", std::string(service)}}).Increment();
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -138,6 +138,7 @@
       .Add("instance", s.name)
       .Add("zone", s.zone)
       .Add("front", s.front_address)
+      .Add("first_start", s.first_start)
       .Add("store", s.store_address);
   return boost::outcome_v2::success();
 }
@@ -145,7 +146,7 @@
 utils::Result<void> EntryService::StartPeers() {
   const config::EntrySettings& s = context_.settings;
   if (s.peer_address.empty()) {
-    context_.retries.set_live_instances(1);
+    context_.retries.SetAlone();
     context_.cold.set_others({});
     return boost::outcome_v2::success();
   }
@@ -154,8 +155,8 @@
   directory_ = std::make_unique<InstanceDirectory>(
       *link_.source, link_.instances_kind, s.name,
       InstanceInfo{s.peer_address, s.zone, s.cpu_share},
-      [this](const Instances& fleet) {
-        links_->SetInstances(fleet);
+      [this](const Instances& fleet, bool listed) {
+        links_->SetInstances(fleet, listed);
         sharing_->SetInstances(fleet);
       });
   directory_->Start();
--- a/libs/entry/src/instance_directory.cc
+++ b/libs/entry/src/instance_directory.cc
@@ -105,7 +105,7 @@
   if (stands) entered_ = true;
   if (!entered_ && !enter_.isActive()) Enter();
   instances[name_] = info_;
-  on_change_(instances);
+  on_change_(instances, stands);
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -15,9 +15,6 @@
 
 namespace {
 
-/** Fleet size assumed for the retry budget before the list is read: above
- * the fleets in use, so that too little is spent, not too much. */
-constexpr int kUnknownFleet = 16;
 /** Enough to tell two starts of one instance apart. */
 constexpr size_t kIdentityDigits = 8;
 /** An instance that was not reached is tried again after this, doubled with
@@ -36,12 +33,11 @@
     : context_(context),
       identity_(context.settings.name + "#" +
                 utils::RandomHex(kIdentityDigits)) {
-  context_.retries.set_live_instances(kUnknownFleet);
   retry_.setInterval(kRetryCheck);
   connect(&retry_, &QTimer::timeout, this, [this] { RetryDown(); });
 }
 
-void InstanceLinks::SetInstances(const Instances& fleet) {
+void InstanceLinks::SetInstances(const Instances& fleet, bool listed) {
   for (const auto& [name, info] : fleet) {
     if (name == context_.settings.name) continue;
     const bool is_new = !instances_.contains(name);
@@ -50,7 +46,10 @@
     // A first connection tells the other that we are here (again).
     if (is_new) Connect(name, instance).outgoing();
   }
-  context_.retries.set_live_instances(static_cast<int>(instances_.size()) + 1);
+  context_.retries.NoteList(
+      {.instances = static_cast<int>(instances_.size()) + 1,
+       .lists_this_one = listed},
+      Clock::now());
   std::set<std::string, std::less<>> others;
   for (const auto& [name, instance] : instances_) others.insert(name);
   context_.cold.set_others(std::move(others));
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -10,6 +10,7 @@
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/repeat_credit.h"
 #include "turmeric/entry/repeat_policy.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/upstream_choice.h"
@@ -265,7 +266,9 @@
 int RequestRun::ConnectionLimit() const {
   const routing::ServiceSpec* spec = table_->FindService(service_);
   if (spec == nullptr) return 0;
-  return std::max(1, spec->max_connections / context_.retries.live_instances());
+  // Until the fleet is known, one: any share of it could be too large.
+  const int instances = context_.retries.listed_instances();
+  return instances == 0 ? 1 : std::max(1, spec->max_connections / instances);
 }
 
 UpstreamCall RequestRun::CallTo(const routing::Upstream& upstream) const {
@@ -442,7 +445,7 @@
                                    .tried = tried_.size()});
   return repeat == Repeat::kFree ||
          (repeat == Repeat::kFromBudget &&
-          context_.retries.TrySpend(service_, Clock::now()));
+          TakeRepeat(context_, service_, request_.attempt_id));
 }
 
 void RequestRun::SendAgain() {
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -5,6 +5,7 @@
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/piece_call.h"
+#include "turmeric/entry/repeat_credit.h"
 #include "turmeric/entry/work_quarantine.h"
 #include "turmeric/stages/call_plan.h"
 #include "turmeric/stages/result_room.h"
@@ -338,7 +339,7 @@
     const bool again = result.failure == PieceFailure::kNoRoom ||
                        result.failure == PieceFailure::kFailed;
     if (again && piece.sends < kMaxSends &&
-        context_.retries.TrySpend(call.service(), Clock::now())) {
+        TakeRepeat(context_, call.service(), piece.piece.request_id)) {
       queue.pieces.PushBack(std::move(piece));
       continue;
     }
@@ -395,9 +396,9 @@
           {.failure = PieceFailure::kQuarantined, .handle = {}, .zone = {}});
       continue;
     }
-    const bool may =
-        certainly_not_run || (piece.sends < kMaxSends &&
-                              context_.retries.TrySpend(service, Clock::now()));
+    const bool may = certainly_not_run ||
+                     (piece.sends < kMaxSends &&
+                      TakeRepeat(context_, service, piece.piece.request_id));
     if (may) {
       queue.pieces.PushBack(std::move(piece));
     } else {
--- a/libs/entry/src/stage_router.cc
+++ b/libs/entry/src/stage_router.cc
@@ -6,6 +6,7 @@
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/instance_links.h"
+#include "turmeric/entry/repeat_credit.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/stages/shard.h"
 
@@ -184,8 +185,8 @@
     const bool moved_before =
         std::exchange(pending.moved, pending.moved || repeat);
     if (repeat && moved_before &&
-        !context_.retries.TrySpend(stages::ParseShard(pending.shard).service,
-                                   Clock::now())) {
+        !TakeRepeat(context_, stages::ParseShard(pending.shard).service,
+                    pending.piece.request_id)) {
       Done(ticket,
            {.failure = PieceFailure::kFailed, .handle = {}, .zone = {}});
       continue;
--- a/libs/routing/include/turmeric/routing/retry_allowance.h
+++ b/libs/routing/include/turmeric/routing/retry_allowance.h
@@ -15,32 +15,58 @@
 };
 
 /**
- * One instance's share of the repeats that the fleet may send to one
- * service in any window. The ratio is earned by the instance's own
- * requests; the slack is divided by the number of live instances. A new
- * instance starts with no ratio earned.
+ * One instance's share of the repeats that the fleet may send to one service.
+ *
+ * A bucket of credit that starts empty, is fed by the instance's own requests
+ * with a part of the ratio, and holds at most its share of the slack and the
+ * rest of the ratio of its requests of the last window. So what is spent in a
+ * window is at most what the buckets held when it began, which earlier
+ * requests and the slack account for, and what its own requests fed: within
+ * the fleet's bound, whoever restarts, is cut off or takes over the traffic of
+ * others meanwhile. Nothing has to be known of what an earlier process of this
+ * instance has spent.
  */
 class RetryAllowance {
  public:
-  /** @param window how long it counts. @param now when a request for the
-   * service arrived. */
-  void OnRequest(std::chrono::milliseconds window, Clock::time_point now);
+  /** @param credit repeats that it pays for at once. Only where nobody can
+   * have spent any of the fleet's before. */
+  explicit RetryAllowance(double credit = 0) : credit_(credit) {}
+
+  /**
+   * Earns credit for a request for the service.
+   * @param limits the fleet's bound. @param slack_share this instance's share
+   *     of the slack. @param weight 1 for a request; less where several
+   *     instances count the same one. @param now when it arrived.
+   */
+  void OnRequest(const RetryBudgetLimits& limits, double slack_share,
+                 double weight, Clock::time_point now);
   /**
-   * @param limits the fleet's bound. @param live_instances at least 1.
-   * @param now the time.
-   * @return true, and counts it, if one more repeat may be sent now.
+   * @param limits the fleet's bound. @param slack_share this instance's share
+   *     of the slack. @param now the time.
+   * @return true, and takes its credit, if one more repeat may be sent now.
    */
-  bool TrySpend(const RetryBudgetLimits& limits, int live_instances,
+  bool TrySpend(const RetryBudgetLimits& limits, double slack_share,
                 Clock::time_point now);
 
-  /** @return requests and repeats remembered. */
-  size_t remembered() const { return requests_.size() + repeats_.size(); }
+  /** @return repeats that the credit pays for. */
+  double credit() const { return credit_; }
+  /** @return requests remembered. */
+  size_t remembered() const { return requests_.size(); }
 
  private:
-  void Trim(std::chrono::milliseconds window, Clock::time_point now);
+  struct Earned {
+    Clock::time_point at;
+    double weight = 0;
+  };
+
+  /** Forgets requests of before the window, and the credit above what they
+   * and the slack account for. */
+  void Settle(const RetryBudgetLimits& limits, double slack_share,
+              Clock::time_point now);
 
-  std::deque<Clock::time_point> requests_;
-  std::deque<Clock::time_point> repeats_;
+  std::deque<Earned> requests_;
+  double recent_weight_ = 0;  ///< Of the requests remembered.
+  double credit_;
 };
 
 }  // namespace turmeric::routing
--- a/libs/routing/src/retry_allowance.cc
+++ b/libs/routing/src/retry_allowance.cc
@@ -6,38 +6,41 @@
 
 namespace {
 
-/** Part of the bound that is spent: instances' windows slide apart, and
- * repeats still on their way are not seen by others. */
-constexpr double kSafety = 0.8;
+/** Part of the bound that is spent. The rest covers requests that arrive, and
+ * repeats that reach their upstream, up to a fifth of a window late. */
+constexpr double kSpentPart = 0.9;
+/** Part of the ratio that a request earns; the rest of it adds to what the
+ * bucket holds, as long as the request is within the window. More of it serves
+ * a long fault, less a sudden one. */
+constexpr double kFedPart = 0.75;
 
 }  // namespace
 
-void RetryAllowance::OnRequest(std::chrono::milliseconds window,
-                               Clock::time_point now) {
-  // Trimmed here too: a service that needs no repeats for days must not make
-  // the process remember every request of them.
-  Trim(window, now);
-  requests_.push_back(now);
-}
-
-void RetryAllowance::Trim(std::chrono::milliseconds window,
-                          Clock::time_point now) {
-  const auto expired = [&](Clock::time_point at) { return at + window < now; };
-  while (!requests_.empty() && expired(requests_.front())) {
+void RetryAllowance::Settle(const RetryBudgetLimits& limits, double slack_share,
+                            Clock::time_point now) {
+  while (!requests_.empty() && requests_.front().at + limits.window < now) {
+    recent_weight_ -= requests_.front().weight;
     requests_.pop_front();
   }
-  while (!repeats_.empty() && expired(repeats_.front())) repeats_.pop_front();
+  const double held_ratio = (1 - kFedPart) * limits.ratio;
+  const double most = kSpentPart * (slack_share + held_ratio * recent_weight_);
+  credit_ = std::min(credit_, most);
+}
+
+void RetryAllowance::OnRequest(const RetryBudgetLimits& limits,
+                               double slack_share, double weight,
+                               Clock::time_point now) {
+  Settle(limits, slack_share, now);
+  requests_.push_back({now, weight});
+  recent_weight_ += weight;
+  credit_ += kSpentPart * kFedPart * limits.ratio * weight;
 }
 
 bool RetryAllowance::TrySpend(const RetryBudgetLimits& limits,
-                              int live_instances, Clock::time_point now) {
-  Trim(limits.window, now);
-  const double earned = limits.ratio * static_cast<double>(requests_.size());
-  const double share = limits.slack / std::max(1, live_instances);
-  if (static_cast<double>(repeats_.size()) + 1 > kSafety * (earned + share)) {
-    return false;
-  }
-  repeats_.push_back(now);
+                              double slack_share, Clock::time_point now) {
+  Settle(limits, slack_share, now);
+  if (credit_ < 1) return false;
+  credit_ -= 1;
   return true;
 }
 
