A refusal is final only by the store's latest configuration

An instance that follows relays knows how old its configuration may be only as far as they do; when they have lost the store it refused for good by what it had, for up to 8 s, though it reached the store itself. Any path that is cut without a sign does the same for as long as a watch waits.

Followers ask the store themselves once their relays' watches are overdue by 2 s: 5 to 7 s by the fleet's size where it was 8 s for all.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -20,6 +20,7 @@
 
 namespace turmeric::entry {
 
+class ConfigCheck;
 class EnginePlacer;
 class EntryMetrics;
 class WorkQuarantine;
@@ -81,6 +82,7 @@
   }
   /** What engines hold of the prompts that this instance placed. */
   routing::PromptMemory prompt_memory;
+  ConfigCheck* config_check = nullptr;
   StageClient* stages = nullptr;
   EnginePlacer* placer = nullptr;
   WorkQuarantine* quarantine = nullptr;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -14,6 +14,7 @@
 
 namespace turmeric::entry {
 
+class ConfigCheck;
 class EnginePlacer;
 class InstanceDirectory;
 class InstanceLinks;
@@ -81,6 +82,7 @@
   std::unique_ptr<PieceHost> host_;
   std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
+  std::unique_ptr<ConfigCheck> config_check_;
   std::unique_ptr<StoreSharing> sharing_;
   std::unique_ptr<http::Listener> front_;
   std::unique_ptr<http::Listener> readiness_;
--- a/libs/entry/include/turmeric/entry/follow_policy.h
+++ b/libs/entry/include/turmeric/entry/follow_policy.h
@@ -50,6 +50,8 @@
     bool is_relay = false;  ///< Others rely on us.
     /** When the store last answered us. */
     Clock::time_point store_heard;
+    /** How long a relay's watch waits at the store without a change. */
+    std::chrono::milliseconds watch_wait{5000};
   };
 
   /**
--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -21,6 +21,8 @@
   kNoRoute,     ///< No route of the host matches the path.
   kStopping,    ///< It would outlast this process.
   kUnknownKey,  ///< The route needs a key, and no organisation holds this one.
+  /** No route or key, by a configuration that may be out of date. */
+  kConfigUnsure,
 };
 
 /** What this instance knows when a request arrives. */
@@ -55,6 +57,10 @@
 Admission Admit(const CallerRequest& request, const AdmissionState& state,
                 routing::Clock::time_point arrived);
 
+/** @param refusal a refusal. @return true if its answer tells the caller not to
+ * come back, by the configuration. */
+bool IsFinal(AdmissionRefusal refusal);
+
 /** How a request is answered that is not admitted. */
 struct RefusalAnswer {
   int status = 0;  ///< HTTP status.
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -56,6 +56,9 @@
 
  private:
   bool Admitted();
+  /** Finds out whether a refusal that is final by the configuration in force is
+   * so by the store's latest, and decides anew. */
+  void CheckConfig();
   void StartStages();
   void OnStageFailed(stages::PieceFailure failure);
   // One send.
@@ -104,6 +107,9 @@
   routing::RouteTablePtr table_;  ///< Keeps `route_` alive.
   const routing::Route* route_ = nullptr;
   Admission admission_;
+  /** Whether the configuration decided by is the store's latest; none: not
+   * asked, as nothing depended on it. */
+  std::optional<bool> by_latest_config_;
   std::string work_;  ///< What all copies of the request have in common.
   std::string service_;
   Clock::time_point arrived_;
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -47,11 +47,18 @@
   /** @param watchers how many instances wait at the store; their answers come
    * at different times, so each may wait for longer. */
   void set_watchers(int watchers) { watchers_ = watchers; }
+  /** @return how long a watch waits for a change, here and on relays. */
+  std::chrono::milliseconds watch_wait() const;
   /**
    * Another instance passes on changes.
    * @param source its name, for the log. @param changes they.
    */
   void Merge(const std::string& source, const peer::StoreChanges& changes);
+  /**
+   * Asks the store once for a newer configuration, and puts it into force.
+   * @param done told whether what is in force is the store's latest.
+   */
+  void AskForConfig(std::function<void(bool is_latest)> done);
   /** Another instance knows when the store's last outage ended.
    * @param at when. */
   void NoteOutageEnded(Clock::time_point at);
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/config_check.h"
 #include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
 #include "turmeric/entry/instance_directory.h"
@@ -60,10 +61,13 @@
             links_->OnSeen(name, presence);
           })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)),
+      config_check_(std::make_unique<ConfigCheck>(
+          [this](ConfigCheck::Answer done) { feed_->AskForConfig(done); })),
       sharing_(std::make_unique<StoreSharing>(
           context_, *links_, *feed_,
           [this](const std::string& name) { return host_->FrameTo(name); })) {
   context_.metrics = &metrics_;
+  context_.config_check = config_check_.get();
   context_.stages = router_.get();
   context_.placer = placer_.get();
   context_.quarantine = quarantine_.get();
--- a/libs/entry/src/follow_policy.cc
+++ b/libs/entry/src/follow_policy.cc
@@ -28,9 +28,10 @@
  * itself: it has just read all there is, and a fleet that starts would
  * otherwise ask several times more. */
 constexpr milliseconds kSeek{2000};
-/** Relays hear of the store every few seconds. If nobody has for longer, their
- * connections to it may have gone silent: then everybody asks. */
-constexpr milliseconds kOldest{8000};
+/** Relays hear of the store with the end of each watch, and tell it with the
+ * next beat. If nobody has for so much longer, their connections to it may have
+ * gone silent: then everybody asks. */
+constexpr milliseconds kOverdue{2000};
 
 }  // namespace
 
@@ -148,7 +149,8 @@
     begin_watch("relay", false);
   } else if (good == 0) {
     begin_watch("no_relay", false);
-  } else if (StoreAge(situation.store_heard, now) > kOldest) {
+  } else if (StoreAge(situation.store_heard, now) >
+             situation.watch_wait + kOverdue) {
     begin_watch("store_not_heard", true);
   } else {
     decision.why = "follows_relays";
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -90,6 +90,11 @@
   return admission;
 }
 
+bool IsFinal(AdmissionRefusal refusal) {
+  return refusal == AdmissionRefusal::kNoRoute ||
+         refusal == AdmissionRefusal::kUnknownKey;
+}
+
 RefusalAnswer AnswerTo(AdmissionRefusal refusal) {
   switch (refusal) {
     case AdmissionRefusal::kNone:
@@ -104,6 +109,8 @@
       return {kUnavailable, "stopping", ComeBack::kAtOnce};
     case AdmissionRefusal::kUnknownKey:
       return {kUnauthorized, "unknown_key", std::nullopt};
+    case AdmissionRefusal::kConfigUnsure:
+      return {kUnavailable, "config_unsure", ComeBack::kLater};
   }
   return {kUnavailable, "refused", ComeBack::kLater};
 }
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -7,6 +7,7 @@
 
 #include "turmeric/entry/answer_check.h"
 #include "turmeric/entry/come_back.h"
+#include "turmeric/entry/config_check.h"
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
@@ -118,6 +119,15 @@
         arrived_ - *context_.stopping_since);
   }
   admission_ = Admit(request_, state, arrived_);
+  if (IsFinal(admission_.refusal)) {
+    if (!by_latest_config_) {
+      CheckConfig();
+      return false;
+    }
+    if (!*by_latest_config_) {
+      admission_.refusal = AdmissionRefusal::kConfigUnsure;
+    }
+  }
   route_ = admission_.route;
   work_ = WorkOf(request_, admission_.organisation);
   if (admission_.refusal == AdmissionRefusal::kNone) {
@@ -135,6 +145,15 @@
   return false;
 }
 
+void RequestRun::CheckConfig() {
+  const QPointer<RequestRun> self(this);
+  context_.config_check->Ask([self](bool is_latest) {
+    if (!self || self->finished_) return;
+    self->by_latest_config_ = is_latest;
+    self->Start();
+  });
+}
+
 bool RequestRun::RefusedAsHarmful() {
   const auto pause = context_.quarantine->QuarantinedFor(work_);
   if (!pause) return false;
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -61,7 +61,8 @@
   FollowPolicy::Situation situation{
       .preferred = preferred_,
       .is_relay = ranked_relay_ || relay_.followers() > 0,
-      .store_heard = feed_.store_heard()};
+      .store_heard = feed_.store_heard(),
+      .watch_wait = feed_.watch_wait()};
   if (situation.preferred) {
     // One that counts as down is asked all the same: only owners of queues and
     // cells are tried again by themselves.
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -16,6 +16,7 @@
 
 using peer::StoreKind;
 using std::chrono::milliseconds;
+using store::SourceBatch;
 using store::SourceObject;
 
 namespace {
@@ -31,6 +32,8 @@
 constexpr milliseconds kCopiedEntryLapses{5000};
 /** A watch that is lost is noticed so long after its wait. */
 constexpr milliseconds kLossNoticed{1000};
+/** Wait of a watch that only asks whether there is anything newer. */
+constexpr milliseconds kAnswerAtOnce{1};
 /** Where a change came from, in logs: our own calls. */
 constexpr auto kStoreSource = "store";
 
@@ -52,9 +55,7 @@
     kinds_[kind].reflector =
         std::make_unique<store::Reflector>(*link.source, name, EventsOf(kind));
     kinds_[kind].reflector->set_watch_wait([this, kind = kind] {
-      const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
-      const auto wait =
-          context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
+      const auto wait = watch_wait();
       // A watch that is lost must be noticed well within the bound.
       if (kind != StoreKind::kEvacuations) return wait;
       return std::min(wait, context_.settings.evacuation_bound - kLossNoticed);
@@ -107,6 +108,11 @@
           }};
 }
 
+milliseconds TopologyFeed::watch_wait() const {
+  const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
+  return context_.news.WatchWait(is_long ? watchers_ : 1, Clock::now());
+}
+
 void TopologyFeed::Start() {
   for (auto& [kind, state] : kinds_) state.reflector->Start();
   expire_.start();
@@ -149,6 +155,25 @@
   if (on_merged_) on_merged_(changes.kind, *batch);
 }
 
+void TopologyFeed::AskForConfig(std::function<void(bool)> done) {
+  Kind& kind = Of(StoreKind::kConfig);
+  const store::Position known = kind.replica.revision();
+  link_.source->Watch(
+      link_.config_kind, known, kAnswerAtOnce,
+      [this, known, done = std::move(done)](const auto& answer) {
+        if (!answer) return done(false);
+        const SourceBatch& batch = answer.value();
+        OnChanges(StoreKind::kConfig,
+                  {.follows = known,
+                   .revision = std::max(known, batch.revision),
+                   .objects = batch.objects},
+                  milliseconds(0));
+        Kind& config = Of(StoreKind::kConfig);
+        config.reflector->AdvanceTo(config.replica.revision());
+        done(true);
+      });
+}
+
 void TopologyFeed::NoteOutageEnded(Clock::time_point at) {
   if (!outage_ended_ || *outage_ended_ < at) outage_ended_ = at;
 }
--- a/libs/entry/test/follow_policy_test.cc
+++ b/libs/entry/test/follow_policy_test.cc
@@ -164,6 +164,20 @@
   }
 }
 
+// Guards against relays whose connections to the store have all gone silent,
+// relied on for longer than a change may take.
+TEST_CASE("followers ask the store when a relay's watch is overdue") {
+  Follower follower;
+  follower.situation.watch_wait = 3s;
+  follower.HearBoth(100ms, 4100ms);
+  follower.Hear("a", 5100ms, 4900ms);
+  follower.Hear("b", 5100ms, 4800ms);
+  REQUIRE_FALSE(follower.Decide(5200ms).watch);
+  follower.Hear("a", 6100ms, 5900ms);
+  follower.Hear("b", 6100ms, 5800ms);
+  REQUIRE(follower.Decide(6200ms).watch);
+}
+
 // Story: an entry of an instance that is gone stays in the list, and it would
 // be the preferred relay. Asked again and again, each time two seconds pass.
 TEST_CASE("a relay that never answers is asked more and more seldom") {
