--- a/libs/entry/test/retry_fleet_test.cc
+++ b/libs/entry/test/retry_fleet_test.cc
@@ -138,8 +138,9 @@
       std::ranges::for_each(fleet_, [this](Instance& i) { Kill(i); });
     }
     if (Happens(troubles_.cut)) Any().cut_till = now_ + Draw(40000) * 1ms;
-    if (Happens(troubles_.store_off))
+    if (Happens(troubles_.store_off)) {
       store_off_till_ = now_ + Draw(20000) * 1ms;
+    }
     if (Happens(troubles_.join)) Join(false);
     if (Happens(troubles_.shift)) first_ = static_cast<size_t>(Draw(4));
     if (Happens(troubles_.burst)) rate_ = Draw(3) * Draw(9);
