What relays tell of their configuration's age spares the question to the store

Cause: ConfigCheck asked the store whenever nothing had been asked in the last second.

Change: each instance knows up to when it has all configurations, by the last answer to its own watch or list, or by a relay's beat, which tells the age now (not where the relay knows a later revision). Only what is older than the bound in which a configuration must be in force, less half a second, is asked for. New setting config_bound_ms.

Proof: a configuration accepted before that time is in force here, so a refusal by it is late by less than the bound.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -32,6 +32,8 @@
   std::chrono::milliseconds drain_bound{2000};
   /** An evacuated zone gets nothing new after this. */
   std::chrono::milliseconds evacuation_bound{5000};
+  /** A configuration that the store has accepted is in force by then. */
+  std::chrono::milliseconds config_bound{2000};
   double cold_over = 1.5;  ///< Factor on what a cold upstream bears a second.
   double cold_slack = 5;   ///< Arrivals in a second beyond that, fleet-wide.
   /** Share of a core that this instance may use; larger instances relay the
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -158,6 +158,7 @@
   reader.Ms("stop_grace_ms", s.stop_grace);
   reader.Ms("lapsed_grace_ms", s.lapsed_grace);
   reader.Ms("drain_bound_ms", s.drain_bound);
+  reader.Ms("config_bound_ms", s.config_bound);
   reader.Ms("evacuation_bound_ms", s.evacuation_bound);
   reader.Number("cold_over", s.cold_over, kMaxColdOver);
   reader.Number("cold_slack", s.cold_slack, kMaxColdSlack);
--- a/libs/entry/include/turmeric/entry/config_check.h
+++ b/libs/entry/include/turmeric/entry/config_check.h
@@ -24,8 +24,14 @@
   /** Makes one call to the store, and puts what it brings into force. */
   using AskStore = std::function<void(Answer)>;
 
-  /** @param ask_store see AskStore; its answer must not outlive this. */
-  explicit ConfigCheck(AskStore ask_store);
+  /** @return up to when all configurations that the store has accepted are
+   * known here without asking. */
+  using KnownTo = std::function<Clock::time_point()>;
+
+  /** @param bound a configuration must be in force by then. @param known_to see
+   * KnownTo. @param ask_store see AskStore; both must outlive this. */
+  ConfigCheck(std::chrono::milliseconds bound, KnownTo known_to,
+              AskStore ask_store);
 
   /** @param answer called at once, or within a fraction of a second. */
   void Ask(Answer answer);
@@ -34,10 +40,12 @@
   void OnAnswer(Clock::time_point asked_at, bool is_latest);
   void AnswerAll(bool is_latest);
 
+  std::chrono::milliseconds bound_;
+  KnownTo known_to_;
   AskStore ask_store_;
   std::vector<Answer> waiting_;
   bool asking_ = false;
-  std::optional<Clock::time_point> latest_at_;
+  Clock::time_point answered_to_;  ///< As KnownTo, by what was asked.
   std::optional<Clock::time_point> failed_at_;
   QTimer give_up_;
 };
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -82,8 +82,8 @@
   std::unique_ptr<PieceHost> host_;
   std::unique_ptr<InstanceDirectory> directory_;
   std::unique_ptr<TopologyFeed> feed_;
-  std::unique_ptr<ConfigCheck> config_check_;
   std::unique_ptr<StoreSharing> sharing_;
+  std::unique_ptr<ConfigCheck> config_check_;
   std::unique_ptr<http::Listener> front_;
   std::unique_ptr<http::Listener> readiness_;
   std::unique_ptr<http::Listener> metrics_listener_;
--- a/libs/entry/include/turmeric/entry/store_sharing.h
+++ b/libs/entry/include/turmeric/entry/store_sharing.h
@@ -44,6 +44,10 @@
   /** Our connection to an instance has ended. @param name who. */
   void OnLost(const std::string& name);
 
+  /** @return up to when all configurations that the store has accepted are
+   * known here, by our own calls or by what relays tell of theirs. */
+  std::chrono::steady_clock::time_point config_known_to() const;
+
  private:
   using Clock = std::chrono::steady_clock;
 
@@ -55,6 +59,8 @@
   FollowPolicy::Situation CurrentSituation() const;
   /** @return our state as a relay; nullopt until all was read once. */
   std::optional<peer::RelayStatus> Status() const;
+  /** A relay tells how far it knows the configurations. */
+  void NoteConfigAge(const peer::RelayStatus& status, Clock::time_point now);
   /** @return true if the sender lacks changes that are known here. */
   bool IsBehind(const peer::RelayStatus& status) const;
 
@@ -66,6 +72,7 @@
   std::optional<std::vector<std::string>> preferred_;
   bool ranked_relay_ = false;
   std::string_view watch_why_;
+  Clock::time_point config_relayed_to_;  ///< As config_known_to, by relays.
   Clock::time_point asked_at_;
   Clock::time_point beat_at_;
   QTimer tick_;
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -75,6 +75,10 @@
   void set_on_new_era(std::function<void()> callback) {
     on_new_era_ = std::move(callback);
   }
+  /** @return when the store last told us of all configurations. */
+  Clock::time_point config_answered() const {
+    return kinds_.at(peer::StoreKind::kConfig).reflector->answered_at();
+  }
   /** @return when the store last answered us for all kinds. */
   Clock::time_point store_heard() const;
   /** @return the end of its last outage, if one is known. */
--- a/libs/entry/src/config_check.cc
+++ b/libs/entry/src/config_check.cc
@@ -1,6 +1,7 @@
 #include "turmeric/entry/config_check.h"
 
 #include <QPointer>
+#include <algorithm>
 #include <utility>
 
 #include "turmeric/utils/decision_log.h"
@@ -11,9 +12,8 @@
 
 namespace {
 
-/** How long an answer of the store stands: well below the two seconds in which
- * a change must be in force. */
-constexpr milliseconds kHolds{1000};
+/** Part of the bound kept for the way of answers and of refusals. */
+constexpr milliseconds kTravels{500};
 /** A caller waits no longer for the store's answer, which takes milliseconds.
  */
 constexpr milliseconds kLongestWait{150};
@@ -23,15 +23,19 @@
 
 }  // namespace
 
-ConfigCheck::ConfigCheck(AskStore ask_store)
-    : ask_store_(std::move(ask_store)) {
+ConfigCheck::ConfigCheck(milliseconds bound, KnownTo known_to,
+                         AskStore ask_store)
+    : bound_(bound),
+      known_to_(std::move(known_to)),
+      ask_store_(std::move(ask_store)) {
   give_up_.setSingleShot(true);
   connect(&give_up_, &QTimer::timeout, this, [this] { AnswerAll(false); });
 }
 
 void ConfigCheck::Ask(Answer answer) {
   const auto now = Clock::now();
-  if (latest_at_ && now < *latest_at_ + kHolds) return answer(true);
+  const auto known_to = std::max(answered_to_, known_to_());
+  if (now < known_to + bound_ - kTravels) return answer(true);
   if (failed_at_ && now < *failed_at_ + kPauseAfterFailure) {
     return answer(false);
   }
@@ -48,7 +52,7 @@
   asking_ = false;
   if (is_latest) {
     // What was accepted after the question may not be in the answer.
-    latest_at_ = asked_at;
+    answered_to_ = asked_at;
     failed_at_.reset();
   } else {
     failed_at_ = Clock::now();
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -61,11 +61,13 @@
             links_->OnSeen(name, presence);
           })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)),
-      config_check_(std::make_unique<ConfigCheck>(
-          [this](ConfigCheck::Answer done) { feed_->AskForConfig(done); })),
       sharing_(std::make_unique<StoreSharing>(
           context_, *links_, *feed_,
-          [this](const std::string& name) { return host_->FrameTo(name); })) {
+          [this](const std::string& name) { return host_->FrameTo(name); })),
+      config_check_(std::make_unique<ConfigCheck>(
+          context_.settings.config_bound,
+          [this] { return sharing_->config_known_to(); },
+          [this](ConfigCheck::Answer done) { feed_->AskForConfig(done); })) {
   context_.metrics = &metrics_;
   context_.config_check = config_check_.get();
   context_.stages = router_.get();
--- a/libs/entry/src/store_sharing.cc
+++ b/libs/entry/src/store_sharing.cc
@@ -146,10 +146,25 @@
     feed_.Merge(name, changes);
   }
   if (frame.relay) {
+    NoteConfigAge(*frame.relay, now);
     policy_.OnHeard(name, frame.relay->store_age, IsBehind(*frame.relay), now);
   }
 }
 
+void StoreSharing::NoteConfigAge(const peer::RelayStatus& status,
+                                 Clock::time_point now) {
+  // Guard: changes that are too large to be passed on are told as a gap, and
+  // are not known here yet.
+  const bool lacks = status.known.Of(StoreKind::kConfig) >
+                     feed_.revisions().Of(StoreKind::kConfig);
+  if (lacks || !status.config_age) return;
+  config_relayed_to_ = std::max(config_relayed_to_, now - *status.config_age);
+}
+
+StoreSharing::Clock::time_point StoreSharing::config_known_to() const {
+  return std::max(config_relayed_to_, feed_.config_answered());
+}
+
 void StoreSharing::OnLost(const std::string& name) {
   if (!policy_.Asks(name)) return;
   policy_.OnLost(name, Clock::now());
@@ -169,7 +184,9 @@
   peer::RelayStatus status{
       .store_age = policy_.StoreAge(feed_.store_heard(), now),
       .outage_ended = std::nullopt,
-      .known = feed_.revisions()};
+      .known = feed_.revisions(),
+      .config_age =
+          std::chrono::duration_cast<milliseconds>(now - config_known_to())};
   if (const auto ended = feed_.outage_ended()) {
     status.outage_ended =
         std::chrono::duration_cast<milliseconds>(now - *ended);
--- a/libs/entry/test/config_check_test.cc
+++ b/libs/entry/test/config_check_test.cc
@@ -16,10 +16,14 @@
   loop.exec();
 }
 
+constexpr auto kBound = 1500ms;
+
 /** A check, and the calls that it has made to a store that the test plays. */
 struct Store {
   std::vector<ConfigCheck::Answer> calls;
+  ConfigCheck::Clock::time_point known_to;  ///< By relays.
   ConfigCheck check{
+      kBound, [this] { return known_to; },
       [this](ConfigCheck::Answer answer) { calls.push_back(answer); }};
 };
 
@@ -52,6 +56,22 @@
   REQUIRE(store.calls.size() == 2);
 }
 
+// Guards against calls to the store for what relays have told a moment ago.
+TEST_CASE("what is known to be the latest is not asked for") {
+  Store store;
+  int confirmed = 0;
+  const auto ask = [&] {
+    store.check.Ask([&](bool is_latest) { confirmed += is_latest ? 1 : 0; });
+  };
+  store.known_to = ConfigCheck::Clock::now();
+  ask();
+  REQUIRE(confirmed == 1);
+  REQUIRE(store.calls.empty());
+  store.known_to = ConfigCheck::Clock::now() - kBound;
+  ask();
+  REQUIRE(store.calls.size() == 1);
+}
+
 // Guards against callers that wait for a silent store.
 TEST_CASE("a store that says nothing confirms nothing, soon") {
   Store store;
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -128,6 +128,9 @@
   /** Since the store's last outage ended; nullopt: none is known. */
   std::optional<std::chrono::milliseconds> outage_ended;
   StoreRevisions known;  ///< Up to which it knows all changes.
+  /** Since when the sender may lack configurations that the store has accepted;
+   * nullopt: it never knew that it had them all. */
+  std::optional<std::chrono::milliseconds> config_age;
 };
 
 /** One message between two instances. */
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -1081,7 +1081,8 @@
     VT_OUTAGE_ENDED_MS = 6,
     VT_CONFIG_REVISION = 8,
     VT_UPSTREAMS_REVISION = 10,
-    VT_EVACUATIONS_REVISION = 12
+    VT_EVACUATIONS_REVISION = 12,
+    VT_CONFIG_AGE_MS = 14
   };
   int32_t store_age_ms() const {
     return GetField<int32_t>(VT_STORE_AGE_MS, 0);
@@ -1098,6 +1099,9 @@
   int64_t evacuations_revision() const {
     return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0);
   }
+  int32_t config_age_ms() const {
+    return GetField<int32_t>(VT_CONFIG_AGE_MS, -1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int32_t>(verifier, VT_STORE_AGE_MS, 4) &&
@@ -1105,6 +1109,7 @@
            VerifyField<int64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_UPSTREAMS_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
+           VerifyField<int32_t>(verifier, VT_CONFIG_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1128,6 +1133,9 @@
   void add_evacuations_revision(int64_t evacuations_revision) {
     fbb_.AddElement<int64_t>(RelayStatus::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
   }
+  void add_config_age_ms(int32_t config_age_ms) {
+    fbb_.AddElement<int32_t>(RelayStatus::VT_CONFIG_AGE_MS, config_age_ms, -1);
+  }
   explicit RelayStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1145,11 +1153,13 @@
     int32_t outage_ended_ms = 0,
     int64_t config_revision = 0,
     int64_t upstreams_revision = 0,
-    int64_t evacuations_revision = 0) {
+    int64_t evacuations_revision = 0,
+    int32_t config_age_ms = -1) {
   RelayStatusBuilder builder_(_fbb);
   builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_upstreams_revision(upstreams_revision);
   builder_.add_config_revision(config_revision);
+  builder_.add_config_age_ms(config_age_ms);
   builder_.add_outage_ended_ms(outage_ended_ms);
   builder_.add_store_age_ms(store_age_ms);
   return builder_.Finish();
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -174,6 +174,8 @@
 
 /** No outage of the store is known. */
 constexpr int32_t kNoOutage = -1;
+/** The sender never knew that it had all configurations. */
+constexpr int32_t kNeverKnown = -1;
 
 Offset<wire::FollowRequest> Write(FlatBufferBuilder& b,
                                   const FollowRequest& follow) {
@@ -191,9 +193,10 @@
                                 const RelayStatus& status) {
   const int32_t ended =
       status.outage_ended ? WireMs(*status.outage_ended) : kNoOutage;
-  return wire::CreateRelayStatus(b, WireMs(status.store_age), ended,
-                                 status.known.config, status.known.upstreams,
-                                 status.known.evacuations);
+  return wire::CreateRelayStatus(
+      b, WireMs(status.store_age), ended, status.known.config,
+      status.known.upstreams, status.known.evacuations,
+      status.config_age ? WireMs(*status.config_age) : kNeverKnown);
 }
 
 RelayStatus Read(const wire::RelayStatus& status) {
@@ -205,7 +208,11 @@
       .store_age = read_ms(status.store_age_ms()),
       .outage_ended = std::nullopt,
       .known = {status.config_revision(), status.upstreams_revision(),
-                status.evacuations_revision()}};
+                status.evacuations_revision()},
+      .config_age = std::nullopt};
+  if (status.config_age_ms() != kNeverKnown) {
+    out.config_age = read_ms(status.config_age_ms());
+  }
   if (status.outage_ended_ms() != kNoOutage) {
     out.outage_ended = read_ms(status.outage_ended_ms());
   }
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -56,7 +56,10 @@
   frame.ended = {{14, turmeric::routing::Outcome::kNotSent}, {15, {}}};
   frame.newest_changes = {530, 1LL << 40, 531};
   frame.follow = {.wanted = true, .resync = true, .known = {16, 17, 24}};
-  frame.relay = {.store_age = 250ms, .outage_ended = 3s, .known = {18, 19, 25}};
+  frame.relay = {.store_age = 250ms,
+                 .outage_ended = 3s,
+                 .known = {18, 19, 25},
+                 .config_age = 120ms};
   frame.store_changes.push_back({.kind = turmeric::peer::StoreKind::kUpstreams,
                                  .follows = 20,
                                  .revision = 23,
@@ -120,6 +123,7 @@
   REQUIRE(frame->follow->known.evacuations == 24);
   REQUIRE(frame->relay->store_age == 250ms);
   REQUIRE(frame->relay->outage_ended == 3s);
+  REQUIRE(frame->relay->config_age == 120ms);
   REQUIRE(frame->relay->known.config == 18);
   REQUIRE(frame->relay->known.upstreams == 19);
   REQUIRE(frame->relay->known.evacuations == 25);
--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -76,6 +76,11 @@
   bool reachable() const { return reachable_; }
   /** @return when the store last answered. */
   std::chrono::steady_clock::time_point heard_at() const { return heard_at_; }
+  /** @return when a call of ours was last answered, so that all changes of
+   * before are known; the clock's beginning if none was. */
+  std::chrono::steady_clock::time_point answered_at() const {
+    return answered_at_;
+  }
 
  private:
   void CallAgain();
@@ -119,6 +124,7 @@
   std::chrono::steady_clock::time_point called_at_;
   std::chrono::steady_clock::time_point anew_at_;
   std::chrono::steady_clock::time_point heard_at_;
+  std::chrono::steady_clock::time_point answered_at_;
 };
 
 }  // namespace turmeric::store
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -187,7 +187,7 @@
 
 void Reflector::Heard() {
   failures_ = 0;
-  heard_at_ = steady_clock::now();
+  heard_at_ = answered_at_ = steady_clock::now();
   if (!std::exchange(reachable_, true)) events_.on_reachable(true, "answered");
 }
 
