--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -24,6 +24,7 @@
 class EnginePlacer;
 class EntryMetrics;
 class RequestQuarantine;
+class UpstreamLimiter;
 
 /** State of one instance that is shared by its requests. */
 struct EntryContext {
@@ -98,6 +99,7 @@
   StageClient* stages = nullptr;
   EnginePlacer* placer = nullptr;
   RequestQuarantine* quarantine = nullptr;
+  UpstreamLimiter* limiter = nullptr;
   EntryMetrics* metrics = nullptr;
 };
 
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -37,6 +37,11 @@
    * @param service service of the retry.
    */
   void OnRetryRefused(std::string_view service);
+  /**
+   * Records a request to an upstream that states a rate limit.
+   * @param service service of the upstream.
+   */
+  void OnLimitedSend(std::string_view service);
   /**
    * Records a call to the platform's store.
    * @param kind kind of objects.
@@ -68,6 +73,7 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& retries_refused_;
+  prometheus::Family<prometheus::Counter>& limited_sends_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -82,6 +82,7 @@
   EntryContext context_;
   std::unique_ptr<InstanceLinks> links_;
   std::unique_ptr<RequestQuarantine> quarantine_;
+  std::unique_ptr<UpstreamLimiter> limiter_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementCoordinator> placement_coordinator_;
--- a/libs/entry/include/turmeric/entry/wire_format.h
+++ b/libs/entry/include/turmeric/entry/wire_format.h
@@ -62,6 +62,11 @@
   /** The body is encoded, so its bytes are not the upstream's own. */
   bool encoded = false;
   std::optional<int> load;  ///< Requests in flight and queued at the upstream.
+  /** Requests per second that the upstream takes from all instances together;
+   * nullopt: no limit is stated. */
+  std::optional<double> rate_limit;
+  /** A rate limit is stated, but none that is a number of at least 0. */
+  bool rate_limit_malformed = false;
 };
 
 /** One call for stage work. */
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -34,6 +34,10 @@
               .Name("turmeric_entry_repeats_refused_total")
               .Help("Retries not sent because the retry budget was exhausted")
               .Register(*registry_)),
+      limited_sends_(prometheus::BuildCounter()
+                         .Name("turmeric_entry_limited_sends_total")
+                         .Help("Requests to upstreams that state a rate limit")
+                         .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("turmeric_entry_store_calls_total")
                        .Help("Calls to the platform's store")
@@ -92,6 +96,10 @@
   retries_refused_.Add({{"service", std::string(service)}}).Increment();
 }
 
+void EntryMetrics::OnLimitedSend(std::string_view service) {
+  limited_sends_.Add({{"service", std::string(service)}}).Increment();
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -16,6 +16,7 @@
 #include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/store_sharing.h"
 #include "turmeric/entry/topology_feed.h"
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -53,6 +54,7 @@
       context_(std::move(settings), link_.wire),
       links_(std::make_unique<InstanceLinks>(context_)),
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
+      limiter_(std::make_unique<UpstreamLimiter>(context_)),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       placement_coordinator_(std::make_unique<PlacementCoordinator>(context_)),
@@ -78,6 +80,7 @@
   context_.stages = router_.get();
   context_.placer = placer_.get();
   context_.quarantine = quarantine_.get();
+  context_.limiter = limiter_.get();
   ConnectPeerEvents();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/upstream_limiter.h"
 
 namespace turmeric::entry {
 
@@ -61,6 +62,7 @@
                                        .address = spec_.upstream->entry.address,
                                        .pieces = pieces,
                                        .now = started_});
+  context_.limiter->OnSend(*spec_.upstream);
   timeout_timer_.start(spec_.timeout);
   input_fetch_timer_.start(kInputFetchTime);
   exchange_ = context_.client.Send(spec_.upstream, request, AnswerEvents());
@@ -70,7 +72,9 @@
   http::ExchangeEvents events;
   events.on_head = [this](const http::ResponseHead& head) {
     status_ = head.status;
-    not_run_ = context_.wire.decode_answer(head).not_run;
+    const AnswerInfo info = context_.wire.decode_answer(head);
+    not_run_ = info.not_run;
+    context_.limiter->OnAnswer(*spec_.upstream, head.status, info, started_);
     return true;
   };
   events.on_body = [this](std::string_view bytes) { body_.append(bytes); };
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -5,6 +5,7 @@
 
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -32,6 +33,7 @@
 
 void UpstreamSend::Start(std::string_view bytes) {
   sent_at_ = Clock::now();
+  context_.limiter->OnSend(*spec_.upstream);
   exchange_ = context_.client.Send(spec_.upstream, bytes, AnswerEvents(),
                                    {.fresh_connection = false});
 }
@@ -69,6 +71,7 @@
     return http::IsHopByHop(field.name);
   });
   info_ = info;
+  context_.limiter->OnAnswer(*spec_.upstream, head.status, info, sent_at_);
   has_head_ = true;
   return true;
 }
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 
+#include "turmeric/limits/stated_limit.h"
 #include "turmeric/routing/recent_sends.h"
 #include "turmeric/routing/upstream_clock.h"
 
@@ -45,6 +46,7 @@
   /** Recent requests to the upstream that this instance sent, or that other
    * instances sent because this instance had placed them. */
   RecentSends sends;
+  limits::StatedLimit rate_limit;  ///< Stated in its answers.
   int in_flight = 0;  ///< Requests of this instance that are in flight to it.
   /** Time to read the prompts of the requests in flight, ms. */
   double pending_prompt_ms = 0;
