--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -64,10 +64,12 @@
   kQuarantine,
   /** The rate of requests to an upstream is limited while it is cold. */
   kColdLimit,
+  /** Requests to an upstream that states a rate limit need a permit. */
+  kUpstreamLimit,
 };
 
 /** Number of enumerators of Mechanism. */
-inline constexpr size_t kMechanismCount = 22;
+inline constexpr size_t kMechanismCount = 23;
 
 /** @param mechanism a mechanism. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -63,6 +63,7 @@
 
  private:
   void ConnectPeerEvents();
+  std::unique_ptr<UpstreamLimiter> MakeLimiter();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
   void AcceptProbe(int fd);
@@ -82,6 +83,7 @@
   EntryContext context_;
   std::unique_ptr<InstanceLinks> links_;
   std::unique_ptr<RequestQuarantine> quarantine_;
+  QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -72,6 +72,11 @@
    */
   void Leave();
 
+  /**
+   * @param name name of another instance.
+   * @return true if it is reachable. If it is not, it is retried for some time.
+   */
+  bool Reaches(const std::string& name);
   /** @return true if at least half of the other instances are reachable. */
   bool ReachesMost() const;
   /**
@@ -116,16 +121,14 @@
     bool unreachable = false;  ///< Not an owner until it responds again.
     int failures = 0;          ///< Consecutive failed connections.
     Clock::time_point retry_at;
-    /**
-     * Last time at which a key was looked up that the instance would own if it
-     * were reachable.
-     */
+    /** Last time at which the instance was needed while it was unreachable. */
     Clock::time_point last_needed;
   };
 
   peer::PeerLink& Connect(const std::string& name, Instance& instance);
   void OnFrame(const std::string& name, peer::Frame&& frame);
   void OnEnd(const std::string& name, std::string_view why);
+  void RetryWanted(Instance& instance);
   void MarkUnreachable(Instance& instance);
   void RetryUnreachable();
 
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -67,12 +67,25 @@
   void OnStageFailed(stages::PieceFailure failure);
   // Sending to an upstream.
   void SendToUpstream();
+  /** Updates the upstreams that the next choice must not return. */
+  void UpdateExcluded();
   UpstreamCriteria MakeUpstreamCriteria(std::string_view results_zone) const;
   /** Schedules another choice of an upstream if all untried ones have received
    * as many requests as they could serve when cold (shortly after a start).
    * @return false if there is no such upstream or no wait is left. */
   bool WaitForCapacity();
-  void SendTo(const routing::UpstreamPtr& upstream);
+  /** Sends to the chosen upstream.
+   * @param upstream nullptr: none may receive the request.
+   * @param permitted true if a permit for an upstream with a rate limit was
+   *     obtained. */
+  void SendTo(const routing::UpstreamPtr& upstream, bool permitted = false);
+  /** Requests a permit for one upstream; without it, another one is chosen. */
+  void AcquirePermit(const routing::UpstreamPtr& upstream);
+  /** Requests a permit for any upstream with a rate limit.
+   * @return false if there is none, or none is granted. */
+  bool AcquireAnyPermit();
+  std::chrono::milliseconds PermitWait() const;
+  void RefuseWithoutUpstream();
   int ConnectionLimit() const;
   UpstreamCall CallTo(const routing::Upstream& upstream) const;
   void ReleaseInputsOnceFetched();
@@ -139,6 +152,11 @@
   /** The last send; null before the first. */
   std::unique_ptr<UpstreamSend> send_;
   std::vector<std::string> tried_upstreams_;
+  /** Upstreams without a permit for the present send. */
+  std::vector<std::string> unpermitted_upstreams_;
+  /** Those that were tried or have no permit. */
+  std::vector<std::string> excluded_upstreams_;
+  bool any_permit_refused_ = false;  ///< For the present send.
   /** Stream events forwarded by earlier sends. */
   int64_t events_before_send_ = 0;
   int sends_ = 0;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -1,6 +1,8 @@
 #include "turmeric/entry/entry_service.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 #include "turmeric/entry/config_check.h"
@@ -22,6 +24,7 @@
 namespace turmeric::entry {
 
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 namespace {
 
@@ -36,6 +39,8 @@
  */
 constexpr milliseconds kBalancerDetectionTime{2600};
 constexpr milliseconds kDrainCheckInterval{50};
+/** Interval of the check for permits that may be used now. */
+constexpr milliseconds kPermitCheckInterval{5};
 
 http::Endpoint EndpointOf(const std::string& address) {
   return http::ParseEndpoint(address);
@@ -54,7 +59,7 @@
       context_(std::move(settings), link_.wire),
       links_(std::make_unique<InstanceLinks>(context_)),
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
-      limiter_(std::make_unique<UpstreamLimiter>(context_)),
+      limiter_(MakeLimiter()),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       placement_coordinator_(std::make_unique<PlacementCoordinator>(context_)),
@@ -81,6 +86,7 @@
   context_.placer = placer_.get();
   context_.quarantine = quarantine_.get();
   context_.limiter = limiter_.get();
+  limiter_->set_metrics(&metrics_);
   ConnectPeerEvents();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
@@ -92,6 +98,35 @@
   connect(&drain_timer_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
 
+std::unique_ptr<UpstreamLimiter> EntryService::MakeLimiter() {
+  permit_timer_.setInterval(kPermitCheckInterval);
+  permit_timer_.setTimerType(Qt::PreciseTimer);
+  connect(&permit_timer_, &QTimer::timeout, this, [this] {
+    limiter_->Tick(Clock::now());
+    if (!limiter_->has_open()) permit_timer_.stop();
+  });
+  return std::make_unique<UpstreamLimiter>(
+      LimiterSettings{
+          .name = context_.settings.name,
+          .first_start = context_.settings.first_start,
+          .enabled = context_.Uses(config::Mechanism::kUpstreamLimit)},
+      context_.upstreams,
+      LimiterLinks{
+          .reaches =
+              [this](const std::string& name) { return links_->Reaches(name); },
+          .send =
+              [this](const std::string& name, const auto& add) {
+                peer::PeerLink* link = links_->Open(name);
+                if (link != nullptr) add(link->outgoing());
+              },
+          .broadcast = [this](const auto& add) { links_->Broadcast(add); },
+          .on_open =
+              [this] {
+                if (!permit_timer_.isActive()) permit_timer_.start();
+              }},
+      Clock::now());
+}
+
 void EntryService::ConnectPeerEvents() {
   context_.cold_limiter.set_reaches_most(
       [this] { return links_->ReachesMost(); });
@@ -103,6 +138,7 @@
            [this](const std::string& name, const peer::Frame& frame) {
              sharing_->OnFrame(name, frame);
              quarantine_->OnFrame(name, frame);
+             limiter_->OnPermits(name, frame, Clock::now());
              if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
              router_->OnFrame(frame);
            },
@@ -115,13 +151,17 @@
        .on_connect =
            [this](peer::Frame& frame) {
              quarantine_->AddKnownCrashes(frame);
+             limiter_->AddKnownLimits(frame);
            }});
-  peer_server_->set_on_new_peer(
-      [this](peer::Frame& frame) { quarantine_->AddKnownCrashes(frame); });
-  peer_server_->set_on_frame(
-      [this](const std::string& identity, const peer::Frame& frame) {
-        quarantine_->OnFrame(identity, frame);
-      });
+  peer_server_->set_on_new_peer([this](peer::Frame& frame) {
+    quarantine_->AddKnownCrashes(frame);
+    limiter_->AddKnownLimits(frame);
+  });
+  peer_server_->set_on_frame([this](const std::string& identity,
+                                    const peer::Frame& frame) {
+    quarantine_->OnFrame(identity, frame);
+    limiter_->OnOrders(frame, peer_server_->FrameTo(identity), Clock::now());
+  });
   peer_server_->set_on_follow(
       [this](const std::string& identity, const peer::FollowRequest& request) {
         sharing_->OnFollow(identity, request);
@@ -165,6 +205,7 @@
   if (s.peer_address.empty()) {
     context_.retries.SetSingleInstance();
     context_.cold_limiter.set_other_instances({});
+    limiter_->SetSingleInstance();
     return boost::outcome_v2::success();
   }
   if (auto ok = peer_server_->Listen(s.peer_address); !ok) return ok;
@@ -174,6 +215,9 @@
       InstanceInfo{s.peer_address, s.zone, s.cpu_share},
       [this](const Instances& fleet, bool listed) {
         links_->SetInstances(fleet, listed);
+        std::vector<std::string> names;
+        std::ranges::copy(std::views::keys(fleet), std::back_inserter(names));
+        limiter_->OnInstances(names, listed, Clock::now());
         sharing_->SetInstances(fleet);
       });
   directory_->Start();
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -71,8 +71,19 @@
   return 2 * static_cast<size_t>(reached) >= instances_.size();
 }
 
+bool InstanceLinks::Reaches(const std::string& name) {
+  const auto it = instances_.find(name);
+  if (it == instances_.end()) return false;
+  if (it->second.unreachable) RetryWanted(it->second);
+  return !it->second.unreachable;
+}
+
+void InstanceLinks::RetryWanted(Instance& instance) {
+  instance.last_needed = Clock::now();
+  if (!retry_timer_.isActive()) retry_timer_.start();
+}
+
 std::optional<std::string> InstanceLinks::OwnerOf(const std::string& key) {
-  const auto now = Clock::now();
   const std::string* owner = nullptr;
   Instance* first_unreachable = nullptr;
   uint64_t best =
@@ -91,8 +102,7 @@
     }
   }
   if (first_unreachable != nullptr && best_unreachable > best) {
-    first_unreachable->last_needed = now;
-    if (!retry_timer_.isActive()) retry_timer_.start();
+    RetryWanted(*first_unreachable);
   }
   if (owner == nullptr) return std::nullopt;
   return *owner;
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -74,7 +74,8 @@
     status_ = head.status;
     const AnswerInfo info = context_.wire.decode_answer(head);
     not_run_ = info.not_run;
-    context_.limiter->OnAnswer(*spec_.upstream, head.status, info, started_);
+    context_.limiter->OnAnswer(*spec_.upstream, head.status, info, started_,
+                               Clock::now());
     return true;
   };
   events.on_body = [this](std::string_view bytes) { body_.append(bytes); };
--- a/libs/entry/src/result_releaser.cc
+++ b/libs/entry/src/result_releaser.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -45,9 +46,11 @@
       context_.upstreams.FindAt(stages::ParseShard(shard).service, address);
   // A result does not outlive the process that made it, so there is nothing to
   // release if the upstream is no longer known. An upstream in an evacuated
-  // zone receives no calls; it drops its results when their retention time
-  // ends.
-  if (!holder || holder->evacuated) return;
+  // zone receives no calls, and one with a rate limit needs its few for work;
+  // they drop their results when the retention time ends.
+  if (!holder || holder->evacuated || context_.limiter->IsLimited(*holder)) {
+    return;
+  }
   const std::string request = context_.wire.encode_release(address, handles);
   auto exchange = std::make_shared<std::shared_ptr<UpstreamExchange>>();
   // The memory of the results counts as used until the upstream has responded.
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -1,12 +1,14 @@
 #include "turmeric/entry/stage_dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/piece_call.h"
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/retry_credit.h"
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/stages/call_plan.h"
 #include "turmeric/stages/result_memory.h"
 #include "turmeric/stages/shard.h"
@@ -149,15 +151,23 @@
   const StageCallLimits& limits = *found;
   const Clock::time_point now = Clock::now();
   const auto upstreams = UpstreamsOf(queue);
-  const auto usable = static_cast<size_t>(
-      std::ranges::count_if(upstreams, [&](const UpstreamPtr& u) {
-        return IsListed(*u, now) && !IsAvoided(*u, now);
-      }));
-  if (usable == 0) return false;
+  std::vector<UpstreamPtr> usable;
+  std::ranges::copy_if(upstreams, std::back_inserter(usable),
+                       [&](const UpstreamPtr& u) {
+                         return IsListed(*u, now) && !IsAvoided(*u, now);
+                       });
+  if (usable.empty()) return false;
   const auto full = CallTime(limits, static_cast<size_t>(limits.batch));
   const size_t before =
       queue.pieces.CountBefore(UrgencyOf(piece, full, now), now, full);
-  return now + stages::MinCompletionTime(limits, before, usable) >
+  const double calls_before =
+      static_cast<double>(before) / std::max(1, limits.batch);
+  const double time_left_s =
+      std::chrono::duration<double>(piece.deadline - now).count();
+  if (calls_before > time_left_s * context_.limiter->RateOf(usable)) {
+    return true;
+  }
+  return now + stages::MinCompletionTime(limits, before, usable.size()) >
          piece.deadline;
 }
 
@@ -262,6 +272,9 @@
   const std::vector<std::string> backed_up = BackedUpShards();
   for (const UpstreamPtr& u : free) {
     if (queue.pieces.size() == 0) return;
+    const bool permitted = context_.limiter->KeepPermit(
+        u, [this] { ScheduleDispatch(); }, now);
+    if (!permitted) continue;
     Worker& worker = WorkerOf(queue, u);
     std::vector<QueuedPiece> call =
         queue.pieces.TakeCall({.pieces = limits.batch,
@@ -309,6 +322,7 @@
   Worker& worker = WorkerOf(queue, upstream);
   context_.cold_limiter.RecordSend(context_.FindService(queue.shard.service),
                                    *upstream, Clock::now());
+  context_.limiter->UseKeptPermit(*upstream);
   worker.memory.Reserve(call->bytes());
   ++worker.calls;
   call->Start();
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -4,6 +4,7 @@
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_criteria.h"
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/routing/choice.h"
 
 namespace turmeric::entry {
@@ -64,7 +65,8 @@
   const auto now = Clock::now();
   return std::ranges::any_of(
       context.upstreams.ForService(service), [&](const UpstreamPtr& u) {
-        return IsListed(*u, now) && std::ranges::count(tried, u->entry.id) == 0;
+        return IsListed(*u, now) && !context.limiter->IsLimited(*u) &&
+               std::ranges::count(tried, u->entry.id) == 0;
       });
 }
 
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -71,7 +71,8 @@
     return http::IsHopByHop(field.name);
   });
   info_ = info;
-  context_.limiter->OnAnswer(*spec_.upstream, head.status, info, sent_at_);
+  context_.limiter->OnAnswer(*spec_.upstream, head.status, info, sent_at_,
+                             Clock::now());
   has_head_ = true;
   return true;
 }
--- a/libs/entry/test/limit_fleet_simulation.cc
+++ b/libs/entry/test/limit_fleet_simulation.cc
@@ -1,6 +1,7 @@
 #include "limit_fleet_simulation.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "turmeric/routing/choice.h"
@@ -29,6 +30,19 @@
 constexpr milliseconds kAppliesAfter{3000};
 constexpr milliseconds kToldAfter{500};
 
+constexpr auto kService = "app";
+/** Refused permits of a request after which upstreams with a rate limit are no
+ * longer preferred to others. */
+constexpr size_t kMaxUnpermitted = 2;
+/** Reads of the list of instances: the first after a start, and later ones, and
+ * the greatest age of what they return. */
+constexpr milliseconds kEarlyReadInterval{1500};
+constexpr int kEarlyReads = 4;
+constexpr milliseconds kLateReadInterval{10000};
+constexpr int kMaxListAgeMs = 3000;
+/** Time from the start of an instance that joins until it is listed. */
+constexpr milliseconds kEntryTime{300};
+
 std::string UpstreamName(int number) { return "i-" + std::to_string(number); }
 
 }  // namespace
@@ -39,7 +53,12 @@
   Clock::time_point down_until;
   Clock::time_point frozen_until;
   Clock::time_point cut_until;
-  std::vector<UpstreamPtr> upstreams;
+  /** When its entry was written to the list of instances. */
+  Clock::time_point entered_at;
+  Clock::time_point read_at;  ///< Next read of the list.
+  int reads = 0;
+  routing::UpstreamTable upstreams;
+  std::unique_ptr<UpstreamLimiter> limiter;
   /** When this start of the instance first received each upstream's limit. */
   std::map<std::string, Clock::time_point> told_at;
 };
@@ -60,21 +79,110 @@
   return *nodes_[static_cast<size_t>(Draw(static_cast<int>(nodes_.size())))];
 }
 
-void LimitFleetSimulation::AddNode(bool /*joins*/) {
+void LimitFleetSimulation::AddNode(bool joins) {
   nodes_.push_back(std::make_unique<Node>());
-  nodes_.back()->name = "entry-" + std::to_string(nodes_.size());
-  StartNode(*nodes_.back());
+  Node& node = *nodes_.back();
+  node.name = "entry-" + std::to_string(nodes_.size());
+  node.entered_at = joins ? now_ + kEntryTime : now_ - std::chrono::minutes(1);
+  StartNode(node);
+}
+
+LimitFleetSimulation::Node* LimitFleetSimulation::FindNode(
+    const std::string& name) {
+  const auto it = std::ranges::find(
+      nodes_, name, [](const auto& node) { return node->name; });
+  return it == nodes_.end() ? nullptr : it->get();
+}
+
+void LimitFleetSimulation::ReadList(Node& node) {
+  node.read_at = now_ + (++node.reads <= kEarlyReads ? kEarlyReadInterval
+                                                     : kLateReadInterval);
+  const auto as_of = now_ - Draw(kMaxListAgeMs) * 1ms;
+  std::vector<std::string> names;
+  for (const auto& other : nodes_) {
+    if (other->entered_at <= as_of) names.push_back(other->name);
+  }
+  const bool listed = std::ranges::count(names, node.name) > 0;
+  node.limiter->OnInstances(names, listed, now_);
+}
+
+bool LimitFleetSimulation::AreConnected(const Node& a, const Node& b) const {
+  const auto cut = pair_cuts_.find(std::minmax(a.name, b.name));
+  return now_ >= a.cut_until && now_ >= b.cut_until &&
+         (cut == pair_cuts_.end() || now_ >= cut->second);
+}
+
+milliseconds LimitFleetSimulation::Transit() {
+  return (kMinTransitMs + Draw(kMaxTransitMs - kMinTransitMs)) * 1ms;
+}
+
+void LimitFleetSimulation::SendFrame(Node& from, const std::string& name,
+                                     peer::Frame frame) {
+  Node* to = FindNode(name);
+  if (to == nullptr) return;
+  const int from_start = from.starts;
+  const int to_start = to->starts;
+  At(now_ + Transit(),
+     [this, &from, to, from_start, to_start, frame = std::move(frame)] {
+       if (!AreConnected(from, *to) || to->starts != to_start) return;
+       At(std::max(now_, std::max(to->down_until, to->frozen_until)),
+          [this, &from, to, from_start, to_start, frame] {
+            if (to->starts != to_start) return;
+            peer::Frame reply;
+            to->limiter->OnOrders(frame, &reply, now_);
+            Reply(*to, from, from_start, std::move(reply));
+          });
+     });
+}
+
+void LimitFleetSimulation::Reply(Node& from, Node& to, int to_start,
+                                 peer::Frame frame) {
+  if (frame.permits.empty() && frame.limit_notices.empty()) return;
+  At(now_ + Transit(), [this, &from, &to, to_start, frame = std::move(frame)] {
+    if (!AreConnected(from, to)) return;
+    At(std::max(now_, to.frozen_until), [this, &from, &to, to_start, frame] {
+      if (to.starts != to_start) return;
+      to.limiter->OnPermits(from.name, frame, now_);
+    });
+  });
+}
+
+LimiterLinks LimitFleetSimulation::LinksOf(Node& node) {
+  return {.reaches =
+              [this](const std::string& name) {
+                const Node* other = FindNode(name);
+                return other != nullptr && now_ >= other->down_until;
+              },
+          .send =
+              [this, &node](const std::string& name, const auto& add) {
+                peer::Frame frame;
+                add(frame);
+                SendFrame(node, name, std::move(frame));
+              },
+          .broadcast =
+              [this, &node](const auto& add) {
+                for (const auto& other : nodes_) {
+                  if (other.get() == &node) continue;
+                  peer::Frame frame;
+                  add(frame);
+                  SendFrame(node, other->name, std::move(frame));
+                }
+              },
+          .on_open = {}};
 }
 
 void LimitFleetSimulation::StartNode(Node& node) {
   ++node.starts;
   node.told_at.clear();
-  node.upstreams.clear();
+  node.upstreams = {};
   for (int i = 0; i < scenario_.upstreams; ++i) {
-    node.upstreams.push_back(std::make_shared<Upstream>());
-    node.upstreams.back()->entry.id = UpstreamName(i);
-    node.upstreams.back()->entry.service = "app";
+    node.upstreams.Put({.id = UpstreamName(i), .service = kService});
   }
+  node.limiter = std::make_unique<UpstreamLimiter>(
+      LimiterSettings{.name = node.name, .enabled = scenario_.enforced},
+      node.upstreams, LinksOf(node), std::max(now_, node.down_until));
+  node.reads = 0;
+  node.read_at = std::max(now_, node.down_until);
 }
 
 void LimitFleetSimulation::Run(milliseconds time) {
@@ -88,6 +196,11 @@
       action();
     }
     DrawFaults();
+    for (const auto& node : nodes_) {
+      if (!IsRunning(*node)) continue;
+      if (now_ >= node->read_at) ReadList(*node);
+      if (node->limiter->has_open()) node->limiter->Tick(now_);
+    }
     for (requests_due_ += per_step; requests_due_ >= 1; --requests_due_) {
       Request(AnyNode());
     }
@@ -105,6 +218,10 @@
     AnyNode().frozen_until = now_ + Draw(2000) * 1ms;
   }
   if (due(scenario_.faults.cut)) AnyNode().cut_until = now_ + Draw(6000) * 1ms;
+  if (due(scenario_.faults.pair_cut)) {
+    pair_cuts_[std::minmax(AnyNode().name, AnyNode().name)] =
+        now_ + Draw(6000) * 1ms;
+  }
   if (due(scenario_.faults.join)) AddNode(true);
 }
 
@@ -121,7 +238,9 @@
 
 void LimitFleetSimulation::Request(Node& node) {
   if (!IsRunning(node)) return;
-  Choose(node, now_ + kDeadline, [this, &node](const UpstreamPtr& upstream) {
+  const auto deadline = now_ + kDeadline;
+  Choose(node, deadline, [this, &node, deadline](const UpstreamPtr& upstream) {
+    if (now_ > deadline) ++result_.overdue;
     if (!upstream) {
       ++result_.refused;
       return;
@@ -131,18 +250,60 @@
   });
 }
 
-void LimitFleetSimulation::Choose(Node& node, Clock::time_point /*deadline*/,
-                                  Chosen chosen) {
-  chosen(ChooseUpstream(node.upstreams, routing::ChoiceRequest(), now_));
+void LimitFleetSimulation::Choose(Node& node, Clock::time_point deadline,
+                                  Chosen chosen,
+                                  std::vector<std::string> unpermitted) {
+  UpstreamLimiter& limiter = *node.limiter;
+  const bool none_limited = unpermitted.size() >= kMaxUnpermitted;
+  std::vector<std::string> excluded =
+      none_limited ? limiter.Limited(kService)
+                   : limiter.WithoutPermit(kService, now_);
+  excluded.insert(excluded.end(), unpermitted.begin(), unpermitted.end());
+  // Spreads the requests over upstreams of equal load.
+  for (const UpstreamPtr& u : node.upstreams.ForService(kService)) {
+    u->latency_ms = 100 + Draw(100);
+  }
+  routing::ChoiceRequest request;
+  request.tried = excluded;
+  const UpstreamPtr upstream =
+      ChooseUpstream(node.upstreams.ForService(kService), request, now_);
+  if (!upstream) return ChooseAny(node, deadline, std::move(chosen));
+  if (!limiter.IsLimited(*upstream)) return chosen(upstream);
+  limiter.Acquire(
+      {.service = kService, .upstream = upstream, .excluded = {}},
+      [this, &node, start = node.starts, deadline, chosen = std::move(chosen),
+       unpermitted = std::move(unpermitted),
+       upstream](const UpstreamPtr& granted, Clock::time_point) mutable {
+        if (start != node.starts) return;
+        if (granted) return chosen(granted);
+        unpermitted.push_back(upstream->entry.id);
+        Choose(node, deadline, std::move(chosen), std::move(unpermitted));
+      },
+      now_);
+}
+
+void LimitFleetSimulation::ChooseAny(Node& node, Clock::time_point deadline,
+                                     Chosen chosen) {
+  if (!node.limiter->HasLimited(kService, {}, now_)) return chosen(nullptr);
+  const auto time_left =
+      std::chrono::duration_cast<milliseconds>(deadline - now_);
+  node.limiter->Acquire(
+      {.service = kService,
+       .upstream = nullptr,
+       .excluded = {},
+       .max_wait = std::max(time_left / 3, milliseconds(0))},
+      [start = node.starts, &node, chosen = std::move(chosen)](
+          const UpstreamPtr& granted, Clock::time_point) {
+        if (start == node.starts) chosen(granted);
+      },
+      now_);
 }
 
 void LimitFleetSimulation::Send(Node& node, const UpstreamPtr& upstream) {
   const int start = node.starts;
   const auto sent_at = now_;
   ++upstream->in_flight;
-  const auto transit =
-      (kMinTransitMs + Draw(kMaxTransitMs - kMinTransitMs)) * 1ms;
-  At(now_ + transit, [this, &node, start, upstream, sent_at] {
+  At(now_ + Transit(), [this, &node, start, upstream, sent_at] {
     const auto told = node.told_at.find(upstream->entry.id);
     const bool sender_told = start == node.starts &&
                              told != node.told_at.end() &&
@@ -153,9 +314,7 @@
         (kMinServiceMs + Draw(kMaxServiceMs - kMinServiceMs)) * 1ms;
     At(now_ + service, [this, &node, start, upstream, sent_at, number] {
       const bool stated = IsLimited(number);
-      const auto back =
-          (kMinTransitMs + Draw(kMaxTransitMs - kMinTransitMs)) * 1ms;
-      At(std::max(now_ + back, node.frozen_until),
+      At(std::max(now_ + Transit(), node.frozen_until),
          [this, &node, start, upstream, sent_at, stated] {
            Answer(node, start, upstream, sent_at, stated);
          });
@@ -165,14 +324,19 @@
 
 void LimitFleetSimulation::Answer(Node& node, int start,
                                   const UpstreamPtr& upstream,
-                                  Clock::time_point /*sent_at*/, bool stated) {
+                                  Clock::time_point sent_at, bool stated) {
   --upstream->in_flight;
-  if (start != node.starts || !stated) return;
+  if (start != node.starts) return;
+  AnswerInfo info;
+  if (stated) info.rate_limit = scenario_.per_s;
+  node.limiter->OnAnswer(*upstream, 200, info, sent_at, now_);
+  if (!stated) return;
   node.told_at.try_emplace(upstream->entry.id, now_);
 }
 
 int LimitFleetSimulation::MaxArrivals() {
   const auto applies_from = start_ + scenario_.limit_begins + kAppliesAfter;
+  const auto applies_to = start_ + scenario_.limit_ends;
   int most = 0;
   for (int i = 0; i < scenario_.limited; ++i) {
     std::vector<Clock::time_point> counted;
@@ -182,7 +346,7 @@
     std::ranges::sort(counted);
     for (size_t first = 0, last = 0; last < counted.size(); ++last) {
       while (counted[first] + kSpan <= counted[last]) ++first;
-      if (counted[last] < applies_from) continue;
+      if (counted[last] < applies_from || counted[last] >= applies_to) continue;
       most = std::max(most, static_cast<int>(last - first + 1));
     }
   }
--- a/libs/entry/test/limit_fleet_simulation.h
+++ b/libs/entry/test/limit_fleet_simulation.h
@@ -7,9 +7,12 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/routing/upstream.h"
 
 namespace turmeric::entry::test {
@@ -28,9 +31,10 @@
   uint32_t seed = 1;
   int instances = 1;
   int upstreams = 4;
-  int limited = 2;     ///< Number of upstreams that state a limit.
-  double per_s = 1;    ///< The limit, requests per second.
-  double demand = 40;  ///< Requests per second of all callers.
+  int limited = 2;       ///< Number of upstreams that state a limit.
+  double per_s = 1;      ///< The limit, requests per second.
+  double demand = 40;    ///< Requests per second of all callers.
+  bool enforced = true;  ///< False: the instances ignore limits.
   /** When the limit begins and ends, after the start. */
   std::chrono::milliseconds limit_begins{2000};
   std::chrono::milliseconds limit_ends{3600000};
@@ -60,7 +64,8 @@
   /**
    * @return the largest number of requests that a limited upstream received
    *     within 4 s from instances that had received its limit at least 0.5 s
-   *     before, from 3 s after it first stated the limit.
+   *     before, from 3 s after it first stated the limit until it no
+   *     longer does.
    */
   int MaxArrivals();
   /**
@@ -96,10 +101,19 @@
   Node& AnyNode();
   void At(Clock::time_point at, std::function<void()> action);
   void AddNode(bool joins);
+  void ReadList(Node& node);
+  Node* FindNode(const std::string& name);
+  bool AreConnected(const Node& a, const Node& b) const;
+  void SendFrame(Node& from, const std::string& name, peer::Frame frame);
+  void Reply(Node& from, Node& to, int to_start, peer::Frame frame);
+  std::chrono::milliseconds Transit();
+  LimiterLinks LinksOf(Node& node);
   void StartNode(Node& node);
   void DrawFaults();
   void Request(Node& node);
-  void Choose(Node& node, Clock::time_point deadline, Chosen chosen);
+  void Choose(Node& node, Clock::time_point deadline, Chosen chosen,
+              std::vector<std::string> unpermitted = {});
+  void ChooseAny(Node& node, Clock::time_point deadline, Chosen chosen);
   void Send(Node& node, const routing::UpstreamPtr& upstream);
   void Answer(Node& node, int start, const routing::UpstreamPtr& upstream,
               Clock::time_point sent_at, bool stated);
@@ -114,6 +128,8 @@
   uint64_t events_added_ = 0;
   std::priority_queue<Event> events_;
   std::vector<std::unique_ptr<Node>> nodes_;
+  /** Pairs of instances that cannot reach each other, and until when. */
+  std::map<std::pair<std::string, std::string>, Clock::time_point> pair_cuts_;
   std::map<std::string, std::vector<Arrival>> arrivals_;
   LimitResult result_;
 };
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "turmeric/limits/limit_statement.h"
 #include "turmeric/quarantine/crash.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -146,6 +147,33 @@
   std::optional<std::chrono::milliseconds> config_age;
 };
 
+/** Reports the rate limit that an answer of an upstream has stated. */
+struct LimitNotice {
+  std::string upstream;  ///< Process incarnation.
+  limits::LimitStatement statement;
+};
+
+/** Requests a permit to send one request to an upstream with a rate limit, from
+ * an instance that issues them. */
+struct PermitOrder {
+  uint64_t ticket = 0;  ///< Unique within one process incarnation.
+  std::string service;
+  /** Process incarnation; empty: any upstream of the service with a limit. */
+  std::string upstream;
+  std::vector<std::string> excluded;      ///< Upstream ids not to be chosen.
+  std::chrono::milliseconds max_wait{0};  ///< Longest wait for the permit.
+};
+
+/** Answers a PermitOrder. */
+struct Permit {
+  uint64_t ticket = 0;
+  std::string upstream;  ///< Process incarnation; empty: refused.
+  /** Time until the permit may be used; if refused, until one is expected. */
+  std::chrono::milliseconds wait{0};
+  /** Refused because the issuer knows no limit of the upstream. */
+  bool limit_unknown = false;
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Identity; set in the first frame only.
@@ -173,6 +201,9 @@
   std::vector<quarantine::Crash> crashes;
   /** Requests with known crashes that an upstream has run to the end. */
   std::vector<quarantine::GoodRun> good_runs;
+  std::vector<LimitNotice> limit_notices;
+  std::vector<PermitOrder> permit_orders;
+  std::vector<Permit> permits;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -56,6 +56,15 @@
 struct GoodRun;
 struct GoodRunBuilder;
 
+struct LimitNotice;
+struct LimitNoticeBuilder;
+
+struct PermitOrder;
+struct PermitOrderBuilder;
+
+struct Permit;
+struct PermitBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -1345,6 +1354,284 @@
       age_ms);
 }
 
+struct LimitNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_PER_S = 6,
+    VT_SENT_AGE_MS = 8,
+    VT_RECEIVED_AGE_MS = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  double per_s() const {
+    return GetField<double>(VT_PER_S, 0.0);
+  }
+  int32_t sent_age_ms() const {
+    return GetField<int32_t>(VT_SENT_AGE_MS, 0);
+  }
+  int32_t received_age_ms() const {
+    return GetField<int32_t>(VT_RECEIVED_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<double>(verifier, VT_PER_S, 8) &&
+           VerifyField<int32_t>(verifier, VT_SENT_AGE_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_RECEIVED_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitNoticeBuilder {
+  typedef LimitNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(LimitNotice::VT_UPSTREAM, upstream);
+  }
+  void add_per_s(double per_s) {
+    fbb_.AddElement<double>(LimitNotice::VT_PER_S, per_s, 0.0);
+  }
+  void add_sent_age_ms(int32_t sent_age_ms) {
+    fbb_.AddElement<int32_t>(LimitNotice::VT_SENT_AGE_MS, sent_age_ms, 0);
+  }
+  void add_received_age_ms(int32_t received_age_ms) {
+    fbb_.AddElement<int32_t>(LimitNotice::VT_RECEIVED_AGE_MS, received_age_ms, 0);
+  }
+  explicit LimitNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitNotice> CreateLimitNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    double per_s = 0.0,
+    int32_t sent_age_ms = 0,
+    int32_t received_age_ms = 0) {
+  LimitNoticeBuilder builder_(_fbb);
+  builder_.add_per_s(per_s);
+  builder_.add_received_age_ms(received_age_ms);
+  builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LimitNotice> CreateLimitNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    double per_s = 0.0,
+    int32_t sent_age_ms = 0,
+    int32_t received_age_ms = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreateLimitNotice(
+      _fbb,
+      upstream__,
+      per_s,
+      sent_age_ms,
+      received_age_ms);
+}
+
+struct PermitOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitOrderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_SERVICE = 6,
+    VT_UPSTREAM = 8,
+    VT_EXCLUDED = 10,
+    VT_MAX_WAIT_MS = 12
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
+  }
+  int32_t max_wait_ms() const {
+    return GetField<int32_t>(VT_MAX_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_EXCLUDED) &&
+           verifier.VerifyVector(excluded()) &&
+           verifier.VerifyVectorOfStrings(excluded()) &&
+           VerifyField<int32_t>(verifier, VT_MAX_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitOrderBuilder {
+  typedef PermitOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(PermitOrder::VT_TICKET, ticket, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PermitOrder::VT_SERVICE, service);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(PermitOrder::VT_UPSTREAM, upstream);
+  }
+  void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
+    fbb_.AddOffset(PermitOrder::VT_EXCLUDED, excluded);
+  }
+  void add_max_wait_ms(int32_t max_wait_ms) {
+    fbb_.AddElement<int32_t>(PermitOrder::VT_MAX_WAIT_MS, max_wait_ms, 0);
+  }
+  explicit PermitOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitOrder> CreatePermitOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
+    int32_t max_wait_ms = 0) {
+  PermitOrderBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_max_wait_ms(max_wait_ms);
+  builder_.add_excluded(excluded);
+  builder_.add_upstream(upstream);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitOrder> CreatePermitOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    const char *service = nullptr,
+    const char *upstream = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
+    int32_t max_wait_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  return turmeric::peer::wire::CreatePermitOrder(
+      _fbb,
+      ticket,
+      service__,
+      upstream__,
+      excluded__,
+      max_wait_ms);
+}
+
+struct Permit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_UPSTREAM = 6,
+    VT_WAIT_MS = 8,
+    VT_LIMIT_UNKNOWN = 10
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  int32_t wait_ms() const {
+    return GetField<int32_t>(VT_WAIT_MS, 0);
+  }
+  bool limit_unknown() const {
+    return GetField<uint8_t>(VT_LIMIT_UNKNOWN, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<int32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LIMIT_UNKNOWN, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitBuilder {
+  typedef Permit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(Permit::VT_TICKET, ticket, 0);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Permit::VT_UPSTREAM, upstream);
+  }
+  void add_wait_ms(int32_t wait_ms) {
+    fbb_.AddElement<int32_t>(Permit::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_limit_unknown(bool limit_unknown) {
+    fbb_.AddElement<uint8_t>(Permit::VT_LIMIT_UNKNOWN, static_cast<uint8_t>(limit_unknown), 0);
+  }
+  explicit PermitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Permit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Permit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Permit> CreatePermit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    int32_t wait_ms = 0,
+    bool limit_unknown = false) {
+  PermitBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_upstream(upstream);
+  builder_.add_limit_unknown(limit_unknown);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Permit> CreatePermitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    const char *upstream = nullptr,
+    int32_t wait_ms = 0,
+    bool limit_unknown = false) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreatePermit(
+      _fbb,
+      ticket,
+      upstream__,
+      wait_ms,
+      limit_unknown);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1369,7 +1656,10 @@
     VT_STORE_CHANGES = 40,
     VT_CRASHES = 42,
     VT_GOOD_RUNS = 44,
-    VT_EVACUATIONS_CHANGE = 46
+    VT_EVACUATIONS_CHANGE = 46,
+    VT_LIMIT_NOTICES = 48,
+    VT_PERMIT_ORDERS = 50,
+    VT_PERMITS = 52
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1437,6 +1727,15 @@
   int64_t evacuations_change() const {
     return GetField<int64_t>(VT_EVACUATIONS_CHANGE, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>> *limit_notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>> *>(VT_LIMIT_NOTICES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *permit_orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *>(VT_PERMIT_ORDERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *>(VT_PERMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1487,6 +1786,15 @@
            verifier.VerifyVector(good_runs()) &&
            verifier.VerifyVectorOfTables(good_runs()) &&
            VerifyField<int64_t>(verifier, VT_EVACUATIONS_CHANGE, 8) &&
+           VerifyOffset(verifier, VT_LIMIT_NOTICES) &&
+           verifier.VerifyVector(limit_notices()) &&
+           verifier.VerifyVectorOfTables(limit_notices()) &&
+           VerifyOffset(verifier, VT_PERMIT_ORDERS) &&
+           verifier.VerifyVector(permit_orders()) &&
+           verifier.VerifyVectorOfTables(permit_orders()) &&
+           VerifyOffset(verifier, VT_PERMITS) &&
+           verifier.VerifyVector(permits()) &&
+           verifier.VerifyVectorOfTables(permits()) &&
            verifier.EndTable();
   }
 };
@@ -1561,6 +1869,15 @@
   void add_evacuations_change(int64_t evacuations_change) {
     fbb_.AddElement<int64_t>(Frame::VT_EVACUATIONS_CHANGE, evacuations_change, 0);
   }
+  void add_limit_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>> limit_notices) {
+    fbb_.AddOffset(Frame::VT_LIMIT_NOTICES, limit_notices);
+  }
+  void add_permit_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>> permit_orders) {
+    fbb_.AddOffset(Frame::VT_PERMIT_ORDERS, permit_orders);
+  }
+  void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits) {
+    fbb_.AddOffset(Frame::VT_PERMITS, permits);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1595,13 +1912,19 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>> store_changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Crash>>> crashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>> good_runs = 0,
-    int64_t evacuations_change = 0) {
+    int64_t evacuations_change = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>> limit_notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>> permit_orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_permits(permits);
+  builder_.add_permit_orders(permit_orders);
+  builder_.add_limit_notices(limit_notices);
   builder_.add_good_runs(good_runs);
   builder_.add_crashes(crashes);
   builder_.add_store_changes(store_changes);
@@ -1645,7 +1968,10 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>> *store_changes = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Crash>> *crashes = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>> *good_runs = nullptr,
-    int64_t evacuations_change = 0) {
+    int64_t evacuations_change = 0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>> *limit_notices = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *permit_orders = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -1660,6 +1986,9 @@
   auto store_changes__ = store_changes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StoreChanges>>(*store_changes) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Crash>>(*crashes) : 0;
   auto good_runs__ = good_runs ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::GoodRun>>(*good_runs) : 0;
+  auto limit_notices__ = limit_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>(*limit_notices) : 0;
+  auto permit_orders__ = permit_orders ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>(*permit_orders) : 0;
+  auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Permit>>(*permits) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -1683,7 +2012,10 @@
       store_changes__,
       crashes__,
       good_runs__,
-      evacuations_change);
+      evacuations_change,
+      limit_notices__,
+      permit_orders__,
+      permits__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -267,6 +267,63 @@
   }
 }
 
+/** Wire value of a LimitNotice for an answer that states no limit. */
+constexpr double kNoLimit = -1;
+
+Offset<wire::LimitNotice> Write(FlatBufferBuilder& b, const LimitNotice& notice,
+                                Clock::time_point now) {
+  const limits::LimitStatement& statement = notice.statement;
+  return wire::CreateLimitNotice(b, b.CreateString(notice.upstream),
+                                 statement.per_s.value_or(kNoLimit),
+                                 RelativeMs(now, statement.sent_at),
+                                 RelativeMs(now, statement.received_at));
+}
+
+Offset<wire::PermitOrder> Write(FlatBufferBuilder& b,
+                                const PermitOrder& order) {
+  return wire::CreatePermitOrder(
+      b, order.ticket, b.CreateSharedString(order.service),
+      b.CreateString(order.upstream), WriteTexts(b, order.excluded),
+      NonNegativeMs(order.max_wait));
+}
+
+Offset<wire::Permit> Write(FlatBufferBuilder& b, const Permit& permit) {
+  return wire::CreatePermit(b, permit.ticket, b.CreateString(permit.upstream),
+                            NonNegativeMs(permit.wait), permit.limit_unknown);
+}
+
+/** Reads the limits, permit orders and permits of a frame. */
+void ReadLimitParts(const wire::Frame& f, Clock::time_point now, Frame& frame) {
+  if (f.limit_notices() != nullptr) {
+    for (const auto* n : *f.limit_notices()) {
+      limits::LimitStatement statement{
+          .per_s = std::nullopt,
+          .sent_at = TimeFromAge(n->sent_age_ms(), now),
+          .received_at = TimeFromAge(n->received_age_ms(), now)};
+      // The comparison is false for a value that is not a number.
+      if (n->per_s() >= 0) statement.per_s = n->per_s();
+      frame.limit_notices.push_back({Text(n->upstream()), statement});
+    }
+  }
+  if (f.permit_orders() != nullptr) {
+    for (const auto* o : *f.permit_orders()) {
+      frame.permit_orders.push_back(
+          {.ticket = o->ticket(),
+           .service = Text(o->service()),
+           .upstream = Text(o->upstream()),
+           .excluded = Texts(o->excluded()),
+           .max_wait = milliseconds(std::max(0, o->max_wait_ms()))});
+    }
+  }
+  if (f.permits() == nullptr) return;
+  for (const auto* p : *f.permits()) {
+    frame.permits.push_back({.ticket = p->ticket(),
+                             .upstream = Text(p->upstream()),
+                             .wait = milliseconds(std::max(0, p->wait_ms())),
+                             .limit_unknown = p->limit_unknown()});
+  }
+}
+
 /** Reads the store changes of a frame and the state of their relay. */
 void ReadStoreParts(const wire::Frame& f, Frame& frame) {
   frame.newest_revisions = {f.config_change(), f.upstreams_change(),
@@ -337,6 +394,17 @@
   std::vector<Offset<wire::GoodRun>> runs;
   for (const auto& run : frame.good_runs) runs.push_back(Write(b, run, now));
   const auto run_list = b.CreateVector(runs);
+  std::vector<Offset<wire::LimitNotice>> notices;
+  for (const auto& n : frame.limit_notices) notices.push_back(Write(b, n, now));
+  const auto notice_list = b.CreateVector(notices);
+  std::vector<Offset<wire::PermitOrder>> orders;
+  for (const auto& order : frame.permit_orders) {
+    orders.push_back(Write(b, order));
+  }
+  const auto order_list = b.CreateVector(orders);
+  std::vector<Offset<wire::Permit>> permits;
+  for (const auto& permit : frame.permits) permits.push_back(Write(b, permit));
+  const auto permit_list = b.CreateVector(permits);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
@@ -348,7 +416,8 @@
              backlog_list, placement_list, placed_list, prompts_read, ended,
              frame.newest_revisions.config, frame.newest_revisions.upstreams,
              follow, relay, change_list, crash_list, run_list,
-             frame.newest_revisions.evacuations));
+             frame.newest_revisions.evacuations, notice_list, order_list,
+             permit_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -367,6 +436,7 @@
   frame.leaving = f.leaving();
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
+  ReadLimitParts(f, now, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
