--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -56,6 +56,17 @@
   frame.ended = {{14, turmeric::routing::Outcome::kNotSent}, {15, {}}};
   frame.newest_revisions = {530, 1LL << 40, 531};
   frame.follow = {.wanted = true, .resync = true, .known = {16, 17, 24}};
+  frame.limit_notices = {
+      {"i-3@5", {.per_s = 0.5, .sent_at = now - 900ms, .received_at = now}},
+      {"i-4", {.per_s = {}, .sent_at = now - 2s, .received_at = now - 1s}}};
+  frame.permit_orders.push_back({.ticket = 30,
+                                 .service = "llm",
+                                 .upstream = "i-3@5",
+                                 .excluded = {"i-1", "i-2"},
+                                 .max_wait = 150ms});
+  frame.permits = {
+      {.ticket = 31, .upstream = "i-3@5", .wait = 40ms},
+      {.ticket = 32, .upstream = {}, .wait = 2s, .limit_unknown = true}};
   frame.relay = {.store_age = 250ms,
                  .outage_ended = 3s,
                  .known = {18, 19, 25},
@@ -172,6 +183,33 @@
   REQUIRE(frame->good_runs[0].at == later - 2s);
 }
 
+TEST_CASE("limits, permit orders and permits are encoded and decoded") {
+  const auto now = Clock::now();
+  const auto later = now + 10s;
+  const auto frame = Decode(Encode(MakeFrame(now), now), later);
+  REQUIRE(frame);
+  REQUIRE(frame->limit_notices.size() == 2);
+  REQUIRE(frame->limit_notices[0].upstream == "i-3@5");
+  REQUIRE(frame->limit_notices[0].statement.per_s == 0.5);
+  REQUIRE(frame->limit_notices[0].statement.sent_at == later - 900ms);
+  REQUIRE(frame->limit_notices[0].statement.received_at == later);
+  REQUIRE_FALSE(frame->limit_notices[1].statement.per_s);
+  REQUIRE(frame->permit_orders.size() == 1);
+  REQUIRE(frame->permit_orders[0].ticket == 30);
+  REQUIRE(frame->permit_orders[0].service == "llm");
+  REQUIRE(frame->permit_orders[0].upstream == "i-3@5");
+  REQUIRE(frame->permit_orders[0].excluded ==
+          std::vector<std::string>{"i-1", "i-2"});
+  REQUIRE(frame->permit_orders[0].max_wait == 150ms);
+  REQUIRE(frame->permits.size() == 2);
+  REQUIRE(frame->permits[0].upstream == "i-3@5");
+  REQUIRE(frame->permits[0].wait == 40ms);
+  REQUIRE_FALSE(frame->permits[0].limit_unknown);
+  REQUIRE(frame->permits[1].ticket == 32);
+  REQUIRE(frame->permits[1].upstream.empty());
+  REQUIRE(frame->permits[1].limit_unknown);
+}
+
 // The clocks of two instances may differ by any amount. Times are sent relative
 // to the sender's clock and added to the receiver's, so a piece has the same
 // time left on both.
