SendPermits: the order in which a request tries for permits, in one class

RequestRun and the simulated fleet each held the sequence (the chosen upstream, another one, any with a limit, refusal). It is now one class without I/O, used by both. turmeric_entry_permits_total{service,result} counts requests for permits.

--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -42,6 +42,12 @@
    * @param service service of the upstream.
    */
   void OnLimitedSend(std::string_view service);
+  /**
+   * Records a request for a permit to send to an upstream with a rate limit.
+   * @param service service of the upstream.
+   * @param granted true if a permit was obtained.
+   */
+  void OnPermit(std::string_view service, bool granted);
   /**
    * Records a call to the platform's store.
    * @param kind kind of objects.
@@ -74,6 +80,7 @@
   prometheus::Family<prometheus::Counter>& retries_;
   prometheus::Family<prometheus::Counter>& retries_refused_;
   prometheus::Family<prometheus::Counter>& limited_sends_;
+  prometheus::Family<prometheus::Counter>& permits_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -23,6 +23,7 @@
 
 struct EntryContext;
 class EnginePlacement;
+class SendPermits;
 class StageRun;
 struct UpstreamSendEvents;
 struct UpstreamCriteria;
@@ -67,8 +68,6 @@
   void OnStageFailed(stages::PieceFailure failure);
   // Sending to an upstream.
   void SendToUpstream();
-  /** Updates the upstreams that the next choice must not return. */
-  void UpdateExcluded();
   UpstreamCriteria MakeUpstreamCriteria(std::string_view results_zone) const;
   /** Schedules another choice of an upstream if all untried ones have received
    * as many requests as they could serve when cold (shortly after a start).
@@ -84,7 +83,6 @@
   /** Requests a permit for any upstream with a rate limit.
    * @return false if there is none, or none is granted. */
   bool AcquireAnyPermit();
-  std::chrono::milliseconds PermitWait() const;
   void RefuseWithoutUpstream();
   int ConnectionLimit() const;
   UpstreamCall CallTo(const routing::Upstream& upstream) const;
@@ -152,11 +150,9 @@
   /** The last send; null before the first. */
   std::unique_ptr<UpstreamSend> send_;
   std::vector<std::string> tried_upstreams_;
-  /** Upstreams without a permit for the present send. */
-  std::vector<std::string> unpermitted_upstreams_;
-  /** Those that were tried or have no permit. */
+  /** Those that must not be chosen: tried, or without a permit. */
   std::vector<std::string> excluded_upstreams_;
-  bool any_permit_refused_ = false;  ///< For the present send.
+  std::unique_ptr<SendPermits> permits_;
   /** Stream events forwarded by earlier sends. */
   int64_t events_before_send_ = 0;
   int sends_ = 0;
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -38,6 +38,11 @@
                          .Name("turmeric_entry_limited_sends_total")
                          .Help("Requests to upstreams that state a rate limit")
                          .Register(*registry_)),
+      permits_(prometheus::BuildCounter()
+                   .Name("turmeric_entry_permits_total")
+                   .Help("Permits requested for upstreams with a rate limit, "
+                         "by result")
+                   .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("turmeric_entry_store_calls_total")
                        .Help("Calls to the platform's store")
@@ -100,6 +105,13 @@
   limited_sends_.Add({{"service", std::string(service)}}).Increment();
 }
 
+void EntryMetrics::OnPermit(std::string_view service, bool granted) {
+  permits_
+      .Add({{"service", std::string(service)},
+            {"result", granted ? "granted" : "refused"}})
+      .Increment();
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -1,8 +1,6 @@
 #include "turmeric/entry/entry_service.h"
 
 #include <algorithm>
-#include <iterator>
-#include <ranges>
 #include <utility>
 
 #include "turmeric/entry/config_check.h"
@@ -216,7 +214,7 @@
       [this](const Instances& fleet, bool listed) {
         links_->SetInstances(fleet, listed);
         std::vector<std::string> names;
-        std::ranges::copy(std::views::keys(fleet), std::back_inserter(names));
+        for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
         sharing_->SetInstances(fleet);
       });
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -14,6 +14,7 @@
 #include "turmeric/entry/retry_after.h"
 #include "turmeric/entry/retry_credit.h"
 #include "turmeric/entry/retry_policy.h"
+#include "turmeric/entry/send_permits.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
@@ -52,13 +53,6 @@
  * delays. A request that waits for longer misses its latency target. */
 constexpr milliseconds kColdWait{100};
 constexpr int kMaxColdWaits = 8;
-/** Refused permits of a request after which upstreams with a rate limit are no
- * longer preferred to others. */
-constexpr size_t kMaxUnpermitted = 2;
-/** Least time left to the latency target for which half of it is waited for a
- * permit, and the longest wait of a request that is late already. */
-constexpr milliseconds kMinPermitWait{60};
-constexpr milliseconds kMaxLatePermitWait{500};
 /** Engine priorities are 0 (first) to this value. */
 constexpr int kLowestEnginePriority = 9;
 
@@ -112,6 +106,7 @@
   limit_timer_.start(std::max(milliseconds(1), TimeLeft()));
   const auto now = Clock::now();
   service_ = routing::PickTarget(route_->targets, Uniform());
+  permits_ = std::make_unique<SendPermits>(*context_.limiter, service_);
   context_.retries.OnRequest(service_, now);
   if (!HasUpstreams(context_, service_, *route_, request_.stage_pieces)) {
     return Refuse("no_upstream", RetryAfter::kLater);
@@ -235,21 +230,9 @@
           .results_zone = results_zone};
 }
 
-void RequestRun::UpdateExcluded() {
-  excluded_upstreams_ = tried_upstreams_;
-  const bool none_limited = unpermitted_upstreams_.size() >= kMaxUnpermitted;
-  for (const auto& ids : {unpermitted_upstreams_,
-                          none_limited ? context_.limiter->Limited(service_)
-                                       : context_.limiter->WithoutPermit(
-                                             service_, Clock::now())}) {
-    excluded_upstreams_.insert(excluded_upstreams_.end(), ids.begin(),
-                               ids.end());
-  }
-}
-
 void RequestRun::SendToUpstream() {
   if (TimeLeft() <= milliseconds(0)) return OnTimeLimit();
-  UpdateExcluded();
+  excluded_upstreams_ = permits_->Excluded(tried_upstreams_, Clock::now());
   const std::string results_zone = stages_->inputs_zone();
   const UpstreamCriteria wanted = MakeUpstreamCriteria(results_zone);
   const bool suspect = context_.quarantine->IsSuspect(fingerprint_);
@@ -282,51 +265,35 @@
   return true;
 }
 
-milliseconds RequestRun::PermitWait() const {
-  const auto until_target = std::chrono::duration_cast<milliseconds>(
-      arrived_ + route_->latency_target - Clock::now());
-  if (until_target > kMinPermitWait) return until_target / 2;
-  return std::clamp(TimeLeft() / 3, milliseconds(0), kMaxLatePermitWait);
-}
-
 void RequestRun::AcquirePermit(const routing::UpstreamPtr& upstream) {
-  const QPointer<RequestRun> self(this);
-  context_.limiter->Acquire(
-      {.service = service_, .upstream = upstream, .excluded = {}},
-      [self, upstream](const routing::UpstreamPtr& granted, Clock::time_point) {
-        if (!self || self->finished_) return;
-        if (granted) return self->SendTo(granted, true);
-        self->unpermitted_upstreams_.push_back(upstream->entry.id);
-        self->placement_.reset();
-        self->SendToUpstream();
+  permits_->Acquire(
+      upstream,
+      [this, self = QPointer<RequestRun>(this)](const auto& granted) {
+        if (!self || finished_) return;
+        if (granted) return SendTo(granted, true);
+        placement_.reset();
+        SendToUpstream();
       },
       Clock::now());
 }
 
 bool RequestRun::AcquireAnyPermit() {
   const auto now = Clock::now();
-  if (any_permit_refused_ ||
-      !context_.limiter->HasLimited(service_, tried_upstreams_, now)) {
-    return false;
-  }
-  any_permit_refused_ = true;
-  placement_.reset();
-  const QPointer<RequestRun> self(this);
-  context_.limiter->Acquire(
-      {.service = service_,
-       .upstream = nullptr,
-       .excluded = tried_upstreams_,
-       .max_wait = PermitWait()},
-      [self](const routing::UpstreamPtr& granted, Clock::time_point) {
-        if (self && !self->finished_) self->SendTo(granted, true);
+  const auto until_target = std::chrono::duration_cast<milliseconds>(
+      arrived_ + route_->latency_target - now);
+  const bool requested = permits_->AcquireAny(
+      tried_upstreams_, MaxPermitWait(until_target, TimeLeft()),
+      [this, self = QPointer<RequestRun>(this)](const auto& granted) {
+        if (self && !finished_) SendTo(granted, true);
       },
       now);
-  return true;
+  if (requested) placement_.reset();
+  return requested;
 }
 
 void RequestRun::RefuseWithoutUpstream() {
   if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
-  if (!any_permit_refused_) return Refuse("no_upstream", RetryAfter::kLater);
+  if (!permits_->exhausted()) return Refuse("no_upstream", RetryAfter::kLater);
   Refuse("rate_limited",
          context_.limiter->RefusalDelay(service_, Uniform(), Clock::now()));
 }
@@ -347,8 +314,7 @@
   if (!permitted && context_.limiter->IsLimited(*upstream)) {
     return AcquirePermit(upstream);
   }
-  unpermitted_upstreams_.clear();
-  any_permit_refused_ = false;
+  permits_->OnSent();
   ++sends_;
   events_before_send_ = forwarder_.events();
   tried_upstreams_.push_back(upstream->entry.id);
--- a/libs/entry/src/upstream_limiter.cc
+++ b/libs/entry/src/upstream_limiter.cc
@@ -183,7 +183,16 @@
 
 void UpstreamLimiter::Acquire(PermitRequest request, PermitCallback done,
                               Clock::time_point now) {
-  requester_.Acquire(std::move(request), std::move(done), now);
+  const std::string service = request.service;
+  requester_.Acquire(
+      std::move(request),
+      [this, service, done = std::move(done)](const UpstreamPtr& granted,
+                                              Clock::time_point at) {
+        if (metrics_ != nullptr)
+          metrics_->OnPermit(service, granted != nullptr);
+        done(granted, at);
+      },
+      now);
   if (has_open() && links_.on_open) links_.on_open();
 }
 
--- a/libs/entry/test/limit_fleet_simulation.cc
+++ b/libs/entry/test/limit_fleet_simulation.cc
@@ -31,9 +31,6 @@
 constexpr milliseconds kToldAfter{500};
 
 constexpr auto kService = "app";
-/** Refused permits of a request after which upstreams with a rate limit are no
- * longer preferred to others. */
-constexpr size_t kMaxUnpermitted = 2;
 /** Reads of the list of instances: the first after a start, and later ones, and
  * the greatest age of what they return. */
 constexpr milliseconds kEarlyReadInterval{1500};
@@ -239,64 +236,50 @@
 void LimitFleetSimulation::Request(Node& node) {
   if (!IsRunning(node)) return;
   const auto deadline = now_ + kDeadline;
-  Choose(node, deadline, [this, &node, deadline](const UpstreamPtr& upstream) {
-    if (now_ > deadline) ++result_.overdue;
-    if (!upstream) {
-      ++result_.refused;
-      return;
-    }
-    ++result_.served;
-    Send(node, upstream);
-  });
+  Choose(node, deadline, std::make_shared<SendPermits>(*node.limiter, kService),
+         [this, &node, deadline](const UpstreamPtr& upstream) {
+           if (now_ > deadline) ++result_.overdue;
+           if (!upstream) {
+             ++result_.refused;
+             return;
+           }
+           ++result_.served;
+           Send(node, upstream);
+         });
 }
 
 void LimitFleetSimulation::Choose(Node& node, Clock::time_point deadline,
-                                  Chosen chosen,
-                                  std::vector<std::string> unpermitted) {
-  UpstreamLimiter& limiter = *node.limiter;
-  const bool none_limited = unpermitted.size() >= kMaxUnpermitted;
-  std::vector<std::string> excluded =
-      none_limited ? limiter.Limited(kService)
-                   : limiter.WithoutPermit(kService, now_);
-  excluded.insert(excluded.end(), unpermitted.begin(), unpermitted.end());
+                                  std::shared_ptr<SendPermits> permits,
+                                  Chosen chosen) {
   // Spreads the requests over upstreams of equal load.
   for (const UpstreamPtr& u : node.upstreams.ForService(kService)) {
     u->latency_ms = 100 + Draw(100);
   }
+  const auto excluded = permits->Excluded({}, now_);
   routing::ChoiceRequest request;
   request.tried = excluded;
   const UpstreamPtr upstream =
       ChooseUpstream(node.upstreams.ForService(kService), request, now_);
-  if (!upstream) return ChooseAny(node, deadline, std::move(chosen));
-  if (!limiter.IsLimited(*upstream)) return chosen(upstream);
-  limiter.Acquire(
-      {.service = kService, .upstream = upstream, .excluded = {}},
-      [this, &node, start = node.starts, deadline, chosen = std::move(chosen),
-       unpermitted = std::move(unpermitted),
-       upstream](const UpstreamPtr& granted, Clock::time_point) mutable {
-        if (start != node.starts) return;
-        if (granted) return chosen(granted);
-        unpermitted.push_back(upstream->entry.id);
-        Choose(node, deadline, std::move(chosen), std::move(unpermitted));
-      },
-      now_);
-}
-
-void LimitFleetSimulation::ChooseAny(Node& node, Clock::time_point deadline,
-                                     Chosen chosen) {
-  if (!node.limiter->HasLimited(kService, {}, now_)) return chosen(nullptr);
+  if (upstream) {
+    return permits->Acquire(
+        upstream,
+        [this, &node, start = node.starts, deadline, permits,
+         chosen](const UpstreamPtr& granted) {
+          if (start != node.starts) return;
+          if (granted) return chosen(granted);
+          Choose(node, deadline, permits, chosen);
+        },
+        now_);
+  }
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(deadline - now_);
-  node.limiter->Acquire(
-      {.service = kService,
-       .upstream = nullptr,
-       .excluded = {},
-       .max_wait = std::max(time_left / 3, milliseconds(0))},
-      [start = node.starts, &node, chosen = std::move(chosen)](
-          const UpstreamPtr& granted, Clock::time_point) {
+  const bool requested = permits->AcquireAny(
+      {}, MaxPermitWait(milliseconds(0), time_left),
+      [start = node.starts, &node, chosen](const UpstreamPtr& granted) {
         if (start == node.starts) chosen(granted);
       },
       now_);
+  if (!requested) chosen(nullptr);
 }
 
 void LimitFleetSimulation::Send(Node& node, const UpstreamPtr& upstream) {
--- a/libs/entry/test/limit_fleet_simulation.h
+++ b/libs/entry/test/limit_fleet_simulation.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "turmeric/entry/send_permits.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/routing/upstream.h"
 
@@ -111,9 +112,8 @@
   void StartNode(Node& node);
   void DrawFaults();
   void Request(Node& node);
-  void Choose(Node& node, Clock::time_point deadline, Chosen chosen,
-              std::vector<std::string> unpermitted = {});
-  void ChooseAny(Node& node, Clock::time_point deadline, Chosen chosen);
+  void Choose(Node& node, Clock::time_point deadline,
+              std::shared_ptr<SendPermits> permits, Chosen chosen);
   void Send(Node& node, const routing::UpstreamPtr& upstream);
   void Answer(Node& node, int start, const routing::UpstreamPtr& upstream,
               Clock::time_point sent_at, bool stated);
--- a/libs/routing/src/issuer_list.cc
+++ b/libs/routing/src/issuer_list.cc
@@ -46,7 +46,8 @@
   }
   const size_t count =
       std::min(ranked.size(), static_cast<size_t>(kMaxIssuers));
-  std::ranges::partial_sort(ranked, ranked.begin() + static_cast<long>(count),
+  std::ranges::partial_sort(ranked,
+                            ranked.begin() + static_cast<std::ptrdiff_t>(count),
                             std::ranges::greater());
   std::vector<std::string> issuers;
   for (size_t i = 0; i < count; ++i) issuers.push_back(ranked[i].second);
