--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -281,14 +281,13 @@
   const auto now = Clock::now();
   const auto until_target = std::chrono::duration_cast<milliseconds>(
       arrived_ + route_->latency_target - now);
-  const bool requested = permits_->AcquireAny(
+  placement_.reset();
+  return permits_->AcquireAny(
       tried_upstreams_, MaxPermitWait(until_target, TimeLeft()),
       [this, self = QPointer<RequestRun>(this)](const auto& granted) {
         if (self && !finished_) SendTo(granted, true);
       },
       now);
-  if (requested) placement_.reset();
-  return requested;
 }
 
 void RequestRun::RefuseWithoutUpstream() {
--- a/libs/entry/src/upstream_limiter.cc
+++ b/libs/entry/src/upstream_limiter.cc
@@ -188,8 +188,9 @@
       std::move(request),
       [this, service, done = std::move(done)](const UpstreamPtr& granted,
                                               Clock::time_point at) {
-        if (metrics_ != nullptr)
+        if (metrics_ != nullptr) {
           metrics_->OnPermit(service, granted != nullptr);
+        }
         done(granted, at);
       },
       now);
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -292,6 +292,32 @@
                             NonNegativeMs(permit.wait), permit.limit_unknown);
 }
 
+template <class Table>
+using TableList = flatbuffers::Vector<Offset<Table>>;
+
+/** The limits, permit orders and permits of a frame; absent if there are none,
+ * as in most frames. */
+struct LimitParts {
+  Offset<TableList<wire::LimitNotice>> notices;
+  Offset<TableList<wire::PermitOrder>> orders;
+  Offset<TableList<wire::Permit>> permits;
+};
+
+LimitParts WriteLimitParts(FlatBufferBuilder& b, const Frame& frame,
+                           Clock::time_point now) {
+  LimitParts parts;
+  std::vector<Offset<wire::LimitNotice>> notices;
+  for (const auto& n : frame.limit_notices) notices.push_back(Write(b, n, now));
+  if (!notices.empty()) parts.notices = b.CreateVector(notices);
+  std::vector<Offset<wire::PermitOrder>> orders;
+  for (const auto& o : frame.permit_orders) orders.push_back(Write(b, o));
+  if (!orders.empty()) parts.orders = b.CreateVector(orders);
+  std::vector<Offset<wire::Permit>> permits;
+  for (const auto& p : frame.permits) permits.push_back(Write(b, p));
+  if (!permits.empty()) parts.permits = b.CreateVector(permits);
+  return parts;
+}
+
 /** Reads the limits, permit orders and permits of a frame. */
 void ReadLimitParts(const wire::Frame& f, Clock::time_point now, Frame& frame) {
   if (f.limit_notices() != nullptr) {
@@ -394,17 +420,7 @@
   std::vector<Offset<wire::GoodRun>> runs;
   for (const auto& run : frame.good_runs) runs.push_back(Write(b, run, now));
   const auto run_list = b.CreateVector(runs);
-  std::vector<Offset<wire::LimitNotice>> notices;
-  for (const auto& n : frame.limit_notices) notices.push_back(Write(b, n, now));
-  const auto notice_list = b.CreateVector(notices);
-  std::vector<Offset<wire::PermitOrder>> orders;
-  for (const auto& order : frame.permit_orders) {
-    orders.push_back(Write(b, order));
-  }
-  const auto order_list = b.CreateVector(orders);
-  std::vector<Offset<wire::Permit>> permits;
-  for (const auto& permit : frame.permits) permits.push_back(Write(b, permit));
-  const auto permit_list = b.CreateVector(permits);
+  const LimitParts limits = WriteLimitParts(b, frame, now);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
@@ -416,8 +432,8 @@
              backlog_list, placement_list, placed_list, prompts_read, ended,
              frame.newest_revisions.config, frame.newest_revisions.upstreams,
              follow, relay, change_list, crash_list, run_list,
-             frame.newest_revisions.evacuations, notice_list, order_list,
-             permit_list));
+             frame.newest_revisions.evacuations, limits.notices, limits.orders,
+             limits.permits));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
