A permit is used only while its upstream is listed; silent issuers are left out

Found while reading: a request that waits for its slot was sent to an upstream that had begun to drain or whose zone was evacuated meanwhile (the permit was granted before), and each upstream's requests timed out by themselves at an issuer that does not answer. The test of each fails with the earlier permit_requester.cc and passes with this one.

--- a/libs/entry/include/turmeric/entry/permit_requester.h
+++ b/libs/entry/include/turmeric/entry/permit_requester.h
@@ -127,6 +127,8 @@
                    Clock::time_point now);
   bool MayAsk(const std::string& issuer, const std::string& subject,
               std::chrono::milliseconds max_wait, Clock::time_point now) const;
+  /** @return true if the granted permit may be used at its slot. */
+  static bool IsUsable(const Open& open, Clock::time_point now);
   static std::string SubjectOf(const PermitRequest& request);
   double Uniform();
 
@@ -135,6 +137,8 @@
   Links links_;
   std::map<uint64_t, Open> open_;  ///< By ticket.
   std::map<RefusalKey, Refusal> refusals_;
+  /** Issuers that did not answer an order, and until when none is sent. */
+  std::map<std::string, Clock::time_point> unanswered_until_;
   std::minstd_rand random_{std::random_device{}()};
   uint64_t next_ticket_ = 1;
 };
--- a/libs/entry/src/permit_requester.cc
+++ b/libs/entry/src/permit_requester.cc
@@ -45,11 +45,20 @@
                              const std::string& subject, milliseconds max_wait,
                              Clock::time_point now) const {
   if (!links_.reaches(issuer)) return false;
+  const auto unanswered = unanswered_until_.find(issuer);
+  if (unanswered != unanswered_until_.end() && now < unanswered->second) {
+    return false;
+  }
   const auto refusal = refusals_.find({issuer, subject});
   return refusal == refusals_.end() ||
          refusal->second.free_at <= now + max_wait;
 }
 
+bool PermitRequester::IsUsable(const Open& open, Clock::time_point now) {
+  return open.granted && now - open.slot <= kMaxLateness &&
+         IsListed(*open.granted, now);
+}
+
 bool PermitRequester::MayBeGranted(const Upstream& upstream,
                                    milliseconds max_wait,
                                    Clock::time_point now) const {
@@ -140,6 +149,7 @@
     return nullptr;
   }
   Open& open = it->second;
+  unanswered_until_.erase(issuer);
   const RefusalKey key{issuer, SubjectOf(open.request)};
   if (permit.upstream.empty()) {
     const UpstreamPtr unknown =
@@ -149,11 +159,13 @@
     return unknown;
   }
   refusals_.erase(key);
+  open.granted = FindIncarnation(upstreams_, permit.upstream);
+  open.slot = now + permit.wait;
   // This process may have been suspended since the issuer chose the slot.
   const bool late = now - open.ordered_at > kMaxLateness;
-  open.granted = late ? nullptr : FindIncarnation(upstreams_, permit.upstream);
-  open.slot = now + permit.wait;
-  if (!open.granted || permit.wait <= milliseconds(0)) {
+  if (late || !IsUsable(open, now)) {
+    Complete(permit.ticket, nullptr, now);
+  } else if (open.slot <= now) {
     const UpstreamPtr granted = open.granted;
     Complete(permit.ticket, granted, now);
   }
@@ -172,12 +184,11 @@
     if (it == open_.end()) continue;
     const Open& open = it->second;
     if (open.granted) {
-      const bool usable = now - open.slot <= kMaxLateness;
-      const UpstreamPtr granted = usable ? open.granted : nullptr;
+      const UpstreamPtr granted = IsUsable(open, now) ? open.granted : nullptr;
       Complete(ticket, granted, now);
       continue;
     }
-    NoteRefusal({open.issuer, SubjectOf(open.request)}, kNoAnswerPause, now);
+    unanswered_until_[open.issuer] = now + kNoAnswerPause;
     AskNext(ticket, now);
   }
   std::erase_if(refusals_, [now](const auto& entry) {
