--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -81,7 +81,8 @@
   /** Requests a permit for one upstream; without it, another one is chosen. */
   void AcquirePermit(const routing::UpstreamPtr& upstream);
   /** Requests a permit for any upstream with a rate limit.
-   * @return false if there is none, or none is granted. */
+   * @return false if there is no such upstream, or this request has asked for
+   * a permit before. */
   bool AcquireAnyPermit();
   void RefuseWithoutUpstream();
   int ConnectionLimit() const;
--- a/libs/entry/include/turmeric/entry/send_permits.h
+++ b/libs/entry/include/turmeric/entry/send_permits.h
@@ -16,8 +16,8 @@
 /**
  * The permits of one request for upstreams that state a rate limit. The request
  * first takes the upstream that is chosen for it, if there is a permit at once.
- * Otherwise it is chosen another one. If none is left, it takes any upstream
- * with a limit for which a permit is due soon enough.
+ * Otherwise another one is chosen. If none is left, it takes any upstream with
+ * a limit for which a permit is due soon enough.
  */
 class SendPermits {
  public:
