--- a/libs/entry/include/turmeric/entry/upstream_client.h
+++ b/libs/entry/include/turmeric/entry/upstream_client.h
@@ -88,13 +88,24 @@
   struct Pool {
     std::vector<http::ClientConnection*> idle;
   };
+  /** An attempt to connect that has failed. */
+  struct ConnectAttempt {
+    const routing::Upstream& upstream;
+    std::chrono::steady_clock::time_point since;
+    bool refused = false;
+  };
   http::ClientConnection* TakeIdle(Pool& pool, routing::Upstream& upstream);
   http::ClientConnection* Open(const routing::UpstreamPtr& upstream);
   void Discard(http::ClientConnection* connection, routing::Upstream& upstream);
   void ReturnToPool(http::ClientConnection* connection,
                     const routing::UpstreamPtr& upstream);
 
+  void LogNotConnected(const ConnectAttempt& attempt) const;
+
   std::map<std::string, Pool> pools_;
+  /** When any upstream last answered. */
+  std::chrono::steady_clock::time_point last_answer_ =
+      std::chrono::steady_clock::now();
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/utils/decision_log.h"
+
 namespace turmeric::entry {
 
 using http::ClientConnection;
@@ -117,14 +119,25 @@
   // it at any time, which cancels it.
   const std::weak_ptr<UpstreamExchange> weak = exchange;
   http::ExchangeEvents wrapped;
-  wrapped.on_head = std::move(events.on_head);
+  wrapped.on_head = [this, on_head = std::move(events.on_head)](
+                        const http::ResponseHead& head) {
+    last_answer_ = std::chrono::steady_clock::now();
+    return !on_head || on_head(head);
+  };
   wrapped.on_body = std::move(events.on_body);
   wrapped.on_end = [weak, on_end = std::move(events.on_end)] {
     if (const auto open = weak.lock()) open->Finish();
     on_end();
   };
-  wrapped.on_failure = [weak, on_failure = std::move(events.on_failure)](
+  wrapped.on_failure = [this, weak, connection, upstream,
+                        since = std::chrono::steady_clock::now(),
+                        on_failure = std::move(events.on_failure)](
                            http::ExchangeFailure failure) {
+    if (failure == http::ExchangeFailure::kNotSent) {
+      LogNotConnected({.upstream = *upstream,
+                       .since = since,
+                       .refused = connection->connection_refused()});
+    }
     if (const auto open = weak.lock()) open->Finish();
     on_failure(failure);
   };
@@ -132,6 +145,21 @@
   return exchange;
 }
 
+void UpstreamClient::LogNotConnected(const ConnectAttempt& attempt) const {
+  const auto now = std::chrono::steady_clock::now();
+  const auto ms_since = [now](std::chrono::steady_clock::time_point time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - time)
+        .count();
+  };
+  utils::DecisionLog("upstream_not_connected")
+      .Add("upstream", attempt.upstream.entry.id)
+      .Add("service", attempt.upstream.entry.service)
+      .Add("refused", attempt.refused)
+      .Add("ms", ms_since(attempt.since))
+      .Add("open", attempt.upstream.connections)
+      .Add("last_answer_ms", ms_since(last_answer_));
+}
+
 void UpstreamClient::CloseIdle(const std::string& upstream_id) {
   const auto it = pools_.find(upstream_id);
   if (it == pools_.end()) return;
--- a/libs/http/include/turmeric/http/client_connection.h
+++ b/libs/http/include/turmeric/http/client_connection.h
@@ -63,6 +63,8 @@
   bool reusable() const;
   /** @return true while an exchange is in flight. */
   bool busy() const { return busy_; }
+  /** @return true if the server's host refused the connection. */
+  bool connection_refused() const { return socket_->connection_refused(); }
   /** @return true once an exchange has completed. */
   bool used() const { return used_; }
   /** @return when the last exchange ended. */
