--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -22,6 +22,8 @@
   std::string metrics_address;    ///< "ip:port"; empty: not served.
   std::string peer_address;       ///< "ip:port" for peer instances; empty:
                                   ///< the instance has no peers.
+  std::string tunnel_address;     ///< "ip:port" at which peer instances open
+                                  ///< tunnels to upstreams; empty: none.
   std::string store_address;      ///< "ip:port" of the platform's object API.
   std::string log_level = "info";
   /** Time from the start of a planned stop until the process is killed. */
--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -66,10 +66,13 @@
   kColdLimit,
   /** Requests to an upstream that states a rate limit need a permit. */
   kUpstreamLimit,
+  /** Upstreams that this instance does not reach are reached through peer
+   * instances. */
+  kTunnels,
 };
 
 /** Number of enumerators of Mechanism. */
-inline constexpr size_t kMechanismCount = 23;
+inline constexpr size_t kMechanismCount = 24;
 
 /** @param mechanism a mechanism. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -156,6 +156,8 @@
   reader.ReadText("metrics_address", s.metrics_address, kOptionalAddress,
                   "ip:port");
   reader.ReadText("peer_address", s.peer_address, kOptionalAddress, "ip:port");
+  reader.ReadText("tunnel_address", s.tunnel_address, kOptionalAddress,
+                  "ip:port");
   reader.ReadText("store_address", s.store_address, kAddress, "ip:port");
   reader.ReadText("log_level", s.log_level, kLevel,
                   "debug, info, warning or error");
--- a/libs/config/src/mechanisms.cc
+++ b/libs/config/src/mechanisms.cc
@@ -16,7 +16,7 @@
     "stages_again",     "usual_deadlines", "ejection",
     "repeats",          "try_next",        "engine_priority",
     "long_watches",     "store_relays",    "quarantine",
-    "cold_limit",       "upstream_limit",
+    "cold_limit",       "upstream_limit",  "tunnels",
 };
 
 }  // namespace
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -23,6 +23,7 @@
 class ConfigCheck;
 class EnginePlacer;
 class EntryMetrics;
+class ReachMonitor;
 class RequestQuarantine;
 class UpstreamLimiter;
 
@@ -100,6 +101,7 @@
   EnginePlacer* placer = nullptr;
   RequestQuarantine* quarantine = nullptr;
   UpstreamLimiter* limiter = nullptr;
+  ReachMonitor* reach = nullptr;
   EntryMetrics* metrics = nullptr;
 };
 
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -71,6 +71,11 @@
    *     their zone is evacuated.
    */
   void SetEvacuated(size_t upstreams);
+  /**
+   * @param tunnelled number of upstreams reached through peer instances only.
+   * @param unreached number of upstreams not reached at all.
+   */
+  void SetUnreached(int tunnelled, int unreached);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -86,6 +91,9 @@
   prometheus::Gauge& store_age_;
   prometheus::Gauge& quarantined_;
   prometheus::Gauge& evacuated_;
+  prometheus::Family<prometheus::Gauge>& unreached_family_;
+  prometheus::Gauge& tunnelled_;
+  prometheus::Gauge& unreached_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
 };
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -12,6 +12,10 @@
 #include "turmeric/http/listener.h"
 #include "turmeric/kernel/service.h"
 
+namespace turmeric::peer {
+struct Frame;
+}
+
 namespace turmeric::entry {
 
 class ConfigCheck;
@@ -20,11 +24,14 @@
 class InstanceLinks;
 class PeerServer;
 class PlacementCoordinator;
+class ReachMonitor;
 class RequestRun;
 class StageDispatcher;
 class StageRouter;
 class StoreSharing;
 class TopologyFeed;
+class TunnelPeers;
+class TunnelServer;
 class RequestQuarantine;
 
 /**
@@ -63,6 +70,10 @@
 
  private:
   void ConnectPeerEvents();
+  void ConnectPaths();
+  /** Handles what a peer's frame states about itself. */
+  void OnPeerState(const std::string& name, const peer::Frame& frame);
+  std::unique_ptr<TunnelServer> MakeTunnelServer();
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
@@ -82,6 +93,9 @@
   PlatformLink link_;
   EntryContext context_;
   std::unique_ptr<InstanceLinks> links_;
+  std::unique_ptr<TunnelPeers> tunnel_peers_;
+  std::unique_ptr<ReachMonitor> reach_;
+  std::unique_ptr<TunnelServer> tunnel_server_;
   std::unique_ptr<RequestQuarantine> quarantine_;
   QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
--- a/libs/entry/include/turmeric/entry/instance_info.h
+++ b/libs/entry/include/turmeric/entry/instance_info.h
@@ -7,7 +7,9 @@
 
 /** Entry of one instance in the fleet's list. */
 struct InstanceInfo {
-  std::string address;   ///< "ip:port" that other instances connect to.
+  std::string address;  ///< "ip:port" that other instances connect to.
+  /** "ip:port" at which it opens tunnels to upstreams; empty: it opens none. */
+  std::string tunnel_address;
   std::string zone;      ///< Availability zone; empty: not stated.
   double cpu_share = 0;  ///< CPU cores it may use; 0: not stated.
 
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/tunnel_server.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <QObject>
+#include <functional>
+#include <string_view>
+
+#include "turmeric/http/listener.h"
+#include "turmeric/http/tunnel.h"
+#include "turmeric/utils/result.h"
+
+namespace turmeric::entry {
+
+/** Where a tunnel leads, or why it is not opened. */
+struct TunnelTarget {
+  http::TunnelStatus status = http::TunnelStatus::kUnknown;
+  http::Endpoint address;  ///< If `status` is kOpen.
+};
+
+/**
+ * Opens tunnels to upstreams for peer instances that do not reach them. Bytes
+ * are forwarded unchanged; the peer instance decides about requests.
+ */
+class TunnelServer : public QObject {
+ public:
+  /** Finds the upstream with an id. */
+  using FindTarget = std::function<TunnelTarget(std::string_view upstream_id)>;
+
+  /** @param find_target see FindTarget. */
+  explicit TunnelServer(FindTarget find_target);
+  ~TunnelServer() override;
+
+  /** @param address "ip:port". @return kIniInvalid if it cannot be bound. */
+  utils::Result<void> Listen(std::string_view address);
+  /** @return number of open tunnels. */
+  size_t open_tunnels() const;
+
+ private:
+  void Accept(int fd);
+
+  FindTarget find_target_;
+  http::Listener listener_;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_client.h
+++ b/libs/entry/include/turmeric/entry/upstream_client.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <QObject>
+#include <QTimer>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +16,9 @@
 
 namespace turmeric::entry {
 
+class TunnelPeers;
+struct TunnelPeer;
+
 /**
  * One open HTTP exchange with an upstream. Destroying it cancels the exchange.
  */
@@ -52,13 +58,39 @@
 
 /**
  * Pools of keep-alive connections to upstreams. The number of idle connections
- * to each upstream is bounded.
+ * to each upstream is bounded. Connections to an upstream that this instance
+ * does not reach itself are tunnels through peer instances.
  */
 class UpstreamClient : public QObject {
  public:
+  /** Called when a failure may be one of the path to an upstream. */
+  using SuspectCallback =
+      std::function<void(const routing::UpstreamPtr&, std::string_view why)>;
+
   UpstreamClient();
   ~UpstreamClient() override;
 
+  /** @param peers open tunnels; must outlive this object. @param suspect see
+   * SuspectCallback. */
+  void set_paths(TunnelPeers* peers, SuspectCallback suspect) {
+    peers_ = peers;
+    suspect_ = std::move(suspect);
+  }
+  /**
+   * Closes idle connections that the new path of an upstream replaces.
+   * @param upstream the upstream.
+   * @param hangs true: direct connections get no answers; those with
+   *     unacknowledged requests are broken, too.
+   */
+  void OnPathChanged(const routing::UpstreamPtr& upstream, bool hangs);
+  /** Closes the idle tunnels through a peer that is stopping.
+   * @param peer its name. */
+  void CloseIdleTunnels(const std::string& peer);
+  /** @return when any upstream last answered. */
+  std::chrono::steady_clock::time_point last_answer() const {
+    return last_answer_;
+  }
+
   /**
    * @param upstream an upstream.
    * @param limit this instance's share of the upstream's connections; 0:
@@ -85,27 +117,50 @@
   void CloseIdle(const std::string& upstream_id);
 
  private:
+  using Clock = std::chrono::steady_clock;
   struct Pool {
     std::vector<http::ClientConnection*> idle;
   };
-  /** An attempt to connect that has failed. */
-  struct ConnectAttempt {
-    const routing::Upstream& upstream;
-    std::chrono::steady_clock::time_point since;
-    bool refused = false;
+  /** An exchange whose answer has not begun. */
+  struct OpenExchange {
+    routing::UpstreamPtr upstream;
+    Clock::time_point since;
   };
+
   http::ClientConnection* TakeIdle(Pool& pool, routing::Upstream& upstream);
   http::ClientConnection* Open(const routing::UpstreamPtr& upstream);
+  std::optional<TunnelPeer> ChoosePeer(const routing::Upstream& upstream) const;
+  http::ClientConnection* OpenTunnel(const routing::Upstream& upstream);
   void Discard(http::ClientConnection* connection, routing::Upstream& upstream);
   void ReturnToPool(http::ClientConnection* connection,
                     const routing::UpstreamPtr& upstream);
-
-  void LogNotConnected(const ConnectAttempt& attempt) const;
+  void OnIdleEnd(http::ClientConnection* connection,
+                 const routing::UpstreamPtr& upstream);
+  /** @param condition idle connections to an upstream to be closed. */
+  void CloseIdleIf(
+      Pool& pool, routing::Upstream& upstream,
+      const std::function<bool(http::ClientConnection*)>& condition);
+  http::ExchangeEvents Wrap(http::ExchangeEvents events,
+                            const std::shared_ptr<UpstreamExchange>& exchange,
+                            http::ClientConnection* connection,
+                            const routing::UpstreamPtr& upstream);
+  void OnAnswer(routing::Upstream& upstream,
+                http::ClientConnection* connection);
+  void OnFailure(http::ClientConnection* connection,
+                 const routing::UpstreamPtr& upstream,
+                 http::ExchangeFailure failure, Clock::time_point since);
+  /** Reports upstreams whose hosts do not acknowledge requests. */
+  void CheckAcknowledged();
+  bool IsTunnel(const http::ClientConnection* connection) const;
 
   std::map<std::string, Pool> pools_;
-  /** When any upstream last answered. */
-  std::chrono::steady_clock::time_point last_answer_ =
-      std::chrono::steady_clock::now();
+  std::map<http::ClientConnection*, OpenExchange> open_;
+  /** Names of the peers that tunnels lead through. */
+  std::map<const http::ClientConnection*, std::string> tunnels_;
+  TunnelPeers* peers_ = nullptr;
+  SuspectCallback suspect_;
+  QTimer acknowledge_timer_;
+  Clock::time_point last_answer_ = Clock::now();
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_probe.h
+++ b/libs/entry/include/turmeric/entry/upstream_probe.h
@@ -22,15 +22,15 @@
 std::string ProcessStartId(const routing::UpstreamEntry& entry);
 
 /**
- * Finds out whether an upstream process has ended after its connection broke:
- * its host then refuses a new connection. If the connection is accepted or
+ * Finds out whether the host of an upstream refuses a new connection after one
+ * broke: the process may then have ended. If the connection is accepted or
  * times out, the failure is attributed to the exchange or the network.
  * Concurrent probes of one process start share one connection.
  */
 class UpstreamProbe : public QObject {
  public:
-  /** Receives true if the process has ended. */
-  using Callback = std::function<void(bool has_ended)>;
+  /** Receives true if the connection was refused. */
+  using Callback = std::function<void(bool refused)>;
 
   UpstreamProbe();
   ~UpstreamProbe() override;
@@ -47,7 +47,7 @@
     std::vector<Callback> callbacks;
   };
 
-  void Complete(const std::string& start, bool has_ended);
+  void Complete(const std::string& start, bool refused);
 
   std::map<std::string, PendingProbe> pending_;  ///< By ProcessStartId.
 };
--- /dev/null
+++ b/libs/entry/src/details/tunnel.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <QObject>
+#include <string>
+#include <string_view>
+
+#include "turmeric/entry/tunnel_server.h"
+
+namespace turmeric::http {
+class TcpSocket;
+enum class SocketEnd;
+}  // namespace turmeric::http
+
+namespace turmeric::entry {
+
+/**
+ * One tunnel from a peer instance to an upstream. A connection that ends on one
+ * side ends on the other in the same way: orderly, or by a reset, which tells a
+ * truncated answer from a complete one. Deletes itself at its end.
+ */
+class Tunnel : public QObject {
+ public:
+  /** @param fd accepted connection; owned. @param find_target see TunnelServer.
+   * @param parent Qt owner. */
+  Tunnel(int fd, TunnelServer::FindTarget find_target, QObject* parent);
+  ~Tunnel() override;
+
+ private:
+  void OnPeerBytes(std::string_view bytes);
+  void Connect(const http::Endpoint& address);
+  void OnConnected();
+  void OnUpstreamEnd(http::SocketEnd end);
+  void Refuse(http::TunnelStatus status);
+  static void Forward(std::string_view bytes, http::TcpSocket& from,
+                      http::TcpSocket& to);
+  void End();
+
+  TunnelServer::FindTarget find_target_;
+  http::TcpSocket* peer_;
+  http::TcpSocket* upstream_ = nullptr;
+  std::string head_;  ///< Received part of the request.
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -72,6 +72,14 @@
                            "zone is evacuated")
                      .Register(*registry_)
                      .Add({})),
+      unreached_family_(
+          prometheus::BuildGauge()
+              .Name("turmeric_entry_unreached_upstreams")
+              .Help("Upstreams that this instance does not reach directly, by "
+                    "the path that is left")
+              .Register(*registry_)),
+      tunnelled_(unreached_family_.Add({{"path", "tunnel"}})),
+      unreached_(unreached_family_.Add({{"path", "none"}})),
       latency_(prometheus::BuildHistogram()
                    .Name("turmeric_entry_latency_seconds")
                    .Help("Time from arrival to the final answer")
@@ -131,6 +139,11 @@
   quarantined_.Set(static_cast<double>(requests));
 }
 
+void EntryMetrics::SetUnreached(int tunnelled, int unreached) {
+  tunnelled_.Set(tunnelled);
+  unreached_.Set(unreached);
+}
+
 void EntryMetrics::SetEvacuated(size_t upstreams) {
   evacuated_.Set(static_cast<double>(upstreams));
 }
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -10,12 +10,15 @@
 #include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/peer_server.h"
 #include "turmeric/entry/placement_coordinator.h"
+#include "turmeric/entry/reach_monitor.h"
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/store_sharing.h"
 #include "turmeric/entry/topology_feed.h"
+#include "turmeric/entry/tunnel_peers.h"
+#include "turmeric/entry/tunnel_server.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -56,6 +59,13 @@
     : link_(WithCountedCalls(std::move(link), metrics_)),
       context_(std::move(settings), link_.wire),
       links_(std::make_unique<InstanceLinks>(context_)),
+      tunnel_peers_(std::make_unique<TunnelPeers>(
+          context_.settings.name, context_.settings.zone,
+          [this](const std::string& name) {
+            return links_->Reaches(name) && !links_->leaving(name);
+          })),
+      reach_(std::make_unique<ReachMonitor>(context_, *tunnel_peers_)),
+      tunnel_server_(MakeTunnelServer()),
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
       limiter_(MakeLimiter()),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
@@ -67,6 +77,9 @@
           *dispatcher_, *placement_coordinator_, context_.revision_gossip,
           [this](const std::string& name, Presence presence) {
             links_->OnPresence(name, presence);
+            if (presence == Presence::kLeaving) {
+              context_.client.CloseIdleTunnels(name);
+            }
           })),
       feed_(std::make_unique<TopologyFeed>(context_, link_)),
       sharing_(std::make_unique<StoreSharing>(context_, *links_, *feed_,
@@ -84,8 +97,10 @@
   context_.placer = placer_.get();
   context_.quarantine = quarantine_.get();
   context_.limiter = limiter_.get();
+  context_.reach = reach_.get();
   limiter_->set_metrics(&metrics_);
   ConnectPeerEvents();
+  ConnectPaths();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
   readiness_ =
@@ -125,6 +140,38 @@
       Clock::now());
 }
 
+std::unique_ptr<TunnelServer> EntryService::MakeTunnelServer() {
+  return std::make_unique<TunnelServer>([this](std::string_view id) {
+    const routing::UpstreamPtr upstream = context_.upstreams.Find(id);
+    if (!upstream) return TunnelTarget{};
+    if (upstream->reach.path != routing::Path::kDirect) {
+      return TunnelTarget{http::TunnelStatus::kUnavailable, {}};
+    }
+    return TunnelTarget{http::TunnelStatus::kOpen,
+                        EndpointOf(upstream->entry.address)};
+  });
+}
+
+void EntryService::ConnectPaths() {
+  context_.client.set_paths(
+      tunnel_peers_.get(),
+      [this](const routing::UpstreamPtr& upstream, std::string_view why) {
+        reach_->Suspect(upstream, why);
+      });
+  reach_->set_on_partition([this](bool partitioned) {
+    const auto statement = partitioned ? peer::ReachStatement::kPartitioned
+                                       : peer::ReachStatement::kReaches;
+    links_->Broadcast(
+        [statement](peer::Frame& frame) { frame.reach = statement; });
+  });
+}
+
+void EntryService::OnPeerState(const std::string& name,
+                               const peer::Frame& frame) {
+  tunnel_peers_->OnStatement(name, frame.reach, Clock::now());
+  if (frame.leaving) context_.client.CloseIdleTunnels(name);
+}
+
 void EntryService::ConnectPeerEvents() {
   context_.cold_limiter.set_reaches_most(
       [this] { return links_->ReachesMost(); });
@@ -134,6 +181,7 @@
   links_->set_events(
       {.on_frame =
            [this](const std::string& name, const peer::Frame& frame) {
+             OnPeerState(name, frame);
              sharing_->OnFrame(name, frame);
              quarantine_->OnFrame(name, frame);
              limiter_->OnPermits(name, frame, Clock::now());
@@ -157,6 +205,7 @@
   });
   peer_server_->set_on_frame([this](const std::string& identity,
                                     const peer::Frame& frame) {
+    OnPeerState(identity.substr(0, identity.rfind('#')), frame);
     quarantine_->OnFrame(identity, frame);
     limiter_->OnOrders(frame, peer_server_->FrameTo(identity), Clock::now());
   });
@@ -207,12 +256,19 @@
     return boost::outcome_v2::success();
   }
   if (auto ok = peer_server_->Listen(s.peer_address); !ok) return ok;
+  if (!s.tunnel_address.empty()) {
+    if (auto ok = tunnel_server_->Listen(s.tunnel_address); !ok) return ok;
+  }
   sharing_->Start();
   directory_ = std::make_unique<InstanceDirectory>(
       *link_.source, link_.instances_kind, s.name,
-      InstanceInfo{s.peer_address, s.zone, s.cpu_share},
+      InstanceInfo{.address = s.peer_address,
+                   .tunnel_address = s.tunnel_address,
+                   .zone = s.zone,
+                   .cpu_share = s.cpu_share},
       [this](const Instances& fleet, bool listed) {
         links_->SetInstances(fleet, listed);
+        tunnel_peers_->SetInstances(fleet);
         std::vector<std::string> names;
         for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
@@ -324,8 +380,9 @@
   std::ranges::for_each(open, [](auto* c) { c->CloseWhenIdle(); });
   // Calls for pieces of other instances are in flight, too. If the process
   // exited before they end, they would be run again, and their requests would
-  // be delayed.
-  const bool open_work = !callers_.empty() || peer_server_->busy(now);
+  // be delayed. The same holds for requests in tunnels of other instances.
+  const bool open_work = !callers_.empty() || peer_server_->busy(now) ||
+                         tunnel_server_->open_tunnels() > 0;
   if (open_work && now < stop.exit) return;
   drain_timer_.stop();
   utils::DecisionLog("stopped")
--- a/libs/entry/src/instance_directory.cc
+++ b/libs/entry/src/instance_directory.cc
@@ -31,6 +31,7 @@
 constexpr milliseconds kLateReadInterval{10000};
 
 constexpr auto kAddressField = "peer_address";
+constexpr auto kTunnelAddressField = "tunnel_address";
 constexpr auto kZoneField = "zone";
 constexpr auto kCpuShareField = "cpu_share";
 
@@ -62,9 +63,11 @@
 }
 
 void InstanceDirectory::Register() {
-  const QJsonObject spec{{kAddressField, QString::fromStdString(info_.address)},
-                         {kZoneField, QString::fromStdString(info_.zone)},
-                         {kCpuShareField, info_.cpu_share}};
+  const QJsonObject spec{
+      {kAddressField, QString::fromStdString(info_.address)},
+      {kTunnelAddressField, QString::fromStdString(info_.tunnel_address)},
+      {kZoneField, QString::fromStdString(info_.zone)},
+      {kCpuShareField, info_.cpu_share}};
   source_.Put(kind_, name_, spec, [this](const auto& written) {
     if (written) {
       registered_ = true;
@@ -102,15 +105,19 @@
     }
     instances[object.name] = {
         .address = address,
+        .tunnel_address =
+            object.spec[kTunnelAddressField].toString().toStdString(),
         .zone = object.spec[kZoneField].toString().toStdString(),
         .cpu_share = object.spec[kCpuShareField].toDouble()};
   }
   // A restarted instance is usually listed with the same entry. Writing it
   // again would cost two calls for each instance when a fleet restarts.
   const auto own = instances.find(name_);
-  const bool is_listed = own != instances.end() && own->second == info_;
-  if (!is_listed && registered_) RegisterLater();
-  if (is_listed) registered_ = true;
+  const bool is_listed =
+      own != instances.end() && own->second.address == info_.address;
+  const bool is_current = is_listed && own->second == info_;
+  if (!is_current && registered_) RegisterLater();
+  if (is_current) registered_ = true;
   if (!registered_ && !register_timer_.isActive()) Register();
   instances[name_] = info_;
   on_change_(instances, is_listed);
--- a/libs/entry/src/placement_coordinator.cc
+++ b/libs/entry/src/placement_coordinator.cc
@@ -74,6 +74,11 @@
   if (tracker == trackers_.end()) return;
   const UpstreamPtr engine = tracker->second.End(end.ticket);
   if (!engine || identity.empty() || !end.outcome) return;
+  // The instance may be partitioned from an engine that others reach.
+  if (*end.outcome == routing::Outcome::kNotSent &&
+      IsReachedDirectly(engine->reach, Clock::now())) {
+    return;
+  }
   // The latency of the send is not known to this instance, so the latency
   // recorded before is passed again; engines are not chosen by latency.
   context_.RecordOutcome(*engine, *end.outcome, engine->latency_ms);
--- a/libs/entry/src/request_quarantine.cc
+++ b/libs/entry/src/request_quarantine.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/quarantine_archive.h"
+#include "turmeric/entry/reach_monitor.h"
 #include "turmeric/peer/frame.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -56,12 +57,22 @@
 void RequestQuarantine::OnExchangesBroken(
     const routing::UpstreamPtr& upstream,
     std::vector<InterruptedRequest> requests, std::function<void()> done) {
-  probe_.Probe(upstream,
-               [this, upstream, requests = std::move(requests),
-                done = std::move(done), at = Clock::now()](bool has_ended) {
-                 if (has_ended) RecordCrashes(upstream->entry, requests, at);
-                 if (done) done();
-               });
+  probe_.Probe(upstream, [this, upstream, requests = std::move(requests),
+                          done = std::move(done),
+                          at = Clock::now()](bool refused) mutable {
+    if (!refused) {
+      if (done) done();
+      return;
+    }
+    context_.reach->ConfirmEnd(upstream,
+                               [this, upstream, requests = std::move(requests),
+                                done = std::move(done), at](bool has_ended) {
+                                 if (has_ended) {
+                                   RecordCrashes(upstream->entry, requests, at);
+                                 }
+                                 if (done) done();
+                               });
+  });
 }
 
 void RequestQuarantine::RecordCrashes(
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/tunnel_peers.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -25,6 +26,11 @@
 constexpr std::chrono::milliseconds kIdleMargin{1000};
 /** Idle connections kept to one upstream. */
 constexpr size_t kMaxIdle = 16;
+/** Interval of the check for upstreams that do not acknowledge requests. */
+constexpr std::chrono::milliseconds kAcknowledgeCheckInterval{200};
+/** Time within which TCP acknowledges a request, also after the loss of a
+ * packet. */
+constexpr std::chrono::milliseconds kAcknowledgeTime{400};
 
 }  // namespace
 
@@ -44,14 +50,20 @@
   release_();
 }
 
-UpstreamClient::UpstreamClient() = default;
+UpstreamClient::UpstreamClient() {
+  acknowledge_timer_.setInterval(kAcknowledgeCheckInterval);
+  connect(&acknowledge_timer_, &QTimer::timeout, this,
+          [this] { CheckAcknowledged(); });
+}
 
 UpstreamClient::~UpstreamClient() {
   // Cancel open exchanges while the pools that their connections return to
   // still exist.
   const QObjectList connections = children();
   for (QObject* child : connections) {
-    static_cast<ClientConnection*>(child)->Cancel();
+    if (auto* connection = dynamic_cast<ClientConnection*>(child)) {
+      connection->Cancel();
+    }
   }
 }
 
@@ -61,14 +73,22 @@
   return it != pools_.end() && !it->second.idle.empty();
 }
 
+bool UpstreamClient::IsTunnel(const ClientConnection* connection) const {
+  return tunnels_.contains(connection);
+}
+
 ClientConnection* UpstreamClient::TakeIdle(Pool& pool, Upstream& upstream) {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = Clock::now();
   while (!pool.idle.empty()) {
     ClientConnection* connection = pool.idle.back();
     pool.idle.pop_back();
     const auto usable_until =
         connection->idle_since() + connection->keep_alive() - kIdleMargin;
-    if (connection->reusable() && now < usable_until) return connection;
+    const bool detour =
+        upstream.reach.path == routing::Path::kDirect && IsTunnel(connection);
+    if (connection->reusable() && now < usable_until && !detour) {
+      return connection;
+    }
     Discard(connection, upstream);
   }
   return nullptr;
@@ -76,10 +96,44 @@
 
 ClientConnection* UpstreamClient::Open(const UpstreamPtr& upstream) {
   ++upstream->connections;
+  if (upstream->reach.path != routing::Path::kDirect) {
+    return OpenTunnel(*upstream);
+  }
   return new ClientConnection(http::ParseEndpoint(upstream->entry.address),
                               kConnectTimeout, this);
 }
 
+std::optional<TunnelPeer> UpstreamClient::ChoosePeer(
+    const Upstream& upstream) const {
+  if (peers_ == nullptr || upstream.reach.path != routing::Path::kTunnel) {
+    return std::nullopt;
+  }
+  const auto now = Clock::now();
+  if (auto known = peers_->Find(upstream.reach.via, now)) return known;
+  const auto others = peers_->Choose(upstream.entry.zone, 1, now);
+  return others.empty() ? std::nullopt : std::optional(others.front());
+}
+
+ClientConnection* UpstreamClient::OpenTunnel(const Upstream& upstream) {
+  const std::optional<TunnelPeer> chosen = ChoosePeer(upstream);
+  if (!chosen) {
+    // Fails at once, because a new attempt would only use up the time of the
+    // request.
+    return new ClientConnection(http::Endpoint{}, kConnectTimeout, this);
+  }
+  const std::string& peer = chosen->name;
+  auto* connection = new ClientConnection(
+      http::TunnelRoute{chosen->address, upstream.entry.id}, kConnectTimeout,
+      this);
+  tunnels_[connection] = peer;
+  peers_->OnOpened(peer);
+  connect(connection, &QObject::destroyed, this, [this, connection, peer] {
+    tunnels_.erase(connection);
+    peers_->OnClosed(peer);
+  });
+  return connection;
+}
+
 void UpstreamClient::Discard(ClientConnection* connection, Upstream& upstream) {
   connection->Cancel();
   connection->deleteLater();
@@ -94,10 +148,85 @@
   Pool& pool = pools_[upstream->entry.id];
   if (pool.idle.size() >= kMaxIdle) return Discard(connection, *upstream);
   pool.idle.push_back(connection);
-  connection->set_on_idle_end([this, connection, upstream] {
-    std::erase(pools_[upstream->entry.id].idle, connection);
-    Discard(connection, *upstream);
-  });
+  connection->set_on_idle_end(
+      [this, connection, upstream] { OnIdleEnd(connection, upstream); });
+}
+
+void UpstreamClient::OnIdleEnd(ClientConnection* connection,
+                               const UpstreamPtr& upstream) {
+  std::erase(pools_[upstream->entry.id].idle, connection);
+  const bool suspect = connection->was_reset() && !IsTunnel(connection);
+  Discard(connection, *upstream);
+  if (suspect && suspect_) suspect_(upstream, "idle_connection_reset");
+}
+
+void UpstreamClient::OnAnswer(Upstream& upstream,
+                              ClientConnection* connection) {
+  last_answer_ = Clock::now();
+  if (!IsTunnel(connection)) upstream.reach.answered_at = last_answer_;
+}
+
+void UpstreamClient::OnFailure(ClientConnection* connection,
+                               const UpstreamPtr& upstream,
+                               http::ExchangeFailure failure,
+                               Clock::time_point since) {
+  const auto now = Clock::now();
+  const auto ms_since = [now](Clock::time_point time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - time)
+        .count();
+  };
+  const auto tunnel = tunnels_.find(connection);
+  const bool is_tunnel = tunnel != tunnels_.end();
+  if (failure == http::ExchangeFailure::kNotSent) {
+    utils::DecisionLog("upstream_not_connected")
+        .Add("upstream", upstream->entry.id)
+        .Add("service", upstream->entry.service)
+        .Add("refused", connection->connection_refused())
+        .Add("peer", is_tunnel ? tunnel->second : "-")
+        .Add("ms", ms_since(since))
+        .Add("open", upstream->connections)
+        .Add("last_answer_ms", ms_since(last_answer_));
+    if (is_tunnel && !connection->proxy_answered()) {
+      peers_->OnNoAnswer(tunnel->second, now);
+    }
+    if (suspect_) suspect_(upstream, "not_connected");
+  } else if (!is_tunnel && connection->was_reset() && suspect_) {
+    suspect_(upstream, "reset");
+  }
+}
+
+http::ExchangeEvents UpstreamClient::Wrap(
+    http::ExchangeEvents events,
+    const std::shared_ptr<UpstreamExchange>& exchange,
+    ClientConnection* connection, const UpstreamPtr& upstream) {
+  // The connection's callbacks hold the exchange weakly: its owner may destroy
+  // it at any time, which cancels it.
+  const std::weak_ptr<UpstreamExchange> weak = exchange;
+  http::ExchangeEvents wrapped;
+  wrapped.on_head =
+      [this, connection, upstream,
+       on_head = std::move(events.on_head)](const http::ResponseHead& head) {
+        OnAnswer(*upstream, connection);
+        return !on_head || on_head(head);
+      };
+  wrapped.on_body = [this, connection, upstream,
+                     on_body =
+                         std::move(events.on_body)](std::string_view bytes) {
+    OnAnswer(*upstream, connection);
+    if (on_body) on_body(bytes);
+  };
+  wrapped.on_end = [weak, on_end = std::move(events.on_end)] {
+    if (const auto open = weak.lock()) open->Finish();
+    on_end();
+  };
+  wrapped.on_failure = [this, weak, connection, upstream, since = Clock::now(),
+                        on_failure = std::move(events.on_failure)](
+                           http::ExchangeFailure failure) {
+    OnFailure(connection, upstream, failure, since);
+    if (const auto open = weak.lock()) open->Finish();
+    on_failure(failure);
+  };
+  return wrapped;
 }
 
 std::shared_ptr<UpstreamExchange> UpstreamClient::Send(
@@ -110,54 +239,76 @@
   if (connection == nullptr) connection = Open(upstream);
   connection->set_on_idle_end(nullptr);
   ++upstream->in_flight;
+  open_[connection] = {.upstream = upstream, .since = Clock::now()};
+  if (!acknowledge_timer_.isActive()) acknowledge_timer_.start();
   auto exchange = std::make_shared<UpstreamExchange>(
       connection, [this, connection, upstream] {
         --upstream->in_flight;
+        open_.erase(connection);
         ReturnToPool(connection, upstream);
       });
-  // The connection's callbacks hold the exchange weakly: its owner may destroy
-  // it at any time, which cancels it.
-  const std::weak_ptr<UpstreamExchange> weak = exchange;
-  http::ExchangeEvents wrapped;
-  wrapped.on_head = [this, on_head = std::move(events.on_head)](
-                        const http::ResponseHead& head) {
-    last_answer_ = std::chrono::steady_clock::now();
-    return !on_head || on_head(head);
-  };
-  wrapped.on_body = std::move(events.on_body);
-  wrapped.on_end = [weak, on_end = std::move(events.on_end)] {
-    if (const auto open = weak.lock()) open->Finish();
-    on_end();
-  };
-  wrapped.on_failure = [this, weak, connection, upstream,
-                        since = std::chrono::steady_clock::now(),
-                        on_failure = std::move(events.on_failure)](
-                           http::ExchangeFailure failure) {
-    if (failure == http::ExchangeFailure::kNotSent) {
-      LogNotConnected({.upstream = *upstream,
-                       .since = since,
-                       .refused = connection->connection_refused()});
-    }
-    if (const auto open = weak.lock()) open->Finish();
-    on_failure(failure);
-  };
-  connection->Send(bytes, std::move(wrapped));
+  connection->Send(bytes,
+                   Wrap(std::move(events), exchange, connection, upstream));
   return exchange;
 }
 
-void UpstreamClient::LogNotConnected(const ConnectAttempt& attempt) const {
-  const auto now = std::chrono::steady_clock::now();
-  const auto ms_since = [now](std::chrono::steady_clock::time_point time) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - time)
-        .count();
-  };
-  utils::DecisionLog("upstream_not_connected")
-      .Add("upstream", attempt.upstream.entry.id)
-      .Add("service", attempt.upstream.entry.service)
-      .Add("refused", attempt.refused)
-      .Add("ms", ms_since(attempt.since))
-      .Add("open", attempt.upstream.connections)
-      .Add("last_answer_ms", ms_since(last_answer_));
+void UpstreamClient::CheckAcknowledged() {
+  if (open_.empty()) return acknowledge_timer_.stop();
+  const auto now = Clock::now();
+  std::vector<UpstreamPtr> unacknowledged;
+  for (const auto& [connection, exchange] : open_) {
+    if (IsTunnel(connection) || !connection->awaits_response()) continue;
+    if (now - exchange.since > kAcknowledgeTime &&
+        connection->unacknowledged() > 0) {
+      unacknowledged.push_back(exchange.upstream);
+    }
+  }
+  if (!suspect_) return;
+  for (const UpstreamPtr& upstream : unacknowledged)
+    suspect_(upstream, "unacknowledged");
+}
+
+void UpstreamClient::CloseIdleIf(
+    Pool& pool, Upstream& upstream,
+    const std::function<bool(ClientConnection*)>& condition) {
+  std::vector<ClientConnection*> connections;
+  std::erase_if(pool.idle, [&](ClientConnection* connection) {
+    const bool closed = condition(connection);
+    if (closed) connections.push_back(connection);
+    return closed;
+  });
+  for (ClientConnection* connection : connections) {
+    Discard(connection, upstream);
+  }
+}
+
+void UpstreamClient::OnPathChanged(const UpstreamPtr& upstream, bool hangs) {
+  if (!hangs) return;
+  CloseIdleIf(pools_[upstream->entry.id], *upstream,
+              [this](ClientConnection* c) { return !IsTunnel(c); });
+  std::vector<ClientConnection*> stuck;
+  for (const auto& [connection, exchange] : open_) {
+    if (exchange.upstream == upstream && !IsTunnel(connection) &&
+        connection->awaits_response() && connection->unacknowledged() > 0) {
+      stuck.push_back(connection);
+    }
+  }
+  // The end of one exchange may cancel another.
+  for (ClientConnection* connection : stuck) {
+    if (open_.contains(connection)) connection->Break();
+  }
+}
+
+void UpstreamClient::CloseIdleTunnels(const std::string& peer) {
+  for (auto& [upstream_id, pool] : pools_) {
+    for (ClientConnection* connection :
+         std::vector<ClientConnection*>(pool.idle)) {
+      const auto tunnel = tunnels_.find(connection);
+      if (tunnel != tunnels_.end() && tunnel->second == peer) {
+        connection->EndIdle();
+      }
+    }
+  }
 }
 
 void UpstreamClient::CloseIdle(const std::string& upstream_id) {
--- a/libs/entry/src/upstream_probe.cc
+++ b/libs/entry/src/upstream_probe.cc
@@ -42,14 +42,14 @@
        .on_drained = {}});
 }
 
-void UpstreamProbe::Complete(const std::string& start, bool has_ended) {
+void UpstreamProbe::Complete(const std::string& start, bool refused) {
   const auto it = pending_.find(start);
   if (it == pending_.end()) return;
   const PendingProbe probe = std::move(it->second);
   pending_.erase(it);
   probe.socket->Abort();
   probe.socket->deleteLater();
-  for (const Callback& done : probe.callbacks) done(has_ended);
+  for (const Callback& done : probe.callbacks) done(refused);
 }
 
 }  // namespace turmeric::entry
--- a/libs/http/include/turmeric/http/client_connection.h
+++ b/libs/http/include/turmeric/http/client_connection.h
@@ -47,6 +47,13 @@
    */
   ClientConnection(const Endpoint& peer,
                    std::chrono::milliseconds connect_timeout, QObject* parent);
+  /**
+   * @param route the proxy and the server. @param connect_timeout timeout until
+   * the proxy has connected to the server.
+   * @param parent Qt owner.
+   */
+  ClientConnection(const TunnelRoute& route,
+                   std::chrono::milliseconds connect_timeout, QObject* parent);
   ~ClientConnection() override;
 
   /**
@@ -57,6 +64,10 @@
   void Send(std::string_view bytes, ExchangeEvents events);
   /** Aborts the exchange and the connection; no more callbacks. */
   void Cancel();
+  /** Closes an idle connection; calls the callback for its end. */
+  void EndIdle();
+  /** Ends the open exchange as if the connection had been reset. */
+  void Break();
   /** @param paused true: stop reading the response until called with false. */
   void PauseReading(bool paused);
   /** @return true if another request may be sent now. */
@@ -65,6 +76,15 @@
   bool busy() const { return busy_; }
   /** @return true if the server's host refused the connection. */
   bool connection_refused() const { return socket_->connection_refused(); }
+  /** @return true if a proxy answered that it cannot connect to the server. */
+  bool proxy_answered() const { return socket_->proxy_answered(); }
+  /** @return true if the connection ended by a reset or a timeout. */
+  bool was_reset() const { return was_reset_; }
+  /** @return true while no byte of the response to the open exchange has
+   * arrived. */
+  bool awaits_response() const;
+  /** @return bytes of the request that TCP has not acknowledged. */
+  size_t unacknowledged() const { return socket_->unacknowledged(); }
   /** @return true once an exchange has completed. */
   bool used() const { return used_; }
   /** @return when the last exchange ended. */
@@ -79,6 +99,7 @@
   }
 
  private:
+  void AttachSocket();
   void OnBytes(std::string_view bytes);
   void ParseReceived();
   void OnHead(ResponseHead&& head);
@@ -97,6 +118,7 @@
   bool skipping_response_ = false;
   bool is_head_request_ = false;
   bool broken_ = false;
+  bool was_reset_ = false;
   std::chrono::milliseconds keep_alive_;
   std::chrono::steady_clock::time_point idle_since_;
 };
--- a/libs/http/include/turmeric/http/tcp_socket.h
+++ b/libs/http/include/turmeric/http/tcp_socket.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace turmeric::http {
 
@@ -20,6 +21,15 @@
 /** @param text "ip:port". @return the endpoint; port 0 if malformed. */
 Endpoint ParseEndpoint(std::string_view text);
 
+/** A server that is reached through a proxy. */
+struct TunnelRoute {
+  TunnelRoute(Endpoint proxy, std::string target)
+      : proxy(std::move(proxy)), target(std::move(target)) {}
+
+  Endpoint proxy;
+  std::string target;  ///< Name of the server, known to the proxy.
+};
+
 /** Why a socket is no longer usable. */
 enum class SocketEnd {
   kOrderly,        ///< The peer closed; all sent bytes were read.
@@ -53,6 +63,15 @@
    */
   TcpSocket(const Endpoint& peer, std::chrono::milliseconds connect_timeout,
             QObject* parent);
+  /**
+   * Starts a connection through a proxy. The socket is connected once the proxy
+   * has connected to the server.
+   * @param route the proxy and the server. @param connect_timeout timeout until
+   * then.
+   * @param parent Qt owner.
+   */
+  TcpSocket(const TunnelRoute& route, std::chrono::milliseconds connect_timeout,
+            QObject* parent);
   /** @param fd connected non-blocking socket; owned. @param parent Qt owner. */
   TcpSocket(int fd, QObject* parent);
   ~TcpSocket() override;
@@ -84,14 +103,21 @@
   bool open() const { return fd_ >= 0 && connected_ && !closing_; }
   /** @return true once the connection was established. */
   bool connected() const { return connected_; }
-  /** @return true if the peer's host refused or reset the connect attempt. */
+  /** @return true if the peer's host refused or reset the connect attempt; with
+   * a proxy: if the server's host refused that of the proxy. */
   bool connection_refused() const { return connection_refused_; }
+  /** @return true if a proxy answered that it cannot connect to the server. */
+  bool proxy_answered() const { return proxy_answered_; }
 
  private:
+  void Connect(const Endpoint& peer, std::chrono::milliseconds timeout);
+  void RequestTunnel();
+  void OnTunnelAnswer(std::string_view bytes);
   void EnableNotifiers();
   void OnReadable();
   void OnWritable();
   void FinishConnect();
+  void OnConnected();
   void RecordConnectError(int error);
   bool Flush();
   void WaitForFlush();
@@ -102,6 +128,10 @@
   int fd_ = -1;
   bool connected_ = false;
   bool connection_refused_ = false;
+  bool proxy_answered_ = false;
+  std::string tunnel_target_;  ///< Empty: no proxy.
+  std::string tunnel_answer_;  ///< Received part of the proxy's answer.
+  bool tunnel_requested_ = false;
   bool closing_ = false;
   std::string send_buffer_;
   size_t send_offset_ = 0;
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -30,6 +30,19 @@
     : QObject(parent),
       socket_(new TcpSocket(peer, connect_timeout, this)),
       keep_alive_(kDefaultKeepAlive) {
+  AttachSocket();
+}
+
+ClientConnection::ClientConnection(const TunnelRoute& route,
+                                   std::chrono::milliseconds connect_timeout,
+                                   QObject* parent)
+    : QObject(parent),
+      socket_(new TcpSocket(route, connect_timeout, this)),
+      keep_alive_(kDefaultKeepAlive) {
+  AttachSocket();
+}
+
+void ClientConnection::AttachSocket() {
   socket_->set_events(
       {.on_connected = {},
        .on_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
@@ -115,6 +128,7 @@
 
 void ClientConnection::OnEnd(SocketEnd end) {
   broken_ = true;
+  was_reset_ = end == SocketEnd::kReset;
   if (!busy_) {
     if (auto callback = std::exchange(on_idle_end_, nullptr)) callback();
     return;
@@ -135,6 +149,21 @@
   if (callback) callback(failure);
 }
 
+bool ClientConnection::awaits_response() const {
+  return busy_ && unparsed_.empty() && !parser_->started();
+}
+
+void ClientConnection::EndIdle() {
+  if (busy_) return;
+  broken_ = true;
+  socket_->Abort();
+  if (auto callback = std::exchange(on_idle_end_, nullptr)) callback();
+}
+
+void ClientConnection::Break() {
+  if (busy_) OnEnd(SocketEnd::kReset);
+}
+
 void ClientConnection::Cancel() {
   broken_ = true;
   busy_ = false;
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -14,6 +14,7 @@
 #include <charconv>
 #include <utility>
 
+#include "turmeric/http/tunnel.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::http {
@@ -60,6 +61,17 @@
 TcpSocket::TcpSocket(const Endpoint& peer,
                      std::chrono::milliseconds connect_timeout, QObject* parent)
     : QObject(parent) {
+  Connect(peer, connect_timeout);
+}
+
+TcpSocket::TcpSocket(const TunnelRoute& route,
+                     std::chrono::milliseconds connect_timeout, QObject* parent)
+    : QObject(parent), tunnel_target_(route.target) {
+  Connect(route.proxy, connect_timeout);
+}
+
+void TcpSocket::Connect(const Endpoint& peer,
+                        std::chrono::milliseconds timeout) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(peer.port);
@@ -85,7 +97,7 @@
       std::make_unique<QSocketNotifier>(fd_, QSocketNotifier::Write);
   connect(write_notifier_.get(), &QSocketNotifier::activated, this,
           [this] { OnWritable(); });
-  QTimer::singleShot(connect_timeout, this, [this] {
+  QTimer::singleShot(timeout, this, [this] {
     if (!connected_ && fd_ >= 0) End(SocketEnd::kConnectFailed);
   });
 }
@@ -124,14 +136,55 @@
     RecordConnectError(error);
     return End(SocketEnd::kConnectFailed);
   }
-  connected_ = true;
   EnableNotifiers();
+  if (!tunnel_target_.empty()) return RequestTunnel();
+  OnConnected();
+}
+
+void TcpSocket::RequestTunnel() {
+  tunnel_requested_ = true;
+  write_notifier_->setEnabled(false);
+  // The empty send buffer of a new connection takes the short request whole.
+  const std::string request = EncodeTunnelRequest(tunnel_target_);
+  const ssize_t sent =
+      ::send(fd_, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (sent != static_cast<ssize_t>(request.size())) {
+    End(SocketEnd::kConnectFailed);
+  }
+}
+
+void TcpSocket::OnTunnelAnswer(std::string_view bytes) {
+  tunnel_answer_.append(bytes);
+  const auto head = ParseTunnelHead(tunnel_answer_);
+  if (!head) {
+    if (tunnel_answer_.size() > kMaxTunnelHeadBytes) {
+      End(SocketEnd::kConnectFailed);
+    }
+    return;
+  }
+  const auto status = static_cast<TunnelStatus>(head->status);
+  if (status != TunnelStatus::kOpen) {
+    proxy_answered_ = head->status != 0;
+    connection_refused_ = status == TunnelStatus::kRefused;
+    return End(SocketEnd::kConnectFailed);
+  }
+  const std::string rest = tunnel_answer_.substr(head->bytes);
+  tunnel_answer_.clear();
+  OnConnected();
+  if (fd_ >= 0 && !rest.empty() && events_.on_bytes) events_.on_bytes(rest);
+}
+
+void TcpSocket::OnConnected() {
+  connected_ = true;
   if (events_.on_connected) events_.on_connected();
   if (fd_ >= 0 && unsent() > 0) OnWritable();
 }
 
 void TcpSocket::OnWritable() {
   if (fd_ < 0) return;
+  if (tunnel_requested_ && !connected_) {
+    return write_notifier_->setEnabled(false);
+  }
   if (!connected_) return FinishConnect();
   if (!Flush()) return;
   if (unsent() > 0) return write_notifier_->setEnabled(true);
@@ -184,7 +237,9 @@
   static thread_local std::array<char, kReadBufferBytes> buffer;
   const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
   if (got > 0) {
-    if (closing_) {
+    if (!connected_) {
+      OnTunnelAnswer({buffer.data(), static_cast<size_t>(got)});
+    } else if (closing_) {
       utils::DecisionLog("bytes_after_close").Add("bytes", got);
     } else if (events_.on_bytes) {
       events_.on_bytes({buffer.data(), static_cast<size_t>(got)});
@@ -194,6 +249,7 @@
   if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
     return;
   }
+  if (!connected_) return End(SocketEnd::kConnectFailed);
   End(got == 0 ? SocketEnd::kOrderly : SocketEnd::kReset);
 }
 
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -174,6 +174,13 @@
   bool limit_unknown = false;
 };
 
+/** Whether an instance reaches any upstream by connections of its own. */
+enum class ReachStatement {
+  kNone,  ///< The frame states nothing.
+  kReaches,
+  kPartitioned,  ///< Repeated while it holds.
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Identity; set in the first frame only.
@@ -204,6 +211,7 @@
   std::vector<LimitNotice> limit_notices;
   std::vector<PermitOrder> permit_orders;
   std::vector<Permit> permits;
+  ReachStatement reach = ReachStatement::kNone;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -68,6 +68,39 @@
 struct Frame;
 struct FrameBuilder;
 
+enum class ReachStatement : int8_t {
+  None = 0,
+  Reaches = 1,
+  Partitioned = 2,
+  MIN = None,
+  MAX = Partitioned
+};
+
+inline const ReachStatement (&EnumValuesReachStatement())[3] {
+  static const ReachStatement values[] = {
+    ReachStatement::None,
+    ReachStatement::Reaches,
+    ReachStatement::Partitioned
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesReachStatement() {
+  static const char * const names[4] = {
+    "None",
+    "Reaches",
+    "Partitioned",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameReachStatement(ReachStatement e) {
+  if (flatbuffers::IsOutRange(e, ReachStatement::None, ReachStatement::Partitioned)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesReachStatement()[index];
+}
+
 struct Piece FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PieceBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1659,7 +1692,8 @@
     VT_EVACUATIONS_CHANGE = 46,
     VT_LIMIT_NOTICES = 48,
     VT_PERMIT_ORDERS = 50,
-    VT_PERMITS = 52
+    VT_PERMITS = 52,
+    VT_REACH = 54
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1736,6 +1770,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *>(VT_PERMITS);
   }
+  turmeric::peer::wire::ReachStatement reach() const {
+    return static_cast<turmeric::peer::wire::ReachStatement>(GetField<int8_t>(VT_REACH, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1795,6 +1832,7 @@
            VerifyOffset(verifier, VT_PERMITS) &&
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
+           VerifyField<int8_t>(verifier, VT_REACH, 1) &&
            verifier.EndTable();
   }
 };
@@ -1878,6 +1916,9 @@
   void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits) {
     fbb_.AddOffset(Frame::VT_PERMITS, permits);
   }
+  void add_reach(turmeric::peer::wire::ReachStatement reach) {
+    fbb_.AddElement<int8_t>(Frame::VT_REACH, static_cast<int8_t>(reach), 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1915,7 +1956,8 @@
     int64_t evacuations_change = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>> limit_notices = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>> permit_orders = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits = 0,
+    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
@@ -1941,6 +1983,7 @@
   builder_.add_taken(taken);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
+  builder_.add_reach(reach);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -1971,7 +2014,8 @@
     int64_t evacuations_change = 0,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>> *limit_notices = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *permit_orders = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits = nullptr,
+    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -2015,7 +2059,8 @@
       evacuations_change,
       limit_notices__,
       permit_orders__,
-      permits__);
+      permits__,
+      reach);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -433,7 +433,7 @@
              frame.newest_revisions.config, frame.newest_revisions.upstreams,
              follow, relay, change_list, crash_list, run_list,
              frame.newest_revisions.evacuations, limits.notices, limits.orders,
-             limits.permits));
+             limits.permits, static_cast<wire::ReachStatement>(frame.reach)));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -450,6 +450,11 @@
   frame.sequence = f.sequence();
   frame.acknowledged = f.acknowledged();
   frame.leaving = f.leaving();
+  // A value of a later version states nothing to this one.
+  if (f.reach() >= wire::ReachStatement::MIN &&
+      f.reach() <= wire::ReachStatement::MAX) {
+    frame.reach = static_cast<ReachStatement>(f.reach());
+  }
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
   ReadLimitParts(f, now, frame);
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "turmeric/limits/stated_limit.h"
+#include "turmeric/routing/reach.h"
 #include "turmeric/routing/recent_sends.h"
 #include "turmeric/routing/upstream_clock.h"
 
@@ -62,6 +63,7 @@
   Clock::time_point ejected_until;  ///< Avoided until then, after failures.
   Clock::time_point full_until;     ///< Avoided until then, after a refusal.
   int connections = 0;              ///< Connections of this instance to it.
+  Reach reach;                      ///< How this instance reaches it.
 };
 
 using UpstreamPtr = std::shared_ptr<Upstream>;
--- a/libs/routing/include/turmeric/routing/upstream_table.h
+++ b/libs/routing/include/turmeric/routing/upstream_table.h
@@ -82,6 +82,8 @@
    * @return the service's upstream there, or nullptr. */
   UpstreamPtr FindAt(const std::string& service,
                      std::string_view address) const;
+  /** @return all upstreams, draining ones too. */
+  std::vector<UpstreamPtr> All() const;
   /** @return upstreams in the table. */
   size_t size() const { return by_id_.size(); }
 
--- a/libs/routing/src/upstream_table.cc
+++ b/libs/routing/src/upstream_table.cc
@@ -138,6 +138,13 @@
   return it->second;
 }
 
+std::vector<UpstreamPtr> UpstreamTable::All() const {
+  std::vector<UpstreamPtr> all;
+  all.reserve(by_id_.size());
+  for (const auto& [id, upstream] : by_id_) all.push_back(upstream);
+  return all;
+}
+
 UpstreamPtr UpstreamTable::Find(std::string_view id) const {
   const auto it = by_id_.find(id);
   return it == by_id_.end() ? nullptr : it->second;
