Requests to services with brittle upstreams are placed by the owner of the upstreams

Cause: what may wait at an upstream is a bound of the whole fleet; each instance fills the queue by what it sent itself, and nothing acted on Server-Brittle. Class: as LIMIT, a bound of the fleet that no instance can keep by itself.

Change: the statement is decoded and passed on to all instances. Requests of a service with brittle upstreams, with or without a prompt, are placed by the owner of their cell, as those to engines are; it knows the requests of all instances and sends no more than an upstream has slots for. A refusal closes the upstream for 1.5 s / N and lowers the number, which grows again by one a second. Without an answer of the owner, and for suspect requests, brittle upstreams are not chosen. Requests without room wait twice 100 ms and are then refused with Retry-After.

--- a/libs/entry/include/turmeric/entry/engine_placement.h
+++ b/libs/entry/include/turmeric/entry/engine_placement.h
@@ -25,10 +25,12 @@
   /**
    * @param order the order, without ticket.
    * @param done see EnginePlacer::Choose.
+   * @param spread_key see EnginePlacer::Choose.
    */
-  void Choose(peer::PlacementOrder order, EnginePlacer::ChosenCallback done) {
+  void Choose(peer::PlacementOrder order, EnginePlacer::ChosenCallback done,
+              const std::string& spread_key = {}) {
     order.ticket = ticket_;
-    placer_.Choose(std::move(order), std::move(done));
+    placer_.Choose(std::move(order), std::move(done), spread_key);
   }
   /**
    * Called when the response has begun: the prompt is read. Later calls have no
--- a/libs/entry/include/turmeric/entry/engine_placer.h
+++ b/libs/entry/include/turmeric/entry/engine_placer.h
@@ -46,8 +46,10 @@
    * @param order the order, with a ticket from NewTicket and the name of the
    *     engine service as its service.
    * @param done called once, from inside this call or later.
+   * @param spread_key selects the cell of a request without a prompt.
    */
-  void Choose(peer::PlacementOrder order, ChosenCallback done);
+  void Choose(peer::PlacementOrder order, ChosenCallback done,
+              const std::string& spread_key = {});
   /** @param ticket of a request whose response has begun. */
   void OnPromptRead(uint64_t ticket);
   /** @param end a request that has ended or no longer needs an engine. */
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -20,6 +20,7 @@
 
 namespace turmeric::entry {
 
+class BrittleUpstreams;
 class ConfigCheck;
 class EnginePlacer;
 class EntryMetrics;
@@ -101,6 +102,7 @@
   EnginePlacer* placer = nullptr;
   RequestQuarantine* quarantine = nullptr;
   UpstreamLimiter* limiter = nullptr;
+  BrittleUpstreams* brittle = nullptr;
   ReachMonitor* reach = nullptr;
   EntryMetrics* metrics = nullptr;
 };
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -18,6 +18,7 @@
 
 namespace turmeric::entry {
 
+class BrittleUpstreams;
 class ConfigCheck;
 class EnginePlacer;
 class InstanceDirectory;
@@ -99,6 +100,7 @@
   std::unique_ptr<RequestQuarantine> quarantine_;
   QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
+  std::unique_ptr<BrittleUpstreams> brittle_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementCoordinator> placement_coordinator_;
--- a/libs/entry/include/turmeric/entry/upstream_criteria.h
+++ b/libs/entry/include/turmeric/entry/upstream_criteria.h
@@ -9,6 +9,12 @@
 
 namespace turmeric::entry {
 
+/**
+ * Extra waiting accepted to stay in the zone of this instance for a service
+ * that is not an engine service, ms: the round trip.
+ */
+inline constexpr int kOtherZoneMs = 2;
+
 struct CallerRequest;
 
 /** The request and the constraints by which its upstream is chosen. */
--- a/libs/entry/include/turmeric/entry/wire_format.h
+++ b/libs/entry/include/turmeric/entry/wire_format.h
@@ -67,6 +67,9 @@
   std::optional<double> rate_limit;
   /** A rate limit is stated, but none that is a number of at least 0. */
   bool rate_limit_malformed = false;
+  /** Requests that the upstream can turn away in a second without failing;
+   * nullopt: it does not state that it is brittle. */
+  std::optional<int> brittle;
 };
 
 /** One call for stage work. */
--- a/libs/entry/src/engine_placer.cc
+++ b/libs/entry/src/engine_placer.cc
@@ -50,10 +50,12 @@
 
 EnginePlacer::~EnginePlacer() = default;
 
-void EnginePlacer::Choose(peer::PlacementOrder order, ChosenCallback done) {
+void EnginePlacer::Choose(peer::PlacementOrder order, ChosenCallback done,
+                          const std::string& spread_key) {
   const uint64_t ticket = order.ticket;
-  const std::string& key =
+  const std::string& prompt_key =
       order.session_part.empty() ? order.shared_part : order.session_part;
+  const std::string& key = prompt_key.empty() ? spread_key : prompt_key;
   order.service = stages::CellName(
       order.service, key, context_.upstreams.ForService(order.service).size());
   const bool asks_owner = context_.Uses(config::Mechanism::kOneOwnerPlaces);
@@ -105,7 +107,11 @@
   const auto now = Clock::now();
   const routing::ServiceSpec* spec = context_.FindService(service);
   routing::ChoiceRequest choice = ToChoiceRequest(open.order);
-  choice.admits = context_.cold_limiter.AdmitsAsNonOwner(spec, now);
+  // Only the owner knows whether a brittle upstream has room.
+  choice.admits = [cold = context_.cold_limiter.AdmitsAsNonOwner(spec, now)](
+                      const routing::Upstream& u) {
+    return !u.brittle.is_brittle() && (!cold || cold(u));
+  };
   const UpstreamPtr engine =
       ChooseUpstream(context_.upstreams.ForService(service), choice, now);
   if (engine) context_.cold_limiter.RecordSend(spec, *engine, now);
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/brittle_upstreams.h"
 #include "turmeric/entry/config_check.h"
 #include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
@@ -68,6 +69,9 @@
       tunnel_server_(MakeTunnelServer()),
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
       limiter_(MakeLimiter()),
+      brittle_(std::make_unique<BrittleUpstreams>(
+          context_.upstreams,
+          [this](const auto& add) { links_->Broadcast(add); })),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       placement_coordinator_(std::make_unique<PlacementCoordinator>(context_)),
@@ -97,6 +101,7 @@
   context_.placer = placer_.get();
   context_.quarantine = quarantine_.get();
   context_.limiter = limiter_.get();
+  context_.brittle = brittle_.get();
   context_.reach = reach_.get();
   limiter_->set_metrics(&metrics_);
   ConnectPeerEvents();
@@ -169,6 +174,7 @@
 void EntryService::OnPeerState(const std::string& name,
                                const peer::Frame& frame) {
   tunnel_peers_->OnStatement(name, frame.reach, Clock::now());
+  brittle_->OnFrame(frame);
   if (frame.leaving) context_.client.CloseIdleTunnels(name);
 }
 
@@ -198,10 +204,12 @@
            [this](peer::Frame& frame) {
              quarantine_->AddKnownCrashes(frame);
              limiter_->AddKnownLimits(frame);
+             brittle_->AddKnown(frame);
            }});
   peer_server_->set_on_new_peer([this](peer::Frame& frame) {
     quarantine_->AddKnownCrashes(frame);
     limiter_->AddKnownLimits(frame);
+    brittle_->AddKnown(frame);
   });
   peer_server_->set_on_frame([this](const std::string& identity,
                                     const peer::Frame& frame) {
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -3,6 +3,7 @@
 #include <numeric>
 #include <utility>
 
+#include "turmeric/entry/brittle_upstreams.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_limiter.h"
 
@@ -76,6 +77,8 @@
     not_run_ = info.not_run;
     context_.limiter->OnAnswer(*spec_.upstream, head.status, info, started_,
                                Clock::now());
+    context_.brittle->OnAnswer(*spec_.upstream, head.status, info, started_,
+                               Clock::now());
     return true;
   };
   events.on_body = [this](std::string_view bytes) { body_.append(bytes); };
--- a/libs/entry/src/placement_coordinator.cc
+++ b/libs/entry/src/placement_coordinator.cc
@@ -40,7 +40,12 @@
     choice.memory = &context_.prompt_memory;
   }
   const routing::ServiceSpec* spec = context_.FindService(cell.service);
-  choice.admits = context_.cold_limiter.AdmitsAsOwner(spec, order.service, now);
+  choice.admits =
+      [cold = context_.cold_limiter.AdmitsAsOwner(spec, order.service, now),
+       now](const routing::Upstream& u) {
+        const int open = std::max(u.placed, u.in_flight);
+        return (!cold || cold(u)) && u.brittle.Admits(open, u.entry.slots, now);
+      };
   const auto engines = stages::UpstreamsOfShard(
       cell, context_.upstreams.ForService(cell.service));
   const UpstreamPtr engine = ChooseUpstream(engines, choice, now);
@@ -56,6 +61,7 @@
                                              const routing::Upstream& engine) {
   const routing::ServiceSpec* spec = context_.FindService(engine.entry.service);
   const int64_t capacity = spec == nullptr ? 0 : spec->engine_tokens;
+  if (order.shared_part.empty()) return;
   const std::string& id = engine.entry.id;
   routing::PromptMemory& memory = context_.prompt_memory;
   memory.Note(id, order.shared_part, order.shared_tokens, capacity);
@@ -73,7 +79,11 @@
   const auto tracker = trackers_.find(identity);
   if (tracker == trackers_.end()) return;
   const UpstreamPtr engine = tracker->second.End(end.ticket);
-  if (!engine || identity.empty() || !end.outcome) return;
+  if (!engine || !end.outcome) return;
+  if (*end.outcome == routing::Outcome::kRefused) {
+    engine->brittle.OnRefusal(engine->placed + 1, Clock::now());
+  }
+  if (identity.empty()) return;
   // The instance may be partitioned from an engine that others reach.
   if (*end.outcome == routing::Outcome::kNotSent &&
       IsReachedDirectly(engine->reach, Clock::now())) {
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "turmeric/entry/answer_check.h"
+#include "turmeric/entry/brittle_upstreams.h"
 #include "turmeric/entry/config_check.h"
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
@@ -53,6 +54,8 @@
  * delays. A request that waits for longer misses its latency target. */
 constexpr milliseconds kColdWait{100};
 constexpr int kMaxColdWaits = 8;
+/** Largest number of such delays while all upstreams with room are brittle. */
+constexpr int kMaxBrittleWaits = 2;
 /** Engine priorities are 0 (first) to this value. */
 constexpr int kLowestEnginePriority = 9;
 
@@ -236,7 +239,9 @@
   const std::string results_zone = stages_->inputs_zone();
   const UpstreamCriteria wanted = MakeUpstreamCriteria(results_zone);
   const bool suspect = context_.quarantine->IsSuspect(fingerprint_);
-  if (suspect || !route_->carries_prompt) {
+  const bool has_owner =
+      route_->carries_prompt || context_.brittle->Any(service_);
+  if (suspect || !has_owner) {
     return SendTo(ChooseLocally(context_,
                                 {.service = service_,
                                  .fingerprint = fingerprint_,
@@ -246,15 +251,25 @@
   }
   peer::PlacementOrder order = ToPlacementOrder(wanted);
   order.service = service_;
+  if (!route_->carries_prompt) {
+    order.zone = context_.settings.zone;
+    order.zone_cost_ms = kOtherZoneMs;
+  }
   placement_ = std::make_unique<EnginePlacement>(*context_.placer);
-  placement_->Choose(std::move(order),
-                     [this](const routing::UpstreamPtr& u) { SendTo(u); });
+  placement_->Choose(
+      std::move(order), [this](const routing::UpstreamPtr& u) { SendTo(u); },
+      request_.attempt_id);
 }
 
 bool RequestRun::WaitForCapacity() {
-  if (!MayHaveCapacitySoon(context_, service_, tried_upstreams_)) return false;
-  if (++cold_waits_ > kMaxColdWaits) return false;
-  utils::DecisionLog("cold_limit_reached")
+  const bool brittle = context_.brittle->Any(service_);
+  if (!brittle && !MayHaveCapacitySoon(context_, service_, tried_upstreams_)) {
+    return false;
+  }
+  if (++cold_waits_ > (brittle ? kMaxBrittleWaits : kMaxColdWaits)) {
+    return false;
+  }
+  utils::DecisionLog(brittle ? "brittle_full" : "cold_limit_reached")
       .Add("request", request_.attempt_id)
       .Add("service", service_)
       .Add("waits", cold_waits_);
@@ -292,7 +307,11 @@
 
 void RequestRun::RefuseWithoutUpstream() {
   if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
-  if (!permits_->exhausted()) return Refuse("no_upstream", RetryAfter::kLater);
+  if (!permits_->exhausted()) {
+    return context_.brittle->Any(service_)
+               ? Refuse("brittle_full", RetryAfter::kAfterOverload)
+               : Refuse("no_upstream", RetryAfter::kLater);
+  }
   Refuse("rate_limited",
          context_.limiter->RefusalDelay(service_, Uniform(), Clock::now()));
 }
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -261,7 +261,10 @@
     any_listed = true;
     if (IsAvoided(*u, now) || (admits && !admits(*u))) continue;
     zones.push_back(u->entry.zone);
-    if (WorkerOf(queue, u).calls < limits.slots) free.push_back(u);
+    const int calls = WorkerOf(queue, u).calls;
+    if (calls < limits.slots && u->brittle.Admits(calls, limits.slots, now)) {
+      free.push_back(u);
+    }
   }
   if (!any_listed) {
     return FailAll(queue.pieces.TakeAll(), PieceFailure::kNoUpstream);
@@ -391,6 +394,9 @@
 void StageDispatcher::OnCallFailed(PieceCall& call, Outcome outcome) {
   context_.RecordOutcome(*call.upstream(), outcome, 0);
   Worker& worker = WorkerOf(QueueOf(call.shard()), call.upstream());
+  if (outcome == Outcome::kRefused) {
+    call.upstream()->brittle.OnRefusal(worker.calls, Clock::now());
+  }
   --worker.calls;
   worker.memory.Unreserve(call.bytes());
   utils::DecisionLog("stage_call_failed")
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -42,9 +42,13 @@
   const auto now = Clock::now();
   const auto upstreams = context.upstreams.ForService(choice.service);
   const routing::ServiceSpec* spec = context.FindService(choice.service);
-  const routing::UpstreamFilter admits =
+  const routing::UpstreamFilter cold =
       choice.has_owner ? context.cold_limiter.AdmitsAsNonOwner(spec, now)
                        : context.cold_limiter.AdmitsForUnowned(spec, now);
+  // Only the owner knows whether a brittle upstream has room.
+  const routing::UpstreamFilter admits = [&cold](const routing::Upstream& u) {
+    return !u.brittle.is_brittle() && (!cold || cold(u));
+  };
   UpstreamPtr chosen;
   if (choice.suspect) {
     chosen = ChooseByFingerprint(upstreams, choice.fingerprint, criteria.tried,
--- a/libs/entry/src/upstream_criteria.cc
+++ b/libs/entry/src/upstream_criteria.cc
@@ -18,11 +18,6 @@
  * ms.
  */
 constexpr int kLargeInputZoneMs = 150;
-/**
- * Extra waiting accepted to stay in the zone of this instance for a service
- * that is not an engine service, ms: the round trip.
- */
-constexpr double kOtherZoneMs = 2;
 
 /**
  * Adds the prompt's parts, which are ordered: the first is shared by many
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "turmeric/entry/brittle_upstreams.h"
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_limiter.h"
@@ -73,6 +74,8 @@
   info_ = info;
   context_.limiter->OnAnswer(*spec_.upstream, head.status, info, sent_at_,
                              Clock::now());
+  context_.brittle->OnAnswer(*spec_.upstream, head.status, info, sent_at_,
+                             Clock::now());
   has_head_ = true;
   return true;
 }
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/limit_statement.h"
 #include "turmeric/quarantine/crash.h"
 #include "turmeric/routing/upstream.h"
@@ -174,6 +175,12 @@
   bool limit_unknown = false;
 };
 
+/** Reports whether an upstream is brittle, as its answer has stated. */
+struct BrittleNotice {
+  std::string upstream;  ///< Process incarnation.
+  limits::BrittleStatement statement;
+};
+
 /** Whether an instance reaches any upstream by connections of its own. */
 enum class ReachStatement {
   kNone,  ///< The frame states nothing.
@@ -211,6 +218,7 @@
   std::vector<LimitNotice> limit_notices;
   std::vector<PermitOrder> permit_orders;
   std::vector<Permit> permits;
+  std::vector<BrittleNotice> brittle_notices;
   ReachStatement reach = ReachStatement::kNone;
 };
 
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -65,6 +65,9 @@
 struct Permit;
 struct PermitBuilder;
 
+struct BrittleNotice;
+struct BrittleNoticeBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -1665,6 +1668,93 @@
       limit_unknown);
 }
 
+struct BrittleNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BrittleNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_TOLERATED = 6,
+    VT_SENT_AGE_MS = 8,
+    VT_RECEIVED_AGE_MS = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  int32_t tolerated() const {
+    return GetField<int32_t>(VT_TOLERATED, 0);
+  }
+  int32_t sent_age_ms() const {
+    return GetField<int32_t>(VT_SENT_AGE_MS, 0);
+  }
+  int32_t received_age_ms() const {
+    return GetField<int32_t>(VT_RECEIVED_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<int32_t>(verifier, VT_TOLERATED, 4) &&
+           VerifyField<int32_t>(verifier, VT_SENT_AGE_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_RECEIVED_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct BrittleNoticeBuilder {
+  typedef BrittleNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(BrittleNotice::VT_UPSTREAM, upstream);
+  }
+  void add_tolerated(int32_t tolerated) {
+    fbb_.AddElement<int32_t>(BrittleNotice::VT_TOLERATED, tolerated, 0);
+  }
+  void add_sent_age_ms(int32_t sent_age_ms) {
+    fbb_.AddElement<int32_t>(BrittleNotice::VT_SENT_AGE_MS, sent_age_ms, 0);
+  }
+  void add_received_age_ms(int32_t received_age_ms) {
+    fbb_.AddElement<int32_t>(BrittleNotice::VT_RECEIVED_AGE_MS, received_age_ms, 0);
+  }
+  explicit BrittleNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BrittleNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BrittleNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BrittleNotice> CreateBrittleNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    int32_t tolerated = 0,
+    int32_t sent_age_ms = 0,
+    int32_t received_age_ms = 0) {
+  BrittleNoticeBuilder builder_(_fbb);
+  builder_.add_received_age_ms(received_age_ms);
+  builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_tolerated(tolerated);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<BrittleNotice> CreateBrittleNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    int32_t tolerated = 0,
+    int32_t sent_age_ms = 0,
+    int32_t received_age_ms = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreateBrittleNotice(
+      _fbb,
+      upstream__,
+      tolerated,
+      sent_age_ms,
+      received_age_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1693,7 +1783,8 @@
     VT_LIMIT_NOTICES = 48,
     VT_PERMIT_ORDERS = 50,
     VT_PERMITS = 52,
-    VT_REACH = 54
+    VT_REACH = 54,
+    VT_BRITTLE_NOTICES = 56
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1773,6 +1864,9 @@
   turmeric::peer::wire::ReachStatement reach() const {
     return static_cast<turmeric::peer::wire::ReachStatement>(GetField<int8_t>(VT_REACH, 0));
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *brittle_notices() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *>(VT_BRITTLE_NOTICES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1833,6 +1927,9 @@
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<int8_t>(verifier, VT_REACH, 1) &&
+           VerifyOffset(verifier, VT_BRITTLE_NOTICES) &&
+           verifier.VerifyVector(brittle_notices()) &&
+           verifier.VerifyVectorOfTables(brittle_notices()) &&
            verifier.EndTable();
   }
 };
@@ -1919,6 +2016,9 @@
   void add_reach(turmeric::peer::wire::ReachStatement reach) {
     fbb_.AddElement<int8_t>(Frame::VT_REACH, static_cast<int8_t>(reach), 0);
   }
+  void add_brittle_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>> brittle_notices) {
+    fbb_.AddOffset(Frame::VT_BRITTLE_NOTICES, brittle_notices);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1957,13 +2057,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>> limit_notices = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>> permit_orders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits = 0,
-    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None) {
+    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>> brittle_notices = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_brittle_notices(brittle_notices);
   builder_.add_permits(permits);
   builder_.add_permit_orders(permit_orders);
   builder_.add_limit_notices(limit_notices);
@@ -2015,7 +2117,8 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>> *limit_notices = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *permit_orders = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits = nullptr,
-    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None) {
+    turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *brittle_notices = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -2033,6 +2136,7 @@
   auto limit_notices__ = limit_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LimitNotice>>(*limit_notices) : 0;
   auto permit_orders__ = permit_orders ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>(*permit_orders) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Permit>>(*permits) : 0;
+  auto brittle_notices__ = brittle_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>(*brittle_notices) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -2060,7 +2164,8 @@
       limit_notices__,
       permit_orders__,
       permits__,
-      reach);
+      reach,
+      brittle_notices__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -292,6 +292,19 @@
                             NonNegativeMs(permit.wait), permit.limit_unknown);
 }
 
+/** Wire value of a BrittleNotice for an upstream that is not brittle. */
+constexpr int32_t kNotBrittle = -1;
+
+Offset<wire::BrittleNotice> Write(FlatBufferBuilder& b,
+                                  const BrittleNotice& notice,
+                                  Clock::time_point now) {
+  const limits::BrittleStatement& statement = notice.statement;
+  return wire::CreateBrittleNotice(b, b.CreateString(notice.upstream),
+                                   statement.tolerated.value_or(kNotBrittle),
+                                   RelativeMs(now, statement.sent_at),
+                                   RelativeMs(now, statement.received_at));
+}
+
 template <class Table>
 using TableList = flatbuffers::Vector<Offset<Table>>;
 
@@ -301,6 +314,7 @@
   Offset<TableList<wire::LimitNotice>> notices;
   Offset<TableList<wire::PermitOrder>> orders;
   Offset<TableList<wire::Permit>> permits;
+  Offset<TableList<wire::BrittleNotice>> brittle;
 };
 
 LimitParts WriteLimitParts(FlatBufferBuilder& b, const Frame& frame,
@@ -315,11 +329,26 @@
   std::vector<Offset<wire::Permit>> permits;
   for (const auto& p : frame.permits) permits.push_back(Write(b, p));
   if (!permits.empty()) parts.permits = b.CreateVector(permits);
+  std::vector<Offset<wire::BrittleNotice>> brittle;
+  for (const auto& n : frame.brittle_notices) {
+    brittle.push_back(Write(b, n, now));
+  }
+  if (!brittle.empty()) parts.brittle = b.CreateVector(brittle);
   return parts;
 }
 
 /** Reads the limits, permit orders and permits of a frame. */
 void ReadLimitParts(const wire::Frame& f, Clock::time_point now, Frame& frame) {
+  if (f.brittle_notices() != nullptr) {
+    for (const auto* n : *f.brittle_notices()) {
+      limits::BrittleStatement statement{
+          .tolerated = std::nullopt,
+          .sent_at = TimeFromAge(n->sent_age_ms(), now),
+          .received_at = TimeFromAge(n->received_age_ms(), now)};
+      if (n->tolerated() >= 0) statement.tolerated = n->tolerated();
+      frame.brittle_notices.push_back({Text(n->upstream()), statement});
+    }
+  }
   if (f.limit_notices() != nullptr) {
     for (const auto* n : *f.limit_notices()) {
       limits::LimitStatement statement{
@@ -433,7 +462,8 @@
              frame.newest_revisions.config, frame.newest_revisions.upstreams,
              follow, relay, change_list, crash_list, run_list,
              frame.newest_revisions.evacuations, limits.notices, limits.orders,
-             limits.permits, static_cast<wire::ReachStatement>(frame.reach)));
+             limits.permits, static_cast<wire::ReachStatement>(frame.reach),
+             limits.brittle));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -10,6 +10,7 @@
 using turmeric::peer::Decode;
 using turmeric::peer::Encode;
 using turmeric::peer::Frame;
+using turmeric::peer::ReachStatement;
 using turmeric::stages::Clock;
 using turmeric::stages::PieceFailure;
 
@@ -59,6 +60,10 @@
   frame.limit_notices = {
       {"i-3@5", {.per_s = 0.5, .sent_at = now - 900ms, .received_at = now}},
       {"i-4", {.per_s = {}, .sent_at = now - 2s, .received_at = now - 1s}}};
+  frame.reach = ReachStatement::kPartitioned;
+  frame.brittle_notices = {
+      {"i-5", {.tolerated = 3, .sent_at = now - 20ms, .received_at = now}},
+      {"i-6", {.tolerated = {}, .sent_at = now - 2s, .received_at = now - 1s}}};
   frame.permit_orders.push_back({.ticket = 30,
                                  .service = "llm",
                                  .upstream = "i-3@5",
@@ -194,6 +199,13 @@
   REQUIRE(frame->limit_notices[0].statement.sent_at == later - 900ms);
   REQUIRE(frame->limit_notices[0].statement.received_at == later);
   REQUIRE_FALSE(frame->limit_notices[1].statement.per_s);
+  REQUIRE(frame->reach == ReachStatement::kPartitioned);
+  REQUIRE(frame->brittle_notices.size() == 2);
+  REQUIRE(frame->brittle_notices[0].upstream == "i-5");
+  REQUIRE(frame->brittle_notices[0].statement.tolerated == 3);
+  REQUIRE(frame->brittle_notices[0].statement.sent_at == later - 20ms);
+  REQUIRE(frame->brittle_notices[0].statement.received_at == later);
+  REQUIRE_FALSE(frame->brittle_notices[1].statement.tolerated);
   REQUIRE(frame->permit_orders.size() == 1);
   REQUIRE(frame->permit_orders[0].ticket == 30);
   REQUIRE(frame->permit_orders[0].service == "llm");
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 
+#include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/stated_limit.h"
 #include "turmeric/routing/reach.h"
 #include "turmeric/routing/recent_sends.h"
@@ -48,6 +49,7 @@
    * instances sent because this instance had placed them. */
   RecentSends sends;
   limits::StatedLimit rate_limit;  ///< Stated in its answers.
+  limits::BrittleState brittle;
   int in_flight = 0;  ///< Requests of this instance that are in flight to it.
   /** Time to read the prompts of the requests in flight, ms. */
   double pending_prompt_ms = 0;
