--- a/libs/entry/include/turmeric/entry/upstream_client.h
+++ b/libs/entry/include/turmeric/entry/upstream_client.h
@@ -76,13 +76,9 @@
     peers_ = peers;
     suspect_ = std::move(suspect);
   }
-  /**
-   * Closes idle connections that the new path of an upstream replaces.
-   * @param upstream the upstream.
-   * @param hangs true: direct connections get no answers; those with
-   *     unacknowledged requests are broken, too.
-   */
-  void OnPathChanged(const routing::UpstreamPtr& upstream, bool hangs);
+  /** Closes the idle connections to an upstream that are no tunnels.
+   * @param upstream the upstream. */
+  void CloseIdleDirect(routing::Upstream& upstream);
   /** Closes the idle tunnels through a peer that is stopping.
    * @param peer its name. */
   void CloseIdleTunnels(const std::string& peer);
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -149,7 +149,8 @@
   return std::make_unique<TunnelServer>([this](std::string_view id) {
     const routing::UpstreamPtr upstream = context_.upstreams.Find(id);
     if (!upstream) return TunnelTarget{};
-    if (upstream->reach.path != routing::Path::kDirect) {
+    // A peer may ask about an upstream that has ended: its host then refuses.
+    if (upstream->reach.path == routing::Path::kTunnel) {
       return TunnelTarget{http::TunnelStatus::kUnavailable, {}};
     }
     return TunnelTarget{http::TunnelStatus::kOpen,
--- a/libs/entry/src/reach_monitor.cc
+++ b/libs/entry/src/reach_monitor.cc
@@ -68,7 +68,9 @@
                               std::function<void(bool)> done) {
   Check(upstream, true, [this, done = std::move(done)](const ReachFinding& f) {
     const bool reached = f.result.connected || !f.result.connected_peer.empty();
-    done(!reached && f.result.refused && (f.peer_refused || !peers_.any()));
+    const bool decides_alone =
+        !context_.Uses(config::Mechanism::kTunnels) || !peers_.any();
+    done(!reached && f.result.refused && (f.peer_refused || decides_alone));
   });
 }
 
@@ -117,8 +119,12 @@
     upstream->ejected_until = {};
     upstream->failures = 0;
   }
-  const bool hangs = path != Path::kDirect && !result.refused;
-  context_.client.OnPathChanged(upstream, hangs);
+  // Connections that hang get no answers. A host that refuses new connections
+  // may still serve the open ones, and a host that nobody reaches may only be
+  // silent for a moment.
+  if (path == Path::kTunnel && !result.refused) {
+    context_.client.CloseIdleDirect(*upstream);
+  }
   if (path != Path::kNone || !AnswersArrive()) CheckOthers(upstream);
   if (!recheck_timer_.isActive()) recheck_timer_.start();
   UpdatePartitioned();
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -264,8 +264,9 @@
     }
   }
   if (!suspect_) return;
-  for (const UpstreamPtr& upstream : unacknowledged)
+  for (const UpstreamPtr& upstream : unacknowledged) {
     suspect_(upstream, "unacknowledged");
+  }
 }
 
 void UpstreamClient::CloseIdleIf(
@@ -282,21 +283,9 @@
   }
 }
 
-void UpstreamClient::OnPathChanged(const UpstreamPtr& upstream, bool hangs) {
-  if (!hangs) return;
-  CloseIdleIf(pools_[upstream->entry.id], *upstream,
+void UpstreamClient::CloseIdleDirect(Upstream& upstream) {
+  CloseIdleIf(pools_[upstream.entry.id], upstream,
               [this](ClientConnection* c) { return !IsTunnel(c); });
-  std::vector<ClientConnection*> stuck;
-  for (const auto& [connection, exchange] : open_) {
-    if (exchange.upstream == upstream && !IsTunnel(connection) &&
-        connection->awaits_response() && connection->unacknowledged() > 0) {
-      stuck.push_back(connection);
-    }
-  }
-  // The end of one exchange may cancel another.
-  for (ClientConnection* connection : stuck) {
-    if (open_.contains(connection)) connection->Break();
-  }
 }
 
 void UpstreamClient::CloseIdleTunnels(const std::string& peer) {
--- a/libs/http/include/turmeric/http/client_connection.h
+++ b/libs/http/include/turmeric/http/client_connection.h
@@ -66,8 +66,6 @@
   void Cancel();
   /** Closes an idle connection; calls the callback for its end. */
   void EndIdle();
-  /** Ends the open exchange as if the connection had been reset. */
-  void Break();
   /** @param paused true: stop reading the response until called with false. */
   void PauseReading(bool paused);
   /** @return true if another request may be sent now. */
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -160,10 +160,6 @@
   if (auto callback = std::exchange(on_idle_end_, nullptr)) callback();
 }
 
-void ClientConnection::Break() {
-  if (busy_) OnEnd(SocketEnd::kReset);
-}
-
 void ClientConnection::Cancel() {
   broken_ = true;
   busy_ = false;
