Reading the change: one way to close idle connections, one rule for absent statements

No behaviour changes. UpstreamClient closed idle connections in two ways (CloseIdleIf, EndIdle); both cases use EndIdleIf now. Which answers say nothing about a stated limit or brittleness stood in UpstreamLimiter and again in BrittleUpstreams; both call StatesNothing, which has a test. ReachMonitor::partitioned() was used by nothing.

--- a/libs/entry/include/turmeric/entry/answer_check.h
+++ b/libs/entry/include/turmeric/entry/answer_check.h
@@ -23,4 +23,14 @@
  */
 std::string_view AnswerFault(const CompletedAnswer& answer);
 
+/**
+ * Decides whether an answer says nothing about a state that upstreams state in
+ * their answers, neither that it holds nor that it has ended.
+ * @param status status of the answer. @param info decoded from its head.
+ * @param stated true if the answer states the state.
+ * @return true if another process has answered, or if the statement is absent
+ *     from an answer of a failing upstream, which may omit it.
+ */
+bool StatesNothing(int status, const AnswerInfo& info, bool stated);
+
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/reach_monitor.h
+++ b/libs/entry/include/turmeric/entry/reach_monitor.h
@@ -27,7 +27,8 @@
  */
 class ReachMonitor : public QObject {
  public:
-  /** Called when partitioned() changes, and repeatedly while it is true. */
+  /** Called with true repeatedly while this instance reaches no upstream
+   * itself, and with false once it reaches one again. */
   using PartitionCallback = std::function<void(bool partitioned)>;
 
   /** @param context state of this instance; must outlive this object.
@@ -53,8 +54,6 @@
    */
   void ConfirmEnd(const routing::UpstreamPtr& upstream,
                   std::function<void(bool has_ended)> done);
-  /** @return true if this instance reaches no upstream itself. */
-  bool partitioned() const { return partitioned_; }
 
  private:
   using FindingCallback = std::function<void(const ReachFinding&)>;
@@ -82,7 +81,7 @@
   std::map<const routing::Upstream*, OpenCheck> checks_;
   QTimer recheck_timer_;
   QTimer statement_timer_;
-  bool partitioned_ = false;
+  bool partitioned_ = false;  ///< No upstream is reached directly.
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_client.h
+++ b/libs/entry/include/turmeric/entry/upstream_client.h
@@ -78,7 +78,7 @@
   }
   /** Closes the idle connections to an upstream that are no tunnels.
    * @param upstream the upstream. */
-  void CloseIdleDirect(routing::Upstream& upstream);
+  void CloseIdleDirect(const routing::Upstream& upstream);
   /** Closes the idle tunnels through a peer that is stopping.
    * @param peer its name. */
   void CloseIdleTunnels(const std::string& peer);
@@ -117,7 +117,9 @@
   struct Pool {
     std::vector<http::ClientConnection*> idle;
   };
-  /** An exchange whose answer has not begun. */
+  /** @return true for connections to be closed. */
+  using Condition = std::function<bool(const http::ClientConnection*)>;
+  /** An exchange in flight. */
   struct OpenExchange {
     routing::UpstreamPtr upstream;
     Clock::time_point since;
@@ -132,10 +134,7 @@
                     const routing::UpstreamPtr& upstream);
   void OnIdleEnd(http::ClientConnection* connection,
                  const routing::UpstreamPtr& upstream);
-  /** @param condition idle connections to an upstream to be closed. */
-  void CloseIdleIf(
-      Pool& pool, routing::Upstream& upstream,
-      const std::function<bool(http::ClientConnection*)>& condition);
+  static void EndIdleIf(Pool& pool, const Condition& condition);
   http::ExchangeEvents Wrap(http::ExchangeEvents events,
                             const std::shared_ptr<UpstreamExchange>& exchange,
                             http::ClientConnection* connection,
--- a/libs/entry/src/answer_check.cc
+++ b/libs/entry/src/answer_check.cc
@@ -8,10 +8,12 @@
 namespace {
 
 constexpr int kFirstRedirect = 300;
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
 
 /** @return true for statuses by which callers conclude "not run". */
 bool MeansNotRun(int status) {
-  constexpr std::array<int, 4> kNotRunStatuses = {408, 421, 429, 503};
+  constexpr std::array<int, 4> kNotRunStatuses = {408, kMisdirected, 429, 503};
   return std::ranges::count(kNotRunStatuses, status) > 0;
 }
 
@@ -35,4 +37,9 @@
   return {};
 }
 
+bool StatesNothing(int status, const AnswerInfo& info, bool stated) {
+  if (status == kMisdirected) return true;
+  return !stated && (info.not_run || status >= kServerError);
+}
+
 }  // namespace turmeric::entry
--- a/libs/entry/src/brittle_upstreams.cc
+++ b/libs/entry/src/brittle_upstreams.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/entry/answer_check.h"
 #include "turmeric/entry/permit_issuer.h"
 #include "turmeric/entry/upstream_probe.h"
 #include "turmeric/utils/decision_log.h"
@@ -16,8 +17,6 @@
 
 namespace {
 
-constexpr int kMisdirected = 421;
-constexpr int kServerError = 500;
 /** Value of a log field for an upstream that is not brittle. */
 constexpr int kNotBrittle = -1;
 
@@ -31,10 +30,7 @@
                                 const AnswerInfo& info,
                                 Clock::time_point sent_at,
                                 Clock::time_point now) {
-  // Another process at the upstream's address has answered.
-  if (status == kMisdirected) return;
-  // A failing upstream may omit the statement.
-  if (!info.brittle && (info.not_run || status >= kServerError)) return;
+  if (StatesNothing(status, info, info.brittle.has_value())) return;
   const BrittleStatement statement{
       .tolerated = info.brittle, .sent_at = sent_at, .received_at = now};
   if (!Apply(upstream, statement)) return;
--- a/libs/entry/src/reach_monitor.cc
+++ b/libs/entry/src/reach_monitor.cc
@@ -120,8 +120,8 @@
     upstream->failures = 0;
   }
   // Connections that hang get no answers. A host that refuses new connections
-  // may still serve the open ones, and a host that nobody reaches may only be
-  // silent for a moment.
+  // may still serve the open ones, and a host that no instance reaches may
+  // only be silent for a moment.
   if (path == Path::kTunnel && !result.refused) {
     context_.client.CloseIdleDirect(*upstream);
   }
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -269,34 +269,25 @@
   }
 }
 
-void UpstreamClient::CloseIdleIf(
-    Pool& pool, Upstream& upstream,
-    const std::function<bool(ClientConnection*)>& condition) {
-  std::vector<ClientConnection*> connections;
-  std::erase_if(pool.idle, [&](ClientConnection* connection) {
-    const bool closed = condition(connection);
-    if (closed) connections.push_back(connection);
-    return closed;
-  });
-  for (ClientConnection* connection : connections) {
-    Discard(connection, upstream);
+void UpstreamClient::EndIdleIf(Pool& pool, const Condition& condition) {
+  // The end of an idle connection removes it from its pool.
+  const std::vector<ClientConnection*> idle(pool.idle);
+  for (ClientConnection* connection : idle) {
+    if (condition(connection)) connection->EndIdle();
   }
 }
 
-void UpstreamClient::CloseIdleDirect(Upstream& upstream) {
-  CloseIdleIf(pools_[upstream.entry.id], upstream,
-              [this](ClientConnection* c) { return !IsTunnel(c); });
+void UpstreamClient::CloseIdleDirect(const Upstream& upstream) {
+  EndIdleIf(pools_[upstream.entry.id],
+            [this](const ClientConnection* c) { return !IsTunnel(c); });
 }
 
 void UpstreamClient::CloseIdleTunnels(const std::string& peer) {
   for (auto& [upstream_id, pool] : pools_) {
-    for (ClientConnection* connection :
-         std::vector<ClientConnection*>(pool.idle)) {
-      const auto tunnel = tunnels_.find(connection);
-      if (tunnel != tunnels_.end() && tunnel->second == peer) {
-        connection->EndIdle();
-      }
-    }
+    EndIdleIf(pool, [&](const ClientConnection* c) {
+      const auto tunnel = tunnels_.find(c);
+      return tunnel != tunnels_.end() && tunnel->second == peer;
+    });
   }
 }
 
--- a/libs/entry/src/upstream_limiter.cc
+++ b/libs/entry/src/upstream_limiter.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <utility>
 
+#include "turmeric/entry/answer_check.h"
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/entry/upstream_probe.h"
 #include "turmeric/limits/limit_statement.h"
@@ -21,8 +22,6 @@
 
 namespace {
 
-constexpr int kMisdirected = 421;
-constexpr int kServerError = 500;
 /** Value of a log field for an upstream without a limit. */
 constexpr double kNoLimit = -1;
 /** Issuers of a service that pass its limits on to all instances. */
@@ -75,15 +74,13 @@
                                const AnswerInfo& info,
                                Clock::time_point sent_at,
                                Clock::time_point now) {
-  // Another process at the upstream's address has answered.
-  if (status == kMisdirected) return;
+  const bool stated = info.rate_limit || info.rate_limit_malformed;
+  if (StatesNothing(status, info, stated)) return;
   if (info.rate_limit_malformed) {
     utils::DecisionLog("rate_limit_malformed")
         .Add("upstream", upstream.entry.id);
     return;
   }
-  // A failing upstream may omit the limit.
-  if (!info.rate_limit && (info.not_run || status >= kServerError)) return;
   const LimitStatement statement{
       .per_s = info.rate_limit, .sent_at = sent_at, .received_at = now};
   if (!Apply(upstream, statement, now)) return;
--- a/libs/entry/test/answer_check_test.cc
+++ b/libs/entry/test/answer_check_test.cc
@@ -4,6 +4,7 @@
 
 using turmeric::entry::AnswerFault;
 using turmeric::entry::AnswerInfo;
+using turmeric::entry::StatesNothing;
 
 namespace {
 
@@ -64,3 +65,17 @@
                        .inside_event = false})
               .empty());
 }
+
+// Guards against the state of an upstream that ends because of an answer which
+// another process gave, or which a failing upstream gave without the statement.
+TEST_CASE(
+    "an answer of another process or of a failing upstream states nothing") {
+  const AnswerInfo ran = InfoWithReceipt();
+  AnswerInfo refused = InfoWithReceipt();
+  refused.not_run = true;
+  CHECK(StatesNothing(421, ran, true));
+  CHECK(StatesNothing(503, refused, false));
+  CHECK(StatesNothing(500, ran, false));
+  CHECK_FALSE(StatesNothing(503, refused, true));
+  CHECK_FALSE(StatesNothing(200, ran, false));
+}
