--- a/libs/entry/include/turmeric/entry/wire_format.h
+++ b/libs/entry/include/turmeric/entry/wire_format.h
@@ -33,6 +33,9 @@
   std::string key;  ///< API key of the organisation; empty if none was sent.
   /** The stream is to be resumed after this event. */
   std::optional<int64_t> last_event_id;
+  /** The attempt that brought the first event of the stream to be resumed;
+   * empty: not stated. */
+  std::string resumed_attempt_id;
   std::string model;
   int prompt_tokens = 0;
   int output_tokens = 0;
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -59,6 +59,9 @@
 /** Engine priorities are 0 (first) to this value. */
 constexpr int kLowestEnginePriority = 9;
 
+/** Value of a log field for a request that resumes no stream. */
+constexpr int64_t kNoEvent = -1;
+
 /** @return the fingerprint of the request, equal on all instances. */
 std::string FingerprintOf(const CallerRequest& request,
                           std::string_view organisation) {
@@ -496,6 +499,7 @@
       .Add("request", request_.attempt_id)
       .Add("work", fingerprint_)
       .Add("upstream", send_->upstream()->entry.id)
+      .Add("version", send_->upstream()->entry.version)
       .Add("why", why)
       .Add("events", forwarder_.events())
       .Add("sends", sends_)
@@ -645,6 +649,7 @@
       .Add("status", status)
       .Add("outcome", outcome)
       .Add("upstream", send_ ? send_->upstream()->entry.id : "-")
+      .Add("version", send_ ? send_->upstream()->entry.version : "-")
       .Add("phase", Phase())
       .Add("sends", sends_)
       .Add("events", forwarder_.events())
@@ -653,6 +658,8 @@
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
       .Add("work", fingerprint_)
+      .Add("after_event", request_.last_event_id.value_or(kNoEvent))
+      .Add("resumes", request_.resumed_attempt_id)
       .Add("ms", static_cast<int64_t>(ms));
 }
 
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -24,6 +24,7 @@
   std::string service;
   std::string address;  ///< "ip:port"; may be reused by another service.
   std::string zone;
+  std::string version;  ///< Version of the software that the process runs.
   int slots = 1;
   bool draining = false;
   /** Remaining time for which the process is cold (slow, with low capacity
