--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -26,6 +26,7 @@
 class EntryMetrics;
 class ReachMonitor;
 class RequestQuarantine;
+class StreamOrigins;
 class UpstreamLimiter;
 
 /** State of one instance that is shared by its requests. */
@@ -104,6 +105,7 @@
   UpstreamLimiter* limiter = nullptr;
   BrittleUpstreams* brittle = nullptr;
   ReachMonitor* reach = nullptr;
+  StreamOrigins* origins = nullptr;
   EntryMetrics* metrics = nullptr;
 };
 
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -48,6 +48,12 @@
    * @param granted true if a permit was obtained.
    */
   void OnPermit(std::string_view service, bool granted);
+  /**
+   * Records a search for the software version that began a stream which a
+   * caller resumes.
+   * @param how the source that told the version, or "unknown".
+   */
+  void OnStreamResumed(std::string_view how);
   /**
    * Records a call to the platform's store.
    * @param kind kind of objects.
@@ -86,6 +92,7 @@
   prometheus::Family<prometheus::Counter>& retries_refused_;
   prometheus::Family<prometheus::Counter>& limited_sends_;
   prometheus::Family<prometheus::Counter>& permits_;
+  prometheus::Family<prometheus::Counter>& resumed_;
   prometheus::Family<prometheus::Counter>& store_calls_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -30,9 +30,11 @@
 class StageDispatcher;
 class StageRouter;
 class StoreSharing;
+class StreamOrigins;
 class TopologyFeed;
 class TunnelPeers;
 class TunnelServer;
+class VersionRegistry;
 class RequestQuarantine;
 
 /**
@@ -76,6 +78,8 @@
   void OnPeerState(const std::string& name, const peer::Frame& frame);
   std::unique_ptr<TunnelServer> MakeTunnelServer();
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
+  std::unique_ptr<VersionRegistry> MakeVersions();
+  std::unique_ptr<StreamOrigins> MakeOrigins();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
   void AcceptProbe(int fd);
@@ -101,6 +105,8 @@
   QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
   std::unique_ptr<BrittleUpstreams> brittle_;
+  std::unique_ptr<VersionRegistry> versions_;
+  std::unique_ptr<StreamOrigins> origins_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementCoordinator> placement_coordinator_;
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "turmeric/entry/instance_info.h"
 #include "turmeric/peer/peer_link.h"
@@ -85,6 +86,14 @@
    *     reachable and not stopping; nullopt: this instance.
    */
   std::optional<std::string> OwnerOf(const std::string& key);
+  /**
+   * @param key key of a replicated object.
+   * @param count most names returned.
+   * @return the other instances that are reachable and not stopping, by their
+   *     rendezvous weight for the key, highest first.
+   */
+  std::vector<std::string> HoldersOf(const std::string& key,
+                                     size_t count) const;
   /**
    * @param name name of another instance.
    * @return a connection to it, opened if there is none; nullptr if the name is
--- a/libs/entry/include/turmeric/entry/permit_requester.h
+++ b/libs/entry/include/turmeric/entry/permit_requester.h
@@ -21,6 +21,8 @@
   routing::UpstreamPtr upstream;
   std::vector<std::string> excluded;      ///< Upstream ids not to be chosen.
   std::chrono::milliseconds max_wait{0};  ///< Longest wait for the permit.
+  /** Software version of any upstream; empty: all versions. */
+  std::string version = {};
 };
 
 /**
--- a/libs/entry/include/turmeric/entry/platform_link.h
+++ b/libs/entry/include/turmeric/entry/platform_link.h
@@ -35,6 +35,9 @@
    * upstreams that run them.
    */
   std::string quarantine_kind;
+  /** Kind of the entries that instances write for software versions of
+   * upstreams, see VersionRegistry. */
+  std::string versions_kind;
   std::function<std::optional<routing::RouteTable>(const QJsonObject&)>
       decode_table;
   std::function<std::optional<routing::UpstreamEntry>(const std::string& id,
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -18,6 +18,7 @@
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
+#include "turmeric/streams/stream_origin.h"
 
 namespace turmeric::entry {
 
@@ -61,6 +62,13 @@
 
  private:
   bool Admitted();
+  /** @return true if the caller resumes a stream of an earlier attempt. */
+  bool ResumesStream() const;
+  /** Continues with the service and the version that began the stream.
+   * @param origin nullopt: not known. */
+  void OnOriginFound(const std::optional<streams::StreamOrigin>& origin);
+  /** Starts the stages. @param service service of the upstream. */
+  void Begin(std::string service);
   /** Checks whether the configuration in force is the latest of the store, then
    * runs the admission a second time. Called before a refusal that is final. */
   void CheckConfigIsLatest();
@@ -107,6 +115,9 @@
   bool MayRetry(SendOutcome outcome);
   void Retry();
   void OnStreamBytes(std::string_view bytes);
+  /** Records the version that has begun the stream, before its first event is
+   * sent. */
+  void RecordOrigin();
   void ForwardHead();
   // The final answer.
   void ForwardAnswer();
@@ -139,6 +150,9 @@
   std::optional<bool> config_is_latest_;
   std::string fingerprint_;  ///< Equal for all copies of the request.
   std::string service_;
+  /** Software version that began the stream; empty: none has yet. */
+  std::string stream_version_;
+  bool origin_recorded_ = false;
   Clock::time_point arrived_;
   /** Time that the caller spent on earlier attempts. */
   std::chrono::milliseconds time_used_{0};
--- a/libs/entry/include/turmeric/entry/send_permits.h
+++ b/libs/entry/include/turmeric/entry/send_permits.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -48,6 +49,7 @@
                Clock::time_point now);
   /**
    * Obtains a permit for any upstream with a limit, once for each send.
+   * @param version software version of the upstream; empty: any.
    * @param tried ids of upstreams that the request was sent to.
    * @param max_wait longest wait for the permit.
    * @param done see Callback; nullptr: there is no permit within that wait.
@@ -55,7 +57,7 @@
    * @return false if there is no such upstream, or a permit was requested
    *     before; `done` is not called then.
    */
-  bool AcquireAny(std::span<const std::string> tried,
+  bool AcquireAny(std::string_view version, std::span<const std::string> tried,
                   std::chrono::milliseconds max_wait, Callback done,
                   Clock::time_point now);
   /** @return true if a permit for any upstream was requested in vain. */
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/stream_origins.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "turmeric/peer/frame.h"
+#include "turmeric/routing/route_table.h"
+#include "turmeric/routing/upstream_clock.h"
+#include "turmeric/streams/origin_records.h"
+
+namespace turmeric::entry {
+
+class EntryMetrics;
+class VersionRegistry;
+
+/**
+ * Finds the software version that began a stream which a caller resumes at this
+ * instance. While a service has one registered version, the registry tells it.
+ * While it has several, each new stream is recorded at a few peers that follow
+ * from its id, before its first event is sent. A stream whose version cannot be
+ * found is not resumed, as events of two versions do not fit together.
+ */
+class StreamOrigins : public QObject {
+ public:
+  using Clock = routing::Clock;
+
+  /** Connections to the other instances. */
+  struct Links {
+    /** @return names of reachable peers, by their weight for the key. */
+    std::function<std::vector<std::string>(const std::string& key,
+                                           size_t count)>
+        holders;
+    /** Adds to the next frame to a peer. */
+    std::function<void(const std::string& name,
+                       const std::function<void(peer::Frame&)>&)>
+        send;
+    /** @return number of instances of the fleet; 0: not known yet. */
+    std::function<int()> fleet_size;
+  };
+  /** Receives the origin. Empty fields: any target of the route may resume the
+   * stream, as each has a single version. nullopt: not found. */
+  using Callback =
+      std::function<void(const std::optional<streams::StreamOrigin>&)>;
+
+  /** @param registry the versions of all services. @param metrics counters.
+   * Both must outlive this. @param links see Links. */
+  StreamOrigins(VersionRegistry& registry, EntryMetrics& metrics, Links links);
+
+  /**
+   * Records a stream that begins at this instance. Called before its first
+   * event is sent to the caller.
+   * @param id the stream. @param origin its origin.
+   * @param targets services that its route allows.
+   */
+  void OnBegun(const streams::StreamId& id, const streams::StreamOrigin& origin,
+               std::span<const routing::RouteTarget> targets);
+  /**
+   * Finds the origin of a stream.
+   * @param id the stream, as the caller states it.
+   * @param targets services that the stream's route allows.
+   * @param done called once, from inside this call or within a fraction of a
+   *     second.
+   */
+  void Find(const streams::StreamId& id,
+            std::span<const routing::RouteTarget> targets, Callback done);
+
+  /** @param frame of a peer; its records are kept. @param reply next frame to
+   * the peer; receives the answers to its queries. */
+  void OnQueries(const peer::Frame& frame, peer::Frame* reply);
+  /** @param name a peer. @param frame its frame, with answers. */
+  void OnAnswers(const std::string& name, const peer::Frame& frame);
+  /** Sends the records of the streams that began here to their holders, once
+   * the service has several versions. @param service the service. */
+  void OnVersionsChanged(const std::string& service);
+
+ private:
+  /** A search that is in progress. */
+  struct Search {
+    streams::StreamId id;
+    std::vector<std::string> services;
+    Callback done;
+    bool read_tried = false;           ///< The registry has been read.
+    bool registry_read = false;        ///< The store has answered.
+    bool asked = false;                ///< Peers have been asked.
+    std::set<std::string> unanswered;  ///< Peers asked that have not answered.
+    /** All answers so far name the versions that are known here. */
+    bool peers_agree = true;
+    int answers = 0;
+    Clock::time_point asked_at;
+  };
+
+  /** @return all registered versions of the services. */
+  std::vector<streams::StreamOrigin> VersionsOf(
+      std::span<const std::string> services) const;
+  /** @return the origin of all streams of the services if each has a single
+   * version, see Callback; else nullopt. */
+  std::optional<streams::StreamOrigin> OnlyOrigin(
+      std::span<const std::string> services) const;
+  void ReadRegistry(uint64_t ticket);
+  void AskPeers(uint64_t ticket);
+  void OnAsked(uint64_t ticket);
+  void Conclude(uint64_t ticket);
+  /** @return true if the search may rely on the versions known here and at the
+   * peers asked although the registry did not answer. */
+  bool MayRelyOnPeers(const Search& search) const;
+  void CheckOverdue();
+  void Finish(uint64_t ticket, std::string_view how,
+              const std::optional<streams::StreamOrigin>& origin);
+  void SendToHolders(const streams::OriginRecords::Record& record);
+
+  VersionRegistry& registry_;
+  EntryMetrics& metrics_;
+  Links links_;
+  streams::OriginRecords begun_;  ///< Streams that began at this instance.
+  streams::OriginRecords held_;   ///< Streams that began at peers.
+  std::map<uint64_t, Search> searches_;  ///< By ticket.
+  uint64_t next_ticket_ = 1;
+  QTimer overdue_timer_;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -86,6 +86,11 @@
   void set_relayed_store_age(std::function<std::chrono::milliseconds()> age) {
     relayed_store_age_ = std::move(age);
   }
+  /** @param callback called after each change of the route table or the
+   * upstreams. */
+  void set_on_applied(std::function<void()> callback) {
+    on_applied_ = std::move(callback);
+  }
   /** @param callback called when the store has begun a new era. */
   void set_on_new_era(std::function<void()> callback) {
     on_new_era_ = std::move(callback);
@@ -179,6 +184,7 @@
   std::optional<Clock::time_point> outage_ended_;
   std::function<void()> on_complete_;
   MergedCallback on_merged_;
+  std::function<void()> on_applied_;
   std::function<void()> on_new_era_;
   std::function<std::chrono::milliseconds()> relayed_store_age_;
   QTimer expire_timer_;
--- a/libs/entry/include/turmeric/entry/upstream_choice.h
+++ b/libs/entry/include/turmeric/entry/upstream_choice.h
@@ -2,6 +2,7 @@
 
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
@@ -11,16 +12,22 @@
 struct EntryContext;
 struct UpstreamCriteria;
 
+/** The upstreams that may serve a request. */
+struct UpstreamGroup {
+  const std::string& service;
+  std::string_view version;  ///< Software version; empty: any.
+};
+
 /**
  * Checks that a request can be served at all, before any of its work begins.
  * @param context the instance's state.
- * @param service the service that the request goes to.
+ * @param group the upstreams that the request goes to.
  * @param route the request's route.
  * @param stage_pieces number of pieces of each stage.
- * @return true if the service, and each stage service that has pieces, has a
+ * @return true if the group, and each stage service that has pieces, has a
  *     listed upstream.
  */
-bool HasUpstreams(const EntryContext& context, const std::string& service,
+bool HasUpstreams(const EntryContext& context, const UpstreamGroup& group,
                   const routing::Route& route,
                   std::span<const int> stage_pieces);
 
@@ -66,14 +73,14 @@
 
 /**
  * @param context the instance's state.
- * @param service name of the service.
+ * @param group the upstreams that may serve the request.
  * @param tried ids of upstreams that must not be used again.
  * @return true if the cold limit applies to the service and an upstream outside
  *     `tried` is listed: its arrivals may be at the limit only for the current
  *     second.
  */
 bool MayHaveCapacitySoon(const EntryContext& context,
-                         const std::string& service,
+                         const UpstreamGroup& group,
                          std::span<const std::string> tried);
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_criteria.h
+++ b/libs/entry/include/turmeric/entry/upstream_criteria.h
@@ -24,6 +24,8 @@
   std::span<const std::string> tried;
   std::string_view own_zone;      ///< Zone of this instance.
   std::string_view results_zone;  ///< Zone of large stage results; empty: none.
+  /** Software version that began the request's stream; empty: any. */
+  std::string_view version;
 };
 
 /**
--- a/libs/entry/include/turmeric/entry/upstream_limiter.h
+++ b/libs/entry/include/turmeric/entry/upstream_limiter.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "turmeric/entry/permit_issuer.h"
@@ -100,11 +101,12 @@
   }
   /**
    * @param service its name.
+   * @param version software version of the upstreams; empty: any.
    * @param tried ids of upstreams that are not counted.
    * @param now current time.
    * @return true if another listed upstream of the service has a limit.
    */
-  bool HasLimited(const std::string& service,
+  bool HasLimited(const std::string& service, std::string_view version,
                   std::span<const std::string> tried,
                   Clock::time_point now) const;
   /** @param service its name. @return ids of the upstreams with a limit. */
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -43,6 +43,11 @@
                    .Help("Permits requested for upstreams with a rate limit, "
                          "by result")
                    .Register(*registry_)),
+      resumed_(prometheus::BuildCounter()
+                   .Name("turmeric_entry_resumed_streams_total")
+                   .Help("Streams that callers resume, by the source that "
+                         "told the software version which began them")
+                   .Register(*registry_)),
       store_calls_(prometheus::BuildCounter()
                        .Name("turmeric_entry_store_calls_total")
                        .Help("Calls to the platform's store")
@@ -120,6 +125,10 @@
       .Increment();
 }
 
+void EntryMetrics::OnStreamResumed(std::string_view how) {
+  resumed_.Add({{"how", std::string(how)}}).Increment();
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -17,10 +17,12 @@
 #include "turmeric/entry/stage_dispatcher.h"
 #include "turmeric/entry/stage_router.h"
 #include "turmeric/entry/store_sharing.h"
+#include "turmeric/entry/stream_origins.h"
 #include "turmeric/entry/topology_feed.h"
 #include "turmeric/entry/tunnel_peers.h"
 #include "turmeric/entry/tunnel_server.h"
 #include "turmeric/entry/upstream_limiter.h"
+#include "turmeric/entry/version_registry.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -72,6 +74,8 @@
       brittle_(std::make_unique<BrittleUpstreams>(
           context_.upstreams,
           [this](const auto& add) { links_->Broadcast(add); })),
+      versions_(MakeVersions()),
+      origins_(MakeOrigins()),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       placement_coordinator_(std::make_unique<PlacementCoordinator>(context_)),
@@ -103,6 +107,10 @@
   context_.limiter = limiter_.get();
   context_.brittle = brittle_.get();
   context_.reach = reach_.get();
+  context_.origins = origins_.get();
+  versions_->set_on_change([this](const std::string& service) {
+    origins_->OnVersionsChanged(service);
+  });
   limiter_->set_metrics(&metrics_);
   ConnectPeerEvents();
   ConnectPaths();
@@ -145,6 +153,34 @@
       Clock::now());
 }
 
+std::unique_ptr<VersionRegistry> EntryService::MakeVersions() {
+  return std::make_unique<VersionRegistry>(
+      context_,
+      VersionRegistry::Links{
+          .owns =
+              [this](const std::string& key) {
+                return !links_->OwnerOf(key).has_value();
+              },
+          .broadcast = [this](const auto& add) { links_->Broadcast(add); }});
+}
+
+std::unique_ptr<StreamOrigins> EntryService::MakeOrigins() {
+  return std::make_unique<StreamOrigins>(
+      *versions_, metrics_,
+      StreamOrigins::Links{
+          .holders =
+              [this](const std::string& key, size_t count) {
+                return links_->HoldersOf(key, count);
+              },
+          .send =
+              [this](const std::string& name, const auto& add) {
+                peer::PeerLink* link = links_->Open(name);
+                if (link != nullptr) add(link->outgoing());
+              },
+          .fleet_size =
+              [this] { return context_.retries.listed_instances(); }});
+}
+
 std::unique_ptr<TunnelServer> EntryService::MakeTunnelServer() {
   return std::make_unique<TunnelServer>([this](std::string_view id) {
     const routing::UpstreamPtr upstream = context_.upstreams.Find(id);
@@ -176,6 +212,7 @@
                                const peer::Frame& frame) {
   tunnel_peers_->OnStatement(name, frame.reach, Clock::now());
   brittle_->OnFrame(frame);
+  versions_->OnFrame(frame);
   if (frame.leaving) context_.client.CloseIdleTunnels(name);
 }
 
@@ -192,6 +229,7 @@
              sharing_->OnFrame(name, frame);
              quarantine_->OnFrame(name, frame);
              limiter_->OnPermits(name, frame, Clock::now());
+             origins_->OnAnswers(name, frame);
              if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
              router_->OnFrame(frame);
            },
@@ -206,18 +244,22 @@
              quarantine_->AddKnownCrashes(frame);
              limiter_->AddKnownLimits(frame);
              brittle_->AddKnown(frame);
+             versions_->AddKnown(frame);
            }});
   peer_server_->set_on_new_peer([this](peer::Frame& frame) {
     quarantine_->AddKnownCrashes(frame);
     limiter_->AddKnownLimits(frame);
     brittle_->AddKnown(frame);
+    versions_->AddKnown(frame);
   });
-  peer_server_->set_on_frame([this](const std::string& identity,
-                                    const peer::Frame& frame) {
-    OnPeerState(identity.substr(0, identity.rfind('#')), frame);
-    quarantine_->OnFrame(identity, frame);
-    limiter_->OnOrders(frame, peer_server_->FrameTo(identity), Clock::now());
-  });
+  peer_server_->set_on_frame(
+      [this](const std::string& identity, const peer::Frame& frame) {
+        OnPeerState(identity.substr(0, identity.rfind('#')), frame);
+        quarantine_->OnFrame(identity, frame);
+        peer::Frame* reply = peer_server_->FrameTo(identity);
+        limiter_->OnOrders(frame, reply, Clock::now());
+        origins_->OnQueries(frame, reply);
+      });
   peer_server_->set_on_follow(
       [this](const std::string& identity, const peer::FollowRequest& request) {
         sharing_->OnFollow(identity, request);
@@ -244,8 +286,13 @@
   }
   if (auto ok = StartPeers(); !ok) return ok;
   feed_->set_on_complete([] { utils::DecisionLog("ready"); });
-  feed_->set_on_new_era([this] { quarantine_->OnNewEra(); });
+  feed_->set_on_new_era([this] {
+    quarantine_->OnNewEra();
+    versions_->OnNewEra();
+  });
+  feed_->set_on_applied([this] { versions_->Update(); });
   feed_->Start();
+  versions_->Start(*link_.source, link_.versions_kind);
   quarantine_->Start(*link_.source, link_.quarantine_kind);
   utils::DecisionLog("started")
       .Add("instance", s.name)
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -1,6 +1,8 @@
 #include "turmeric/entry/instance_links.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -108,6 +110,21 @@
   return *owner;
 }
 
+std::vector<std::string> InstanceLinks::HoldersOf(const std::string& key,
+                                                  size_t count) const {
+  std::vector<std::pair<uint64_t, const std::string*>> weights;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.leaving || instance.unreachable) continue;
+    weights.emplace_back(routing::RendezvousWeight(key, name), &name);
+  }
+  std::ranges::sort(weights, std::ranges::greater());
+  if (weights.size() > count) weights.resize(count);
+  std::vector<std::string> names;
+  std::ranges::transform(weights, std::back_inserter(names),
+                         [](const auto& entry) { return *entry.second; });
+  return names;
+}
+
 peer::PeerLink* InstanceLinks::Open(const std::string& name) {
   const auto it = instances_.find(name);
   return it == instances_.end() ? nullptr : &Connect(name, it->second);
--- a/libs/entry/src/permit_issuer.cc
+++ b/libs/entry/src/permit_issuer.cc
@@ -71,7 +71,7 @@
       upstreams_.ForService(order.service), std::back_inserter(candidates),
       [&](const UpstreamPtr& u) {
         return u->rate_limit.per_s() && IsListed(*u, now) &&
-               !IsAvoided(*u, now) &&
+               HasVersion(*u, order.version) && !IsAvoided(*u, now) &&
                std::ranges::count(order.excluded, u->entry.id) == 0;
       });
   return candidates;
--- a/libs/entry/src/permit_requester.cc
+++ b/libs/entry/src/permit_requester.cc
@@ -37,8 +37,10 @@
 }
 
 std::string PermitRequester::SubjectOf(const PermitRequest& request) {
-  return request.upstream ? ProcessStartId(request.upstream->entry)
-                          : request.service;
+  if (request.upstream) return ProcessStartId(request.upstream->entry);
+  // Issuers refuse a version independently of the others.
+  return request.version.empty() ? request.service
+                                 : request.service + "/" + request.version;
 }
 
 bool PermitRequester::MayAsk(const std::string& issuer,
@@ -56,7 +58,8 @@
 
 bool PermitRequester::IsUsable(const Open& open, Clock::time_point now) {
   return open.granted && now - open.slot <= kMaxLateness &&
-         IsListed(*open.granted, now);
+         IsListed(*open.granted, now) &&
+         HasVersion(*open.granted, open.request.version);
 }
 
 bool PermitRequester::MayBeGranted(const Upstream& upstream,
@@ -117,7 +120,8 @@
       .service = request.service,
       .upstream = request.upstream ? subject : std::string(),
       .excluded = request.excluded,
-      .max_wait = request.max_wait};
+      .max_wait = request.max_wait,
+      .version = request.version};
   const std::string issuer = open.issuer;
   links_.order(issuer, order, now);
 }
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -17,6 +17,7 @@
 #include "turmeric/entry/retry_policy.h"
 #include "turmeric/entry/send_permits.h"
 #include "turmeric/entry/stage_run.h"
+#include "turmeric/entry/stream_origins.h"
 #include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_limiter.h"
@@ -110,11 +111,42 @@
   limit_timer_.setTimerType(Qt::PreciseTimer);
   connect(&limit_timer_, &QTimer::timeout, this, [this] { OnTimeLimit(); });
   limit_timer_.start(std::max(milliseconds(1), TimeLeft()));
-  const auto now = Clock::now();
-  service_ = routing::PickTarget(route_->targets, Uniform());
+  if (!ResumesStream()) {
+    return Begin(routing::PickTarget(route_->targets, Uniform()));
+  }
+  context_.origins->Find(
+      {admission_.organisation, request_.resumed_attempt_id}, route_->targets,
+      [this, self = QPointer<RequestRun>(this)](const auto& origin) {
+        if (self && !finished_) OnOriginFound(origin);
+      });
+}
+
+bool RequestRun::ResumesStream() const {
+  return route_->resumes_streams() && request_.last_event_id.has_value();
+}
+
+void RequestRun::OnOriginFound(
+    const std::optional<streams::StreamOrigin>& origin) {
+  // Another instance may know the origin.
+  if (!origin) return Refuse("stream_origin_unknown", RetryAfter::kSoon);
+  if (origin->service.empty()) {
+    return Begin(routing::PickTarget(route_->targets, Uniform()));
+  }
+  const bool allowed = std::ranges::any_of(
+      route_->targets, [&origin](const routing::RouteTarget& target) {
+        return target.service == origin->service;
+      });
+  if (!allowed) return Refuse("stream_service_gone", RetryAfter::kLater);
+  stream_version_ = origin->version;
+  Begin(origin->service);
+}
+
+void RequestRun::Begin(std::string service) {
+  service_ = std::move(service);
   permits_ = std::make_unique<SendPermits>(*context_.limiter, service_);
-  context_.retries.OnRequest(service_, now);
-  if (!HasUpstreams(context_, service_, *route_, request_.stage_pieces)) {
+  context_.retries.OnRequest(service_, Clock::now());
+  if (!HasUpstreams(context_, {service_, stream_version_}, *route_,
+                    request_.stage_pieces)) {
     return Refuse("no_upstream", RetryAfter::kLater);
   }
   StartStages();
@@ -233,7 +265,8 @@
   return {.request = request_,
           .tried = excluded_upstreams_,
           .own_zone = context_.settings.zone,
-          .results_zone = results_zone};
+          .results_zone = results_zone,
+          .version = stream_version_};
 }
 
 void RequestRun::SendToUpstream() {
@@ -266,7 +299,8 @@
 
 bool RequestRun::WaitForCapacity() {
   const bool brittle = context_.brittle->Any(service_);
-  if (!brittle && !MayHaveCapacitySoon(context_, service_, tried_upstreams_)) {
+  if (!brittle && !MayHaveCapacitySoon(context_, {service_, stream_version_},
+                                       tried_upstreams_)) {
     return false;
   }
   if (++cold_waits_ > (brittle ? kMaxBrittleWaits : kMaxColdWaits)) {
@@ -301,7 +335,8 @@
       arrived_ + route_->latency_target - now);
   placement_.reset();
   return permits_->AcquireAny(
-      tried_upstreams_, MaxPermitWait(until_target, TimeLeft()),
+      stream_version_, tried_upstreams_,
+      MaxPermitWait(until_target, TimeLeft()),
       [this, self = QPointer<RequestRun>(this)](const auto& granted) {
         if (self && !finished_) SendTo(granted, true);
       },
@@ -404,6 +439,7 @@
   if (!info.has_receipt || info.attempt_id.empty()) return;
   const std::string events = forwarder_.Feed(bytes);
   if (events.empty() || !answer_.caller_connected()) return;
+  RecordOrigin();
   if (!answer_.streaming()) ForwardHead();
   send_->OnPromptRead();
   // `send_` is read when called: the stream may have been resumed at another
@@ -412,6 +448,18 @@
                       [this](bool paused) { send_->PauseReading(paused); });
 }
 
+void RequestRun::RecordOrigin() {
+  if (!route_->resumes_streams() || origin_recorded_) return;
+  origin_recorded_ = true;
+  stream_version_ = send_->upstream()->entry.version;
+  const std::string& first_attempt =
+      ResumesStream() && !request_.resumed_attempt_id.empty()
+          ? request_.resumed_attempt_id
+          : request_.attempt_id;
+  context_.origins->OnBegun({admission_.organisation, first_attempt},
+                            {service_, stream_version_}, route_->targets);
+}
+
 milliseconds RequestRun::PromptReadTime() const {
   return milliseconds(static_cast<int64_t>(PromptMs(request_)));
 }
--- a/libs/entry/src/send_permits.cc
+++ b/libs/entry/src/send_permits.cc
@@ -42,10 +42,11 @@
       now);
 }
 
-bool SendPermits::AcquireAny(std::span<const std::string> tried,
+bool SendPermits::AcquireAny(std::string_view version,
+                             std::span<const std::string> tried,
                              milliseconds max_wait, Callback done,
                              Clock::time_point now) {
-  if (any_requested_ || !limiter_.HasLimited(service_, tried, now)) {
+  if (any_requested_ || !limiter_.HasLimited(service_, version, tried, now)) {
     return false;
   }
   any_requested_ = true;
@@ -53,7 +54,8 @@
       {.service = service_,
        .upstream = nullptr,
        .excluded = {tried.begin(), tried.end()},
-       .max_wait = max_wait},
+       .max_wait = max_wait,
+       .version = std::string(version)},
       [done = std::move(done)](const UpstreamPtr& granted, Clock::time_point) {
         done(granted);
       },
--- /dev/null
+++ b/libs/entry/src/stream_origins.cc
@@ -0,0 +1,232 @@
+#include "turmeric/entry/stream_origins.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/version_registry.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using peer::Frame;
+using std::chrono::milliseconds;
+using streams::OriginRecords;
+using streams::StreamId;
+using streams::StreamOrigin;
+
+namespace {
+
+/** Peers that hold the record of a stream: the record is lost only if all of
+ * them end together with the instance at which the stream began. */
+constexpr size_t kHolders = 3;
+/** Peers asked for a record. More than hold it, because the instances may
+ * differ on which peers are reachable. */
+constexpr size_t kAsked = 5;
+/** Most records of each kind, about 200 bytes each. */
+constexpr size_t kMaxRecords = 20000;
+/** Time for which a record is kept; longer than any stream. */
+constexpr std::chrono::seconds kRecordLifetime{60};
+/** Time limit for the answers of peers: with a small CPU quota, an event loop
+ * may pause for a tenth of a second. */
+constexpr milliseconds kAnswerTimeout{150};
+constexpr milliseconds kOverdueCheckInterval{25};
+
+std::string KeyOf(const StreamId& id) {
+  return id.organisation + "/" + id.attempt_id;
+}
+
+}  // namespace
+
+StreamOrigins::StreamOrigins(VersionRegistry& registry, EntryMetrics& metrics,
+                             Links links)
+    : registry_(registry),
+      metrics_(metrics),
+      links_(std::move(links)),
+      begun_(kMaxRecords, kRecordLifetime),
+      held_(kMaxRecords, kRecordLifetime) {
+  overdue_timer_.setInterval(kOverdueCheckInterval);
+  connect(&overdue_timer_, &QTimer::timeout, this, [this] { CheckOverdue(); });
+}
+
+void StreamOrigins::OnBegun(const StreamId& id, const StreamOrigin& origin,
+                            std::span<const routing::RouteTarget> targets) {
+  begun_.Put(id, origin, Clock::now());
+  if (targets.size() > 1 || registry_.VersionsOf(origin.service).size() > 1) {
+    SendToHolders({id, origin});
+  }
+}
+
+void StreamOrigins::SendToHolders(const OriginRecords::Record& record) {
+  for (const std::string& name : links_.holders(KeyOf(record.id), kHolders)) {
+    links_.send(name, [&record](Frame& frame) {
+      frame.stream_records.push_back({record.id, record.origin});
+    });
+  }
+}
+
+void StreamOrigins::OnVersionsChanged(const std::string& service) {
+  if (registry_.VersionsOf(service).size() < 2) return;
+  std::ranges::for_each(begun_.OfService(service, Clock::now()),
+                        [this](const auto& record) { SendToHolders(record); });
+}
+
+void StreamOrigins::Find(const StreamId& id,
+                         std::span<const routing::RouteTarget> targets,
+                         Callback done) {
+  const uint64_t ticket = next_ticket_++;
+  Search& search = searches_[ticket];
+  search.id = id;
+  search.done = std::move(done);
+  for (const routing::RouteTarget& target : targets) {
+    if (std::ranges::count(search.services, target.service) == 0) {
+      search.services.push_back(target.service);
+    }
+  }
+  const auto now = Clock::now();
+  for (const OriginRecords* records : {&begun_, &held_}) {
+    if (const auto origin = records->Find(id, now)) {
+      return Finish(ticket, "own_record", origin);
+    }
+  }
+  const bool may_be_held =
+      targets.size() > 1 || VersionsOf(search.services).size() > 1;
+  may_be_held ? AskPeers(ticket) : ReadRegistry(ticket);
+}
+
+std::vector<StreamOrigin> StreamOrigins::VersionsOf(
+    std::span<const std::string> services) const {
+  std::vector<StreamOrigin> versions;
+  for (const std::string& service : services) {
+    for (std::string& version : registry_.VersionsOf(service)) {
+      versions.push_back({service, std::move(version)});
+    }
+  }
+  return versions;
+}
+
+std::optional<StreamOrigin> StreamOrigins::OnlyOrigin(
+    std::span<const std::string> services) const {
+  const bool all_single =
+      std::ranges::all_of(services, [this](const std::string& service) {
+        return registry_.VersionsOf(service).size() == 1;
+      });
+  if (!all_single) return std::nullopt;
+  return services.size() == 1 ? VersionsOf(services).front() : StreamOrigin{};
+}
+
+void StreamOrigins::ReadRegistry(uint64_t ticket) {
+  searches_.at(ticket).read_tried = true;
+  registry_.Read([this, ticket](bool read) {
+    Search& search = searches_.at(ticket);
+    search.registry_read = read;
+    const auto only = OnlyOrigin(search.services);
+    if (read && only) return Finish(ticket, "only_version", only);
+    search.asked ? Conclude(ticket) : AskPeers(ticket);
+  });
+}
+
+void StreamOrigins::AskPeers(uint64_t ticket) {
+  Search& search = searches_.at(ticket);
+  search.asked = true;
+  search.asked_at = Clock::now();
+  const auto names = links_.holders(KeyOf(search.id), kAsked);
+  search.unanswered.insert(names.begin(), names.end());
+  const peer::OriginQuery query{
+      .ticket = ticket, .id = search.id, .services = search.services};
+  for (const std::string& name : names) {
+    links_.send(name, [&query](Frame& frame) {
+      frame.origin_queries.push_back(query);
+    });
+  }
+  if (names.empty()) return OnAsked(ticket);
+  if (!overdue_timer_.isActive()) overdue_timer_.start();
+}
+
+void StreamOrigins::OnQueries(const Frame& frame, Frame* reply) {
+  const auto now = Clock::now();
+  for (const auto& record : frame.stream_records) {
+    held_.Put(record.id, record.origin, now);
+  }
+  if (reply == nullptr) return;
+  for (const peer::OriginQuery& query : frame.origin_queries) {
+    auto origin = held_.Find(query.id, now);
+    if (!origin) origin = begun_.Find(query.id, now);
+    reply->origin_answers.push_back({.ticket = query.ticket,
+                                     .origin = std::move(origin),
+                                     .versions = VersionsOf(query.services)});
+  }
+}
+
+void StreamOrigins::OnAnswers(const std::string& name, const Frame& frame) {
+  for (const peer::OriginAnswer& answer : frame.origin_answers) {
+    const auto it = searches_.find(answer.ticket);
+    if (it == searches_.end() || it->second.unanswered.erase(name) == 0) {
+      continue;
+    }
+    if (answer.origin) {
+      Finish(answer.ticket, "peer_record", answer.origin);
+      continue;
+    }
+    Search& search = it->second;
+    ++search.answers;
+    search.peers_agree =
+        search.peers_agree && answer.versions == VersionsOf(search.services);
+    if (search.unanswered.empty()) OnAsked(answer.ticket);
+  }
+}
+
+void StreamOrigins::OnAsked(uint64_t ticket) {
+  Search& search = searches_.at(ticket);
+  search.asked_at = {};
+  if (search.read_tried || !OnlyOrigin(search.services)) {
+    return Conclude(ticket);
+  }
+  ReadRegistry(ticket);
+}
+
+bool StreamOrigins::MayRelyOnPeers(const Search& search) const {
+  if (search.registry_read || !search.unanswered.empty()) return false;
+  // An instance that is partitioned with a few others must not rely on these.
+  const int fleet_size = links_.fleet_size();
+  const int peers_needed = std::min(static_cast<int>(kAsked), fleet_size / 2);
+  return fleet_size > 0 && search.answers >= peers_needed && search.peers_agree;
+}
+
+void StreamOrigins::Conclude(uint64_t ticket) {
+  const Search& search = searches_.at(ticket);
+  const auto only =
+      MayRelyOnPeers(search) ? OnlyOrigin(search.services) : std::nullopt;
+  Finish(ticket, only ? "peers_agree" : "unknown", only);
+}
+
+void StreamOrigins::CheckOverdue() {
+  const auto now = Clock::now();
+  std::vector<uint64_t> overdue;
+  bool any_open = false;
+  for (const auto& [ticket, search] : searches_) {
+    if (search.asked_at == Clock::time_point()) continue;
+    any_open = true;
+    if (now - search.asked_at >= kAnswerTimeout) overdue.push_back(ticket);
+  }
+  if (!any_open) overdue_timer_.stop();
+  for (const uint64_t ticket : overdue) {
+    if (searches_.contains(ticket)) OnAsked(ticket);
+  }
+}
+
+void StreamOrigins::Finish(uint64_t ticket, std::string_view how,
+                           const std::optional<StreamOrigin>& origin) {
+  auto node = searches_.extract(ticket);
+  const Search& search = node.mapped();
+  metrics_.OnStreamResumed(how);
+  utils::DecisionLog("stream_origin")
+      .Add("stream", search.id.attempt_id)
+      .Add("how", how)
+      .Add("version", origin ? origin->version : "-")
+      .Add("unanswered", search.unanswered.size())
+      .Add("registry_read", search.registry_read);
+  search.done(origin);
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -288,6 +288,7 @@
   if (kind == StoreKind::kConfig) {
     std::ranges::for_each(changed_objects,
                           [&](const SourceObject& o) { OnConfig(o, source); });
+    if (on_applied_) on_applied_();
     return;
   }
   if (kind == StoreKind::kEvacuations) {
@@ -301,6 +302,7 @@
     OnUpstreamChange(o, keep_until, from_copy);
   });
   context_.upstreams.Expire(Clock::now());
+  if (on_applied_) on_applied_();
 }
 
 void TopologyFeed::OnConfig(const SourceObject& object,
@@ -390,6 +392,7 @@
   for (const auto& entry : entries) NoteCold(entry.id);
   context_.upstreams.Expire(Clock::now());
   context_.upstreams_known = true;
+  if (on_applied_) on_applied_();
   utils::DecisionLog("upstreams_listed")
       .Add("listed", entries.size())
       .Add("held", context_.upstreams.size())
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -12,17 +12,18 @@
 using routing::Clock;
 using routing::UpstreamPtr;
 
-bool HasUpstreams(const EntryContext& context, const std::string& service,
+bool HasUpstreams(const EntryContext& context, const UpstreamGroup& group,
                   const routing::Route& route,
                   std::span<const int> stage_pieces) {
   const auto now = Clock::now();
-  const auto has = [&](const std::string& name) {
-    return AnyListed(context.upstreams.ForService(name), now);
+  const auto has = [&](const UpstreamGroup& wanted) {
+    return AnyListed(context.upstreams.ForService(wanted.service),
+                     wanted.version, now);
   };
-  if (!has(service)) return false;
+  if (!has(group)) return false;
   for (size_t i = 0; i < route.stages.size(); ++i) {
     const bool needed = i < stage_pieces.size() && stage_pieces[i] > 0;
-    if (needed && !has(route.stages[i].service)) return false;
+    if (needed && !has({route.stages[i].service, {}})) return false;
   }
   return true;
 }
@@ -46,8 +47,9 @@
       choice.has_owner ? context.cold_limiter.AdmitsAsNonOwner(spec, now)
                        : context.cold_limiter.AdmitsForUnowned(spec, now);
   // Only the owner knows whether a brittle upstream has room.
-  const routing::UpstreamFilter admits = [&cold](const routing::Upstream& u) {
-    return !u.brittle.is_brittle() && (!cold || cold(u));
+  const routing::UpstreamFilter admits = [&](const routing::Upstream& u) {
+    return HasVersion(u, criteria.version) && !u.brittle.is_brittle() &&
+           (!cold || cold(u));
   };
   UpstreamPtr chosen;
   if (choice.suspect) {
@@ -63,13 +65,16 @@
 }
 
 bool MayHaveCapacitySoon(const EntryContext& context,
-                         const std::string& service,
+                         const UpstreamGroup& group,
                          std::span<const std::string> tried) {
-  if (!context.cold_limiter.Limits(context.FindService(service))) return false;
+  if (!context.cold_limiter.Limits(context.FindService(group.service))) {
+    return false;
+  }
   const auto now = Clock::now();
   return std::ranges::any_of(
-      context.upstreams.ForService(service), [&](const UpstreamPtr& u) {
-        return IsListed(*u, now) && !context.limiter->IsLimited(*u) &&
+      context.upstreams.ForService(group.service), [&](const UpstreamPtr& u) {
+        return IsListed(*u, now) && HasVersion(*u, group.version) &&
+               !context.limiter->IsLimited(*u) &&
                std::ranges::count(tried, u->entry.id) == 0;
       });
 }
--- a/libs/entry/src/upstream_criteria.cc
+++ b/libs/entry/src/upstream_criteria.cc
@@ -48,6 +48,7 @@
   AddPromptParts(criteria.request.prompt, order);
   order.prompt_tokens = criteria.request.prompt_tokens;
   order.excluded.assign(criteria.tried.begin(), criteria.tried.end());
+  order.version = criteria.version;
   if (!criteria.results_zone.empty()) {
     order.zone = criteria.results_zone;
     order.zone_cost_ms = kLargeInputZoneMs;
@@ -65,12 +66,14 @@
   choice.zone = order.zone;
   choice.zone_cost_ms = order.zone_cost_ms;
   choice.tried = order.excluded;
+  choice.version = order.version;
   return choice;
 }
 
 routing::ChoiceRequest ToChoiceRequest(const UpstreamCriteria& criteria) {
   routing::ChoiceRequest choice;
   choice.tried = criteria.tried;
+  choice.version = criteria.version;
   choice.zone = criteria.own_zone;
   choice.zone_cost_ms = kOtherZoneMs;
   return choice;
--- a/libs/entry/src/upstream_limiter.cc
+++ b/libs/entry/src/upstream_limiter.cc
@@ -134,12 +134,13 @@
 }
 
 bool UpstreamLimiter::HasLimited(const std::string& service,
+                                 std::string_view version,
                                  std::span<const std::string> tried,
                                  Clock::time_point now) const {
   if (stated_.empty()) return false;
   return std::ranges::any_of(
       upstreams_.ForService(service), [&](const UpstreamPtr& u) {
-        return IsLimited(*u) && IsListed(*u, now) &&
+        return IsLimited(*u) && IsListed(*u, now) && HasVersion(*u, version) &&
                std::ranges::count(tried, u->entry.id) == 0;
       });
 }
--- /dev/null
+++ b/libs/entry/src/version_registry.cc
@@ -0,0 +1,265 @@
+#include "turmeric/entry/version_registry.h"
+
+#include <QPointer>
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "turmeric/entry/entry_context.h"
+#include "turmeric/utils/decision_log.h"
+
+namespace turmeric::entry {
+
+using routing::UpstreamPtr;
+using std::chrono::milliseconds;
+using store::ObjectSource;
+using streams::StreamOrigin;
+
+namespace {
+
+/** Time after which a version without listed upstreams is dropped; longer than
+ * any stream. */
+constexpr std::chrono::seconds kRetention{60};
+/** Time after the drop at which the object is retired: by then all instances
+ * have dropped the version. */
+constexpr std::chrono::seconds kRetireAfter{60};
+constexpr milliseconds kUpdateInterval{1000};
+/** Range of the delay after which an instance that does not own the key
+ * registers a new version that its owner has not registered. */
+constexpr milliseconds kMinOtherDelay{250};
+constexpr milliseconds kMaxOtherDelay{1250};
+/** Delay before a failed write is repeated. */
+constexpr milliseconds kWriteRetryDelay{300};
+/** Longest wait for a read, which usually takes milliseconds. */
+constexpr milliseconds kMaxReadWait{200};
+
+constexpr auto kServiceField = "service";
+constexpr auto kVersionField = "version";
+constexpr auto kRetiredField = "retired";
+
+/** @return name of the object of a version; versions may contain characters
+ * that names may not. */
+std::string ObjectName(const StreamOrigin& version) {
+  return QString::number(
+             routing::RendezvousWeight(version.service, version.version), 16)
+      .toStdString();
+}
+
+/** @return the services of routes with resumable streams. */
+std::set<std::string> StreamServices(const routing::RouteTable& table) {
+  std::set<std::string> services;
+  for (const routing::Route& route : table.routes) {
+    if (!route.resumes_streams()) continue;
+    for (const auto& target : route.targets) services.insert(target.service);
+  }
+  return services;
+}
+
+StreamOrigin VersionOf(const routing::Upstream& upstream) {
+  return {upstream.entry.service, upstream.entry.version};
+}
+
+}  // namespace
+
+VersionRegistry::VersionRegistry(EntryContext& context, Links links)
+    : context_(context), links_(std::move(links)), versions_(kRetention) {
+  write_timer_.setSingleShot(true);
+  connect(&write_timer_, &QTimer::timeout, this, [this] { WriteDue(); });
+  read_timeout_.setSingleShot(true);
+  connect(&read_timeout_, &QTimer::timeout, this, [this] { OnRead(false); });
+  update_timer_.setInterval(kUpdateInterval);
+  connect(&update_timer_, &QTimer::timeout, this, [this] {
+    Update();
+    Expire();
+  });
+}
+
+void VersionRegistry::Start(ObjectSource& source, std::string kind) {
+  source_ = &source;
+  kind_ = std::move(kind);
+  update_timer_.start();
+  const QPointer<VersionRegistry> self(this);
+  source_->List(kind_, ObjectSource::Freshness::kMayBeStale,
+                [self](const auto& batch) {
+                  if (!self || !batch) return;
+                  for (const auto& object : batch.value().objects) {
+                    self->Apply(object);
+                  }
+                });
+}
+
+void VersionRegistry::Update() {
+  if (!context_.table || !context_.upstreams_known || !source_) return;
+  const auto now = Clock::now();
+  for (const std::string& service : StreamServices(*context_.table)) {
+    for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
+      const StreamOrigin version = VersionOf(*u);
+      dropped_.erase(ObjectName(version));
+      versions_.Contains(version) ? versions_.OnListed(version, now)
+                                  : ScheduleNew(version);
+    }
+    MarkUnregistered(service);
+  }
+}
+
+void VersionRegistry::MarkUnregistered(const std::string& service) {
+  const auto now = Clock::now();
+  const auto upstreams = context_.upstreams.ForService(service);
+  const bool others_serve =
+      std::ranges::any_of(upstreams, [&](const UpstreamPtr& u) {
+        return versions_.Contains(VersionOf(*u)) && AcceptsWork(*u, now);
+      });
+  std::ranges::for_each(upstreams, [&](const UpstreamPtr& u) {
+    u->unregistered = others_serve && !versions_.Contains(VersionOf(*u));
+  });
+}
+
+void VersionRegistry::Add(const StreamOrigin& version) {
+  unwritten_.erase(ObjectName(version));
+  if (!versions_.Add(version, Clock::now())) return;
+  utils::DecisionLog("version_registered")
+      .Add("service", version.service)
+      .Add("version", version.version)
+      .Add("versions", versions_.Of(version.service).size());
+  MarkUnregistered(version.service);
+  if (on_change_) on_change_(version.service);
+}
+
+void VersionRegistry::ScheduleNew(const StreamOrigin& version) {
+  const std::string name = ObjectName(version);
+  if (unwritten_.contains(name)) return;
+  // Before the fleet is known, every instance would own every key.
+  const bool writes_first =
+      context_.retries.listed_instances() > 0 && links_.owns(name);
+  std::uniform_int_distribution<int64_t> delay(kMinOtherDelay.count(),
+                                               kMaxOtherDelay.count());
+  const milliseconds after =
+      writes_first ? milliseconds(0) : milliseconds(delay(random_));
+  unwritten_.emplace(name, std::pair(version, Clock::now() + after));
+  WriteDue();
+}
+
+void VersionRegistry::WriteDue() {
+  const auto now = Clock::now();
+  std::vector<StreamOrigin> due;
+  auto next = Clock::time_point::max();
+  for (auto& [name, write] : unwritten_) {
+    if (write.second <= now) {
+      due.push_back(write.first);
+      write.second = now + kWriteRetryDelay;
+    }
+    next = std::min(next, write.second);
+  }
+  std::ranges::for_each(due, [this](const auto& v) { Write(v, false); });
+  if (next == Clock::time_point::max()) return;
+  write_timer_.start(
+      std::max(milliseconds(1), std::chrono::ceil<milliseconds>(next - now)));
+}
+
+void VersionRegistry::Write(const StreamOrigin& version, bool retired) {
+  const QJsonObject spec{
+      {kServiceField, QString::fromStdString(version.service)},
+      {kVersionField, QString::fromStdString(version.version)},
+      {kRetiredField, retired}};
+  const QPointer<VersionRegistry> self(this);
+  source_->Put(kind_, ObjectName(version), spec,
+               [self, version, retired](const auto& written) {
+                 if (!self) return;
+                 if (!written) {
+                   utils::DecisionLog("version_not_written")
+                       .Add("service", version.service)
+                       .Add("version", version.version)
+                       .Add("why", written.error().detail);
+                   return;
+                 }
+                 if (retired) return;
+                 self->Add(version);
+                 self->links_.broadcast([&version](peer::Frame& frame) {
+                   frame.versions.push_back(version);
+                 });
+               });
+}
+
+void VersionRegistry::Expire() {
+  const auto now = Clock::now();
+  for (const StreamOrigin& version : versions_.DropUnlisted(now)) {
+    dropped_.try_emplace(ObjectName(version), version, now + kRetireAfter);
+  }
+  std::vector<StreamOrigin> retired;
+  std::erase_if(dropped_, [&](const auto& entry) {
+    const bool due = entry.second.second <= now;
+    if (due && links_.owns(entry.first)) retired.push_back(entry.second.first);
+    return due;
+  });
+  std::ranges::for_each(retired, [this](const auto& v) { Write(v, true); });
+}
+
+void VersionRegistry::Read(ReadCallback done) {
+  next_.push_back(std::move(done));
+  if (!read_open_) SendRead();
+}
+
+void VersionRegistry::SendRead() {
+  waiting_ = std::exchange(next_, {});
+  read_open_ = true;
+  read_timeout_.start(kMaxReadWait);
+  const QPointer<VersionRegistry> self(this);
+  source_->List(kind_, ObjectSource::Freshness::kLinearizable,
+                [self, number = ++read_number_](const auto& batch) {
+                  // The read may have timed out.
+                  if (!self || self->read_number_ != number) return;
+                  if (batch) {
+                    for (const auto& object : batch.value().objects) {
+                      self->Apply(object);
+                    }
+                  }
+                  self->OnRead(batch.has_value());
+                });
+}
+
+void VersionRegistry::OnRead(bool read) {
+  if (!read_open_) return;
+  ++read_number_;
+  read_timeout_.stop();
+  read_open_ = false;
+  const auto callbacks = std::exchange(waiting_, {});
+  // A call that arrived while this read was open needs a later one.
+  if (!next_.empty()) SendRead();
+  for (const ReadCallback& done : callbacks) done(read);
+}
+
+void VersionRegistry::Apply(const store::SourceObject& object) {
+  const StreamOrigin version{
+      object.spec[kServiceField].toString().toStdString(),
+      object.spec[kVersionField].toString().toStdString()};
+  if (version.service.empty() || object.name != ObjectName(version)) {
+    utils::DecisionLog("version_entry_unreadable")
+        .Add("name", object.name)
+        .Add("revision", object.revision);
+    return;
+  }
+  if (!object.spec[kRetiredField].toBool()) return Add(version);
+  // Update registers it again if it is listed.
+  versions_.Remove(version);
+}
+
+void VersionRegistry::OnNewEra() {
+  const auto now = Clock::now();
+  for (const StreamOrigin& version : versions_.All()) {
+    if (links_.owns(ObjectName(version))) {
+      unwritten_[ObjectName(version)] = {version, now};
+    }
+  }
+  WriteDue();
+}
+
+void VersionRegistry::OnFrame(const peer::Frame& frame) {
+  std::ranges::for_each(frame.versions, [this](const auto& v) { Add(v); });
+}
+
+void VersionRegistry::AddKnown(peer::Frame& frame) const {
+  std::ranges::copy(versions_.All(), std::back_inserter(frame.versions));
+}
+
+}  // namespace turmeric::entry
--- a/libs/entry/test/limit_fleet_simulation.cc
+++ b/libs/entry/test/limit_fleet_simulation.cc
@@ -274,7 +274,7 @@
   const auto time_left =
       std::chrono::duration_cast<milliseconds>(deadline - now_);
   const bool requested = permits->AcquireAny(
-      {}, MaxPermitWait(milliseconds(0), time_left),
+      {}, {}, MaxPermitWait(milliseconds(0), time_left),
       [start = node.starts, &node, chosen](const UpstreamPtr& granted) {
         if (start == node.starts) chosen(granted);
       },
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -13,6 +13,8 @@
 #include "turmeric/quarantine/crash.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
+#include "turmeric/streams/stream_id.h"
+#include "turmeric/streams/stream_origin.h"
 
 namespace turmeric::peer {
 
@@ -59,6 +61,7 @@
   std::string zone;       ///< Preferred availability zone; empty: none.
   int zone_cost_ms = 0;   ///< Cost of using another zone, as waiting time.
   std::vector<std::string> excluded;  ///< Upstream ids not to be chosen.
+  std::string version = {};           ///< Software version; empty: any.
 };
 
 /** Answers a PlacementOrder with the chosen engine. */
@@ -163,6 +166,7 @@
   std::string upstream;
   std::vector<std::string> excluded;      ///< Upstream ids not to be chosen.
   std::chrono::milliseconds max_wait{0};  ///< Longest wait for the permit.
+  std::string version = {};               ///< Software version; empty: any.
 };
 
 /** Answers a PermitOrder. */
@@ -181,6 +185,27 @@
   limits::BrittleStatement statement;
 };
 
+/** Records at a peer which software began a stream. */
+struct StreamRecord {
+  streams::StreamId id;
+  streams::StreamOrigin origin;
+};
+
+/** Asks for the origin of a stream. */
+struct OriginQuery {
+  uint64_t ticket = 0;  ///< Unique within one process incarnation.
+  streams::StreamId id;
+  std::vector<std::string> services;  ///< At one of which the stream began.
+};
+
+/** Answers an OriginQuery. */
+struct OriginAnswer {
+  uint64_t ticket = 0;
+  std::optional<streams::StreamOrigin> origin;  ///< nullopt: not known.
+  /** Versions of the services asked for that are known to be registered. */
+  std::vector<streams::StreamOrigin> versions;
+};
+
 /** Whether an instance reaches any upstream by connections of its own. */
 enum class ReachStatement {
   kNone,  ///< The frame states nothing.
@@ -219,6 +244,11 @@
   std::vector<PermitOrder> permit_orders;
   std::vector<Permit> permits;
   std::vector<BrittleNotice> brittle_notices;
+  /** Registered software versions of services. */
+  std::vector<streams::StreamOrigin> versions;
+  std::vector<StreamRecord> stream_records;
+  std::vector<OriginQuery> origin_queries;
+  std::vector<OriginAnswer> origin_answers;
   ReachStatement reach = ReachStatement::kNone;
 };
 
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -68,6 +68,18 @@
 struct BrittleNotice;
 struct BrittleNoticeBuilder;
 
+struct ServiceVersion;
+struct ServiceVersionBuilder;
+
+struct StreamRecord;
+struct StreamRecordBuilder;
+
+struct OriginQuery;
+struct OriginQueryBuilder;
+
+struct OriginAnswer;
+struct OriginAnswerBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -567,7 +579,8 @@
     VT_PROMPT_TOKENS = 16,
     VT_ZONE = 18,
     VT_ZONE_COST_MS = 20,
-    VT_EXCLUDED = 22
+    VT_EXCLUDED = 22,
+    VT_VERSION = 24
   };
   uint64_t ticket() const {
     return GetField<uint64_t>(VT_TICKET, 0);
@@ -599,6 +612,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
@@ -617,6 +633,8 @@
            VerifyOffset(verifier, VT_EXCLUDED) &&
            verifier.VerifyVector(excluded()) &&
            verifier.VerifyVectorOfStrings(excluded()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
 };
@@ -655,6 +673,9 @@
   void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
     fbb_.AddOffset(PlacementOrder::VT_EXCLUDED, excluded);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(PlacementOrder::VT_VERSION, version);
+  }
   explicit PlacementOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -677,9 +698,11 @@
     int32_t prompt_tokens = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     int32_t zone_cost_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   PlacementOrderBuilder builder_(_fbb);
   builder_.add_ticket(ticket);
+  builder_.add_version(version);
   builder_.add_excluded(excluded);
   builder_.add_zone_cost_ms(zone_cost_ms);
   builder_.add_zone(zone);
@@ -703,12 +726,14 @@
     int32_t prompt_tokens = 0,
     const char *zone = nullptr,
     int32_t zone_cost_ms = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
+    const char *version = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto shared_part__ = shared_part ? _fbb.CreateString(shared_part) : 0;
   auto session_part__ = session_part ? _fbb.CreateString(session_part) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return turmeric::peer::wire::CreatePlacementOrder(
       _fbb,
       ticket,
@@ -720,7 +745,8 @@
       prompt_tokens,
       zone__,
       zone_cost_ms,
-      excluded__);
+      excluded__,
+      version__);
 }
 
 struct Placed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1484,7 +1510,8 @@
     VT_SERVICE = 6,
     VT_UPSTREAM = 8,
     VT_EXCLUDED = 10,
-    VT_MAX_WAIT_MS = 12
+    VT_MAX_WAIT_MS = 12,
+    VT_VERSION = 14
   };
   uint64_t ticket() const {
     return GetField<uint64_t>(VT_TICKET, 0);
@@ -1501,6 +1528,9 @@
   int32_t max_wait_ms() const {
     return GetField<int32_t>(VT_MAX_WAIT_MS, 0);
   }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
@@ -1512,6 +1542,8 @@
            verifier.VerifyVector(excluded()) &&
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyField<int32_t>(verifier, VT_MAX_WAIT_MS, 4) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
 };
@@ -1535,6 +1567,9 @@
   void add_max_wait_ms(int32_t max_wait_ms) {
     fbb_.AddElement<int32_t>(PermitOrder::VT_MAX_WAIT_MS, max_wait_ms, 0);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(PermitOrder::VT_VERSION, version);
+  }
   explicit PermitOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1552,9 +1587,11 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
-    int32_t max_wait_ms = 0) {
+    int32_t max_wait_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   PermitOrderBuilder builder_(_fbb);
   builder_.add_ticket(ticket);
+  builder_.add_version(version);
   builder_.add_max_wait_ms(max_wait_ms);
   builder_.add_excluded(excluded);
   builder_.add_upstream(upstream);
@@ -1568,17 +1605,20 @@
     const char *service = nullptr,
     const char *upstream = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
-    int32_t max_wait_ms = 0) {
+    int32_t max_wait_ms = 0,
+    const char *version = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return turmeric::peer::wire::CreatePermitOrder(
       _fbb,
       ticket,
       service__,
       upstream__,
       excluded__,
-      max_wait_ms);
+      max_wait_ms,
+      version__);
 }
 
 struct Permit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1755,6 +1795,318 @@
       received_age_ms);
 }
 
+struct ServiceVersion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceVersionBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServiceVersionBuilder {
+  typedef ServiceVersion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceVersion::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(ServiceVersion::VT_VERSION, version);
+  }
+  explicit ServiceVersionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceVersion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceVersion>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceVersion> CreateServiceVersion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
+  ServiceVersionBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServiceVersion> CreateServiceVersionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *version = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return turmeric::peer::wire::CreateServiceVersion(
+      _fbb,
+      service__,
+      version__);
+}
+
+struct StreamRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_ATTEMPT_ID = 6,
+    VT_ORIGIN = 8
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::String *attempt_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT_ID);
+  }
+  const turmeric::peer::wire::ServiceVersion *origin() const {
+    return GetPointer<const turmeric::peer::wire::ServiceVersion *>(VT_ORIGIN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_ATTEMPT_ID) &&
+           verifier.VerifyString(attempt_id()) &&
+           VerifyOffset(verifier, VT_ORIGIN) &&
+           verifier.VerifyTable(origin()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamRecordBuilder {
+  typedef StreamRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(StreamRecord::VT_ORGANISATION, organisation);
+  }
+  void add_attempt_id(flatbuffers::Offset<flatbuffers::String> attempt_id) {
+    fbb_.AddOffset(StreamRecord::VT_ATTEMPT_ID, attempt_id);
+  }
+  void add_origin(flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin) {
+    fbb_.AddOffset(StreamRecord::VT_ORIGIN, origin);
+  }
+  explicit StreamRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt_id = 0,
+    flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin = 0) {
+  StreamRecordBuilder builder_(_fbb);
+  builder_.add_origin(origin);
+  builder_.add_attempt_id(attempt_id);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    const char *attempt_id = nullptr,
+    flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin = 0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto attempt_id__ = attempt_id ? _fbb.CreateString(attempt_id) : 0;
+  return turmeric::peer::wire::CreateStreamRecord(
+      _fbb,
+      organisation__,
+      attempt_id__,
+      origin);
+}
+
+struct OriginQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginQueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_ORGANISATION = 6,
+    VT_ATTEMPT_ID = 8,
+    VT_SERVICES = 10
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  const flatbuffers::String *attempt_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ATTEMPT_ID);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyOffset(verifier, VT_ATTEMPT_ID) &&
+           verifier.VerifyString(attempt_id()) &&
+           VerifyOffset(verifier, VT_SERVICES) &&
+           verifier.VerifyVector(services()) &&
+           verifier.VerifyVectorOfStrings(services()) &&
+           verifier.EndTable();
+  }
+};
+
+struct OriginQueryBuilder {
+  typedef OriginQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(OriginQuery::VT_TICKET, ticket, 0);
+  }
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(OriginQuery::VT_ORGANISATION, organisation);
+  }
+  void add_attempt_id(flatbuffers::Offset<flatbuffers::String> attempt_id) {
+    fbb_.AddOffset(OriginQuery::VT_ATTEMPT_ID, attempt_id);
+  }
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services) {
+    fbb_.AddOffset(OriginQuery::VT_SERVICES, services);
+  }
+  explicit OriginQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginQuery> CreateOriginQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    flatbuffers::Offset<flatbuffers::String> attempt_id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> services = 0) {
+  OriginQueryBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_services(services);
+  builder_.add_attempt_id(attempt_id);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OriginQuery> CreateOriginQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    const char *organisation = nullptr,
+    const char *attempt_id = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *services = nullptr) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  auto attempt_id__ = attempt_id ? _fbb.CreateString(attempt_id) : 0;
+  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*services) : 0;
+  return turmeric::peer::wire::CreateOriginQuery(
+      _fbb,
+      ticket,
+      organisation__,
+      attempt_id__,
+      services__);
+}
+
+struct OriginAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OriginAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TICKET = 4,
+    VT_ORIGIN = 6,
+    VT_VERSIONS = 8
+  };
+  uint64_t ticket() const {
+    return GetField<uint64_t>(VT_TICKET, 0);
+  }
+  const turmeric::peer::wire::ServiceVersion *origin() const {
+    return GetPointer<const turmeric::peer::wire::ServiceVersion *>(VT_ORIGIN);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *>(VT_VERSIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
+           VerifyOffset(verifier, VT_ORIGIN) &&
+           verifier.VerifyTable(origin()) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfTables(versions()) &&
+           verifier.EndTable();
+  }
+};
+
+struct OriginAnswerBuilder {
+  typedef OriginAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ticket(uint64_t ticket) {
+    fbb_.AddElement<uint64_t>(OriginAnswer::VT_TICKET, ticket, 0);
+  }
+  void add_origin(flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin) {
+    fbb_.AddOffset(OriginAnswer::VT_ORIGIN, origin);
+  }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>> versions) {
+    fbb_.AddOffset(OriginAnswer::VT_VERSIONS, versions);
+  }
+  explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OriginAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OriginAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>> versions = 0) {
+  OriginAnswerBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_versions(versions);
+  builder_.add_origin(origin);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OriginAnswer> CreateOriginAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t ticket = 0,
+    flatbuffers::Offset<turmeric::peer::wire::ServiceVersion> origin = 0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *versions = nullptr) {
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>(*versions) : 0;
+  return turmeric::peer::wire::CreateOriginAnswer(
+      _fbb,
+      ticket,
+      origin,
+      versions__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1784,7 +2136,11 @@
     VT_PERMIT_ORDERS = 50,
     VT_PERMITS = 52,
     VT_REACH = 54,
-    VT_BRITTLE_NOTICES = 56
+    VT_BRITTLE_NOTICES = 56,
+    VT_VERSIONS = 58,
+    VT_STREAM_RECORDS = 60,
+    VT_ORIGIN_QUERIES = 62,
+    VT_ORIGIN_ANSWERS = 64
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1867,6 +2223,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *brittle_notices() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *>(VT_BRITTLE_NOTICES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *>(VT_VERSIONS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>> *stream_records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>> *>(VT_STREAM_RECORDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>> *origin_queries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>> *>(VT_ORIGIN_QUERIES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *>(VT_ORIGIN_ANSWERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1930,6 +2298,18 @@
            VerifyOffset(verifier, VT_BRITTLE_NOTICES) &&
            verifier.VerifyVector(brittle_notices()) &&
            verifier.VerifyVectorOfTables(brittle_notices()) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfTables(versions()) &&
+           VerifyOffset(verifier, VT_STREAM_RECORDS) &&
+           verifier.VerifyVector(stream_records()) &&
+           verifier.VerifyVectorOfTables(stream_records()) &&
+           VerifyOffset(verifier, VT_ORIGIN_QUERIES) &&
+           verifier.VerifyVector(origin_queries()) &&
+           verifier.VerifyVectorOfTables(origin_queries()) &&
+           VerifyOffset(verifier, VT_ORIGIN_ANSWERS) &&
+           verifier.VerifyVector(origin_answers()) &&
+           verifier.VerifyVectorOfTables(origin_answers()) &&
            verifier.EndTable();
   }
 };
@@ -2019,6 +2399,18 @@
   void add_brittle_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>> brittle_notices) {
     fbb_.AddOffset(Frame::VT_BRITTLE_NOTICES, brittle_notices);
   }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>> versions) {
+    fbb_.AddOffset(Frame::VT_VERSIONS, versions);
+  }
+  void add_stream_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>>> stream_records) {
+    fbb_.AddOffset(Frame::VT_STREAM_RECORDS, stream_records);
+  }
+  void add_origin_queries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>> origin_queries) {
+    fbb_.AddOffset(Frame::VT_ORIGIN_QUERIES, origin_queries);
+  }
+  void add_origin_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers) {
+    fbb_.AddOffset(Frame::VT_ORIGIN_ANSWERS, origin_answers);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2058,13 +2450,21 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>> permit_orders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Permit>>> permits = 0,
     turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>> brittle_notices = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>> brittle_notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>> versions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>>> stream_records = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>> origin_queries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_origin_answers(origin_answers);
+  builder_.add_origin_queries(origin_queries);
+  builder_.add_stream_records(stream_records);
+  builder_.add_versions(versions);
   builder_.add_brittle_notices(brittle_notices);
   builder_.add_permits(permits);
   builder_.add_permit_orders(permit_orders);
@@ -2118,7 +2518,11 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>> *permit_orders = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Permit>> *permits = nullptr,
     turmeric::peer::wire::ReachStatement reach = turmeric::peer::wire::ReachStatement::None,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *brittle_notices = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>> *brittle_notices = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *versions = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>> *stream_records = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>> *origin_queries = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -2137,6 +2541,10 @@
   auto permit_orders__ = permit_orders ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::PermitOrder>>(*permit_orders) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Permit>>(*permits) : 0;
   auto brittle_notices__ = brittle_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::BrittleNotice>>(*brittle_notices) : 0;
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>(*versions) : 0;
+  auto stream_records__ = stream_records ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>>(*stream_records) : 0;
+  auto origin_queries__ = origin_queries ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>(*origin_queries) : 0;
+  auto origin_answers__ = origin_answers ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>(*origin_answers) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -2165,7 +2573,11 @@
       permit_orders__,
       permits__,
       reach,
-      brittle_notices__);
+      brittle_notices__,
+      versions__,
+      stream_records__,
+      origin_queries__,
+      origin_answers__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -72,7 +72,7 @@
       b.CreateString(order.shared_part), b.CreateString(order.session_part),
       order.shared_tokens, order.session_tokens, order.prompt_tokens,
       b.CreateSharedString(order.zone), order.zone_cost_ms,
-      WriteTexts(b, order.excluded));
+      WriteTexts(b, order.excluded), b.CreateSharedString(order.version));
 }
 
 PlacementOrder Read(const wire::PlacementOrder& o) {
@@ -85,7 +85,8 @@
           .prompt_tokens = o.prompt_tokens(),
           .zone = Text(o.zone()),
           .zone_cost_ms = o.zone_cost_ms(),
-          .excluded = Texts(o.excluded())};
+          .excluded = Texts(o.excluded()),
+          .version = Text(o.version())};
 }
 
 /** Wire value of a PlacementEnd without an outcome. */
@@ -284,7 +285,7 @@
   return wire::CreatePermitOrder(
       b, order.ticket, b.CreateSharedString(order.service),
       b.CreateString(order.upstream), WriteTexts(b, order.excluded),
-      NonNegativeMs(order.max_wait));
+      NonNegativeMs(order.max_wait), b.CreateSharedString(order.version));
 }
 
 Offset<wire::Permit> Write(FlatBufferBuilder& b, const Permit& permit) {
@@ -367,7 +368,8 @@
            .service = Text(o->service()),
            .upstream = Text(o->upstream()),
            .excluded = Texts(o->excluded()),
-           .max_wait = milliseconds(std::max(0, o->max_wait_ms()))});
+           .max_wait = milliseconds(std::max(0, o->max_wait_ms())),
+           .version = Text(o->version())});
     }
   }
   if (f.permits() == nullptr) return;
@@ -399,6 +401,99 @@
   }
 }
 
+using ServiceVersions = flatbuffers::Vector<Offset<wire::ServiceVersion>>;
+
+Offset<wire::ServiceVersion> Write(FlatBufferBuilder& b,
+                                   const streams::StreamOrigin& origin) {
+  return wire::CreateServiceVersion(b, b.CreateSharedString(origin.service),
+                                    b.CreateSharedString(origin.version));
+}
+
+Offset<ServiceVersions> Write(
+    FlatBufferBuilder& b, const std::vector<streams::StreamOrigin>& versions) {
+  std::vector<Offset<wire::ServiceVersion>> list;
+  std::ranges::transform(versions, std::back_inserter(list),
+                         [&b](const auto& v) { return Write(b, v); });
+  return b.CreateVector(list);
+}
+
+streams::StreamOrigin Read(const wire::ServiceVersion& version) {
+  return {Text(version.service()), Text(version.version())};
+}
+
+std::vector<streams::StreamOrigin> Read(const ServiceVersions* versions) {
+  std::vector<streams::StreamOrigin> out;
+  if (versions == nullptr) return out;
+  std::ranges::transform(*versions, std::back_inserter(out),
+                         [](const auto* v) { return Read(*v); });
+  return out;
+}
+
+/** The parts of a frame on the origins of streams. */
+struct StreamParts {
+  Offset<ServiceVersions> versions;
+  Offset<flatbuffers::Vector<Offset<wire::StreamRecord>>> records;
+  Offset<flatbuffers::Vector<Offset<wire::OriginQuery>>> queries;
+  Offset<flatbuffers::Vector<Offset<wire::OriginAnswer>>> answers;
+};
+
+StreamParts WriteStreamParts(FlatBufferBuilder& b, const Frame& frame) {
+  std::vector<Offset<wire::StreamRecord>> records;
+  for (const StreamRecord& r : frame.stream_records) {
+    records.push_back(wire::CreateStreamRecord(
+        b, b.CreateSharedString(r.id.organisation),
+        b.CreateString(r.id.attempt_id), Write(b, r.origin)));
+  }
+  std::vector<Offset<wire::OriginQuery>> queries;
+  for (const OriginQuery& q : frame.origin_queries) {
+    queries.push_back(wire::CreateOriginQuery(
+        b, q.ticket, b.CreateSharedString(q.id.organisation),
+        b.CreateString(q.id.attempt_id), WriteTexts(b, q.services)));
+  }
+  std::vector<Offset<wire::OriginAnswer>> answers;
+  for (const OriginAnswer& a : frame.origin_answers) {
+    const Offset<wire::ServiceVersion> origin =
+        a.origin ? Write(b, *a.origin) : 0;
+    answers.push_back(
+        wire::CreateOriginAnswer(b, a.ticket, origin, Write(b, a.versions)));
+  }
+  // Most frames have none of these; absent fields take no space.
+  StreamParts parts;
+  if (!frame.versions.empty()) parts.versions = Write(b, frame.versions);
+  if (!records.empty()) parts.records = b.CreateVector(records);
+  if (!queries.empty()) parts.queries = b.CreateVector(queries);
+  if (!answers.empty()) parts.answers = b.CreateVector(answers);
+  return parts;
+}
+
+void ReadStreamParts(const wire::Frame& f, Frame& frame) {
+  frame.versions = Read(f.versions());
+  if (f.stream_records() != nullptr) {
+    for (const auto* r : *f.stream_records()) {
+      if (r->origin() == nullptr) continue;
+      frame.stream_records.push_back(
+          {.id = {Text(r->organisation()), Text(r->attempt_id())},
+           .origin = Read(*r->origin())});
+    }
+  }
+  if (f.origin_queries() != nullptr) {
+    for (const auto* q : *f.origin_queries()) {
+      frame.origin_queries.push_back(
+          {.ticket = q->ticket(),
+           .id = {Text(q->organisation()), Text(q->attempt_id())},
+           .services = Texts(q->services())});
+    }
+  }
+  if (f.origin_answers() == nullptr) return;
+  for (const auto* a : *f.origin_answers()) {
+    OriginAnswer answer{.ticket = a->ticket(),
+                        .origin = std::nullopt,
+                        .versions = Read(a->versions())};
+    if (a->origin() != nullptr) answer.origin = Read(*a->origin());
+    frame.origin_answers.push_back(std::move(answer));
+  }
+}
+
 }  // namespace
 
 std::vector<uint8_t> Encode(const Frame& frame, Clock::time_point now) {
@@ -450,6 +545,7 @@
   for (const auto& run : frame.good_runs) runs.push_back(Write(b, run, now));
   const auto run_list = b.CreateVector(runs);
   const LimitParts limits = WriteLimitParts(b, frame, now);
+  const StreamParts streams = WriteStreamParts(b, frame);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
@@ -463,7 +559,8 @@
              follow, relay, change_list, crash_list, run_list,
              frame.newest_revisions.evacuations, limits.notices, limits.orders,
              limits.permits, static_cast<wire::ReachStatement>(frame.reach),
-             limits.brittle));
+             limits.brittle, streams.versions, streams.records, streams.queries,
+             streams.answers));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -488,6 +585,7 @@
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
   ReadLimitParts(f, now, frame);
+  ReadStreamParts(f, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -41,6 +41,8 @@
   const PromptMemory* memory = nullptr;
   /** Ids of upstreams that are excluded because they were tried before. */
   std::span<const std::string> tried;
+  /** Software version that the upstream must have; empty: any. */
+  std::string_view version;
   UpstreamFilter admits = {};
 };
 
--- a/libs/routing/include/turmeric/routing/route_table.h
+++ b/libs/routing/include/turmeric/routing/route_table.h
@@ -51,10 +51,13 @@
   bool resumable = false;       ///< A stream may continue at another upstream.
   bool carries_prompt = false;  ///< Served by engines with a prefix cache.
 
+  /** @return true if its streams may be resumed at another upstream. */
+  bool resumes_streams() const {
+    return kind == RequestKind::kStream && resumable;
+  }
   /** @return true if a request may be retried although it may have run. */
   bool retryable() const {
-    return kind == RequestKind::kSafe ||
-           (kind == RequestKind::kStream && resumable);
+    return kind == RequestKind::kSafe || resumes_streams();
   }
 };
 
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/stated_limit.h"
@@ -24,7 +25,7 @@
   std::string service;
   std::string address;  ///< "ip:port"; may be reused by another service.
   std::string zone;
-  std::string version;  ///< Version of the software that the process runs.
+  std::string version = {};  ///< Version of the software that it runs.
   int slots = 1;
   bool draining = false;
   /** Remaining time for which the process is cold (slow, with low capacity
@@ -40,6 +41,9 @@
   /** The process has restarted under its id, as another Upstream: its results
    * are lost, and its address may serve new results under old names. */
   bool restarted = false;
+  /** Its software version is not registered yet: it receives no new work while
+   * other upstreams of its service serve. */
+  bool unregistered = false;
   bool evacuated = false;  ///< Its zone is evacuated: it receives no new work.
   /** When the upstream is dropped: its entry was removed or is missing from a
    * list, and may be written again until then. `max()`: the entry exists. */
@@ -96,13 +100,30 @@
  * @return true if its entry allows new work: it exists, does not drain and is
  *     in no evacuated zone. Its history is not considered.
  */
+bool AcceptsWork(const Upstream& upstream, Clock::time_point now);
+
+/**
+ * @param upstream an upstream. @param now current time.
+ * @return true if AcceptsWork holds and its version is registered, or no other
+ *     upstream of its service serves.
+ */
 bool IsListed(const Upstream& upstream, Clock::time_point now);
 
 /**
- * @param upstreams of a service. @param now current time.
- * @return true if IsListed holds for any of them.
+ * @param upstream an upstream.
+ * @param version a software version; empty: any.
+ * @return true if the upstream has that version.
+ */
+bool HasVersion(const Upstream& upstream, std::string_view version);
+
+/**
+ * @param upstreams of a service.
+ * @param version see HasVersion.
+ * @param now current time.
+ * @return true if IsListed holds for any of them with that version.
  */
-bool AnyListed(std::span<const UpstreamPtr> upstreams, Clock::time_point now);
+bool AnyListed(std::span<const UpstreamPtr> upstreams, std::string_view version,
+               Clock::time_point now);
 
 /**
  * @param upstream an upstream. @param now current time.
--- a/libs/routing/include/turmeric/routing/upstream_table.h
+++ b/libs/routing/include/turmeric/routing/upstream_table.h
@@ -28,9 +28,9 @@
   /** @param callback see LeaveCallback. */
   void set_on_leave(LeaveCallback callback) { on_leave_ = std::move(callback); }
   /**
-   * Applies one entry. A later start under a known id is a new upstream
-   * without history; an earlier start than the known one is ignored. An
-   * upstream that drains stays draining until it restarts.
+   * Applies one entry. A later start under a known id, or another software
+   * version, is a new upstream without history; an earlier start than the known
+   * one is ignored. An upstream that drains stays draining until it restarts.
    * @param entry the entry, as listed.
    */
   void Put(const UpstreamEntry& entry);
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -91,6 +91,7 @@
   std::vector<UpstreamPtr> avoided;
   for (const UpstreamPtr& u : upstreams) {
     if (!IsListed(*u, now) || Tried(request.tried, u->entry.id)) continue;
+    if (!HasVersion(*u, request.version)) continue;
     if (request.admits && !request.admits(*u)) continue;
     (IsAvoided(*u, now) ? avoided : found.usable).push_back(u);
   }
--- a/libs/routing/src/upstream.cc
+++ b/libs/routing/src/upstream.cc
@@ -58,14 +58,24 @@
   }
 }
 
-bool IsListed(const Upstream& upstream, Clock::time_point now) {
+bool AcceptsWork(const Upstream& upstream, Clock::time_point now) {
   return upstream.listed && !upstream.entry.draining && !upstream.evacuated &&
          now < upstream.expires_at;
 }
 
-bool AnyListed(std::span<const UpstreamPtr> upstreams, Clock::time_point now) {
-  return std::ranges::any_of(
-      upstreams, [now](const UpstreamPtr& u) { return IsListed(*u, now); });
+bool IsListed(const Upstream& upstream, Clock::time_point now) {
+  return !upstream.unregistered && AcceptsWork(upstream, now);
+}
+
+bool HasVersion(const Upstream& upstream, std::string_view version) {
+  return version.empty() || upstream.entry.version == version;
+}
+
+bool AnyListed(std::span<const UpstreamPtr> upstreams, std::string_view version,
+               Clock::time_point now) {
+  return std::ranges::any_of(upstreams, [&](const UpstreamPtr& u) {
+    return IsListed(*u, now) && HasVersion(*u, version);
+  });
 }
 
 bool IsAvoided(const Upstream& upstream, Clock::time_point now) {
--- a/libs/routing/src/upstream_table.cc
+++ b/libs/routing/src/upstream_table.cc
@@ -30,7 +30,9 @@
   // restarted. If applied, it would drain the running process or restore an
   // address that it no longer uses.
   if (entry.started_unix_ms < known_start) return;
-  if (entry.started_unix_ms > known_start) {
+  const bool other_process = entry.started_unix_ms > known_start ||
+                             entry.version != upstream->entry.version;
+  if (other_process) {
     // Guard: a restarted process has none of its earlier state. With the old
     // history, it would stay ejected for failures of its earlier start, and its
     // memory would count as full of results that are lost.
--- /dev/null
+++ b/libs/streams/src/origin_records.cc
@@ -0,0 +1,41 @@
+#include "turmeric/streams/origin_records.h"
+
+namespace turmeric::streams {
+
+void OriginRecords::Put(const StreamId& id, const StreamOrigin& origin,
+                        Clock::time_point now) {
+  while (!order_.empty() && records_.at(order_.front()).at + lifetime_ <= now) {
+    DropOldest();
+  }
+  if (!records_.try_emplace(id, Entry{origin, now}).second) return;
+  order_.push_back(id);
+  if (order_.size() > capacity_) DropOldest();
+}
+
+void OriginRecords::DropOldest() {
+  records_.erase(order_.front());
+  order_.pop_front();
+}
+
+std::optional<StreamOrigin> OriginRecords::Find(const StreamId& id,
+                                                Clock::time_point now) const {
+  const auto found = records_.find(id);
+  if (found == records_.end() || found->second.at + lifetime_ <= now) {
+    return std::nullopt;
+  }
+  return found->second.origin;
+}
+
+std::vector<OriginRecords::Record> OriginRecords::OfService(
+    std::string_view service, Clock::time_point now) const {
+  std::vector<Record> records;
+  for (const StreamId& id : order_) {
+    const Entry& entry = records_.at(id);
+    if (entry.origin.service == service && now < entry.at + lifetime_) {
+      records.push_back({id, entry.origin});
+    }
+  }
+  return records;
+}
+
+}  // namespace turmeric::streams
