Origins of streams: longer retention, no wait for a silent store; more tests; docs

Versions and records are kept for five minutes instead of one, so that they outlast streams of unseen deployments. After a read of the registry has failed, none is tried for a second: callers would wait 0.2 s each.

--- a/libs/entry/include/turmeric/entry/version_registry.h
+++ b/libs/entry/include/turmeric/entry/version_registry.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -62,8 +63,8 @@
   /** Registers the versions that are newly listed. Called after each change of
    * the upstreams or the configuration. */
   void Update();
-  /** Reads the registry. @param done called later, within a fraction of a
-   * second. */
+  /** Reads the registry. @param done called from inside this call or within a
+   * fraction of a second. */
   void Read(ReadCallback done);
   /** @param service a service. @return its versions that this instance knows
    * to be registered. */
@@ -103,6 +104,7 @@
   std::vector<ReadCallback> waiting_;  ///< For the read that is open.
   std::vector<ReadCallback> next_;     ///< For the read after it.
   bool read_open_ = false;
+  std::optional<Clock::time_point> read_failed_at_;
   uint64_t read_number_ = 0;
   QTimer write_timer_;
   QTimer update_timer_;
--- a/libs/entry/src/stream_origins.cc
+++ b/libs/entry/src/stream_origins.cc
@@ -26,7 +26,7 @@
 /** Most records of each kind, about 200 bytes each. */
 constexpr size_t kMaxRecords = 20000;
 /** Time for which a record is kept; longer than any stream. */
-constexpr std::chrono::seconds kRecordLifetime{60};
+constexpr std::chrono::minutes kRecordLifetime{5};
 /** Time limit for the answers of peers: with a small CPU quota, an event loop
  * may pause for a tenth of a second. */
 constexpr milliseconds kAnswerTimeout{150};
--- a/libs/entry/src/version_registry.cc
+++ b/libs/entry/src/version_registry.cc
@@ -20,10 +20,10 @@
 
 /** Time after which a version without listed upstreams is dropped; longer than
  * any stream. */
-constexpr std::chrono::seconds kRetention{60};
+constexpr std::chrono::minutes kRetention{5};
 /** Time after the drop at which the object is retired: by then all instances
  * have dropped the version. */
-constexpr std::chrono::seconds kRetireAfter{60};
+constexpr std::chrono::minutes kRetireAfter{5};
 constexpr milliseconds kUpdateInterval{1000};
 /** Range of the delay after which an instance that does not own the key
  * registers a new version that its owner has not registered. */
@@ -33,6 +33,9 @@
 constexpr milliseconds kWriteRetryDelay{300};
 /** Longest wait for a read, which usually takes milliseconds. */
 constexpr milliseconds kMaxReadWait{200};
+/** Time after a failed read in which none is tried: callers do not wait again
+ * for a store that does not answer. */
+constexpr milliseconds kReadRetryDelay{1000};
 
 constexpr auto kServiceField = "service";
 constexpr auto kVersionField = "version";
@@ -196,6 +199,9 @@
 }
 
 void VersionRegistry::Read(ReadCallback done) {
+  if (read_failed_at_ && Clock::now() < *read_failed_at_ + kReadRetryDelay) {
+    return done(false);
+  }
   next_.push_back(std::move(done));
   if (!read_open_) SendRead();
 }
@@ -223,6 +229,8 @@
   ++read_number_;
   read_timeout_.stop();
   read_open_ = false;
+  read_failed_at_.reset();
+  if (!read) read_failed_at_ = Clock::now();
   const auto callbacks = std::exchange(waiting_, {});
   // A call that arrived while this read was open needs a later one.
   if (!next_.empty()) SendRead();
--- a/libs/entry/test/upstream_criteria_test.cc
+++ b/libs/entry/test/upstream_criteria_test.cc
@@ -68,3 +68,15 @@
   REQUIRE(without_results.tried.size() == 1);
   REQUIRE(without_results.zone_cost_ms < near_results.zone_cost_ms);
 }
+
+TEST_CASE("upstream criteria: a stream keeps its software version") {
+  const CallerRequest request = RequestWithPrompt();
+  const UpstreamCriteria criteria{.request = request,
+                                  .tried = {},
+                                  .own_zone = "zone-a",
+                                  .results_zone = {},
+                                  .version = "v1"};
+  const auto order = ToPlacementOrder(criteria);
+  REQUIRE(ToChoiceRequest(order).version == "v1");
+  REQUIRE(ToChoiceRequest(criteria).version == "v1");
+}
--- a/libs/routing/test/choice_test.cc
+++ b/libs/routing/test/choice_test.cc
@@ -95,6 +95,34 @@
 // entry stays for seconds, and as each connection to it fails at once, it seems
 // to be the least loaded. It must be avoided after the first failure, and be
 // used again later.
+// Guards against a stream that goes on at another software version because the
+// upstreams of its own are busy or avoided.
+TEST_CASE("only upstreams of the wanted software version are chosen") {
+  const auto all = MakeUpstreams(4);
+  for (size_t i = 0; i < all.size(); ++i) {
+    all[i]->entry.version = i < 3 ? "v1" : "v2";
+  }
+  all[3]->in_flight = 50;
+  all[3]->ejected_until = kNow + 1s;
+  ChoiceRequest request;
+  request.version = "v2";
+  REQUIRE(ChooseUpstream(all, request, kNow) == all[3]);
+  ChoiceRequest prompt = PromptRequest("shared", "session");
+  prompt.version = "v2";
+  REQUIRE(ChooseUpstream(all, prompt, kNow) == all[3]);
+  REQUIRE(HomeUpstream(all, prompt, kNow) == all[3]);
+  request.version = "v3";
+  REQUIRE(ChooseUpstream(all, request, kNow) == nullptr);
+}
+
+TEST_CASE("an upstream whose version is not registered is not chosen") {
+  const auto all = MakeUpstreams(2);
+  all[0]->unregistered = true;
+  REQUIRE(ChooseUpstream(all, {}, kNow) == all[1]);
+  REQUIRE_FALSE(IsListed(*all[0], kNow));
+  REQUIRE(AcceptsWork(*all[0], kNow));
+}
+
 TEST_CASE("an unreachable upstream is avoided for a while") {
   const auto all = MakeUpstreams(2);
   NoteOutcome(*all[0], Outcome::kNotSent, 0, kNow);
--- a/libs/routing/test/upstream_table_test.cc
+++ b/libs/routing/test/upstream_table_test.cc
@@ -115,6 +115,22 @@
   REQUIRE(table.ForService("s").size() == 1);
 }
 
+// Guards against lending the version of a process to its successor, whose entry
+// does not state its start.
+TEST_CASE("another software version under a known id is another upstream") {
+  UpstreamTable table;
+  UpstreamEntry entry = EntryOfStart("a", 0);
+  entry.version = "v1";
+  table.Put(entry);
+  const UpstreamPtr before = table.Find("a");
+  entry.version = "v2";
+  table.Put(entry);
+  REQUIRE(table.Find("a") != before);
+  REQUIRE(before->entry.version == "v1");
+  REQUIRE_FALSE(before->listed);
+  REQUIRE(table.Find("a")->entry.version == "v2");
+}
+
 // Guards against applying an entry of an earlier start: a list that is seconds
 // old can hold its last entry (draining) after the entry of the next start was
 // read. The running process would then get no work until its next heartbeat.
