Records of streams: four holders, stopping peers are asked, pending versions count

A peer that is stopping still has its records. A version that is listed and not yet registered may have begun a stream, so that a service with one is not taken for one of a single version. Peers get 0.3 s to answer, as a lost packet costs 0.2 s.

--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -89,11 +89,12 @@
   /**
    * @param key key of a replicated object.
    * @param count most names returned.
-   * @return the other instances that are reachable and not stopping, by their
-   *     rendezvous weight for the key, highest first.
+   * @param with_leaving true: also instances that have begun a planned stop.
+   * @return the other instances that are reachable, by their rendezvous weight
+   *     for the key, highest first.
    */
-  std::vector<std::string> HoldersOf(const std::string& key,
-                                     size_t count) const;
+  std::vector<std::string> HoldersOf(const std::string& key, size_t count,
+                                     bool with_leaving) const;
   /**
    * @param name name of another instance.
    * @return a connection to it, opened if there is none; nullptr if the name is
--- a/libs/entry/include/turmeric/entry/stream_origins.h
+++ b/libs/entry/include/turmeric/entry/stream_origins.h
@@ -34,10 +34,14 @@
 
   /** Connections to the other instances. */
   struct Links {
-    /** @return names of reachable peers, by their weight for the key. */
-    std::function<std::vector<std::string>(const std::string& key,
-                                           size_t count)>
-        holders;
+    using PeersOf = std::function<std::vector<std::string>(
+        const std::string& key, size_t count)>;
+
+    /** @return reachable peers that are not stopping, by their weight for the
+     * key. */
+    PeersOf holders;
+    /** @return reachable peers, those that are stopping too. */
+    PeersOf may_hold;
     /** Adds to the next frame to a peer. */
     std::function<void(const std::string& name,
                        const std::function<void(peer::Frame&)>&)>
--- a/libs/entry/include/turmeric/entry/version_registry.h
+++ b/libs/entry/include/turmeric/entry/version_registry.h
@@ -66,11 +66,9 @@
   /** Reads the registry. @param done called from inside this call or within a
    * fraction of a second. */
   void Read(ReadCallback done);
-  /** @param service a service. @return its versions that this instance knows
-   * to be registered. */
-  Versions VersionsOf(const std::string& service) const {
-    return versions_.Of(service);
-  }
+  /** @param service a service. @return its versions, as far as this instance
+   * knows: those that are registered and those that are about to be. */
+  Versions VersionsOf(const std::string& service) const;
   /** Registers all versions again, after the store has lost recent writes. */
   void OnNewEra();
   /** @param frame a peer's frame; the versions that it states are applied. */
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -170,7 +170,11 @@
       StreamOrigins::Links{
           .holders =
               [this](const std::string& key, size_t count) {
-                return links_->HoldersOf(key, count);
+                return links_->HoldersOf(key, count, false);
+              },
+          .may_hold =
+              [this](const std::string& key, size_t count) {
+                return links_->HoldersOf(key, count, true);
               },
           .send =
               [this](const std::string& name, const auto& add) {
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -111,10 +111,12 @@
 }
 
 std::vector<std::string> InstanceLinks::HoldersOf(const std::string& key,
-                                                  size_t count) const {
+                                                  size_t count,
+                                                  bool with_leaving) const {
   std::vector<std::pair<uint64_t, const std::string*>> weights;
   for (const auto& [name, instance] : instances_) {
-    if (instance.leaving || instance.unreachable) continue;
+    if (instance.unreachable) continue;
+    if (instance.leaving && !with_leaving) continue;
     weights.emplace_back(routing::RendezvousWeight(key, name), &name);
   }
   std::ranges::sort(weights, std::ranges::greater());
--- a/libs/entry/src/stream_origins.cc
+++ b/libs/entry/src/stream_origins.cc
@@ -19,17 +19,17 @@
 
 /** Peers that hold the record of a stream: the record is lost only if all of
  * them end together with the instance at which the stream began. */
-constexpr size_t kHolders = 3;
+constexpr size_t kHolders = 4;
 /** Peers asked for a record. More than hold it, because the instances may
  * differ on which peers are reachable. */
-constexpr size_t kAsked = 5;
+constexpr size_t kAsked = 6;
 /** Most records of each kind, about 200 bytes each. */
 constexpr size_t kMaxRecords = 20000;
 /** Time for which a record is kept; longer than any stream. */
 constexpr std::chrono::minutes kRecordLifetime{5};
 /** Time limit for the answers of peers: with a small CPU quota, an event loop
- * may pause for a tenth of a second. */
-constexpr milliseconds kAnswerTimeout{150};
+ * may pause for a tenth of a second, and a lost packet costs another fifth. */
+constexpr milliseconds kAnswerTimeout{300};
 constexpr milliseconds kOverdueCheckInterval{25};
 
 std::string KeyOf(const StreamId& id) {
@@ -130,7 +130,7 @@
   Search& search = searches_.at(ticket);
   search.asked = true;
   search.asked_at = Clock::now();
-  const auto names = links_.holders(KeyOf(search.id), kAsked);
+  const auto names = links_.may_hold(KeyOf(search.id), kAsked);
   search.unanswered.insert(names.begin(), names.end());
   const peer::OriginQuery query{
       .ticket = ticket, .id = search.id, .services = search.services};
--- a/libs/entry/src/version_registry.cc
+++ b/libs/entry/src/version_registry.cc
@@ -106,6 +106,18 @@
   }
 }
 
+VersionRegistry::Versions VersionRegistry::VersionsOf(
+    const std::string& service) const {
+  Versions versions = versions_.Of(service);
+  for (const auto& [name, write] : unwritten_) {
+    const StreamOrigin& version = write.first;
+    if (version.service == service && !versions_.Contains(version)) {
+      versions.push_back(version.version);
+    }
+  }
+  return versions;
+}
+
 void VersionRegistry::MarkUnregistered(const std::string& service) {
   const auto now = Clock::now();
   const auto upstreams = context_.upstreams.ForService(service);
