A late answer of a peer ends a search for the origin of a stream only once

A search whose peers were given up on reads the registry; an answer that came meanwhile ended it, and the read then used a search that was gone, which would have ended the process.

The registry compares the versions of upstreams without a copy for each.

--- a/libs/entry/include/turmeric/entry/stream_origins.h
+++ b/libs/entry/include/turmeric/entry/stream_origins.h
@@ -98,7 +98,7 @@
     /** All answers so far name the versions that are known here. */
     bool peers_agree = true;
     int answers = 0;
-    Clock::time_point asked_at;
+    Clock::time_point asked_at;  ///< Default: answers are not awaited.
   };
 
   /** @return all registered versions of the services. */
--- a/libs/entry/src/stream_origins.cc
+++ b/libs/entry/src/stream_origins.cc
@@ -118,7 +118,10 @@
 void StreamOrigins::ReadRegistry(uint64_t ticket) {
   searches_.at(ticket).read_tried = true;
   registry_.Read([this, ticket](bool read) {
-    Search& search = searches_.at(ticket);
+    const auto it = searches_.find(ticket);
+    // A late answer of a peer may have ended the search.
+    if (it == searches_.end()) return;
+    Search& search = it->second;
     search.registry_read = read;
     const auto only = OnlyOrigin(search.services);
     if (read && only) return Finish(ticket, "only_version", only);
@@ -172,7 +175,8 @@
     ++search.answers;
     search.peers_agree =
         search.peers_agree && answer.versions == VersionsOf(search.services);
-    if (search.unanswered.empty()) OnAsked(answer.ticket);
+    const bool awaited = search.asked_at != Clock::time_point();
+    if (awaited && search.unanswered.empty()) OnAsked(answer.ticket);
   }
 }
 
--- a/libs/entry/src/version_registry.cc
+++ b/libs/entry/src/version_registry.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <iterator>
 #include <set>
+#include <span>
+#include <string_view>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
@@ -59,8 +61,16 @@
   return services;
 }
 
-StreamOrigin VersionOf(const routing::Upstream& upstream) {
-  return {upstream.entry.service, upstream.entry.version};
+/** @return the different versions of the upstreams. */
+std::vector<std::string_view> VersionsIn(
+    std::span<const UpstreamPtr> upstreams) {
+  std::vector<std::string_view> versions;
+  for (const UpstreamPtr& u : upstreams) {
+    if (std::ranges::count(versions, u->entry.version) == 0) {
+      versions.push_back(u->entry.version);
+    }
+  }
+  return versions;
 }
 
 }  // namespace
@@ -96,8 +106,8 @@
   if (!context_.table || !context_.upstreams_known || !source_) return;
   const auto now = Clock::now();
   for (const std::string& service : StreamServices(*context_.table)) {
-    for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
-      const StreamOrigin version = VersionOf(*u);
+    for (const auto name : VersionsIn(context_.upstreams.ForService(service))) {
+      const StreamOrigin version{service, std::string(name)};
       dropped_.erase(ObjectName(version));
       versions_.Contains(version) ? versions_.OnListed(version, now)
                                   : ScheduleNew(version);
@@ -121,12 +131,16 @@
 void VersionRegistry::MarkUnregistered(const std::string& service) {
   const auto now = Clock::now();
   const auto upstreams = context_.upstreams.ForService(service);
+  const Versions registered = versions_.Of(service);
+  const auto is_registered = [&registered](const UpstreamPtr& u) {
+    return std::ranges::count(registered, u->entry.version) > 0;
+  };
   const bool others_serve =
       std::ranges::any_of(upstreams, [&](const UpstreamPtr& u) {
-        return versions_.Contains(VersionOf(*u)) && AcceptsWork(*u, now);
+        return is_registered(u) && AcceptsWork(*u, now);
       });
   std::ranges::for_each(upstreams, [&](const UpstreamPtr& u) {
-    u->unregistered = others_serve && !versions_.Contains(VersionOf(*u));
+    u->unregistered = others_serve && !is_registered(u);
   });
 }
 
