--- a/libs/entry/include/turmeric/entry/stream_origins.h
+++ b/libs/entry/include/turmeric/entry/stream_origins.h
@@ -3,6 +3,7 @@
 #include <QObject>
 #include <QTimer>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -84,6 +85,9 @@
   /** Sends the records of the streams that began here to their holders, once
    * the service has several versions. @param service the service. */
   void OnVersionsChanged(const std::string& service);
+  /** Sends the records again that had too few holders. Called after each read
+   * of the fleet's list. */
+  void OnFleetList();
 
  private:
   /** A search that is in progress. */
@@ -125,6 +129,9 @@
   Links links_;
   streams::OriginRecords begun_;  ///< Streams that began at this instance.
   streams::OriginRecords held_;   ///< Streams that began at peers.
+  /** Records of streams that began here for which fewer peers were reachable
+   * than should hold them, oldest first. */
+  std::deque<streams::OriginRecords::Record> short_of_holders_;
   std::map<uint64_t, Search> searches_;  ///< By ticket.
   uint64_t next_ticket_ = 1;
   QTimer overdue_timer_;
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -333,6 +333,7 @@
         for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
         sharing_->SetInstances(fleet);
+        origins_->OnFleetList();
       });
   directory_->Start();
   return boost::outcome_v2::success();
--- a/libs/entry/src/stream_origins.cc
+++ b/libs/entry/src/stream_origins.cc
@@ -25,6 +25,8 @@
 constexpr size_t kAsked = 6;
 /** Most records of each kind, about 200 bytes each. */
 constexpr size_t kMaxRecords = 20000;
+/** Most records that wait for more holders. */
+constexpr size_t kMaxShortOfHolders = 1000;
 /** Time for which a record is kept; longer than any stream. */
 constexpr std::chrono::minutes kRecordLifetime{5};
 /** Time limit for the answers of peers: with a small CPU quota, an event loop
@@ -58,11 +60,28 @@
 }
 
 void StreamOrigins::SendToHolders(const OriginRecords::Record& record) {
-  for (const std::string& name : links_.holders(KeyOf(record.id), kHolders)) {
+  const auto holders = links_.holders(KeyOf(record.id), kHolders);
+  for (const std::string& name : holders) {
     links_.send(name, [&record](Frame& frame) {
       frame.stream_records.push_back({record.id, record.origin});
     });
   }
+  // An instance that has just started may not know its peers yet.
+  const int fleet_size = links_.fleet_size();
+  const bool all_hold =
+      fleet_size > 0 && static_cast<int>(holders.size()) >= fleet_size - 1;
+  if (holders.size() >= kHolders || all_hold) return;
+  short_of_holders_.push_back(record);
+  if (short_of_holders_.size() > kMaxShortOfHolders) {
+    short_of_holders_.pop_front();
+  }
+}
+
+void StreamOrigins::OnFleetList() {
+  const auto now = Clock::now();
+  for (const auto& record : std::exchange(short_of_holders_, {})) {
+    if (begun_.Find(record.id, now)) SendToHolders(record);
+  }
 }
 
 void StreamOrigins::OnVersionsChanged(const std::string& service) {
