--- a/libs/streams/include/turmeric/streams/stream_id.h
+++ b/libs/streams/include/turmeric/streams/stream_id.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace turmeric::streams {
 
@@ -11,7 +11,11 @@
   /** The caller's attempt that brought the first event; empty: not stated. */
   std::string attempt_id;
 
-  auto operator<=>(const StreamId&) const = default;
+  bool operator==(const StreamId&) const = default;
+  bool operator<(const StreamId& other) const {
+    return std::tie(organisation, attempt_id) <
+           std::tie(other.organisation, other.attempt_id);
+  }
 };
 
 }  // namespace turmeric::streams
