--- a/libs/entry/src/version_registry.cc
+++ b/libs/entry/src/version_registry.cc
@@ -31,8 +31,10 @@
  * registers a new version that its owner has not registered. */
 constexpr milliseconds kMinOtherDelay{250};
 constexpr milliseconds kMaxOtherDelay{1250};
-/** Delay before a failed write is repeated. */
-constexpr milliseconds kWriteRetryDelay{300};
+/** Delay before a failed write is repeated, by the owner of the key and by the
+ * other instances, of which there may be hundreds. */
+constexpr milliseconds kOwnerRetryDelay{300};
+constexpr milliseconds kOtherRetryDelay{2000};
 /** Longest wait for a read, which usually takes milliseconds. */
 constexpr milliseconds kMaxReadWait{200};
 /** Time after a failed read in which none is tried: callers do not wait again
@@ -176,7 +178,8 @@
   for (auto& [name, write] : unwritten_) {
     if (write.second <= now) {
       due.push_back(write.first);
-      write.second = now + kWriteRetryDelay;
+      write.second =
+          now + (links_.owns(name) ? kOwnerRetryDelay : kOtherRetryDelay);
     }
     next = std::min(next, write.second);
   }
