A minority of a large fleet does not rely on its own view of the versions

While the store does not answer, an instance took the single version that it and the six peers asked know. In a fleet of more than 13, seven instances that are partitioned together are asked by each other only: a version registered elsewhere is unknown to all of them, and a stream that it began would go on at another one.

Cause: the number of answers needed was capped by the number of peers asked. Now they must be a majority with the instance itself; larger fleets refuse a stream without a record until the store answers.

Found by reading.

--- a/libs/entry/src/stream_origins.cc
+++ b/libs/entry/src/stream_origins.cc
@@ -210,10 +210,11 @@
 
 bool StreamOrigins::MayRelyOnPeers(const Search& search) const {
   if (search.registry_read || !search.unanswered.empty()) return false;
-  // An instance that is partitioned with a few others must not rely on these.
+  // With this instance, the peers that agree must be a majority of the fleet: a
+  // version that is registered elsewhere may be unknown to all of a minority.
   const int fleet_size = links_.fleet_size();
-  const int peers_needed = std::min(static_cast<int>(kAsked), fleet_size / 2);
-  return fleet_size > 0 && search.answers >= peers_needed && search.peers_agree;
+  return fleet_size > 0 && search.answers >= fleet_size / 2 &&
+         search.peers_agree;
 }
 
 void StreamOrigins::Conclude(uint64_t ticket) {
