A restored store gets the versions of services from any instance

After the store was restored from an older copy only the owner of a key registered its version again; if the owner had ended, a version without listed upstreams stayed missing, and an instance that then read the registry could take the service for one of a single version. Now every instance schedules the write, as for a new version: the owner at once, the others later unless told.

The registry's pending and dropped versions are keyed by the version itself, not by the name of its object, which was computed for each version at each update; the objects of a list are applied in one place.

--- a/libs/entry/include/turmeric/entry/version_registry.h
+++ b/libs/entry/include/turmeric/entry/version_registry.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -78,14 +79,16 @@
 
  private:
   void Add(const streams::StreamOrigin& version);
-  void ScheduleNew(const streams::StreamOrigin& version);
+  /** Registers a version now if this instance owns its key, else after a delay
+   * unless the owner has registered it by then. */
+  void ScheduleWrite(const streams::StreamOrigin& version);
   void WriteDue();
   void Write(const streams::StreamOrigin& version, bool retired);
   void Expire();
   void MarkUnregistered(const std::string& service);
   void SendRead();
   void OnRead(bool read);
-  void Apply(const store::SourceObject& object);
+  void Apply(std::span<const store::SourceObject> objects);
 
   EntryContext& context_;
   Links links_;
@@ -94,11 +97,9 @@
   ChangeCallback on_change_;
   streams::VersionSet versions_;
   /** Versions to be registered, and when. */
-  std::map<std::string, std::pair<streams::StreamOrigin, Clock::time_point>>
-      unwritten_;
+  std::map<streams::StreamOrigin, Clock::time_point> unwritten_;
   /** Versions that were dropped here, and when their objects are retired. */
-  std::map<std::string, std::pair<streams::StreamOrigin, Clock::time_point>>
-      dropped_;
+  std::map<streams::StreamOrigin, Clock::time_point> dropped_;
   std::vector<ReadCallback> waiting_;  ///< For the read that is open.
   std::vector<ReadCallback> next_;     ///< For the read after it.
   bool read_open_ = false;
--- a/libs/entry/src/version_registry.cc
+++ b/libs/entry/src/version_registry.cc
@@ -97,10 +97,7 @@
   const QPointer<VersionRegistry> self(this);
   source_->List(kind_, ObjectSource::Freshness::kMayBeStale,
                 [self](const auto& batch) {
-                  if (!self || !batch) return;
-                  for (const auto& object : batch.value().objects) {
-                    self->Apply(object);
-                  }
+                  if (self && batch) self->Apply(batch.value().objects);
                 });
 }
 
@@ -110,9 +107,9 @@
   for (const std::string& service : StreamServices(*context_.table)) {
     for (const auto name : VersionsIn(context_.upstreams.ForService(service))) {
       const StreamOrigin version{service, std::string(name)};
-      dropped_.erase(ObjectName(version));
+      dropped_.erase(version);
       versions_.Contains(version) ? versions_.OnListed(version, now)
-                                  : ScheduleNew(version);
+                                  : ScheduleWrite(version);
     }
     MarkUnregistered(service);
   }
@@ -121,8 +118,7 @@
 VersionRegistry::Versions VersionRegistry::VersionsOf(
     const std::string& service) const {
   Versions versions = versions_.Of(service);
-  for (const auto& [name, write] : unwritten_) {
-    const StreamOrigin& version = write.first;
+  for (const auto& [version, due] : unwritten_) {
     if (version.service == service && !versions_.Contains(version)) {
       versions.push_back(version.version);
     }
@@ -147,7 +143,7 @@
 }
 
 void VersionRegistry::Add(const StreamOrigin& version) {
-  unwritten_.erase(ObjectName(version));
+  unwritten_.erase(version);
   if (!versions_.Add(version, Clock::now())) return;
   utils::DecisionLog("version_registered")
       .Add("service", version.service)
@@ -157,17 +153,16 @@
   if (on_change_) on_change_(version.service);
 }
 
-void VersionRegistry::ScheduleNew(const StreamOrigin& version) {
-  const std::string name = ObjectName(version);
-  if (unwritten_.contains(name)) return;
+void VersionRegistry::ScheduleWrite(const StreamOrigin& version) {
+  if (unwritten_.contains(version)) return;
   // Before the fleet is known, every instance would own every key.
-  const bool writes_first =
-      context_.retries.listed_instances() > 0 && links_.owns(name);
+  const bool writes_first = context_.retries.listed_instances() > 0 &&
+                            links_.owns(ObjectName(version));
   std::uniform_int_distribution<int64_t> delay(kMinOtherDelay.count(),
                                                kMaxOtherDelay.count());
   const milliseconds after =
       writes_first ? milliseconds(0) : milliseconds(delay(random_));
-  unwritten_.emplace(name, std::pair(version, Clock::now() + after));
+  unwritten_.emplace(version, Clock::now() + after);
   WriteDue();
 }
 
@@ -175,13 +170,13 @@
   const auto now = Clock::now();
   std::vector<StreamOrigin> due;
   auto next = Clock::time_point::max();
-  for (auto& [name, write] : unwritten_) {
-    if (write.second <= now) {
-      due.push_back(write.first);
-      write.second =
-          now + (links_.owns(name) ? kOwnerRetryDelay : kOtherRetryDelay);
+  for (auto& [version, at] : unwritten_) {
+    if (at <= now) {
+      due.push_back(version);
+      at = now + (links_.owns(ObjectName(version)) ? kOwnerRetryDelay
+                                                   : kOtherRetryDelay);
     }
-    next = std::min(next, write.second);
+    next = std::min(next, at);
   }
   std::ranges::for_each(due, [this](const auto& v) { Write(v, false); });
   if (next == Clock::time_point::max()) return;
@@ -216,12 +211,13 @@
 void VersionRegistry::Expire() {
   const auto now = Clock::now();
   for (const StreamOrigin& version : versions_.DropUnlisted(now)) {
-    dropped_.try_emplace(ObjectName(version), version, now + kRetireAfter);
+    dropped_.try_emplace(version, now + kRetireAfter);
   }
   std::vector<StreamOrigin> retired;
   std::erase_if(dropped_, [&](const auto& entry) {
-    const bool due = entry.second.second <= now;
-    if (due && links_.owns(entry.first)) retired.push_back(entry.second.first);
+    const auto& [version, retire_at] = entry;
+    const bool due = retire_at <= now;
+    if (due && links_.owns(ObjectName(version))) retired.push_back(version);
     return due;
   });
   std::ranges::for_each(retired, [this](const auto& v) { Write(v, true); });
@@ -244,11 +240,7 @@
                 [self, number = ++read_number_](const auto& batch) {
                   // The read may have timed out.
                   if (!self || self->read_number_ != number) return;
-                  if (batch) {
-                    for (const auto& object : batch.value().objects) {
-                      self->Apply(object);
-                    }
-                  }
+                  if (batch) self->Apply(batch.value().objects);
                   self->OnRead(batch.has_value());
                 });
 }
@@ -266,29 +258,27 @@
   for (const ReadCallback& done : callbacks) done(read);
 }
 
-void VersionRegistry::Apply(const store::SourceObject& object) {
-  const StreamOrigin version{
-      object.spec[kServiceField].toString().toStdString(),
-      object.spec[kVersionField].toString().toStdString()};
-  if (version.service.empty() || object.name != ObjectName(version)) {
-    utils::DecisionLog("version_entry_unreadable")
-        .Add("name", object.name)
-        .Add("revision", object.revision);
-    return;
+void VersionRegistry::Apply(std::span<const store::SourceObject> objects) {
+  for (const store::SourceObject& object : objects) {
+    const StreamOrigin version{
+        object.spec[kServiceField].toString().toStdString(),
+        object.spec[kVersionField].toString().toStdString()};
+    if (version.service.empty() || object.name != ObjectName(version)) {
+      utils::DecisionLog("version_entry_unreadable")
+          .Add("name", object.name)
+          .Add("revision", object.revision);
+    } else if (object.spec[kRetiredField].toBool()) {
+      // Update registers it again if it is listed.
+      versions_.Remove(version);
+    } else {
+      Add(version);
+    }
   }
-  if (!object.spec[kRetiredField].toBool()) return Add(version);
-  // Update registers it again if it is listed.
-  versions_.Remove(version);
 }
 
 void VersionRegistry::OnNewEra() {
-  const auto now = Clock::now();
-  for (const StreamOrigin& version : versions_.All()) {
-    if (links_.owns(ObjectName(version))) {
-      unwritten_[ObjectName(version)] = {version, now};
-    }
-  }
-  WriteDue();
+  std::ranges::for_each(versions_.All(),
+                        [this](const auto& v) { ScheduleWrite(v); });
 }
 
 void VersionRegistry::OnFrame(const peer::Frame& frame) {
--- a/libs/streams/include/turmeric/streams/stream_origin.h
+++ b/libs/streams/include/turmeric/streams/stream_origin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <tuple>
 
 namespace turmeric::streams {
 
@@ -11,6 +12,9 @@
   std::string version;  ///< Software version of the upstream.
 
   bool operator==(const StreamOrigin&) const = default;
+  bool operator<(const StreamOrigin& other) const {
+    return std::tie(service, version) < std::tie(other.service, other.version);
+  }
 };
 
 }  // namespace turmeric::streams
--- a/libs/streams/include/turmeric/streams/version_set.h
+++ b/libs/streams/include/turmeric/streams/version_set.h
@@ -4,7 +4,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "turmeric/streams/stream_origin.h"
@@ -48,14 +47,8 @@
   std::vector<StreamOrigin> All() const;
 
  private:
-  struct Order {
-    bool operator()(const StreamOrigin& a, const StreamOrigin& b) const {
-      return std::tie(a.service, a.version) < std::tie(b.service, b.version);
-    }
-  };
-
   Clock::duration retention_;
-  std::map<StreamOrigin, Clock::time_point, Order> last_listed_;
+  std::map<StreamOrigin, Clock::time_point> last_listed_;
 };
 
 }  // namespace turmeric::streams
