One choice of an upstream without its owner, one set of exclusions

The choice for a suspect took tried upstreams and a filter of its own, so that the version was checked in that filter and once more in the request. It now takes the same ChoiceRequest. EnginePlacer chose without an answer of the owner in a copy of ChooseLocally; it calls that now.

No change of behaviour. Routing and entry tests pass; the test of versions in choice_test also covers suspects.

--- a/libs/entry/include/turmeric/entry/upstream_choice.h
+++ b/libs/entry/include/turmeric/entry/upstream_choice.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "turmeric/routing/choice.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 
@@ -46,7 +47,7 @@
 /** Parameters of a choice that is made without the owner of the cell. */
 struct LocalChoice {
   const std::string& service;
-  const std::string& fingerprint;  ///< Fingerprint of the request.
+  std::string_view fingerprint;  ///< Of the request; read for suspects only.
   /**
    * True if requests to the service are normally placed by the owners of its
    * cells.
@@ -64,12 +65,12 @@
  * send with the cold limiter.
  * @param context the instance's state.
  * @param choice see LocalChoice.
- * @param criteria the request and its constraints.
+ * @param request properties of the request; `admits` is replaced.
  * @return the upstream, or nullptr if none may receive the request now.
  */
 routing::UpstreamPtr ChooseLocally(EntryContext& context,
                                    const LocalChoice& choice,
-                                   const UpstreamCriteria& criteria);
+                                   routing::ChoiceRequest request);
 
 /**
  * @param context the instance's state.
--- a/libs/entry/src/engine_placer.cc
+++ b/libs/entry/src/engine_placer.cc
@@ -7,8 +7,8 @@
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/placement_coordinator.h"
+#include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
-#include "turmeric/routing/choice.h"
 #include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -105,18 +105,11 @@
       .Add("owner", open.owner)
       .Add("why", why);
   const std::string service = stages::ParseShard(open.order.service).service;
-  const auto now = Clock::now();
-  const routing::ServiceSpec* spec = context_.FindService(service);
-  routing::ChoiceRequest choice = ToChoiceRequest(open.order);
-  // Only the owner knows whether a brittle upstream has room.
-  choice.admits = [cold = context_.cold_limiter.AdmitsAsNonOwner(spec, now)](
-                      const routing::Upstream& u) {
-    return !u.brittle.is_brittle() && (!cold || cold(u));
-  };
-  const UpstreamPtr engine =
-      ChooseUpstream(context_.upstreams.ForService(service), choice, now);
-  if (engine) context_.cold_limiter.RecordSend(spec, *engine, now);
-  Complete(ticket, engine);
+  Complete(
+      ticket,
+      entry::ChooseLocally(
+          context_, {.service = service, .fingerprint = {}, .has_owner = true},
+          ToChoiceRequest(open.order)));
 }
 
 void EnginePlacer::Complete(uint64_t ticket, const UpstreamPtr& engine) {
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -283,7 +283,7 @@
                                  .fingerprint = fingerprint_,
                                  .has_owner = route_->carries_prompt,
                                  .suspect = suspect},
-                                wanted));
+                                ToChoiceRequest(wanted)));
   }
   peer::PlacementOrder order = ToPlacementOrder(wanted);
   order.service = service_;
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -39,7 +39,7 @@
 }
 
 UpstreamPtr ChooseLocally(EntryContext& context, const LocalChoice& choice,
-                          const UpstreamCriteria& criteria) {
+                          routing::ChoiceRequest request) {
   const auto now = Clock::now();
   const auto upstreams = context.upstreams.ForService(choice.service);
   const routing::ServiceSpec* spec = context.FindService(choice.service);
@@ -47,19 +47,13 @@
       choice.has_owner ? context.cold_limiter.AdmitsAsNonOwner(spec, now)
                        : context.cold_limiter.AdmitsForUnowned(spec, now);
   // Only the owner knows whether a brittle upstream has room.
-  const routing::UpstreamFilter admits = [&](const routing::Upstream& u) {
-    return HasVersion(u, criteria.version) && !u.brittle.is_brittle() &&
-           (!cold || cold(u));
+  request.admits = [&cold](const routing::Upstream& u) {
+    return !u.brittle.is_brittle() && (!cold || cold(u));
   };
-  UpstreamPtr chosen;
-  if (choice.suspect) {
-    chosen = ChooseByFingerprint(upstreams, choice.fingerprint, criteria.tried,
-                                 now, admits);
-  } else {
-    routing::ChoiceRequest request = ToChoiceRequest(criteria);
-    request.admits = admits;
-    chosen = ChooseUpstream(upstreams, request, now);
-  }
+  const UpstreamPtr chosen =
+      choice.suspect
+          ? ChooseByFingerprint(upstreams, choice.fingerprint, request, now)
+          : ChooseUpstream(upstreams, request, now);
   if (chosen) context.cold_limiter.RecordSend(spec, *chosen, now);
   return chosen;
 }
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -67,15 +67,14 @@
  * cause of the crash again. Choosing by the fingerprint alone spreads the
  * suspects over different upstreams.
  * @param upstreams of the service. @param work fingerprint of the request.
- * @param tried ids of excluded upstreams. @param now current time.
- * @param admits see UpstreamFilter.
+ * @param request its properties, of which those that exclude upstreams count.
+ * @param now current time.
  * @return the choice, or nullptr if no listed upstream is left.
  */
 UpstreamPtr ChooseByFingerprint(std::span<const UpstreamPtr> upstreams,
                                 std::string_view work,
-                                std::span<const std::string> tried,
-                                Clock::time_point now,
-                                const UpstreamFilter& admits = {});
+                                const ChoiceRequest& request,
+                                Clock::time_point now);
 
 /**
  * @param upstreams of the service. @param request its properties.
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -146,12 +146,8 @@
 
 UpstreamPtr ChooseByFingerprint(std::span<const UpstreamPtr> upstreams,
                                 std::string_view work,
-                                std::span<const std::string> tried,
-                                Clock::time_point now,
-                                const UpstreamFilter& admits) {
-  ChoiceRequest request;
-  request.tried = tried;
-  request.admits = admits;
+                                const ChoiceRequest& request,
+                                Clock::time_point now) {
   const Candidates found = FindCandidates(upstreams, request, now);
   const auto best =
       std::ranges::max_element(found.usable, {}, [work](const UpstreamPtr& u) {
--- a/libs/routing/test/choice_test.cc
+++ b/libs/routing/test/choice_test.cc
@@ -111,8 +111,10 @@
   prompt.version = "v2";
   REQUIRE(ChooseUpstream(all, prompt, kNow) == all[3]);
   REQUIRE(HomeUpstream(all, prompt, kNow) == all[3]);
+  REQUIRE(ChooseByFingerprint(all, "work", request, kNow) == all[3]);
   request.version = "v3";
   REQUIRE(ChooseUpstream(all, request, kNow) == nullptr);
+  REQUIRE(ChooseByFingerprint(all, "work", request, kNow) == nullptr);
 }
 
 TEST_CASE("an upstream whose version is not registered is not chosen") {
@@ -160,8 +162,10 @@
   const std::vector<std::string> tried{"i-3"};
   std::map<std::string, int> placed;
   for (int i = 0; i < 120; ++i) {
+    ChoiceRequest request;
+    request.tried = tried;
     const auto u =
-        ChooseByFingerprint(all, "work" + std::to_string(i), tried, kNow);
+        ChooseByFingerprint(all, "work" + std::to_string(i), request, kNow);
     REQUIRE(u->entry.id != "i-3");
     ++placed[u->entry.id];
   }
