--- a/libs/streams/include/turmeric/streams/origin_records.h
+++ b/libs/streams/include/turmeric/streams/origin_records.h
@@ -35,6 +35,8 @@
    */
   OriginRecords(size_t capacity, Clock::duration lifetime)
       : capacity_(capacity), lifetime_(lifetime) {}
+  OriginRecords(const OriginRecords&) = delete;
+  OriginRecords& operator=(const OriginRecords&) = delete;
 
   /**
    * Records a stream. The first record of a stream is kept.
@@ -62,12 +64,14 @@
     Clock::time_point at;
   };
 
+  using Records = std::map<StreamId, Entry>;
+
   void DropOldest();
 
   size_t capacity_;
   Clock::duration lifetime_;
-  std::map<StreamId, Entry> records_;
-  std::deque<StreamId> order_;  ///< Oldest first.
+  Records records_;
+  std::deque<Records::const_iterator> order_;  ///< Oldest first.
 };
 
 }  // namespace turmeric::streams
--- a/libs/streams/src/origin_records.cc
+++ b/libs/streams/src/origin_records.cc
@@ -4,11 +4,12 @@
 
 void OriginRecords::Put(const StreamId& id, const StreamOrigin& origin,
                         Clock::time_point now) {
-  while (!order_.empty() && records_.at(order_.front()).at + lifetime_ <= now) {
+  while (!order_.empty() && order_.front()->second.at + lifetime_ <= now) {
     DropOldest();
   }
-  if (!records_.try_emplace(id, Entry{origin, now}).second) return;
-  order_.push_back(id);
+  const auto [record, is_new] = records_.try_emplace(id, Entry{origin, now});
+  if (!is_new) return;
+  order_.push_back(record);
   if (order_.size() > capacity_) DropOldest();
 }
 
@@ -29,8 +30,8 @@
 std::vector<OriginRecords::Record> OriginRecords::OfService(
     std::string_view service, Clock::time_point now) const {
   std::vector<Record> records;
-  for (const StreamId& id : order_) {
-    const Entry& entry = records_.at(id);
+  for (const auto& record : order_) {
+    const auto& [id, entry] = *record;
     if (entry.origin.service == service && now < entry.at + lifetime_) {
       records.push_back({id, entry.origin});
     }
