EntryService and frames: one copy of what two callers did

State for a peer that may have just started was added in the same lines for both directions of a connection; frames to a peer by name and the ownership of a key were two lambdas each. The lists of a frame use the type that it had for them. No change of behaviour; peer and entry tests pass.

--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -77,6 +77,14 @@
   /** Handles what a peer's frame states about itself. */
   void OnPeerState(const std::string& name, const peer::Frame& frame);
   std::unique_ptr<TunnelServer> MakeTunnelServer();
+  /** Adds what a peer that may have just started has to know to the first frame
+   * to it. */
+  void AddKnownState(peer::Frame& frame) const;
+  /** Adds to the next frame to a peer. */
+  void AddToFrame(const std::string& name,
+                  const std::function<void(peer::Frame&)>& add);
+  /** @return true if this instance owns a key, such as that of a queue. */
+  bool Owns(const std::string& key);
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
   std::unique_ptr<VersionRegistry> MakeVersions();
   std::unique_ptr<StreamOrigins> MakeOrigins();
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -124,6 +124,23 @@
   connect(&drain_timer_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
 
+void EntryService::AddKnownState(peer::Frame& frame) const {
+  quarantine_->AddKnownCrashes(frame);
+  limiter_->AddKnownLimits(frame);
+  brittle_->AddKnown(frame);
+  versions_->AddKnown(frame);
+}
+
+void EntryService::AddToFrame(const std::string& name,
+                              const std::function<void(peer::Frame&)>& add) {
+  peer::PeerLink* link = links_->Open(name);
+  if (link != nullptr) add(link->outgoing());
+}
+
+bool EntryService::Owns(const std::string& key) {
+  return !links_->OwnerOf(key).has_value();
+}
+
 std::unique_ptr<UpstreamLimiter> EntryService::MakeLimiter() {
   permit_timer_.setInterval(kPermitCheckInterval);
   permit_timer_.setTimerType(Qt::PreciseTimer);
@@ -140,11 +157,8 @@
       LimiterLinks{
           .reaches =
               [this](const std::string& name) { return links_->Reaches(name); },
-          .send =
-              [this](const std::string& name, const auto& add) {
-                peer::PeerLink* link = links_->Open(name);
-                if (link != nullptr) add(link->outgoing());
-              },
+          .send = [this](const std::string& name,
+                         const auto& add) { AddToFrame(name, add); },
           .broadcast = [this](const auto& add) { links_->Broadcast(add); },
           .on_open =
               [this] {
@@ -157,10 +171,7 @@
   return std::make_unique<VersionRegistry>(
       context_,
       VersionRegistry::Links{
-          .owns =
-              [this](const std::string& key) {
-                return !links_->OwnerOf(key).has_value();
-              },
+          .owns = [this](const std::string& key) { return Owns(key); },
           .broadcast = [this](const auto& add) { links_->Broadcast(add); }});
 }
 
@@ -176,11 +187,8 @@
               [this](const std::string& key, size_t count) {
                 return links_->HoldersOf(key, count, true);
               },
-          .send =
-              [this](const std::string& name, const auto& add) {
-                peer::PeerLink* link = links_->Open(name);
-                if (link != nullptr) add(link->outgoing());
-              },
+          .send = [this](const std::string& name,
+                         const auto& add) { AddToFrame(name, add); },
           .fleet_size =
               [this] { return context_.retries.listed_instances(); }});
 }
@@ -223,9 +231,8 @@
 void EntryService::ConnectPeerEvents() {
   context_.cold_limiter.set_reaches_most(
       [this] { return links_->ReachesMost(); });
-  context_.cold_limiter.set_owns([this](const std::string& part) {
-    return !links_->OwnerOf(part).has_value();
-  });
+  context_.cold_limiter.set_owns(
+      [this](const std::string& part) { return Owns(part); });
   links_->set_events(
       {.on_frame =
            [this](const std::string& name, const peer::Frame& frame) {
@@ -243,19 +250,9 @@
              router_->OnInstanceLost(name, was_reset);
              sharing_->OnLost(name);
            },
-       .on_connect =
-           [this](peer::Frame& frame) {
-             quarantine_->AddKnownCrashes(frame);
-             limiter_->AddKnownLimits(frame);
-             brittle_->AddKnown(frame);
-             versions_->AddKnown(frame);
-           }});
-  peer_server_->set_on_new_peer([this](peer::Frame& frame) {
-    quarantine_->AddKnownCrashes(frame);
-    limiter_->AddKnownLimits(frame);
-    brittle_->AddKnown(frame);
-    versions_->AddKnown(frame);
-  });
+       .on_connect = [this](peer::Frame& frame) { AddKnownState(frame); }});
+  peer_server_->set_on_new_peer(
+      [this](peer::Frame& frame) { AddKnownState(frame); });
   peer_server_->set_on_frame(
       [this](const std::string& identity, const peer::Frame& frame) {
         OnPeerState(identity.substr(0, identity.rfind('#')), frame);
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -401,7 +401,7 @@
   }
 }
 
-using ServiceVersions = flatbuffers::Vector<Offset<wire::ServiceVersion>>;
+using ServiceVersions = TableList<wire::ServiceVersion>;
 
 Offset<wire::ServiceVersion> Write(FlatBufferBuilder& b,
                                    const streams::StreamOrigin& origin) {
@@ -432,9 +432,9 @@
 /** The parts of a frame on the origins of streams. */
 struct StreamParts {
   Offset<ServiceVersions> versions;
-  Offset<flatbuffers::Vector<Offset<wire::StreamRecord>>> records;
-  Offset<flatbuffers::Vector<Offset<wire::OriginQuery>>> queries;
-  Offset<flatbuffers::Vector<Offset<wire::OriginAnswer>>> answers;
+  Offset<TableList<wire::StreamRecord>> records;
+  Offset<TableList<wire::OriginQuery>> queries;
+  Offset<TableList<wire::OriginAnswer>> answers;
 };
 
 StreamParts WriteStreamParts(FlatBufferBuilder& b, const Frame& frame) {
