--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -15,6 +15,7 @@
 #include "turmeric/entry/stream_forwarder.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
+#include "turmeric/quarantine/request_traits.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -148,7 +149,7 @@
   /** Whether the configuration in force is the latest of the store; nullopt:
    * not checked, because no final refusal depended on it. */
   std::optional<bool> config_is_latest_;
-  std::string fingerprint_;  ///< Equal for all copies of the request.
+  quarantine::RequestTraits traits_;
   std::string service_;
   /** Software version that began the stream; empty: none has yet. */
   std::string stream_version_;
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -18,11 +18,11 @@
 #include "turmeric/entry/send_permits.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/stream_origins.h"
+#include "turmeric/entry/traits_of.h"
 #include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/upstream_send.h"
-#include "turmeric/quarantine/fingerprint.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -63,17 +63,6 @@
 /** Value of a log field for a request that resumes no stream. */
 constexpr int64_t kNoEvent = -1;
 
-/** @return the fingerprint of the request, equal on all instances. */
-std::string FingerprintOf(const CallerRequest& request,
-                          std::string_view organisation) {
-  return quarantine::Fingerprint(
-      {.caller = organisation.empty() ? request.key : organisation,
-       .method = request.method,
-       .host = request.host,
-       .target = request.target,
-       .body = request.body});
-}
-
 double Uniform() {
   static std::mt19937_64 engine{std::random_device{}()};
   return std::uniform_real_distribution<double>(0, 1)(engine);
@@ -174,7 +163,7 @@
     }
   }
   route_ = admission_.route;
-  fingerprint_ = FingerprintOf(request_, admission_.organisation);
+  traits_ = TraitsOf(request_, admission_.organisation);
   if (admission_.refusal == AdmissionRefusal::kNone) {
     if (AnswerIfQuarantined()) return false;
     if (!context_.Uses(Mechanism::kUsualDeadlines)) return true;
@@ -201,7 +190,8 @@
 }
 
 bool RequestRun::AnswerIfQuarantined() {
-  const auto remaining = context_.quarantine->RemainingQuarantine(fingerprint_);
+  const auto remaining =
+      context_.quarantine->RemainingQuarantine(traits_.fingerprint);
   if (!remaining) return false;
   if (may_have_run_) {
     Fail(kBadGateway, kQuarantined);
@@ -216,7 +206,7 @@
       *context_.stages,
       StagePlan{.request = request_,
                 .route = *route_,
-                .fingerprint = fingerprint_,
+                .fingerprint = traits_.fingerprint,
                 .rank = admission_.rank,
                 .due = arrived_ + route_->latency_target - time_used_,
                 .deadline = admission_.first_byte_limit,
@@ -274,13 +264,13 @@
   excluded_upstreams_ = permits_->Excluded(tried_upstreams_, Clock::now());
   const std::string results_zone = stages_->inputs_zone();
   const UpstreamCriteria wanted = MakeUpstreamCriteria(results_zone);
-  const bool suspect = context_.quarantine->IsSuspect(fingerprint_);
+  const bool suspect = context_.quarantine->IsSuspect(traits_.fingerprint);
   const bool has_owner =
       route_->carries_prompt || context_.brittle->Any(service_);
   if (suspect || !has_owner) {
     return SendTo(ChooseLocally(context_,
                                 {.service = service_,
-                                 .fingerprint = fingerprint_,
+                                 .fingerprint = traits_.fingerprint,
                                  .has_owner = route_->carries_prompt,
                                  .suspect = suspect},
                                 ToChoiceRequest(wanted)));
@@ -498,7 +488,7 @@
     send_->End(Outcome::kBroken);
     return OnExchangeBroken(fault);
   }
-  context_.quarantine->OnGoodRun(fingerprint_, service_);
+  context_.quarantine->OnGoodRun(traits_.fingerprint, service_);
   if (send_->IsEventStream()) {
     send_->End(Outcome::kAnswered);
     return ForwardAnswer();
@@ -531,7 +521,7 @@
 void RequestRun::OnNotRun(SendOutcome outcome) {
   utils::DecisionLog("upstream_did_not_run")
       .Add("request", request_.attempt_id)
-      .Add("work", fingerprint_)
+      .Add("work", traits_.fingerprint)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("status", send_->head().status)
       .Add("sends", sends_)
@@ -545,7 +535,9 @@
 void RequestRun::OnExchangeBroken(std::string_view why) {
   utils::DecisionLog("upstream_broke_off")
       .Add("request", request_.attempt_id)
-      .Add("work", fingerprint_)
+      .Add("work", traits_.fingerprint)
+      .Add("parts", quarantine::JoinParts(traits_.parts))
+      .Add("organisation", admission_.organisation)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("version", send_->upstream()->entry.version)
       .Add("why", why)
@@ -561,7 +553,7 @@
   };
   context_.quarantine->OnExchangesBroken(
       send_->upstream(),
-      {{.fingerprint = fingerprint_, .progressed = progressed}},
+      {{.fingerprint = traits_.fingerprint, .progressed = progressed}},
       std::move(after_probe));
   // Only a retry depends on the result of the probe.
   if (!route_->retryable()) Fail(kBadGateway, why);
@@ -575,7 +567,8 @@
 }
 
 bool RequestRun::MayRetry(SendOutcome outcome) {
-  if (context_.quarantine->RemainingQuarantine(fingerprint_)) return false;
+  if (context_.quarantine->RemainingQuarantine(traits_.fingerprint))
+    return false;
   if (outcome == SendOutcome::kUnreached &&
       !context_.Uses(Mechanism::kTryNext)) {
     outcome = SendOutcome::kNotRun;
@@ -705,7 +698,8 @@
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
-      .Add("work", fingerprint_)
+      .Add("work", traits_.fingerprint)
+      .Add("parts", quarantine::JoinParts(traits_.parts))
       .Add("after_event", request_.last_event_id.value_or(kNoEvent))
       .Add("resumes", request_.resumed_attempt_id)
       .Add("ms", static_cast<int64_t>(ms));
--- a/libs/insight/include/turmeric/insight/crash_report.h
+++ b/libs/insight/include/turmeric/insight/crash_report.h
@@ -11,21 +11,23 @@
 
 /**
  * Lists from the logs of a fleet the request fingerprints (`work` in the log
- * lines) that were running on upstreams whose connection broke off, and how
- * many requests of each were answered. A fingerprint under which many upstreams
- * broke off and which was never answered is likely to crash the upstreams.
+ * lines) and the prompt parts (`parts`) that were running on upstreams whose
+ * connection broke off, and how many requests of each were answered. One under
+ * which many upstreams broke off and which was never answered is likely to
+ * crash the upstreams.
  */
 class CrashReport {
  public:
   /** @param event of any instance, in any order. */
   void Add(const LogEvent& event);
-  /** @return a table as text with a line for each fingerprint under which at
-   * least two upstreams broke off, most upstreams first. */
+  /** @return a table as text with a line for each fingerprint and each prompt
+   * part under which at least two upstreams broke off, most upstreams first.
+   */
   std::string Render() const;
 
  private:
-  /** All requests with one fingerprint. */
-  struct FingerprintStats {
+  /** All requests with one fingerprint or one prompt part. */
+  struct TraitStats {
     std::set<std::string> upstreams;  ///< Upstreams that broke off.
     std::set<std::string> instances;  ///< Instances that logged it.
     int requests = 0;
@@ -35,10 +37,10 @@
     std::chrono::milliseconds last{0};
   };
 
-  void AddBrokenCall(const LogEvent& event);
-  void AddRequestEnd(const LogEvent& event);
+  static void AddBrokenCall(const LogEvent& event, TraitStats& stats);
+  static void AddRequestEnd(const LogEvent& event, TraitStats& stats);
 
-  std::map<std::string, FingerprintStats> fingerprints_;
+  std::map<std::string, TraitStats> traits_;
 };
 
 }  // namespace turmeric::insight
--- a/libs/insight/src/crash_report.cc
+++ b/libs/insight/src/crash_report.cc
@@ -19,32 +19,51 @@
   return std::chrono::duration<double>(time).count();
 }
 
+/** @return the fingerprint of the event's request and its prompt parts. */
+std::vector<std::string> TraitsOf(const LogEvent& event) {
+  std::vector<std::string> traits{std::string(event.Text("work"))};
+  constexpr char kSeparator = '+';
+  std::string_view parts = event.Text("parts");
+  if (parts == "-") return traits;
+  while (!parts.empty()) {
+    const size_t end = std::min(parts.find(kSeparator), parts.size());
+    traits.emplace_back(parts.substr(0, end));
+    parts.remove_prefix(std::min(end + 1, parts.size()));
+  }
+  return traits;
+}
+
 }  // namespace
 
 void CrashReport::Add(const LogEvent& event) {
   if (event.Text("work").empty()) return;
-  if (event.name == "upstream_broke_off") AddBrokenCall(event);
-  if (event.name == "request_end") AddRequestEnd(event);
+  const bool broke_off = event.name == "upstream_broke_off";
+  if (!broke_off && event.name != "request_end") return;
+  for (const std::string& trait : TraitsOf(event)) {
+    if (broke_off) {
+      AddBrokenCall(event, traits_[trait]);
+    } else {
+      AddRequestEnd(event, traits_[trait]);
+    }
+  }
 }
 
-void CrashReport::AddBrokenCall(const LogEvent& event) {
-  FingerprintStats& stats = fingerprints_[std::string(event.Text("work"))];
+void CrashReport::AddBrokenCall(const LogEvent& event, TraitStats& stats) {
   stats.upstreams.emplace(event.Text("upstream"));
   stats.instances.insert(event.instance);
   stats.first = std::min(stats.first, event.at);
   stats.last = std::max(stats.last, event.at);
 }
 
-void CrashReport::AddRequestEnd(const LogEvent& event) {
-  FingerprintStats& stats = fingerprints_[std::string(event.Text("work"))];
+void CrashReport::AddRequestEnd(const LogEvent& event, TraitStats& stats) {
   ++stats.requests;
   if (event.Text("outcome") == "answered") ++stats.answered;
   if (event.Number("status") == kHttpServiceUnavailable) ++stats.refused;
 }
 
 std::string CrashReport::Render() const {
-  std::vector<std::pair<std::string, const FingerprintStats*>> shown;
-  for (const auto& [name, stats] : fingerprints_) {
+  std::vector<std::pair<std::string, const TraitStats*>> shown;
+  for (const auto& [name, stats] : traits_) {
     if (stats.upstreams.size() < kMinUpstreams) continue;
     shown.emplace_back(name, &stats);
   }
@@ -52,7 +71,7 @@
     return row.second->upstreams.size();
   });
   std::ostringstream out;
-  out << "work              upstreams  instances  copies  answered  refused  "
+  out << "work or part      upstreams  instances  copies  answered  refused  "
          "over s\n";
   for (const auto& [name, stats] : shown) {
     out << std::left << std::setw(16) << name << std::right << std::setw(11)
--- a/libs/insight/test/crash_report_test.cc
+++ b/libs/insight/test/crash_report_test.cc
@@ -42,3 +42,22 @@
                     "       1     3.0") != std::string::npos);
   REQUIRE(text.find("bb") == std::string::npos);
 }
+
+// Guards against requests that are never alike: each crashes one upstream, and
+// only the prompt part that they share shows the cause.
+TEST_CASE("the report counts upstreams that broke off per prompt part") {
+  CrashReport report;
+  for (const std::string& line :
+       {BrokenCallLine("entry-1", "aa", "i-1", 1) + " parts=llm/dead+llm/s1",
+        BrokenCallLine("entry-2", "bb", "i-2", 4) + " parts=llm/dead+llm/s2",
+        BrokenCallLine("entry-2", "cc", "i-3", 5) + " parts=-",
+        RequestEndLine("aa", "answer_cut", "502") + " parts=llm/dead+llm/s1",
+        RequestEndLine("dd", "answered", "200") + " parts=llm/s1"}) {
+    report.Add(*ParseLogLine(line));
+  }
+  const std::string text = report.Render();
+  CAPTURE(text);
+  REQUIRE(text.find("llm/dead                  2          2       1         0 "
+                    "       0     3.0") != std::string::npos);
+  REQUIRE(text.find("llm/s1") == std::string::npos);
+}
