Ends of upstreams count where no peer can confirm them

An instance with peers in the fleet's list counted the end of an upstream only if a peer confirmed it.

If no peer can tell, the instance now connects to up to three other upstreams, of the same zone first: one that accepts rules out a partition of this instance.

--- a/libs/entry/include/turmeric/entry/reach_monitor.h
+++ b/libs/entry/include/turmeric/entry/reach_monitor.h
@@ -47,7 +47,8 @@
   void Suspect(const routing::UpstreamPtr& upstream, std::string_view why);
   /**
    * Finds out whether an upstream whose host refused a connection has ended, or
-   * whether only this instance is refused.
+   * whether only this instance is refused. Decided by the peers; if none can
+   * tell, by whether this instance reaches other upstreams.
    * @param upstream the upstream.
    * @param done called once with true if it has ended; never from inside this
    *     call.
@@ -62,6 +63,10 @@
     std::vector<FindingCallback> callbacks;
   };
 
+  /** @param done called with true if another upstream, preferably of the same
+   * zone, accepts a connection. */
+  void ReachesNeighbours(const routing::UpstreamPtr& upstream,
+                         const std::function<void(bool)>& done);
   void Check(const routing::UpstreamPtr& upstream, bool ask_peers,
              FindingCallback done);
   void OnChecked(const routing::UpstreamPtr& upstream,
--- a/libs/entry/src/reach_monitor.cc
+++ b/libs/entry/src/reach_monitor.cc
@@ -1,8 +1,10 @@
 #include "turmeric/entry/reach_monitor.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "details/connect_any.h"
 #include "details/reach_check.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
@@ -34,6 +36,11 @@
  * partition of this instance. */
 constexpr milliseconds kSilence{500};
 
+/** Other upstreams that are connected to in order to rule out a partition, and
+ * the timeout of these connections. */
+constexpr size_t kNeighboursChecked = 3;
+constexpr milliseconds kNeighbourTimeout{350};
+
 }  // namespace
 
 ReachMonitor::ReachMonitor(EntryContext& context, TunnelPeers& peers)
@@ -66,12 +73,38 @@
 
 void ReachMonitor::ConfirmEnd(const UpstreamPtr& upstream,
                               std::function<void(bool)> done) {
-  Check(upstream, true, [this, done = std::move(done)](const ReachFinding& f) {
-    const bool reached = f.result.connected || !f.result.connected_peer.empty();
-    const bool decides_alone =
-        !context_.Uses(config::Mechanism::kTunnels) || !peers_.any();
-    done(!reached && f.result.refused && (f.peer_refused || decides_alone));
+  Check(upstream, true,
+        [this, upstream, done = std::move(done)](const ReachFinding& f) {
+          const bool reached =
+              f.result.connected || !f.result.connected_peer.empty();
+          if (reached || !f.result.refused) return done(false);
+          const bool decides_alone =
+              !context_.Uses(config::Mechanism::kTunnels) || !peers_.any();
+          if (f.peer_refused || decides_alone) return done(true);
+          // No peer could tell. A partition would affect its neighbours, too.
+          ReachesNeighbours(upstream, done);
+        });
+}
+
+void ReachMonitor::ReachesNeighbours(const UpstreamPtr& upstream,
+                                     const std::function<void(bool)>& done) {
+  const auto now = Clock::now();
+  std::vector<UpstreamPtr> others = context_.upstreams.All();
+  std::erase_if(others, [&](const UpstreamPtr& other) {
+    return other == upstream || !AcceptsWork(*other, now);
+  });
+  std::ranges::stable_partition(others, [&](const UpstreamPtr& other) {
+    return other->entry.zone == upstream->entry.zone;
   });
+  if (others.size() > kNeighboursChecked) others.resize(kNeighboursChecked);
+  if (others.empty()) return done(false);
+  std::vector<http::Endpoint> hosts;
+  std::ranges::transform(others, std::back_inserter(hosts),
+                         [](const UpstreamPtr& other) {
+                           return http::ParseEndpoint(other->entry.address);
+                         });
+  auto* check = new ConnectAny(hosts, kNeighbourTimeout, done);
+  check->setParent(this);
 }
 
 void ReachMonitor::Check(const UpstreamPtr& upstream, bool ask_peers,
