--- a/libs/entry/include/turmeric/entry/answer_check.h
+++ b/libs/entry/include/turmeric/entry/answer_check.h
@@ -12,6 +12,8 @@
   const AnswerInfo& info;
   bool is_event_stream = false;
   bool inside_event = false;  ///< The stream's body ends inside an event.
+  bool ends_with_connection = false;  ///< Has neither a length nor chunks.
+  bool has_event = false;             ///< The stream's body has a whole event.
 };
 
 /**
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -80,6 +80,11 @@
   bool Reaches(const std::string& name);
   /** @return true if at least half of the other instances are reachable. */
   bool ReachesMost() const;
+  /** @return true if the fleet's list has other instances. */
+  bool has_others() const { return !instances_.empty(); }
+  /** @return true if less than half of the other instances are reachable, or
+   * none. */
+  bool IsIsolated() const { return !has_others() || !ReachesMost(); }
   /**
    * @param key key of an owned object, such as a queue.
    * @return the owner by rendezvous hashing over the instances that are
--- a/libs/entry/include/turmeric/entry/request_quarantine.h
+++ b/libs/entry/include/turmeric/entry/request_quarantine.h
@@ -3,12 +3,15 @@
 #include <QObject>
 #include <QTimer>
 #include <chrono>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "turmeric/entry/upstream_probe.h"
@@ -31,8 +34,8 @@
 
 /** A request whose exchange with an upstream ended without a whole answer. */
 struct InterruptedRequest {
-  std::string fingerprint;  ///< Fingerprint of the request.
-  bool progressed = false;  ///< Part of its answer had been received.
+  quarantine::RequestTraits traits;
+  bool progressed = false;  ///< Its answer had been written for a while.
 };
 
 /**
@@ -57,20 +60,37 @@
    * Probes an upstream whose exchanges were interrupted together, and records a
    * crash of each request if the upstream has ended.
    * @param upstream the upstream. @param requests the interrupted requests.
-   * @param done called after the crashes have been recorded or the upstream was
-   *     found to run; never from inside this call.
+   * @param done called with true after the crashes have been recorded, with
+   *     false after the upstream was found to run; never from inside this call.
    */
   void OnExchangesBroken(const routing::UpstreamPtr& upstream,
                          std::vector<InterruptedRequest> requests,
-                         std::function<void()> done);
-  /** Records the complete run of a request.
-   * @param fingerprint of the request. @param service the upstream's service.
+                         std::function<void(bool has_ended)> done);
+  /** Records the good run of a request. @param run the run. @param request_id
+   * id of the request, for the log. */
+  void OnGoodRun(const quarantine::GoodRun& run, std::string_view request_id);
+  /**
+   * @param request any.
+   * @param is_trial true: the request is itself the trial that shows whether
+   * its fault has been fixed.
+   * @return time for which the request is still refused; nullopt if it is not
+   *     quarantined.
    */
-  void OnGoodRun(const std::string& fingerprint, const std::string& service);
-  /** @param fingerprint of a request. @return time for which its copies are
-   * still refused; nullopt if it is not quarantined. */
+  std::optional<std::chrono::milliseconds> RemainingQuarantine(
+      const quarantine::ServiceRequest& request, bool is_trial) const;
+  /** As above, for a request of which only the fingerprint matters. */
   std::optional<std::chrono::milliseconds> RemainingQuarantine(
       std::string_view fingerprint) const;
+  /**
+   * Makes a request the trial of its traits if their quarantine has ended, so
+   * that all instances refuse other requests with them for a while.
+   * @param request that is sent now. @param request_id its id, for the log.
+   * @return true if it is a trial.
+   */
+  bool BeginTrial(const quarantine::ServiceRequest& request,
+                  std::string_view request_id);
+  /** @param request that is refused. @return the trait that is the cause. */
+  std::string CauseIn(const quarantine::ServiceRequest& request) const;
   /** @param fingerprint of a request. @return true if it must run on another
    * upstream than other suspect requests. */
   bool IsSuspect(std::string_view fingerprint) const;
@@ -83,8 +103,8 @@
   /** Rewrites recent objects, when the store begins a new era: it has then lost
    * recent writes. */
   void OnNewEra();
-  /** Merges the crashes and good runs of another instance. @param source name
-   * of the sender. @param frame the frame received. */
+  /** Merges the crashes, good runs and trials of another instance. @param
+   * source name of the sender. @param frame the frame received. */
   void OnFrame(const std::string& source, const peer::Frame& frame);
   /** Adds the relevant crashes to the first frame for an instance that may have
    * just started. @param frame the frame to extend. */
@@ -92,12 +112,22 @@
 
  private:
   using Clock = quarantine::Clock;
+  /** Service and trait. */
+  using ClearedTrait = std::pair<std::string, std::string>;
 
   void RecordCrashes(const routing::UpstreamEntry& upstream,
                      std::span<const InterruptedRequest> requests,
                      Clock::time_point at);
   bool Record(const quarantine::Crash& crash, std::string_view source);
+  void OnStored(std::span<const quarantine::Crash> crashes);
   void SendToPeers(const std::vector<quarantine::Crash>& crashes);
+  /** Stores the crashes under the cause of a request's quarantine. */
+  void Store(const quarantine::ServiceRequest& request);
+  /** Stores the last crashes that this instance has seen, for instances that it
+   * does not reach. */
+  void StoreOwnCrashes();
+  void ScheduleCleared();
+  void SendCleared();
   void UpdateMetric() const;
 
   EntryContext& context_;
@@ -105,7 +135,15 @@
   quarantine::CrashLedger ledger_;
   UpstreamProbe probe_;
   std::unique_ptr<QuarantineArchive> archive_;
+  /** The last crashes that this instance has seen itself. */
+  std::deque<quarantine::Crash> own_crashes_;
+  /** Ends of the quarantines that have been logged, by cause. */
+  std::map<std::string, Clock::time_point> logged_until_;
+  /** Times of the good runs that are to be sent to the other instances. */
+  std::map<ClearedTrait, Clock::time_point> unsent_cleared_;
+  QTimer cleared_timer_;
   QTimer expire_timer_;
+  QTimer isolation_timer_;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -11,11 +11,11 @@
 
 #include "turmeric/entry/caller_answer.h"
 #include "turmeric/entry/request_admission.h"
+#include "turmeric/entry/request_evidence.h"
 #include "turmeric/entry/retry_policy.h"
 #include "turmeric/entry/stream_forwarder.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
-#include "turmeric/quarantine/request_traits.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -99,8 +99,15 @@
   void ReleaseInputsOnceFetched();
   UpstreamSendEvents SendEvents();
   void OnEnd();
+  /** Finds out whether the upstream has ended, where the end of the answer does
+   * not show whether it is whole. */
+  void ConfirmAnswerIsWhole();
+  void OnWholeAnswer();
   void OnFailure(http::ExchangeFailure failure);
   void OnNotRun(SendOutcome outcome);
+  /** Ends a run that has not brought a whole answer. */
+  void OnRunBroken(std::string_view why);
+  /** As above, and probes the upstream before a retry. */
   void OnExchangeBroken(std::string_view why);
   /** Retries or fails after the probe has shown whether the upstream has
    * ended. */
@@ -149,7 +156,7 @@
   /** Whether the configuration in force is the latest of the store; nullopt:
    * not checked, because no final refusal depended on it. */
   std::optional<bool> config_is_latest_;
-  quarantine::RequestTraits traits_;
+  RequestEvidence evidence_;
   std::string service_;
   /** Software version that began the stream; empty: none has yet. */
   std::string stream_version_;
--- a/libs/entry/include/turmeric/entry/upstream_send.h
+++ b/libs/entry/include/turmeric/entry/upstream_send.h
@@ -108,6 +108,9 @@
    *     has_head().
    */
   const AnswerInfo& info() const { return info_; }
+  /** @return true if the response has neither a length nor chunks, so that its
+   * end does not show whether it is whole. */
+  bool ends_with_connection() const { return ends_with_connection_; }
   /** @return the response body; empty for event streams. */
   const std::string& body() const { return body_; }
 
@@ -124,6 +127,7 @@
   http::ResponseHead head_;
   AnswerInfo info_;
   bool has_head_ = false;
+  bool ends_with_connection_ = false;
   std::string body_;
 };
 
--- a/libs/entry/src/answer_check.cc
+++ b/libs/entry/src/answer_check.cc
@@ -34,6 +34,12 @@
   if (answer.is_event_stream && answer.inside_event) {
     return "stream_cut_in_event";
   }
+  // An upstream that crashes before its first event may end its body correctly,
+  // too.
+  if (answer.is_event_stream && answer.ends_with_connection &&
+      !answer.has_event) {
+    return "stream_without_event";
+  }
   return {};
 }
 
--- a/libs/entry/src/quarantine_archive.cc
+++ b/libs/entry/src/quarantine_archive.cc
@@ -18,7 +18,9 @@
 
 /** Least time between two reads, as crashes occur in groups. */
 constexpr milliseconds kMinReadInterval{1000};
-/** Backoff after a failed write, doubled after each further one up to the
+/** Time from the start to the second read; answers may be seconds old. */
+constexpr milliseconds kSecondRead{3000};
+/** Backoff after a failed call, doubled after each further one up to the
  * largest. */
 constexpr milliseconds kFirstBackoff{500};
 constexpr milliseconds kMaxBackoff{30000};
@@ -33,6 +35,7 @@
     : source_(source),
       kind_(std::move(kind)),
       on_read_(std::move(on_read)),
+      read_backoff_(kFirstBackoff),
       backoff_(kFirstBackoff) {
   read_timer_.setSingleShot(true);
   connect(&read_timer_, &QTimer::timeout, this, [this] { ReadRateLimited(); });
@@ -42,6 +45,11 @@
   });
 }
 
+void QuarantineArchive::Start() {
+  Read();
+  QTimer::singleShot(kSecondRead, this, [this] { Read(); });
+}
+
 void QuarantineArchive::ReadRateLimited() {
   if (read_timer_.isActive()) return;
   const auto next = last_read_at_ + kMinReadInterval;
@@ -59,17 +67,20 @@
                  if (batch) return OnRead(batch.value().objects);
                  utils::DecisionLog("quarantine_not_read")
                      .Add("why", batch.error().detail);
+                 if (!read_timer_.isActive()) read_timer_.start(read_backoff_);
+                 read_backoff_ = std::min(2 * read_backoff_, kMaxBackoff);
                });
 }
 
 void QuarantineArchive::OnRead(std::span<const SourceObject> objects) {
+  read_backoff_ = kFirstBackoff;
   const auto now = quarantine::ClockReading::Now();
   std::vector<Crash> all;
   for (const SourceObject& object : objects) {
     auto crashes = quarantine::DecodeCrashes(object.name, object.spec, now);
     if (!crashes) {
       utils::DecisionLog("quarantine_entry_unreadable")
-          .Add("work", object.name)
+          .Add("object", object.name)
           .Add("revision", object.revision);
       continue;
     }
@@ -78,41 +89,40 @@
   on_read_(all);
 }
 
-void QuarantineArchive::Write(const std::string& fingerprint,
+void QuarantineArchive::Write(const std::string& name,
                               std::vector<Crash> crashes) {
-  unwritten_[fingerprint] = std::move(crashes);
-  Send(fingerprint);
+  unwritten_[name] = std::move(crashes);
+  Send(name);
 }
 
-void QuarantineArchive::MarkWritten(const std::string& fingerprint) {
-  auto node = unwritten_.extract(fingerprint);
+void QuarantineArchive::MarkWritten(const std::string& name) {
+  auto node = unwritten_.extract(name);
   if (node.empty()) return;
   const auto now = Clock::now();
   std::erase_if(written_, [now](const auto& entry) {
     return entry.second.at + kRewriteWindow < now;
   });
-  written_.insert_or_assign(fingerprint,
-                            Written{std::move(node.mapped()), now});
+  written_.insert_or_assign(name, Written{std::move(node.mapped()), now});
 }
 
 void QuarantineArchive::RewriteRecent() {
   if (written_.empty()) return;
-  for (auto& [fingerprint, written] : std::exchange(written_, {})) {
-    unwritten_.emplace(fingerprint, std::move(written.crashes));
+  for (auto& [name, written] : std::exchange(written_, {})) {
+    unwritten_.emplace(name, std::move(written.crashes));
   }
   if (!retry_.isActive()) retry_.start(kFirstBackoff);
 }
 
-void QuarantineArchive::Send(const std::string& fingerprint) {
-  const auto spec = quarantine::EncodeCrashes(unwritten_.at(fingerprint),
+void QuarantineArchive::Send(const std::string& name) {
+  const auto spec = quarantine::EncodeCrashes(unwritten_.at(name),
                                               quarantine::ClockReading::Now());
-  source_.Put(kind_, fingerprint, spec, [this, fingerprint](const auto& batch) {
+  source_.Put(kind_, name, spec, [this, name](const auto& batch) {
     if (batch) {
       backoff_ = kFirstBackoff;
-      MarkWritten(fingerprint);
+      MarkWritten(name);
     } else {
       utils::DecisionLog("quarantine_not_written")
-          .Add("work", fingerprint)
+          .Add("object", name)
           .Add("why", batch.error().detail);
       backoff_ = std::min(2 * backoff_, kMaxBackoff);
     }
--- a/libs/entry/src/request_quarantine.cc
+++ b/libs/entry/src/request_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <random>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
@@ -10,25 +11,45 @@
 #include "turmeric/entry/quarantine_archive.h"
 #include "turmeric/entry/reach_monitor.h"
 #include "turmeric/peer/frame.h"
+#include "turmeric/quarantine/stored_crashes.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
 
 using quarantine::Crash;
 using quarantine::GoodRun;
+using quarantine::RequestTraits;
+using quarantine::ServiceRequest;
+using quarantine::Trial;
 using std::chrono::milliseconds;
 
 namespace {
 
 /** Interval at which expired crashes are dropped. */
 constexpr milliseconds kExpireInterval{30000};
+/** Interval at which an instance that reaches few others reads the store. */
+constexpr milliseconds kIsolatedReadInterval{2000};
 /** Sources of crashes in log lines, besides names of instances. */
 constexpr std::string_view kSourceThisInstance = "own";
 constexpr std::string_view kSourceStore = "store";
-/** Minimum number of crashes of a request for its crashes to be sent to an
- * instance that starts. Most requests with a single crash only ran on an
- * upstream that ended for another reason. */
-constexpr size_t kMinCrashes = 2;
+/** Crashes that an instance stores while it reaches few others. */
+constexpr size_t kMaxOwnCrashes = 16;
+constexpr std::string_view kOwnCrashesPrefix = "recent-";
+/** Largest delay per instance of the fleet, and in all, until a cleared trait
+ * is sent to the others: popular parts are cleared by all instances at once,
+ * and one that hears of it in time sends nothing. */
+constexpr milliseconds kClearedDelayPerInstance{2};
+constexpr milliseconds kMaxClearedDelay{500};
+
+RequestTraits TraitsOf(const Crash& crash) {
+  return {.fingerprint = crash.fingerprint, .parts = crash.parts};
+}
+
+milliseconds RandomDelay(milliseconds max) {
+  static std::minstd_rand engine{std::random_device{}()};
+  return milliseconds(
+      std::uniform_int_distribution<int64_t>(0, max.count())(engine));
+}
 
 }  // namespace
 
@@ -37,10 +58,21 @@
     : context_(context), links_(links) {
   expire_timer_.setInterval(kExpireInterval);
   connect(&expire_timer_, &QTimer::timeout, this, [this] {
-    ledger_.Expire(Clock::now());
+    const auto now = Clock::now();
+    ledger_.Expire(now);
+    std::erase_if(logged_until_,
+                  [now](const auto& entry) { return entry.second <= now; });
     UpdateMetric();
   });
   expire_timer_.start();
+  cleared_timer_.setSingleShot(true);
+  connect(&cleared_timer_, &QTimer::timeout, this, [this] { SendCleared(); });
+  isolation_timer_.setInterval(kIsolatedReadInterval);
+  connect(&isolation_timer_, &QTimer::timeout, this, [this] {
+    if (links_.has_others() && links_.IsIsolated()) {
+      archive_->ReadRateLimited();
+    }
+  });
 }
 
 RequestQuarantine::~RequestQuarantine() = default;
@@ -48,20 +80,27 @@
 void RequestQuarantine::Start(store::ObjectSource& source, std::string kind) {
   if (!context_.Uses(config::Mechanism::kQuarantine)) return;
   archive_ = std::make_unique<QuarantineArchive>(
-      source, std::move(kind), [this](std::span<const Crash> crashes) {
-        for (const Crash& crash : crashes) Record(crash, kSourceStore);
-      });
-  archive_->Read();
+      source, std::move(kind),
+      [this](std::span<const Crash> crashes) { OnStored(crashes); });
+  archive_->Start();
+  isolation_timer_.start();
+}
+
+void RequestQuarantine::OnStored(std::span<const Crash> crashes) {
+  for (const Crash& crash : crashes) Record(crash, kSourceStore);
+  // Objects of expired quarantines stay in the store.
+  ledger_.Expire(Clock::now());
 }
 
 void RequestQuarantine::OnExchangesBroken(
     const routing::UpstreamPtr& upstream,
-    std::vector<InterruptedRequest> requests, std::function<void()> done) {
+    std::vector<InterruptedRequest> requests,
+    std::function<void(bool has_ended)> done) {
   probe_.Probe(upstream, [this, upstream, requests = std::move(requests),
                           done = std::move(done),
                           at = Clock::now()](bool refused) mutable {
     if (!refused) {
-      if (done) done();
+      if (done) done(false);
       return;
     }
     context_.reach->ConfirmEnd(upstream,
@@ -70,7 +109,7 @@
                                  if (has_ended) {
                                    RecordCrashes(upstream->entry, requests, at);
                                  }
-                                 if (done) done();
+                                 if (done) done(has_ended);
                                });
   });
 }
@@ -80,48 +119,85 @@
     std::span<const InterruptedRequest> requests, Clock::time_point at) {
   const std::string process_start = ProcessStartId(upstream);
   std::vector<Crash> crashes_to_send;
-  for (const InterruptedRequest& request : requests) {
-    const Crash crash{.fingerprint = request.fingerprint,
+  for (const InterruptedRequest& interrupted : requests) {
+    const RequestTraits& traits = interrupted.traits;
+    const Crash crash{.fingerprint = traits.fingerprint,
                       .service = upstream.service,
                       .upstream = process_start,
                       .at = at,
-                      .progressed = request.progressed};
+                      .progressed = interrupted.progressed,
+                      .parts = interrupted.progressed
+                                   ? std::vector<std::string>()
+                                   : traits.parts};
     if (!Record(crash, kSourceThisInstance)) continue;
-    // Send all crashes of the request, as other instances may lack some of
-    // them.
-    std::ranges::move(ledger_.CrashesOf(request.fingerprint),
+    own_crashes_.push_back(crash);
+    if (own_crashes_.size() > kMaxOwnCrashes) own_crashes_.pop_front();
+    // Send all crashes under the request's traits, as other instances may lack
+    // some of them.
+    const ServiceRequest request{.traits = traits, .service = upstream.service};
+    std::ranges::move(ledger_.CrashesUnder(request),
                       std::back_inserter(crashes_to_send));
-    if (archive_ && RemainingQuarantine(request.fingerprint)) {
-      archive_->Write(request.fingerprint,
-                      ledger_.CrashesOf(request.fingerprint));
-    }
+    if (RemainingQuarantine(request, true)) Store(request);
   }
   if (crashes_to_send.empty()) return;
+  const auto key = [](const Crash& crash) {
+    return std::tie(crash.upstream, crash.fingerprint);
+  };
+  std::ranges::sort(crashes_to_send, {}, key);
+  const auto repeated = std::ranges::unique(crashes_to_send, {}, key);
+  crashes_to_send.erase(repeated.begin(), repeated.end());
   SendToPeers(crashes_to_send);
-  if (archive_) archive_->ReadRateLimited();
+  if (!archive_) return;
+  if (links_.IsIsolated()) StoreOwnCrashes();
+  archive_->ReadRateLimited();
+}
+
+void RequestQuarantine::Store(const ServiceRequest& request) {
+  if (!archive_) return;
+  archive_->Write(quarantine::StoredName(ledger_.CauseIn(request)),
+                  ledger_.CrashesUnder(request));
+}
+
+void RequestQuarantine::StoreOwnCrashes() {
+  archive_->Write(std::string(kOwnCrashesPrefix) + context_.settings.name,
+                  {own_crashes_.begin(), own_crashes_.end()});
 }
 
 bool RequestQuarantine::Record(const Crash& crash, std::string_view source) {
   // A request without a fingerprint cannot be distinguished from others.
   if (crash.fingerprint.empty()) return false;
-  const bool was_quarantined =
-      RemainingQuarantine(crash.fingerprint).has_value();
+  const RequestTraits traits = TraitsOf(crash);
+  const ServiceRequest request{.traits = traits, .service = crash.service};
   if (!ledger_.Record(crash)) return false;
+  const std::string cause = ledger_.CauseIn(request);
   utils::DecisionLog("upstream_crashed")
       .Add("work", crash.fingerprint)
+      .Add("parts", quarantine::JoinParts(crash.parts))
       .Add("service", crash.service)
       .Add("upstream", crash.upstream)
       .Add("progressed", crash.progressed)
-      .Add("crashes", ledger_.crash_count(crash.fingerprint))
+      .Add("most", cause)
+      .Add("crashes", ledger_.crash_count(cause))
       .Add("source", source);
-  const auto remaining = RemainingQuarantine(crash.fingerprint);
-  if (remaining && !was_quarantined) {
-    utils::DecisionLog("work_quarantined")
-        .Add("work", crash.fingerprint)
-        .Add("crashes", ledger_.crash_count(crash.fingerprint))
-        .Add("for_ms", remaining->count())
-        .Add("source", source);
-    UpdateMetric();
+  const auto remaining = RemainingQuarantine(request, true);
+  if (!remaining) return true;
+  const auto now = Clock::now();
+  auto& logged_until = logged_until_[cause];
+  const bool is_logged = logged_until > now;
+  logged_until = now + *remaining;
+  if (is_logged) return true;
+  utils::DecisionLog("work_quarantined")
+      .Add("cause", cause)
+      .Add("work", crash.fingerprint)
+      .Add("parts", quarantine::JoinParts(crash.parts))
+      .Add("crashes", ledger_.crash_count(cause))
+      .Add("for_ms", remaining->count())
+      .Add("source", source);
+  UpdateMetric();
+  // No instance may have seen enough crashes itself to store them.
+  const bool is_own = source == kSourceThisInstance;
+  if (!is_own && source != kSourceStore && !links_.OwnerOf(cause)) {
+    Store(request);
   }
   return true;
 }
@@ -132,28 +208,90 @@
   });
 }
 
-void RequestQuarantine::OnGoodRun(const std::string& fingerprint,
-                                  const std::string& service) {
-  const bool was_quarantined = RemainingQuarantine(fingerprint).has_value();
-  const GoodRun run{
-      .fingerprint = fingerprint, .service = service, .at = Clock::now()};
-  if (!ledger_.Record(run)) return;
+void RequestQuarantine::OnGoodRun(const GoodRun& run,
+                                  std::string_view request_id) {
+  if (ledger_.size() == 0) return;
+  const RequestTraits traits{.fingerprint = run.fingerprint,
+                             .parts = run.parts};
+  const ServiceRequest request{.traits = traits, .service = run.service};
+  const bool was_quarantined = RemainingQuarantine(request, false).has_value();
+  const std::string cause =
+      was_quarantined ? ledger_.CauseIn(request) : std::string();
+  const std::vector<std::string> cleared = ledger_.Record(run);
+  if (cleared.empty()) return;
   utils::DecisionLog("work_acquitted")
-      .Add("work", fingerprint)
-      .Add("service", service);
-  links_.Broadcast([&](peer::Frame& frame) { frame.good_runs.push_back(run); });
+      .Add("request", request_id)
+      .Add("cleared", quarantine::JoinParts(cleared))
+      .Add("service", run.service);
+  for (const std::string& trait : cleared) {
+    unsent_cleared_[{run.service, trait}] = run.at;
+  }
+  ScheduleCleared();
   if (was_quarantined && archive_) {
-    archive_->Write(fingerprint, ledger_.CrashesOf(fingerprint));
+    archive_->Write(quarantine::StoredName(cause),
+                    ledger_.CrashesUnder(request));
   }
   UpdateMetric();
 }
 
+void RequestQuarantine::ScheduleCleared() {
+  if (cleared_timer_.isActive()) return;
+  const auto max = kClearedDelayPerInstance *
+                   std::max(0, context_.retries.listed_instances());
+  cleared_timer_.start(RandomDelay(std::min(max, kMaxClearedDelay)));
+}
+
+void RequestQuarantine::SendCleared() {
+  if (unsent_cleared_.empty()) return;
+  std::vector<GoodRun> runs;
+  for (const auto& [cleared, at] : std::exchange(unsent_cleared_, {})) {
+    const auto& [service, trait] = cleared;
+    const bool is_part = quarantine::IsPartKey(trait);
+    runs.push_back(
+        {.fingerprint = is_part ? std::string() : trait,
+         .service = service,
+         .at = at,
+         .parts = is_part ? std::vector{trait} : std::vector<std::string>()});
+  }
+  links_.Broadcast([&](peer::Frame& frame) {
+    std::ranges::copy(runs, std::back_inserter(frame.good_runs));
+  });
+}
+
+std::optional<milliseconds> RequestQuarantine::RemainingQuarantine(
+    const ServiceRequest& request, bool is_trial) const {
+  if (!context_.Uses(config::Mechanism::kQuarantine)) return std::nullopt;
+  const auto now = Clock::now();
+  const auto remaining = ledger_.RemainingQuarantine(request, now);
+  if (remaining || is_trial) return remaining;
+  return ledger_.RemainingTrial(request, now);
+}
+
 std::optional<milliseconds> RequestQuarantine::RemainingQuarantine(
     std::string_view fingerprint) const {
   if (!context_.Uses(config::Mechanism::kQuarantine)) return std::nullopt;
   return ledger_.RemainingQuarantine(fingerprint, Clock::now());
 }
 
+bool RequestQuarantine::BeginTrial(const ServiceRequest& request,
+                                   std::string_view request_id) {
+  if (!context_.Uses(config::Mechanism::kQuarantine)) return false;
+  const auto now = Clock::now();
+  const auto trait = ledger_.TrialOf(request, now);
+  if (!trait) return false;
+  const Trial trial{.trait = *trait, .at = now};
+  ledger_.Record(trial);
+  utils::DecisionLog("quarantine_trial")
+      .Add("request", request_id)
+      .Add("cause", trial.trait);
+  links_.Broadcast([&](peer::Frame& frame) { frame.trials.push_back(trial); });
+  return true;
+}
+
+std::string RequestQuarantine::CauseIn(const ServiceRequest& request) const {
+  return ledger_.CauseIn(request);
+}
+
 bool RequestQuarantine::IsSuspect(std::string_view fingerprint) const {
   return context_.Uses(config::Mechanism::kQuarantine) &&
          ledger_.IsSuspect(fingerprint);
@@ -167,7 +305,19 @@
 void RequestQuarantine::OnFrame(const std::string& source,
                                 const peer::Frame& frame) {
   for (const Crash& crash : frame.crashes) Record(crash, source);
-  for (const GoodRun& run : frame.good_runs) ledger_.Record(run);
+  for (const GoodRun& run : frame.good_runs) {
+    ledger_.Record(run);
+    const auto is_told = [&](const auto& unsent) {
+      const auto& [service, trait] = unsent.first;
+      const bool has_trait =
+          run.fingerprint == trait ||
+          std::ranges::find(run.parts, trait) != run.parts.end();
+      return service == run.service && has_trait &&
+             run.at >= ledger_.last_crash_at(trait);
+    };
+    std::erase_if(unsent_cleared_, is_told);
+  }
+  for (const Trial& trial : frame.trials) ledger_.Record(trial);
 }
 
 void RequestQuarantine::OnNewEra() {
@@ -175,10 +325,8 @@
 }
 
 void RequestQuarantine::AddKnownCrashes(peer::Frame& frame) const {
-  for (const Crash& crash : ledger_.AllCrashes()) {
-    if (ledger_.CrashesOf(crash.fingerprint).size() < kMinCrashes) continue;
-    frame.crashes.push_back(crash);
-  }
+  std::ranges::move(ledger_.RecurringCrashes(),
+                    std::back_inserter(frame.crashes));
 }
 
 void RequestQuarantine::UpdateMetric() const {
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -76,6 +76,7 @@
     : QObject(parent),
       context_(context),
       answer_(connection, [this] { OnCallerDisconnected(); }),
+      evidence_(context),
       request_(std::move(request)),
       arrived_(Clock::now()) {}
 
@@ -132,6 +133,8 @@
 
 void RequestRun::Begin(std::string service) {
   service_ = std::move(service);
+  evidence_.set_service(service_);
+  if (AnswerIfQuarantined()) return;
   permits_ = std::make_unique<SendPermits>(*context_.limiter, service_);
   context_.retries.OnRequest(service_, Clock::now());
   if (!HasUpstreams(context_, {service_, stream_version_}, *route_,
@@ -163,7 +166,8 @@
     }
   }
   route_ = admission_.route;
-  traits_ = TraitsOf(request_, admission_.organisation);
+  evidence_.SetRequest(TraitsOf(request_, admission_.organisation),
+                       request_.attempt_id);
   if (admission_.refusal == AdmissionRefusal::kNone) {
     if (AnswerIfQuarantined()) return false;
     if (!context_.Uses(Mechanism::kUsualDeadlines)) return true;
@@ -190,8 +194,7 @@
 }
 
 bool RequestRun::AnswerIfQuarantined() {
-  const auto remaining =
-      context_.quarantine->RemainingQuarantine(traits_.fingerprint);
+  const auto remaining = evidence_.RemainingQuarantine();
   if (!remaining) return false;
   if (may_have_run_) {
     Fail(kBadGateway, kQuarantined);
@@ -206,7 +209,7 @@
       *context_.stages,
       StagePlan{.request = request_,
                 .route = *route_,
-                .fingerprint = traits_.fingerprint,
+                .fingerprint = evidence_.traits().fingerprint,
                 .rank = admission_.rank,
                 .due = arrived_ + route_->latency_target - time_used_,
                 .deadline = admission_.first_byte_limit,
@@ -264,13 +267,14 @@
   excluded_upstreams_ = permits_->Excluded(tried_upstreams_, Clock::now());
   const std::string results_zone = stages_->inputs_zone();
   const UpstreamCriteria wanted = MakeUpstreamCriteria(results_zone);
-  const bool suspect = context_.quarantine->IsSuspect(traits_.fingerprint);
+  const bool suspect =
+      context_.quarantine->IsSuspect(evidence_.traits().fingerprint);
   const bool has_owner =
       route_->carries_prompt || context_.brittle->Any(service_);
   if (suspect || !has_owner) {
     return SendTo(ChooseLocally(context_,
                                 {.service = service_,
-                                 .fingerprint = traits_.fingerprint,
+                                 .fingerprint = evidence_.traits().fingerprint,
                                  .has_owner = route_->carries_prompt,
                                  .suspect = suspect},
                                 ToChoiceRequest(wanted)));
@@ -361,6 +365,7 @@
     return AcquirePermit(upstream);
   }
   permits_->OnSent();
+  evidence_.OnSend();
   ++sends_;
   events_before_send_ = forwarder_.events();
   tried_upstreams_.push_back(upstream->entry.id);
@@ -429,6 +434,7 @@
   if (!info.has_receipt || info.attempt_id.empty()) return;
   const std::string events = forwarder_.Feed(bytes);
   if (events.empty() || !answer_.caller_connected()) return;
+  evidence_.OnEvents(Clock::now());
   RecordOrigin();
   if (!answer_.streaming()) ForwardHead();
   send_->OnPromptRead();
@@ -483,12 +489,37 @@
       AnswerFault({.status = head.status,
                    .info = send_->info(),
                    .is_event_stream = send_->IsEventStream(),
-                   .inside_event = forwarder_.inside_event()});
+                   .inside_event = forwarder_.inside_event(),
+                   .ends_with_connection = send_->ends_with_connection(),
+                   .has_event = forwarder_.events() > events_before_send_});
   if (!fault.empty()) {
     send_->End(Outcome::kBroken);
     return OnExchangeBroken(fault);
   }
-  context_.quarantine->OnGoodRun(traits_.fingerprint, service_);
+  if (send_->ends_with_connection() && request_.method != "HEAD") {
+    return ConfirmAnswerIsWhole();
+  }
+  OnWholeAnswer();
+}
+
+void RequestRun::ConfirmAnswerIsWhole() {
+  const routing::UpstreamPtr& upstream = send_->upstream();
+  // An upstream that leaves may exit after its last answer.
+  if (!upstream->listed || upstream->entry.draining) return OnWholeAnswer();
+  context_.quarantine->OnExchangesBroken(
+      upstream, {evidence_.Interrupted()},
+      [this, self = QPointer<RequestRun>(this)](bool has_ended) {
+        if (!self || finished_) return;
+        if (!has_ended) return OnWholeAnswer();
+        send_->End(Outcome::kBroken);
+        OnRunBroken("answer_cut");
+        AfterCrashProbe("answer_cut");
+      });
+}
+
+void RequestRun::OnWholeAnswer() {
+  const http::ResponseHead& head = send_->head();
+  evidence_.OnAnswered(head.status, Clock::now());
   if (send_->IsEventStream()) {
     send_->End(Outcome::kAnswered);
     return ForwardAnswer();
@@ -521,7 +552,7 @@
 void RequestRun::OnNotRun(SendOutcome outcome) {
   utils::DecisionLog("upstream_did_not_run")
       .Add("request", request_.attempt_id)
-      .Add("work", traits_.fingerprint)
+      .Add("work", evidence_.traits().fingerprint)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("status", send_->head().status)
       .Add("sends", sends_)
@@ -532,11 +563,11 @@
   Refuse("upstreams_full", RetryAfter::kSoon);
 }
 
-void RequestRun::OnExchangeBroken(std::string_view why) {
+void RequestRun::OnRunBroken(std::string_view why) {
   utils::DecisionLog("upstream_broke_off")
       .Add("request", request_.attempt_id)
-      .Add("work", traits_.fingerprint)
-      .Add("parts", quarantine::JoinParts(traits_.parts))
+      .Add("work", evidence_.traits().fingerprint)
+      .Add("parts", quarantine::JoinParts(evidence_.traits().parts))
       .Add("organisation", admission_.organisation)
       .Add("upstream", send_->upstream()->entry.id)
       .Add("version", send_->upstream()->entry.version)
@@ -544,17 +575,18 @@
       .Add("events", forwarder_.events())
       .Add("sends", sends_)
       .Add("left_ms", TimeLeft().count());
-  const bool progressed = forwarder_.events() > events_before_send_;
   forwarder_.OnRunEnded();
+}
+
+void RequestRun::OnExchangeBroken(std::string_view why) {
+  OnRunBroken(why);
   const QPointer<RequestRun> self(this);
-  auto after_probe = [self, reason = std::string(why)] {
+  auto after_probe = [self, reason = std::string(why)](bool /*has_ended*/) {
     if (!self || self->finished_) return;
     self->AfterCrashProbe(reason);
   };
   context_.quarantine->OnExchangesBroken(
-      send_->upstream(),
-      {{.fingerprint = traits_.fingerprint, .progressed = progressed}},
-      std::move(after_probe));
+      send_->upstream(), {evidence_.Interrupted()}, std::move(after_probe));
   // Only a retry depends on the result of the probe.
   if (!route_->retryable()) Fail(kBadGateway, why);
 }
@@ -567,8 +599,7 @@
 }
 
 bool RequestRun::MayRetry(SendOutcome outcome) {
-  if (context_.quarantine->RemainingQuarantine(traits_.fingerprint))
-    return false;
+  if (evidence_.RemainingQuarantine()) return false;
   if (outcome == SendOutcome::kUnreached &&
       !context_.Uses(Mechanism::kTryNext)) {
     outcome = SendOutcome::kNotRun;
@@ -698,8 +729,8 @@
       .Add("used_ms", time_used_.count())
       .Add("stages_ms", stages_done_ms_)
       .Add("first_ms", first_byte_ms_)
-      .Add("work", traits_.fingerprint)
-      .Add("parts", quarantine::JoinParts(traits_.parts))
+      .Add("work", evidence_.traits().fingerprint)
+      .Add("parts", quarantine::JoinParts(evidence_.traits().parts))
       .Add("after_event", request_.last_event_id.value_or(kNoEvent))
       .Add("resumes", request_.resumed_attempt_id)
       .Add("ms", static_cast<int64_t>(ms));
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -346,8 +346,12 @@
       .Add("ms", call.elapsed().count());
   for (size_t i = 0; i < results.size(); ++i) {
     if (results[i].failure != PieceFailure::kNone) continue;
-    context_.quarantine->OnGoodRun(call.pieces()[i].piece.fingerprint,
-                                   call.service());
+    const stages::Piece& piece = call.pieces()[i].piece;
+    context_.quarantine->OnGoodRun({.fingerprint = piece.fingerprint,
+                                    .service = call.service(),
+                                    .at = Clock::now(),
+                                    .parts = {}},
+                                   piece.request_id);
   }
   Deliver(call, results);
   ScheduleDispatch();
@@ -415,16 +419,17 @@
   std::vector<InterruptedRequest> requests;
   for (const QueuedPiece& piece : call.pieces()) {
     requests.push_back(
-        {.fingerprint = piece.piece.fingerprint, .progressed = false});
+        {.traits = {.fingerprint = piece.piece.fingerprint, .parts = {}},
+         .progressed = false});
   }
   auto pieces =
       std::make_shared<std::vector<QueuedPiece>>(std::move(call.pieces()));
-  context_.quarantine->OnExchangesBroken(call.upstream(), std::move(requests),
-                                         [this, shard = call.shard(), pieces] {
-                                           Retry(shard, std::move(*pieces),
-                                                 false);
-                                           ScheduleDispatch();
-                                         });
+  context_.quarantine->OnExchangesBroken(
+      call.upstream(), std::move(requests),
+      [this, shard = call.shard(), pieces](bool /*has_ended*/) {
+        Retry(shard, std::move(*pieces), false);
+        ScheduleDispatch();
+      });
 }
 
 void StageDispatcher::Retry(const std::string& shard,
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -67,6 +67,7 @@
         .Add("upstream", spec_.upstream->entry.id);
     return false;
   }
+  ends_with_connection_ = http::EndsWithConnection(head);
   head_ = head;
   std::erase_if(head_.headers, [](const http::HeaderField& field) {
     return http::IsHopByHop(field.name);
--- a/libs/entry/test/answer_check_test.cc
+++ b/libs/entry/test/answer_check_test.cc
@@ -4,6 +4,7 @@
 
 using turmeric::entry::AnswerFault;
 using turmeric::entry::AnswerInfo;
+using turmeric::entry::CompletedAnswer;
 using turmeric::entry::StatesNothing;
 
 namespace {
@@ -66,6 +67,24 @@
               .empty());
 }
 
+// Guards against a stream that a crash ended before its first event, and whose
+// end looks like that of a whole answer.
+TEST_CASE("a stream without length, chunks and events is rejected") {
+  const AnswerInfo info = InfoWithReceipt();
+  CompletedAnswer answer{.status = 200,
+                         .info = info,
+                         .is_event_stream = true,
+                         .inside_event = false,
+                         .ends_with_connection = true,
+                         .has_event = false};
+  REQUIRE(AnswerFault(answer) == "stream_without_event");
+  answer.has_event = true;
+  REQUIRE(AnswerFault(answer).empty());
+  answer.has_event = false;
+  answer.ends_with_connection = false;
+  REQUIRE(AnswerFault(answer).empty());
+}
+
 // Guards against the state of an upstream that ends because of an answer which
 // another process gave, or which a failing upstream gave without the statement.
 TEST_CASE(
--- a/libs/entry/test/quarantine_archive_test.cc
+++ b/libs/entry/test/quarantine_archive_test.cc
@@ -28,6 +28,10 @@
   void List(const std::string&, Freshness freshness,
             SourceCallback done) override {
     lists.push_back(freshness);
+    if (list_refusals-- > 0) {
+      return done(
+          boost::outcome_v2::failure(Error{Errc::kStoreUnavailable, "away"}));
+    }
     done(SourceBatch{.objects = objects, .revision = 5});
   }
   void Watch(const std::string&, int64_t, std::chrono::milliseconds,
@@ -46,6 +50,7 @@
   std::vector<Freshness> lists;
   std::vector<std::pair<std::string, QJsonObject>> puts;
   int refusals = 0;
+  int list_refusals = 0;
 };
 
 std::vector<Crash> OneCrash() {
@@ -74,12 +79,26 @@
   QuarantineArchive archive(source, "quarantine", [&](auto crashes) {
     read.assign(crashes.begin(), crashes.end());
   });
-  archive.Read();
+  archive.Start();
   REQUIRE(source.lists == std::vector{ObjectSource::Freshness::kMayBeStale});
   REQUIRE(read.size() == 1);
   REQUIRE(read[0].fingerprint == "w");
 }
 
+// Guards against an instance that starts without the quarantines of a fleet
+// that was killed, because the store was away or answered with an old copy.
+TEST_CASE("the first reads are repeated until one succeeds, then once more") {
+  CountingSource source;
+  source.list_refusals = 1;
+  QuarantineArchive archive(source, "quarantine", [](auto) {});
+  archive.Start();
+  REQUIRE(source.lists.size() == 1);
+  Wait(1200ms);
+  REQUIRE(source.lists.size() == 2);
+  Wait(2500ms);
+  REQUIRE(source.lists.size() == 3);
+}
+
 // Guards against one call to the store per crash.
 TEST_CASE("a series of crashes reads the store once per second") {
   CountingSource source;
--- a/libs/http/include/turmeric/http/message.h
+++ b/libs/http/include/turmeric/http/message.h
@@ -50,6 +50,13 @@
  */
 bool IsHopByHop(std::string_view name);
 
+/**
+ * @param head head of a response to a request other than HEAD.
+ * @return true if its body has neither a length nor chunks and ends with the
+ *     connection (RFC 9112 6.3).
+ */
+bool EndsWithConnection(const ResponseHead& head);
+
 /** @param status HTTP status code. @return its standard reason phrase. */
 std::string_view ReasonPhrase(int status);
 
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -36,6 +36,16 @@
   return it == headers.end() ? std::string_view() : it->value;
 }
 
+bool EndsWithConnection(const ResponseHead& head) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return head.status >= kFirstFinalStatus && head.status != kNoContent &&
+         head.status != kNotModified &&
+         !HasHeader(head.headers, "Content-Length") &&
+         !HasHeader(head.headers, "Transfer-Encoding");
+}
+
 bool IsHopByHop(std::string_view name) {
   constexpr std::array<std::string_view, 10> kNames = {
       "Connection",          "Keep-Alive", "Proxy-Connection", "TE",
--- a/libs/http/test/message_parser_test.cc
+++ b/libs/http/test/message_parser_test.cc
@@ -137,3 +137,15 @@
   REQUIRE(parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n").status ==
           ParseStatus::kDone);
 }
+
+// Guards against a cut answer that is taken for a whole one.
+TEST_CASE("answers with neither a length nor chunks end with the connection") {
+  REQUIRE(turmeric::http::EndsWithConnection({200, {{"Server", "x"}}}));
+  REQUIRE_FALSE(
+      turmeric::http::EndsWithConnection({200, {{"content-length", "0"}}}));
+  REQUIRE_FALSE(turmeric::http::EndsWithConnection(
+      {200, {{"Transfer-Encoding", "chunked"}}}));
+  for (const int status : {100, 204, 304}) {
+    REQUIRE_FALSE(turmeric::http::EndsWithConnection({status, {}}));
+  }
+}
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -238,8 +238,10 @@
   std::vector<StoreChanges> store_changes;
   /** Upstream processes that ended while they had a request. */
   std::vector<quarantine::Crash> crashes;
-  /** Requests with known crashes that an upstream has run to the end. */
+  /** Good runs of requests with known crashes. */
   std::vector<quarantine::GoodRun> good_runs;
+  /** Trials of requests whose quarantine has ended. */
+  std::vector<quarantine::Trial> trials;
   std::vector<LimitNotice> limit_notices;
   std::vector<PermitOrder> permit_orders;
   std::vector<Permit> permits;
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -56,6 +56,9 @@
 struct GoodRun;
 struct GoodRunBuilder;
 
+struct Trial;
+struct TrialBuilder;
+
 struct LimitNotice;
 struct LimitNoticeBuilder;
 
@@ -1243,7 +1246,8 @@
     VT_SERVICE = 6,
     VT_UPSTREAM = 8,
     VT_AGE_MS = 10,
-    VT_PROGRESSED = 12
+    VT_PROGRESSED = 12,
+    VT_PARTS = 14
   };
   const flatbuffers::String *work() const {
     return GetPointer<const flatbuffers::String *>(VT_WORK);
@@ -1260,6 +1264,9 @@
   bool progressed() const {
     return GetField<uint8_t>(VT_PROGRESSED, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
@@ -1270,6 +1277,9 @@
            verifier.VerifyString(upstream()) &&
            VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_PROGRESSED, 1) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfStrings(parts()) &&
            verifier.EndTable();
   }
 };
@@ -1293,6 +1303,9 @@
   void add_progressed(bool progressed) {
     fbb_.AddElement<uint8_t>(Crash::VT_PROGRESSED, static_cast<uint8_t>(progressed), 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts) {
+    fbb_.AddOffset(Crash::VT_PARTS, parts);
+  }
   explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1310,8 +1323,10 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
     int32_t age_ms = 0,
-    bool progressed = false) {
+    bool progressed = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0) {
   CrashBuilder builder_(_fbb);
+  builder_.add_parts(parts);
   builder_.add_age_ms(age_ms);
   builder_.add_upstream(upstream);
   builder_.add_service(service);
@@ -1326,17 +1341,20 @@
     const char *service = nullptr,
     const char *upstream = nullptr,
     int32_t age_ms = 0,
-    bool progressed = false) {
+    bool progressed = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr) {
   auto work__ = work ? _fbb.CreateString(work) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
   return turmeric::peer::wire::CreateCrash(
       _fbb,
       work__,
       service__,
       upstream__,
       age_ms,
-      progressed);
+      progressed,
+      parts__);
 }
 
 struct GoodRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1344,7 +1362,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_WORK = 4,
     VT_SERVICE = 6,
-    VT_AGE_MS = 8
+    VT_AGE_MS = 8,
+    VT_PARTS = 10
   };
   const flatbuffers::String *work() const {
     return GetPointer<const flatbuffers::String *>(VT_WORK);
@@ -1355,6 +1374,9 @@
   int32_t age_ms() const {
     return GetField<int32_t>(VT_AGE_MS, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_WORK) &&
@@ -1362,6 +1384,9 @@
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfStrings(parts()) &&
            verifier.EndTable();
   }
 };
@@ -1379,6 +1404,9 @@
   void add_age_ms(int32_t age_ms) {
     fbb_.AddElement<int32_t>(GoodRun::VT_AGE_MS, age_ms, 0);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts) {
+    fbb_.AddOffset(GoodRun::VT_PARTS, parts);
+  }
   explicit GoodRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1394,8 +1422,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> work = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    int32_t age_ms = 0) {
+    int32_t age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0) {
   GoodRunBuilder builder_(_fbb);
+  builder_.add_parts(parts);
   builder_.add_age_ms(age_ms);
   builder_.add_service(service);
   builder_.add_work(work);
@@ -1406,13 +1436,79 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *work = nullptr,
     const char *service = nullptr,
-    int32_t age_ms = 0) {
+    int32_t age_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr) {
   auto work__ = work ? _fbb.CreateString(work) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
   return turmeric::peer::wire::CreateGoodRun(
       _fbb,
       work__,
       service__,
+      age_ms,
+      parts__);
+}
+
+struct Trial FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TrialBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TRAIT = 4,
+    VT_AGE_MS = 6
+  };
+  const flatbuffers::String *trait() const {
+    return GetPointer<const flatbuffers::String *>(VT_TRAIT);
+  }
+  int32_t age_ms() const {
+    return GetField<int32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TRAIT) &&
+           verifier.VerifyString(trait()) &&
+           VerifyField<int32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct TrialBuilder {
+  typedef Trial Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_trait(flatbuffers::Offset<flatbuffers::String> trait) {
+    fbb_.AddOffset(Trial::VT_TRAIT, trait);
+  }
+  void add_age_ms(int32_t age_ms) {
+    fbb_.AddElement<int32_t>(Trial::VT_AGE_MS, age_ms, 0);
+  }
+  explicit TrialBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Trial> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Trial>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Trial> CreateTrial(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> trait = 0,
+    int32_t age_ms = 0) {
+  TrialBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_trait(trait);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Trial> CreateTrialDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *trait = nullptr,
+    int32_t age_ms = 0) {
+  auto trait__ = trait ? _fbb.CreateString(trait) : 0;
+  return turmeric::peer::wire::CreateTrial(
+      _fbb,
+      trait__,
       age_ms);
 }
 
@@ -2140,7 +2236,8 @@
     VT_VERSIONS = 58,
     VT_STREAM_RECORDS = 60,
     VT_ORIGIN_QUERIES = 62,
-    VT_ORIGIN_ANSWERS = 64
+    VT_ORIGIN_ANSWERS = 64,
+    VT_TRIALS = 66
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -2235,6 +2332,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *>(VT_ORIGIN_ANSWERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Trial>> *trials() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Trial>> *>(VT_TRIALS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2310,6 +2410,9 @@
            VerifyOffset(verifier, VT_ORIGIN_ANSWERS) &&
            verifier.VerifyVector(origin_answers()) &&
            verifier.VerifyVectorOfTables(origin_answers()) &&
+           VerifyOffset(verifier, VT_TRIALS) &&
+           verifier.VerifyVector(trials()) &&
+           verifier.VerifyVectorOfTables(trials()) &&
            verifier.EndTable();
   }
 };
@@ -2411,6 +2514,9 @@
   void add_origin_answers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers) {
     fbb_.AddOffset(Frame::VT_ORIGIN_ANSWERS, origin_answers);
   }
+  void add_trials(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Trial>>> trials) {
+    fbb_.AddOffset(Frame::VT_TRIALS, trials);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2454,13 +2560,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>>> versions = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>>> stream_records = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>> origin_queries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Trial>>> trials = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_trials(trials);
   builder_.add_origin_answers(origin_answers);
   builder_.add_origin_queries(origin_queries);
   builder_.add_stream_records(stream_records);
@@ -2522,7 +2630,8 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::ServiceVersion>> *versions = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>> *stream_records = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>> *origin_queries = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::Trial>> *trials = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -2545,6 +2654,7 @@
   auto stream_records__ = stream_records ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::StreamRecord>>(*stream_records) : 0;
   auto origin_queries__ = origin_queries ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>(*origin_queries) : 0;
   auto origin_answers__ = origin_answers ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>(*origin_answers) : 0;
+  auto trials__ = trials ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Trial>>(*trials) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -2577,7 +2687,8 @@
       versions__,
       stream_records__,
       origin_queries__,
-      origin_answers__);
+      origin_answers__,
+      trials__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -231,10 +231,10 @@
 
 Offset<wire::Crash> Write(FlatBufferBuilder& b, const quarantine::Crash& crash,
                           Clock::time_point now) {
-  return wire::CreateCrash(b, b.CreateSharedString(crash.fingerprint),
-                           b.CreateSharedString(crash.service),
-                           b.CreateSharedString(crash.upstream),
-                           RelativeMs(now, crash.at), crash.progressed);
+  return wire::CreateCrash(
+      b, b.CreateSharedString(crash.fingerprint),
+      b.CreateSharedString(crash.service), b.CreateSharedString(crash.upstream),
+      RelativeMs(now, crash.at), crash.progressed, WriteTexts(b, crash.parts));
 }
 
 Offset<wire::GoodRun> Write(FlatBufferBuilder& b,
@@ -242,10 +242,16 @@
                             Clock::time_point now) {
   return wire::CreateGoodRun(b, b.CreateSharedString(run.fingerprint),
                              b.CreateSharedString(run.service),
-                             RelativeMs(now, run.at));
+                             RelativeMs(now, run.at), WriteTexts(b, run.parts));
 }
 
-/** Reads the crashes and the good runs of a frame. */
+Offset<wire::Trial> Write(FlatBufferBuilder& b, const quarantine::Trial& trial,
+                          Clock::time_point now) {
+  return wire::CreateTrial(b, b.CreateSharedString(trial.trait),
+                           RelativeMs(now, trial.at));
+}
+
+/** Reads the crashes, the good runs and the trials of a frame. */
 void ReadCrashParts(const wire::Frame& f, Clock::time_point now, Frame& frame) {
   if (f.crashes() != nullptr) {
     std::ranges::transform(
@@ -254,7 +260,8 @@
                                    .service = Text(c->service()),
                                    .upstream = Text(c->upstream()),
                                    .at = TimeFromAge(c->age_ms(), now),
-                                   .progressed = c->progressed()};
+                                   .progressed = c->progressed(),
+                                   .parts = Texts(c->parts())};
         });
   }
   if (f.good_runs() != nullptr) {
@@ -263,9 +270,17 @@
                              return quarantine::GoodRun{
                                  .fingerprint = Text(r->work()),
                                  .service = Text(r->service()),
-                                 .at = TimeFromAge(r->age_ms(), now)};
+                                 .at = TimeFromAge(r->age_ms(), now),
+                                 .parts = Texts(r->parts())};
                            });
   }
+  if (f.trials() != nullptr) {
+    std::ranges::transform(
+        *f.trials(), std::back_inserter(frame.trials), [now](const auto* t) {
+          return quarantine::Trial{.trait = Text(t->trait()),
+                                   .at = TimeFromAge(t->age_ms(), now)};
+        });
+  }
 }
 
 /** Wire value of a LimitNotice for an answer that states no limit. */
@@ -544,6 +559,9 @@
   std::vector<Offset<wire::GoodRun>> runs;
   for (const auto& run : frame.good_runs) runs.push_back(Write(b, run, now));
   const auto run_list = b.CreateVector(runs);
+  std::vector<Offset<wire::Trial>> trials;
+  for (const auto& trial : frame.trials) trials.push_back(Write(b, trial, now));
+  const auto trial_list = b.CreateVector(trials);
   const LimitParts limits = WriteLimitParts(b, frame, now);
   const StreamParts streams = WriteStreamParts(b, frame);
   const Offset<wire::FollowRequest> follow =
@@ -560,7 +578,7 @@
              frame.newest_revisions.evacuations, limits.notices, limits.orders,
              limits.permits, static_cast<wire::ReachStatement>(frame.reach),
              limits.brittle, streams.versions, streams.records, streams.queries,
-             streams.answers));
+             streams.answers, trial_list));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -104,8 +104,13 @@
                     .service = "llm",
                     .upstream = "i-5@9",
                     .at = now - 1500ms,
-                    .progressed = true}};
-  frame.good_runs = {{.fingerprint = "cafe", .service = "app", .at = now - 2s}};
+                    .progressed = true,
+                    .parts = {"llm/a", "llm/b"}}};
+  frame.good_runs = {{.fingerprint = "cafe",
+                      .service = "app",
+                      .at = now - 2s,
+                      .parts = {"llm/c"}}};
+  frame.trials = {{.trait = "llm/a", .at = now - 1s}};
   return frame;
 }
 
@@ -196,6 +201,12 @@
   REQUIRE(frame->good_runs[0].fingerprint == "cafe");
   REQUIRE(frame->good_runs[0].service == "app");
   REQUIRE(frame->good_runs[0].at == later - 2s);
+  REQUIRE(frame->crashes[0].parts ==
+          std::vector<std::string>{"llm/a", "llm/b"});
+  REQUIRE(frame->good_runs[0].parts == std::vector<std::string>{"llm/c"});
+  REQUIRE(frame->trials.size() == 1);
+  REQUIRE(frame->trials[0].trait == "llm/a");
+  REQUIRE(frame->trials[0].at == later - 1s);
 }
 
 TEST_CASE("versions and origins of streams are encoded and decoded") {
--- a/libs/quarantine/include/turmeric/quarantine/request_traits.h
+++ b/libs/quarantine/include/turmeric/quarantine/request_traits.h
@@ -21,6 +21,10 @@
  */
 std::string PartKey(std::string_view model, std::string_view part);
 
+/** @param trait a fingerprint or the key of a part. @return true if it is a
+ * part's. */
+bool IsPartKey(std::string_view trait);
+
 /** @param parts see RequestTraits. @return the keys with '+' between them; "-"
  * if there are none. */
 std::string JoinParts(const std::vector<std::string>& parts);
--- a/libs/quarantine/include/turmeric/quarantine/stored_crashes.h
+++ b/libs/quarantine/include/turmeric/quarantine/stored_crashes.h
@@ -25,19 +25,25 @@
 };
 
 /**
- * @param crashes of one request. @param now current time.
+ * @param trait fingerprint or prompt part that is the cause of a quarantine.
+ * @return name of the object that holds its crashes in the platform's store.
+ */
+std::string StoredName(const std::string& trait);
+
+/**
+ * @param crashes under one trait. @param now current time.
  * @return content of the object that holds them in the platform's store.
  */
 QJsonObject EncodeCrashes(std::span<const Crash> crashes,
                           const ClockReading& now);
 
 /**
- * @param fingerprint of the request, the name of the object.
+ * @param name of the object, see StoredName.
  * @param spec content of the object.
  * @param now current time; a crash with a later time gets the current time.
  * @return the readable crashes; nullopt if the object holds no list of them.
  */
-std::optional<std::vector<Crash>> DecodeCrashes(const std::string& fingerprint,
+std::optional<std::vector<Crash>> DecodeCrashes(const std::string& name,
                                                 const QJsonObject& spec,
                                                 const ClockReading& now);
 
--- a/libs/quarantine/src/request_traits.cc
+++ b/libs/quarantine/src/request_traits.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr char kKeySeparator = '/';
 /** Longest id that a key contains as it is. */
 constexpr size_t kMaxIdLength = 32;
 
@@ -27,7 +28,11 @@
 }  // namespace
 
 std::string PartKey(std::string_view model, std::string_view part) {
-  return IdOrHash(model) + "/" + IdOrHash(part);
+  return IdOrHash(model) + kKeySeparator + IdOrHash(part);
+}
+
+bool IsPartKey(std::string_view trait) {
+  return trait.find(kKeySeparator) != std::string_view::npos;
 }
 
 std::string JoinParts(const std::vector<std::string>& parts) {
--- a/libs/quarantine/src/stored_crashes.cc
+++ b/libs/quarantine/src/stored_crashes.cc
@@ -2,6 +2,10 @@
 
 #include <QJsonArray>
 #include <algorithm>
+#include <iterator>
+
+#include "turmeric/quarantine/fingerprint.h"
+#include "turmeric/quarantine/request_traits.h"
 
 namespace turmeric::quarantine {
 
@@ -14,6 +18,8 @@
 constexpr auto kUpstream = "upstream";
 constexpr auto kAt = "at_unix_ms";
 constexpr auto kProgressed = "progressed";
+constexpr auto kWork = "work";
+constexpr auto kParts = "parts";
 
 int64_t UnixMs(Clock::time_point at, const ClockReading& now) {
   const auto wall = now.wall - (now.steady - at);
@@ -28,13 +34,38 @@
   return now.steady - age;
 }
 
+/** @return the texts of a list; empty if the value is none. */
+std::vector<std::string> Texts(const QJsonValue& list) {
+  std::vector<std::string> texts;
+  const QJsonArray items = list.toArray();
+  std::ranges::transform(
+      items, std::back_inserter(texts),
+      [](const QJsonValue& item) { return item.toString().toStdString(); });
+  return texts;
+}
+
 }  // namespace
 
+std::string StoredName(const std::string& trait) {
+  if (!IsPartKey(trait)) return trait;
+  return "part-" + Fingerprint({.caller = {},
+                                .method = {},
+                                .host = {},
+                                .target = {},
+                                .body = trait});
+}
+
 QJsonObject EncodeCrashes(std::span<const Crash> crashes,
                           const ClockReading& now) {
   QJsonArray list;
   for (const Crash& crash : crashes) {
-    list.append(QJsonObject{{kService, QString::fromStdString(crash.service)},
+    QJsonArray parts;
+    for (const std::string& part : crash.parts) {
+      parts.append(QString::fromStdString(part));
+    }
+    list.append(QJsonObject{{kWork, QString::fromStdString(crash.fingerprint)},
+                            {kParts, parts},
+                            {kService, QString::fromStdString(crash.service)},
                             {kUpstream, QString::fromStdString(crash.upstream)},
                             {kAt, static_cast<qint64>(UnixMs(crash.at, now))},
                             {kProgressed, crash.progressed}});
@@ -42,17 +73,20 @@
   return {{kCrashes, list}};
 }
 
-std::optional<std::vector<Crash>> DecodeCrashes(const std::string& fingerprint,
+std::optional<std::vector<Crash>> DecodeCrashes(const std::string& name,
                                                 const QJsonObject& spec,
                                                 const ClockReading& now) {
-  if (fingerprint.empty() || !spec[kCrashes].isArray()) return std::nullopt;
+  if (name.empty() || !spec[kCrashes].isArray()) return std::nullopt;
   std::vector<Crash> crashes;
   for (const QJsonValue item : spec[kCrashes].toArray()) {
-    Crash crash{.fingerprint = fingerprint,
+    const std::string fingerprint = item[kWork].toString().toStdString();
+    // Objects of earlier releases are named after the only fingerprint.
+    Crash crash{.fingerprint = fingerprint.empty() ? name : fingerprint,
                 .service = item[kService].toString().toStdString(),
                 .upstream = item[kUpstream].toString().toStdString(),
                 .at = SteadyTime(item[kAt].toInteger(), now),
-                .progressed = item[kProgressed].toBool()};
+                .progressed = item[kProgressed].toBool(),
+                .parts = Texts(item[kParts])};
     const bool readable = !crash.service.empty() && !crash.upstream.empty() &&
                           item[kAt].isDouble();
     if (readable) crashes.push_back(std::move(crash));
--- a/libs/quarantine/test/crash_ledger_test.cc
+++ b/libs/quarantine/test/crash_ledger_test.cc
@@ -81,8 +81,9 @@
 // upstreams as the cause of the crashes.
 TEST_CASE("a good run clears earlier crashes") {
   CrashLedger ledger = LedgerOf(2);
-  REQUIRE(ledger.Record(GoodRun{"w", "llm", kStart + 1s}));
-  REQUIRE_FALSE(ledger.Record(GoodRun{"w", "llm", kStart + 2s}));
+  REQUIRE(ledger.Record(GoodRun{"w", "llm", kStart + 1s}) ==
+          std::vector<std::string>{"w"});
+  REQUIRE(ledger.Record(GoodRun{"w", "llm", kStart + 2s}).empty());
   REQUIRE(ledger.crash_count("w") == 0);
   // A crash from before the good run changes nothing if it is received later.
   REQUIRE_FALSE(ledger.Record(CrashOf("i-9", kStart + 500ms)));
@@ -95,7 +96,7 @@
 // completely.
 TEST_CASE("a good run at another service clears no crash") {
   CrashLedger ledger = LedgerOf(3);
-  REQUIRE_FALSE(ledger.Record(GoodRun{"w", "portal", kStart + 1s}));
+  REQUIRE(ledger.Record(GoodRun{"w", "portal", kStart + 1s}).empty());
   REQUIRE(ledger.RemainingQuarantine("w", kStart + 1s));
 }
 
--- a/libs/quarantine/test/stored_crashes_test.cc
+++ b/libs/quarantine/test/stored_crashes_test.cc
@@ -10,6 +10,7 @@
 using turmeric::quarantine::Crash;
 using turmeric::quarantine::DecodeCrashes;
 using turmeric::quarantine::EncodeCrashes;
+using turmeric::quarantine::StoredName;
 
 namespace {
 
@@ -41,6 +42,21 @@
   REQUIRE(read->front().at == later.steady - 65s);
 }
 
+// Guards against crashes of a prompt part that are read back as those of one
+// request.
+TEST_CASE("stored crashes keep their request and its prompt parts") {
+  Crash crash = CrashAt(kNow.steady);
+  crash.parts = {"llm/a", "llm/b"};
+  const std::string name = StoredName("llm/a");
+  REQUIRE(name.find('/') == std::string::npos);
+  REQUIRE(name != StoredName("llm/b"));
+  REQUIRE(StoredName("w") == "w");
+  const auto read =
+      DecodeCrashes(name, EncodeCrashes(std::vector{crash}, kNow), kNow);
+  REQUIRE(read->at(0).fingerprint == "w");
+  REQUIRE(read->at(0).parts == crash.parts);
+}
+
 // Guards against a quarantine that is too long because the wall clock of the
 // writer is ahead of the clock of the reader.
 TEST_CASE("a crash with a future time gets the current time") {
