--- a/libs/entry/src/reach_monitor.cc
+++ b/libs/entry/src/reach_monitor.cc
@@ -93,9 +93,10 @@
   std::erase_if(others, [&](const UpstreamPtr& other) {
     return other == upstream || !AcceptsWork(*other, now);
   });
-  std::ranges::stable_partition(others, [&](const UpstreamPtr& other) {
-    return other->entry.zone == upstream->entry.zone;
-  });
+  std::ranges::stable_sort(others, std::ranges::greater(),
+                           [&](const UpstreamPtr& other) {
+                             return other->entry.zone == upstream->entry.zone;
+                           });
   if (others.size() > kNeighboursChecked) others.resize(kNeighboursChecked);
   if (others.empty()) return done(false);
   std::vector<http::Endpoint> hosts;
--- a/libs/entry/src/request_quarantine.cc
+++ b/libs/entry/src/request_quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <random>
+#include <tuple>
 #include <utility>
 
 #include "turmeric/entry/entry_context.h"
@@ -144,8 +145,10 @@
     return std::tie(crash.upstream, crash.fingerprint);
   };
   std::ranges::sort(crashes_to_send, {}, key);
-  const auto repeated = std::ranges::unique(crashes_to_send, {}, key);
-  crashes_to_send.erase(repeated.begin(), repeated.end());
+  const auto repeated = std::unique(
+      crashes_to_send.begin(), crashes_to_send.end(),
+      [&](const Crash& a, const Crash& b) { return key(a) == key(b); });
+  crashes_to_send.erase(repeated, crashes_to_send.end());
   SendToPeers(crashes_to_send);
   if (!archive_) return;
   if (links_.IsIsolated()) StoreOwnCrashes();
--- a/libs/entry/src/traits_of.cc
+++ b/libs/entry/src/traits_of.cc
@@ -33,8 +33,8 @@
                            return quarantine::PartKey(request.model, part.id);
                          });
   std::ranges::sort(traits.parts);
-  const auto repeated = std::ranges::unique(traits.parts);
-  traits.parts.erase(repeated.begin(), repeated.end());
+  traits.parts.erase(std::unique(traits.parts.begin(), traits.parts.end()),
+                     traits.parts.end());
   return traits;
 }
 
--- a/libs/quarantine/src/crash_ledger.cc
+++ b/libs/quarantine/src/crash_ledger.cc
@@ -78,6 +78,13 @@
   std::ranges::for_each(crash.parts, function);
 }
 
+bool SharesTrait(const Crash& crash, const RequestTraits& traits) {
+  return crash.fingerprint == traits.fingerprint ||
+         std::ranges::any_of(crash.parts, [&](const std::string& part) {
+           return Has(traits.parts, part);
+         });
+}
+
 RequestTraits TraitsOf(const Crash& crash) {
   return {.fingerprint = crash.fingerprint, .parts = crash.parts};
 }
@@ -183,11 +190,15 @@
   std::ranges::sort(all, [](const CountedCrash& a, const CountedCrash& b) {
     return std::tie(a.upstream, b.weight) < std::tie(b.upstream, a.weight);
   });
-  const auto repeated = std::ranges::unique(all, {}, &CountedCrash::upstream);
-  all.erase(repeated.begin(), repeated.end());
+  all.erase(std::unique(all.begin(), all.end(),
+                        [](const CountedCrash& a, const CountedCrash& b) {
+                          return a.upstream == b.upstream;
+                        }),
+            all.end());
   std::ranges::sort(all, {}, &CountedCrash::at);
-  if (std::ssize(all) > kMaxCounted)
+  if (std::ssize(all) > kMaxCounted) {
     all.erase(all.begin(), all.end() - kMaxCounted);
+  }
   return all;
 }
 
@@ -201,11 +212,9 @@
   std::vector<PossibleCause> others;
   const auto& running = crashes_.find(upstream)->second;
   const bool is_copy = running.contains(traits.fingerprint);
-  for (const auto& [fingerprint, crash] : running) {
-    bool has_suspect = false;
-    ForEachTrait(crash, [&](const std::string& trait) {
-      has_suspect = has_suspect || Has(traits, trait);
-    });
+  for (const auto& entry : running) {
+    const Crash& crash = entry.second;
+    const bool has_suspect = SharesTrait(crash, traits);
     ForEachTrait(crash, [&](const std::string& trait) {
       if (Has(traits, trait) || !Counts(trait, crash)) return;
       if (!has_suspect && (is_copy || WeightUnder(trait) <= weight)) return;
@@ -324,13 +333,9 @@
     const ServiceRequest& request) const {
   std::vector<Crash> crashes;
   for (const CountedCrash& counted : CountedCrashes(request)) {
-    for (const auto& [fingerprint, crash] :
-         crashes_.find(counted.upstream)->second) {
-      bool shares = false;
-      ForEachTrait(crash, [&](const std::string& trait) {
-        shares = shares || (Has(request.traits, trait) && Counts(trait, crash));
-      });
-      if (shares) crashes.push_back(WithCountedParts(crash));
+    for (const auto& entry : crashes_.find(counted.upstream)->second) {
+      const Crash crash = WithCountedParts(entry.second);
+      if (SharesTrait(crash, request.traits)) crashes.push_back(crash);
     }
   }
   if (std::ssize(crashes) > kMaxCrashesUnder) {
--- a/libs/quarantine/src/explanation.cc
+++ b/libs/quarantine/src/explanation.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <bit>
-#include <compare>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 namespace turmeric::quarantine {
 
@@ -20,7 +20,7 @@
   CrashSet early = 0;
   CrashSet any = 0;  ///< Early and late ones.
 
-  auto operator<=>(const WeightedCrashes&) const = default;
+  bool operator==(const WeightedCrashes&) const = default;
 
   void Add(size_t crash, int weight) {
     const CrashSet bit = CrashSet{1} << crash;
@@ -53,9 +53,10 @@
   for (const auto& [trait, explained] : by_cause) {
     if (std::popcount(explained.any) > 1) sets.push_back(explained);
   }
-  std::ranges::sort(sets);
-  const auto repeated = std::ranges::unique(sets);
-  sets.erase(repeated.begin(), repeated.end());
+  std::ranges::sort(sets, {}, [](const WeightedCrashes& set) {
+    return std::pair(set.any, set.early);
+  });
+  sets.erase(std::unique(sets.begin(), sets.end()), sets.end());
   return sets;
 }
 
