--- a/libs/entry/include/turmeric/entry/request_quarantine.h
+++ b/libs/entry/include/turmeric/entry/request_quarantine.h
@@ -126,6 +126,8 @@
   /** Stores the last crashes that this instance has seen, for instances that it
    * does not reach. */
   void StoreOwnCrashes();
+  /** @param cleared traits that no longer are the cause of a quarantine. */
+  void ForgetQuarantines(std::span<const std::string> cleared);
   void ScheduleCleared();
   void SendCleared();
   void UpdateMetric() const;
@@ -137,8 +139,8 @@
   std::unique_ptr<QuarantineArchive> archive_;
   /** The last crashes that this instance has seen itself. */
   std::deque<quarantine::Crash> own_crashes_;
-  /** Ends of the quarantines that have been logged, by cause. */
-  std::map<std::string, Clock::time_point> logged_until_;
+  /** Ends of the quarantines in force, by cause, as logged. */
+  std::map<std::string, Clock::time_point> quarantined_until_;
   /** Times of the good runs that are to be sent to the other instances. */
   std::map<ClearedTrait, Clock::time_point> unsent_cleared_;
   QTimer cleared_timer_;
--- a/libs/entry/src/request_quarantine.cc
+++ b/libs/entry/src/request_quarantine.cc
@@ -61,7 +61,7 @@
   connect(&expire_timer_, &QTimer::timeout, this, [this] {
     const auto now = Clock::now();
     ledger_.Expire(now);
-    std::erase_if(logged_until_,
+    std::erase_if(quarantined_until_,
                   [now](const auto& entry) { return entry.second <= now; });
     UpdateMetric();
   });
@@ -185,9 +185,9 @@
   const auto remaining = RemainingQuarantine(request, true);
   if (!remaining) return true;
   const auto now = Clock::now();
-  auto& logged_until = logged_until_[cause];
-  const bool is_logged = logged_until > now;
-  logged_until = now + *remaining;
+  auto& quarantined_until = quarantined_until_[cause];
+  const bool is_logged = quarantined_until > now;
+  quarantined_until = now + *remaining;
   if (is_logged) return true;
   utils::DecisionLog("work_quarantined")
       .Add("cause", cause)
@@ -230,10 +230,16 @@
     unsent_cleared_[{run.service, trait}] = run.at;
   }
   ScheduleCleared();
+  ForgetQuarantines(cleared);
   if (was_quarantined && archive_) {
     archive_->Write(quarantine::StoredName(cause),
                     ledger_.CrashesUnder(request));
   }
+}
+
+void RequestQuarantine::ForgetQuarantines(
+    std::span<const std::string> cleared) {
+  for (const std::string& trait : cleared) quarantined_until_.erase(trait);
   UpdateMetric();
 }
 
@@ -309,7 +315,7 @@
                                 const peer::Frame& frame) {
   for (const Crash& crash : frame.crashes) Record(crash, source);
   for (const GoodRun& run : frame.good_runs) {
-    ledger_.Record(run);
+    ForgetQuarantines(ledger_.Record(run));
     const auto is_told = [&](const auto& unsent) {
       const auto& [service, trait] = unsent.first;
       const bool has_trait =
@@ -333,7 +339,10 @@
 }
 
 void RequestQuarantine::UpdateMetric() const {
-  context_.metrics->SetQuarantined(ledger_.quarantined_count(Clock::now()));
+  const auto now = Clock::now();
+  context_.metrics->SetQuarantined(static_cast<size_t>(std::ranges::count_if(
+      quarantined_until_,
+      [now](const auto& entry) { return entry.second > now; })));
 }
 
 }  // namespace turmeric::entry
--- a/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
+++ b/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
@@ -90,10 +90,8 @@
   /** @param trait any. @return time of its last recorded crash. */
   Clock::time_point last_crash_at(std::string_view trait) const;
 
-  /** @param now current time. @return number of traits that are the cause of a
-   * quarantine. */
-  size_t quarantined_count(Clock::time_point now) const;
-  /** Drops expired records. @param now current time. */
+  /** Drops expired records, some of them if there are many. @param now current
+   * time. */
   void Expire(Clock::time_point now);
   /** @return number of fingerprints and prompt parts with a recorded crash. */
   size_t size() const { return traits_.size(); }
--- a/libs/quarantine/src/crash_ledger.cc
+++ b/libs/quarantine/src/crash_ledger.cc
@@ -41,6 +41,8 @@
 /** Largest number of records. Beyond it, the oldest one that quarantines no
  * request is evicted. */
 constexpr size_t kMaxRecords = 4096;
+/** Records checked in one call of Expire, to bound its time. */
+constexpr size_t kMaxExpiryChecks = 512;
 /** Oldest records checked for one that quarantines no request. */
 constexpr size_t kMaxEvictionChecks = 64;
 /** Crashes under one request that are considered. */
@@ -203,7 +205,13 @@
 }
 
 int CrashLedger::WeightUnder(std::string_view trait) const {
-  return SumOfWeights(CountedCrashes(trait, {}));
+  const TraitRecord* record = Find(trait);
+  if (record == nullptr) return 0;
+  int weight = 0;
+  for (const auto& [upstream, crash] : record->crashes) {
+    if (record->Counts(crash.service, crash.at)) weight += crash.weight;
+  }
+  return weight;
 }
 
 std::vector<PossibleCause> CrashLedger::OtherCauses(std::string_view upstream,
@@ -370,17 +378,6 @@
   return last;
 }
 
-size_t CrashLedger::quarantined_count(Clock::time_point now) const {
-  std::set<std::string> causes;
-  for (const auto& [at, upstream, fingerprint] : order_) {
-    const Crash& crash = crashes_.at(upstream).at(fingerprint);
-    const RequestTraits traits = TraitsOf(crash);
-    const ServiceRequest request{.traits = traits, .service = crash.service};
-    if (RemainingQuarantine(request, now)) causes.insert(CauseIn(request));
-  }
-  return causes.size();
-}
-
 bool CrashLedger::IsExpired(const Crash& crash, Clock::time_point now) const {
   const RequestTraits traits = TraitsOf(crash);
   const ServiceRequest request{.traits = traits, .service = crash.service};
@@ -395,8 +392,10 @@
 
 void CrashLedger::Expire(Clock::time_point now) {
   std::vector<RecordKey> expired;
+  size_t checked = 0;
   for (const RecordKey& key : order_) {
     if (std::get<0>(key) + kCrashRetention > now) break;
+    if (++checked > kMaxExpiryChecks) break;
     const auto& [at, upstream, fingerprint] = key;
     if (IsExpired(crashes_.at(upstream).at(fingerprint), now)) {
       expired.push_back(key);
