Records sent and stored are those of the most suspicious trait

With a conviction, and with each new crash, the newest 16 records under any trait of the request were stored and sent. Where many requests on the crashed upstreams had the same popular part, these crowded out the evidence against the harmful one: a fleet that was killed whole would have read a conviction that convicts nothing, and lost up to three more engines. Found by reading.

The records are now those under the trait with most crashes, of several the one that fewest requests had.

--- a/libs/entry/src/request_quarantine.cc
+++ b/libs/entry/src/request_quarantine.cc
@@ -133,8 +133,9 @@
     if (!Record(crash, kSourceThisInstance)) continue;
     own_crashes_.push_back(crash);
     if (own_crashes_.size() > kMaxOwnCrashes) own_crashes_.pop_front();
-    // Send all crashes under the request's traits, as other instances may lack
-    // some of them.
+    // Send all crashes under the request's most suspicious trait, as other
+    // instances may lack some of them.
+    crashes_to_send.push_back(crash);
     const ServiceRequest request{.traits = traits, .service = upstream.service};
     std::ranges::move(ledger_.CrashesUnder(request),
                       std::back_inserter(crashes_to_send));
--- a/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
+++ b/libs/quarantine/include/turmeric/quarantine/crash_ledger.h
@@ -78,11 +78,12 @@
   std::optional<std::string> TrialOf(const ServiceRequest& request,
                                      Clock::time_point now) const;
   /** @param request with crashes. @return its trait with most crashes that
-   * count, the first one by name if there are several; empty: none. */
+   * count; of several, the one that fewest requests had, as popular parts run
+   * on most upstreams, then the first by name; empty: none. */
   std::string CauseIn(const ServiceRequest& request) const;
-  /** @param request any. @return the newest records of crashes that count
-   * against it, and of other requests with its traits, with the parts that
-   * count; at most 16. */
+  /** @param request any. @return the newest records of crashes under its trait
+   * with most crashes (see CauseIn), with the parts that count; at most 16.
+   * Those of its other traits could crowd out the evidence. */
   std::vector<Crash> CrashesUnder(const ServiceRequest& request) const;
   /** @return the newest records of crashes with a trait under which several
    * upstreams crashed, with the parts that count; at most 256. */
@@ -108,6 +109,7 @@
     std::string service;
     Clock::time_point at;
     int weight = 0;
+    int requests = 0;  ///< That had the trait.
   };
   /** Crashes and good runs of one fingerprint or prompt part. */
   struct TraitRecord {
@@ -123,6 +125,7 @@
   struct CountedCrash {
     std::string_view upstream;
     int weight = 0;
+    int requests = 0;  ///< That had the trait.
     Clock::time_point at;
   };
   /** What the recorded crashes mean for a request. */
--- a/libs/quarantine/src/crash_ledger.cc
+++ b/libs/quarantine/src/crash_ledger.cc
@@ -135,6 +135,7 @@
     recorded.service = crash.service;
     recorded.at = std::max(recorded.at, crash.at);
     recorded.weight = std::max(recorded.weight, WeightOf(crash));
+    ++recorded.requests;
     counts = counts || record.Counts(crash.service, crash.at);
   });
   EvictIfFull();
@@ -172,8 +173,10 @@
   for (const auto& [upstream, crash] : record->crashes) {
     if (!service.empty() && crash.service != service) continue;
     if (!record->Counts(crash.service, crash.at)) continue;
-    counted.push_back(
-        {.upstream = upstream, .weight = crash.weight, .at = crash.at});
+    counted.push_back({.upstream = upstream,
+                       .weight = crash.weight,
+                       .requests = crash.requests,
+                       .at = crash.at});
   }
   return counted;
 }
@@ -316,15 +319,20 @@
     std::ranges::copy(request.traits.parts, std::back_inserter(traits));
   }
   std::string_view cause;
-  size_t most = 0;
+  auto most = std::tuple(size_t{0}, 0);
   for (const std::string_view trait : traits) {
     const std::string_view service = trait == request.traits.fingerprint
                                          ? std::string_view()
                                          : request.service;
-    const size_t crashes = CountedCrashes(trait, service).size();
-    if (crashes > most || (crashes == most && crashes > 0 && trait < cause)) {
+    const auto counted = CountedCrashes(trait, service);
+    if (counted.empty()) continue;
+    const int requests = std::accumulate(
+        counted.begin(), counted.end(), 0,
+        [](int sum, const CountedCrash& c) { return sum + c.requests; });
+    const auto rank = std::tuple(counted.size(), -requests);
+    if (rank > most || (rank == most && trait < cause)) {
       cause = trait;
-      most = crashes;
+      most = rank;
     }
   }
   return std::string(cause);
@@ -339,11 +347,15 @@
 
 std::vector<Crash> CrashLedger::CrashesUnder(
     const ServiceRequest& request) const {
+  const std::string cause = CauseIn(request);
+  RequestTraits traits;
+  (IsPartKey(cause) ? traits.parts.emplace_back() : traits.fingerprint) = cause;
   std::vector<Crash> crashes;
-  for (const CountedCrash& counted : CountedCrashes(request)) {
+  for (const CountedCrash& counted :
+       CountedCrashes(ServiceRequest{traits, request.service})) {
     for (const auto& entry : crashes_.find(counted.upstream)->second) {
       const Crash crash = WithCountedParts(entry.second);
-      if (SharesTrait(crash, request.traits)) crashes.push_back(crash);
+      if (SharesTrait(crash, traits)) crashes.push_back(crash);
     }
   }
   if (std::ssize(crashes) > kMaxCrashesUnder) {
@@ -415,7 +427,9 @@
           return other.first == trait || Has(other.second.parts, trait);
         });
     const auto record = traits_.find(trait);
-    if (still_there || record == traits_.end()) return;
+    if (record == traits_.end()) return;
+    --record->second.crashes.at(node.mapped().upstream).requests;
+    if (still_there) return;
     record->second.crashes.erase(node.mapped().upstream);
     if (record->second.crashes.empty()) traits_.erase(record);
   });
--- a/libs/quarantine/test/prompt_part_test.cc
+++ b/libs/quarantine/test/prompt_part_test.cc
@@ -192,6 +192,26 @@
   REQUIRE(f.ledger.size() < 2 * 4096 + 10);
 }
 
+// Guards against stored evidence that other requests with a popular part crowd
+// out, so that a fleet that was killed admits the harmful part again.
+TEST_CASE("the records sent and stored are enough to refuse a part") {
+  PartLedger f;
+  for (int i = 0; i < 4; ++i) {
+    std::vector<Parts> requests{{"m/a", "m/h"}};
+    for (int k = 0; k < 20; ++k) {
+      requests.push_back({"m/a", "m/s" + std::to_string(100 * i + k)});
+    }
+    f.CrashUnder(requests);
+  }
+  const RequestTraits traits{"new", {"m/a", "m/h"}};
+  REQUIRE(f.Refuses(traits.parts));
+  CrashLedger other;
+  for (const Crash& crash : f.ledger.CrashesUnder({traits, "llm"})) {
+    other.Record(crash);
+  }
+  REQUIRE(other.RemainingQuarantine({traits, "llm"}, f.now));
+}
+
 // Guards against an instance that starts with less than its peers know.
 TEST_CASE("recurring crashes are enough for another ledger to decide alike") {
   REQUIRE(rc::check("same refusals", [] {
