Log which upstream's connections were used up, and the limit

The line of a request refused with connections_used_up named neither the upstream nor the number of connections, so that it did not show whether connections or another resource ran out.

--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -415,6 +415,13 @@
     return SendToUpstream();
   }
   if (!context_.client.HasConnection(*upstream, ConnectionLimit())) {
+    utils::DecisionLog("connection_shortage")
+        .Add("request", request_.attempt_id)
+        .Add("service", service_)
+        .Add("upstream", upstream->entry.id)
+        .Add("open", upstream->connections)
+        .Add("in_flight", upstream->in_flight)
+        .Add("limit", ConnectionLimit());
     if (may_have_run_) return Fail(kBadGateway, "no_connection_left");
     return Refuse("connections_used_up", RetryAfter::kSoon);
   }
