Connections to upstreams are lent to the instances that need them

Callers saw 503 (connections_used_up) at instances that received most new connections, while the upstreams had connections to spare.

Cause: each instance opened at most max_conns divided by the number of instances to an upstream, whatever its load, and refused the request when that part of the chosen upstream was used up. Class: a fleet-wide resource divided as if the load were even.

Change: half of an upstream's connections are divided evenly, a sixteenth is left free, and the lenders of the service (the issuers of its permits) lend the rest. A loan is used for 8 s after it was ordered or renewed and counts at its lender for 32 s, so that open requests have ended when it is lent again. A lender that restarts renews loans and extends none for 32 s. Without shortage nothing is sent. A request without a free connection goes to another upstream, waits up to 0.4 s if there is none, and is refused with Retry-After after that.

The model test (200 fleets with lost messages, freezes and restarts) finds no state with more connections than the upstream accepts.

--- /dev/null
+++ b/libs/connections/include/turmeric/connections/connection_lender.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+#include "turmeric/connections/loan.h"
+
+namespace turmeric::connections {
+
+/** Connections to an upstream that a lender may lend. */
+struct LendablePart {
+  int connections = 0;
+  /** False: loans are renewed, but not extended, as an earlier lender may have
+   * lent the same connections. */
+  bool may_extend = false;
+};
+
+/**
+ * Lends a part of the connections that upstreams accept to the instances that
+ * need more than their own shares. A loan ends when the borrower returns it, or
+ * has not renewed it for kLoanExpiry. Time is passed in by the caller.
+ */
+class ConnectionLender {
+ public:
+  /**
+   * Decides on an order.
+   * @param borrower identity of the process that orders.
+   * @param order see LoanOrder.
+   * @param part what may be lent of this upstream.
+   * @param now current time.
+   * @return the loan that the borrower has from now on.
+   */
+  LoanGrant Decide(const std::string& borrower, const LoanOrder& order,
+                   LendablePart part, Clock::time_point now);
+  /** @param upstream process incarnation. @param now current time.
+   * @return connections lent. */
+  int Lent(const std::string& upstream, Clock::time_point now) const;
+  /** Forgets loans that have ended. @param now current time. */
+  void Expire(Clock::time_point now);
+  /** @return number of upstreams with loans. */
+  size_t size() const { return loans_.size(); }
+
+ private:
+  struct Loan {
+    int connections = 0;
+    uint64_t sequence = 0;
+    Clock::time_point renewed_at;
+  };
+  using LoansByBorrower = std::map<std::string, Loan>;
+
+  static void EraseEnded(LoansByBorrower& loans, Clock::time_point now);
+
+  std::map<std::string, LoansByBorrower> loans_;  ///< By upstream.
+};
+
+}  // namespace turmeric::connections
--- /dev/null
+++ b/libs/connections/include/turmeric/connections/connection_shares.h
@@ -0,0 +1,31 @@
+#pragma once
+
+namespace turmeric::connections {
+
+/** The fleet that shares the connections of an upstream. */
+struct Fleet {
+  int instances = 0;  ///< 0: not known yet.
+  int lenders = 0;    ///< Instances that lend connections; see
+                      ///< ConnectionLender.
+};
+
+/**
+ * @param max_connections that an upstream accepts from all instances together;
+ *     0: unlimited.
+ * @param instances of the fleet; 0: not known yet.
+ * @return connections that each instance may open without a loan, at least 1;
+ *     0: unlimited.
+ */
+int OwnShare(int max_connections, int instances);
+
+/**
+ * @param max_connections see OwnShare.
+ * @param fleet see Fleet.
+ * @param rank of a lender, from 0.
+ * @return connections that this lender may lend. With the own shares of all
+ *     instances, the parts of all lenders add up to at most `max_connections`,
+ *     unless there are more instances than connections.
+ */
+int LenderPart(int max_connections, const Fleet& fleet, int rank);
+
+}  // namespace turmeric::connections
--- /dev/null
+++ b/libs/connections/src/connection_lender.cc
@@ -0,0 +1,53 @@
+#include "turmeric/connections/connection_lender.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace turmeric::connections {
+
+LoanGrant ConnectionLender::Decide(const std::string& borrower,
+                                   const LoanOrder& order, LendablePart part,
+                                   Clock::time_point now) {
+  LoansByBorrower& loans = loans_[order.upstream];
+  EraseEnded(loans, now);
+  Loan& loan = loans[borrower];
+  LoanGrant grant{.upstream = order.upstream,
+                  .sequence = order.sequence,
+                  .held = loan.connections};
+  // An order that is overtaken by a later one on another connection.
+  if (order.sequence <= loan.sequence) return grant;
+  const int held = std::max(0, order.held);
+  const int wanted = std::max(0, order.wanted);
+  loan = {.connections = 0, .sequence = order.sequence, .renewed_at = now};
+  const int available =
+      std::max(0, part.connections - Lent(order.upstream, now));
+  grant.held = std::min(wanted, part.may_extend ? available : held);
+  loan.connections = grant.held;
+  return grant;
+}
+
+int ConnectionLender::Lent(const std::string& upstream,
+                           Clock::time_point now) const {
+  const auto it = loans_.find(upstream);
+  if (it == loans_.end()) return 0;
+  return std::accumulate(it->second.begin(), it->second.end(), 0,
+                         [now](int sum, const auto& entry) {
+                           const bool ended =
+                               now - entry.second.renewed_at > kLoanExpiry;
+                           return ended ? sum : sum + entry.second.connections;
+                         });
+}
+
+void ConnectionLender::Expire(Clock::time_point now) {
+  for (auto& [upstream, loans] : loans_) EraseEnded(loans, now);
+  std::erase_if(loans_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+void ConnectionLender::EraseEnded(LoansByBorrower& loans,
+                                  Clock::time_point now) {
+  std::erase_if(loans, [now](const auto& entry) {
+    return now - entry.second.renewed_at > kLoanExpiry;
+  });
+}
+
+}  // namespace turmeric::connections
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -28,6 +28,7 @@
 class RequestQuarantine;
 class StreamOrigins;
 class UpstreamAvailability;
+class UpstreamConnections;
 class UpstreamLimiter;
 
 /** State of one instance that is shared by its requests. */
@@ -106,6 +107,7 @@
   UpstreamLimiter* limiter = nullptr;
   BrittleUpstreams* brittle = nullptr;
   UpstreamAvailability* availability = nullptr;
+  UpstreamConnections* connections = nullptr;
   ReachMonitor* reach = nullptr;
   StreamOrigins* origins = nullptr;
   EntryMetrics* metrics = nullptr;
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -92,6 +92,22 @@
    * @param unreached number of upstreams not reached at all.
    */
   void SetUnreached(int tunnelled, int unreached);
+  /**
+   * Records a request that found no free connection to an upstream.
+   * @param service service of the upstream.
+   */
+  void OnConnectionShortage(std::string_view service);
+  /**
+   * Records the answer to an order of connections.
+   * @param service service of the upstream.
+   * @param granted true if any were lent.
+   */
+  void OnLoan(std::string_view service, bool granted);
+  /**
+   * Records a connection of a caller that was closed unread.
+   * @param reason a fixed word.
+   */
+  void OnLeftUnread(std::string_view reason);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -106,6 +122,9 @@
   prometheus::Family<prometheus::Counter>& rests_stated_;
   prometheus::Family<prometheus::Counter>& resumed_;
   prometheus::Family<prometheus::Counter>& store_calls_;
+  prometheus::Family<prometheus::Counter>& connection_shortages_;
+  prometheus::Family<prometheus::Counter>& loans_;
+  prometheus::Family<prometheus::Counter>& left_unread_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
   prometheus::Gauge& quarantined_;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -35,6 +35,7 @@
 class TunnelPeers;
 class TunnelServer;
 class UpstreamAvailability;
+class UpstreamConnections;
 class VersionRegistry;
 class RequestQuarantine;
 
@@ -87,6 +88,7 @@
   /** @return true if this instance owns a key, such as that of a queue. */
   bool Owns(const std::string& key);
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
+  std::unique_ptr<UpstreamConnections> MakeConnections();
   std::unique_ptr<VersionRegistry> MakeVersions();
   std::unique_ptr<StreamOrigins> MakeOrigins();
   utils::Result<void> StartPeers();
@@ -113,6 +115,7 @@
   std::unique_ptr<RequestQuarantine> quarantine_;
   QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
+  std::unique_ptr<UpstreamConnections> connections_;
   std::unique_ptr<BrittleUpstreams> brittle_;
   std::unique_ptr<UpstreamAvailability> availability_;
   std::unique_ptr<VersionRegistry> versions_;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -84,6 +84,13 @@
    * as many requests as they could serve when cold (shortly after a start).
    * @return false if there is no such upstream or no wait is left. */
   bool WaitForCapacity();
+  /** Chooses another upstream, as this instance has no free connection to the
+   * chosen one; if none is left, waits for a connection. */
+  void OnNoConnection(const routing::Upstream& upstream);
+  /** Schedules another choice of an upstream if one would be chosen but for a
+   * free connection.
+   * @return false if there is no such upstream or no wait is left. */
+  bool WaitForConnection();
   /** Sends to the chosen upstream.
    * @param upstream nullptr: none may receive the request.
    * @param permitted true if a permit for an upstream with a rate limit was
@@ -100,7 +107,6 @@
    * be refused. @param rest time until the first upstream may be sent to. */
   void OnAllResting(std::chrono::milliseconds rest);
   void RefuseForRest(std::chrono::milliseconds rest);
-  int ConnectionLimit() const;
   UpstreamCall CallTo(const routing::Upstream& upstream) const;
   void ReleaseInputsOnceFetched();
   UpstreamSendEvents SendEvents();
@@ -186,6 +192,7 @@
   int64_t events_before_send_ = 0;
   int sends_ = 0;
   int cold_waits_ = 0;
+  int connection_waits_ = 0;
   int unreached_sends_ = 0;  ///< Those of `sends_` that no upstream received.
   bool may_have_run_ = false;
   /** Error answer of an upstream after which the request was retried. */
--- a/libs/entry/include/turmeric/entry/upstream_choice.h
+++ b/libs/entry/include/turmeric/entry/upstream_choice.h
@@ -115,6 +115,17 @@
 std::string DescribeRests(const EntryContext& context,
                           const std::string& service);
 
+/**
+ * @param context the instance's state.
+ * @param group the upstreams that may serve the request.
+ * @param tried ids of upstreams that must not be used again.
+ * @return an upstream that may be sent to, but to which this instance has no
+ *     free connection; nullptr if there is none.
+ */
+routing::UpstreamPtr UpstreamWithoutConnection(
+    const EntryContext& context, const UpstreamGroup& group,
+    std::span<const std::string> tried);
+
 /**
  * @param context the instance's state.
  * @param group the upstreams that may serve the request.
--- a/libs/entry/include/turmeric/entry/upstream_client.h
+++ b/libs/entry/include/turmeric/entry/upstream_client.h
@@ -94,6 +94,16 @@
    * @return true if an exchange may be opened now.
    */
   bool HasConnection(const routing::Upstream& upstream, int limit) const;
+  /** @param upstream an upstream. @return true if an idle connection to it is
+   * kept. */
+  bool HasIdle(const routing::Upstream& upstream) const;
+  /**
+   * Closes idle connections to an upstream, the oldest first.
+   * @param upstream the upstream.
+   * @param connections number of connections, idle or not, down to which they
+   *     are closed.
+   */
+  void TrimIdle(routing::Upstream& upstream, int connections);
   /**
    * Sends one request.
    * @param upstream the receiver.
--- /dev/null
+++ b/libs/entry/include/turmeric/entry/upstream_connections.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "turmeric/connections/connection_borrower.h"
+#include "turmeric/connections/connection_lender.h"
+#include "turmeric/routing/upstream.h"
+
+namespace turmeric::peer {
+struct Frame;
+}
+
+namespace turmeric::entry {
+
+struct EntryContext;
+class EntryMetrics;
+
+/** Connections of UpstreamConnections to the other instances. */
+struct LoanLinks {
+  using AddToFrame = std::function<void(peer::Frame&)>;
+
+  /** @return true if frames to the instance are expected to arrive. */
+  std::function<bool(const std::string& name)> reaches;
+  /** Adds to the next frame to an instance. */
+  std::function<void(const std::string& name, const AddToFrame&)> send;
+};
+
+/**
+ * Bounds the connections that the fleet opens to each upstream. Each instance
+ * has a share of its own, and borrows more from the lenders of the upstream's
+ * service while it needs more; see connections::ConnectionLender. The lenders
+ * of a service are the issuers of its permits.
+ */
+class UpstreamConnections : public QObject {
+ public:
+  using Clock = routing::Clock;
+
+  /** @param context the instance's state; must outlive this. @param links see
+   * LoanLinks. */
+  UpstreamConnections(EntryContext& context, LoanLinks links);
+
+  /** @param upstream an upstream. @return connections that this instance may
+   * open to it now; 0: unlimited. */
+  int Limit(const routing::Upstream& upstream) const;
+  /** @param upstream an upstream. @return true if a request may be sent to it
+   * now, on an idle connection or a new one. */
+  bool HasFree(const routing::Upstream& upstream) const;
+  /** @param service its name. @return ids of its upstreams without a free
+   * connection; not all, if there are very many. */
+  std::vector<std::string> WithoutFree(const std::string& service) const;
+  /** Records a request that was sent to an upstream. @param upstream the
+   * receiver. */
+  void OnSend(const routing::Upstream& upstream);
+  /** Records a request that found no free connection to an upstream, and orders
+   * more. @param upstream the upstream. @param request its id, for the log. */
+  void OnShortage(const routing::Upstream& upstream, std::string_view request);
+  /** Orders connections to an upstream without a free one. @param upstream the
+   * upstream. */
+  void Order(const routing::Upstream& upstream);
+  /** Applies the fleet's list. @param now current time. */
+  void OnInstances(Clock::time_point now);
+
+  /** Handles a frame on a connection that this instance has opened. @param name
+   * of the other instance. @param frame its frame. */
+  void OnGrants(const std::string& name, const peer::Frame& frame);
+  /** Handles a frame on a connection that another instance has opened.
+   * @param identity of its process. @param frame its frame. @param reply next
+   * frame to it, or nullptr. */
+  void OnOrders(const std::string& identity, const peer::Frame& frame,
+                peer::Frame* reply);
+  /** @param name of an instance whose connection has ended. */
+  void OnLost(const std::string& name) { borrower_.OnLenderLost(name); }
+
+ private:
+  /** Use of an upstream's connections since the last check. */
+  struct Use {
+    int peak = 0;  ///< Most requests in flight.
+  };
+
+  int OwnShareOf(const routing::Upstream& upstream) const;
+  void Extend(const routing::Upstream& upstream, int missing,
+              Clock::time_point now);
+  void Send(const std::vector<connections::AddressedOrder>& orders,
+            Clock::time_point now);
+  connections::LendablePart PartOf(const std::string& incarnation,
+                                   Clock::time_point now);
+  connections::LoanGrant Decide(const std::string& identity,
+                                const connections::LoanOrder& order,
+                                Clock::time_point now);
+  void OnGrant(const std::string& lender, const connections::LoanGrant& grant,
+               Clock::time_point now);
+  /** Renews loans and returns those that are not needed. */
+  void Maintain();
+  void ReduceUnused(const std::string& incarnation, Clock::time_point now);
+
+  EntryContext& context_;
+  LoanLinks links_;
+  connections::ConnectionBorrower borrower_;
+  connections::ConnectionLender lender_;
+  /** Upstreams with loans, by process incarnation. */
+  std::map<std::string, Use> use_;
+  /** Since when this instance is a lender, by service. */
+  std::map<std::string, Clock::time_point> lender_since_;
+  bool was_lender_ = false;
+  QTimer timer_;
+};
+
+}  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_limiter.h
+++ b/libs/entry/include/turmeric/entry/upstream_limiter.h
@@ -64,6 +64,8 @@
 
   /** @param metrics counters of this instance; must outlive this. */
   void set_metrics(EntryMetrics* metrics) { metrics_ = metrics; }
+  /** @return the issuers of permits. */
+  const routing::IssuerList& issuers() const { return issuers_; }
   /** Marks this instance as the only one, according to its settings. */
   void SetSingleInstance() { issuers_.SetSingleInstance(); }
   /**
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -61,6 +61,21 @@
                        .Name("turmeric_entry_store_calls_total")
                        .Help("Calls to the platform's store")
                        .Register(*registry_)),
+      connection_shortages_(
+          prometheus::BuildCounter()
+              .Name("turmeric_entry_connection_shortages_total")
+              .Help("Requests that found no free connection to an upstream")
+              .Register(*registry_)),
+      loans_(prometheus::BuildCounter()
+                 .Name("turmeric_entry_connection_loans_total")
+                 .Help("Orders of connections to upstreams beyond this "
+                       "instance's share, by result")
+                 .Register(*registry_)),
+      left_unread_(prometheus::BuildCounter()
+                       .Name("turmeric_entry_left_unread_total")
+                       .Help("Connections of callers that were closed unread, "
+                             "by reason")
+                       .Register(*registry_)),
       followers_(
           prometheus::BuildGauge()
               .Name("turmeric_entry_store_followers")
@@ -146,6 +161,21 @@
   resumed_.Add({{"how", std::string(how)}}).Increment();
 }
 
+void EntryMetrics::OnConnectionShortage(std::string_view service) {
+  connection_shortages_.Add({{"service", std::string(service)}}).Increment();
+}
+
+void EntryMetrics::OnLoan(std::string_view service, bool granted) {
+  loans_
+      .Add({{"service", std::string(service)},
+            {"result", granted ? "granted" : "refused"}})
+      .Increment();
+}
+
+void EntryMetrics::OnLeftUnread(std::string_view reason) {
+  left_unread_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -22,6 +22,7 @@
 #include "turmeric/entry/tunnel_peers.h"
 #include "turmeric/entry/tunnel_server.h"
 #include "turmeric/entry/upstream_availability.h"
+#include "turmeric/entry/upstream_connections.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/version_registry.h"
 #include "turmeric/utils/decision_log.h"
@@ -72,6 +73,7 @@
       tunnel_server_(MakeTunnelServer()),
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
       limiter_(MakeLimiter()),
+      connections_(MakeConnections()),
       brittle_(std::make_unique<BrittleUpstreams>(
           context_.upstreams,
           [this](const auto& add) { links_->Broadcast(add); })),
@@ -124,6 +126,7 @@
   context_.limiter = limiter_.get();
   context_.brittle = brittle_.get();
   context_.availability = availability_.get();
+  context_.connections = connections_.get();
   context_.reach = reach_.get();
   context_.origins = origins_.get();
   versions_->set_on_change([this](const std::string& service) {
@@ -186,6 +189,17 @@
       Clock::now());
 }
 
+std::unique_ptr<UpstreamConnections> EntryService::MakeConnections() {
+  return std::make_unique<UpstreamConnections>(
+      context_,
+      LoanLinks{.reaches =
+                    [this](const std::string& name) {
+                      return links_->Reaches(name) && !links_->leaving(name);
+                    },
+                .send = [this](const std::string& name,
+                               const auto& add) { AddToFrame(name, add); }});
+}
+
 std::unique_ptr<VersionRegistry> EntryService::MakeVersions() {
   return std::make_unique<VersionRegistry>(
       context_,
@@ -262,6 +276,7 @@
              sharing_->OnFrame(name, frame);
              quarantine_->OnFrame(name, frame);
              limiter_->OnPermits(name, frame, Clock::now());
+             connections_->OnGrants(name, frame);
              origins_->OnAnswers(name, frame);
              if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
              router_->OnFrame(frame);
@@ -271,6 +286,7 @@
              placer_->OnOwnerLost(name);
              router_->OnInstanceLost(name, was_reset);
              sharing_->OnLost(name);
+             connections_->OnLost(name);
            },
        .on_connect = [this](peer::Frame& frame) { AddKnownState(frame); }});
   peer_server_->set_on_new_peer(
@@ -281,6 +297,7 @@
         quarantine_->OnFrame(identity, frame);
         peer::Frame* reply = peer_server_->FrameTo(identity);
         limiter_->OnOrders(frame, reply, Clock::now());
+        connections_->OnOrders(identity, frame, reply);
         origins_->OnQueries(frame, reply);
       });
   peer_server_->set_on_follow(
@@ -351,6 +368,7 @@
         std::vector<std::string> names;
         for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
+        connections_->OnInstances(Clock::now());
         sharing_->SetInstances(fleet);
         origins_->OnFleetList();
       });
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -21,6 +21,7 @@
 #include "turmeric/entry/stream_origins.h"
 #include "turmeric/entry/traits_of.h"
 #include "turmeric/entry/upstream_choice.h"
+#include "turmeric/entry/upstream_connections.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/upstream_send.h"
@@ -59,6 +60,11 @@
 /** Longest wait for the end of a rest, by a request that can no longer be
  * refused. */
 constexpr milliseconds kMaxRestWait{1000};
+/** Delay before the next choice of an upstream when this instance has no free
+ * connection to any, and the largest number of such delays: a loan takes a few
+ * round trips. */
+constexpr milliseconds kConnectionWait{25};
+constexpr int kMaxConnectionWaits = 16;
 /** Largest number of such delays while all upstreams with room are brittle. */
 constexpr int kMaxBrittleWaits = 2;
 /** Engine priorities are 0 (first) to this value. */
@@ -293,6 +299,8 @@
   // The owner of the placements does not know the rests of this instance.
   std::ranges::move(RestingIds(context_, service_),
                     std::back_inserter(excluded_upstreams_));
+  std::ranges::move(context_.connections->WithoutFree(service_),
+                    std::back_inserter(excluded_upstreams_));
   const std::string results_zone = stages_->inputs_zone();
   const UpstreamCriteria wanted = MakeUpstreamCriteria(results_zone);
   const bool suspect =
@@ -386,8 +394,44 @@
   Refuse("upstreams_resting", RetryAfterDelay(rest, Uniform()));
 }
 
+void RequestRun::OnNoConnection(const routing::Upstream& upstream) {
+  context_.connections->OnShortage(upstream, request_.attempt_id);
+  placement_.reset();
+  // The owner of the placements did not know of the shortage.
+  if (++connection_waits_ < kMaxConnectionWaits) return SendToUpstream();
+  RefuseWithoutUpstream();
+}
+
+bool RequestRun::WaitForConnection() {
+  const routing::UpstreamPtr upstream = UpstreamWithoutConnection(
+      context_, {service_, stream_version_}, tried_upstreams_);
+  if (!upstream || connection_waits_ >= kMaxConnectionWaits ||
+      TimeLeft() < kMaxConnectionWaits * kConnectionWait) {
+    return false;
+  }
+  if (connection_waits_++ == 0) {
+    context_.connections->OnShortage(*upstream, request_.attempt_id);
+  } else {
+    context_.connections->Order(*upstream);
+  }
+  placement_.reset();
+  QTimer::singleShot(kConnectionWait, this, [this] {
+    if (!finished_) SendToUpstream();
+  });
+  return true;
+}
+
 void RequestRun::RefuseWithoutUpstream() {
-  if (may_have_run_) return Fail(kBadGateway, "no_upstream_left");
+  const bool lacks_connection =
+      UpstreamWithoutConnection(context_, {service_, stream_version_},
+                                tried_upstreams_) != nullptr;
+  if (may_have_run_) {
+    return Fail(kBadGateway,
+                lacks_connection ? "no_connection_left" : "no_upstream_left");
+  }
+  if (lacks_connection) {
+    return Refuse("connections_used_up", RetryAfter::kSoon);
+  }
   if (!permits_->exhausted()) {
     return context_.brittle->Any(service_)
                ? Refuse("brittle_full", RetryAfter::kAfterOverload)
@@ -406,7 +450,7 @@
     if (const auto rest = RestLeft(context_, {service_, stream_version_})) {
       return OnAllResting(*rest);
     }
-    if (AcquireAnyPermit() || WaitForCapacity()) return;
+    if (AcquireAnyPermit() || WaitForCapacity() || WaitForConnection()) return;
     return RefuseWithoutUpstream();
   }
   // The request may have waited since the choice.
@@ -414,16 +458,8 @@
     placement_.reset();
     return SendToUpstream();
   }
-  if (!context_.client.HasConnection(*upstream, ConnectionLimit())) {
-    utils::DecisionLog("connection_shortage")
-        .Add("request", request_.attempt_id)
-        .Add("service", service_)
-        .Add("upstream", upstream->entry.id)
-        .Add("open", upstream->connections)
-        .Add("in_flight", upstream->in_flight)
-        .Add("limit", ConnectionLimit());
-    if (may_have_run_) return Fail(kBadGateway, "no_connection_left");
-    return Refuse("connections_used_up", RetryAfter::kSoon);
+  if (!context_.connections->HasFree(*upstream)) {
+    return OnNoConnection(*upstream);
   }
   if (!permitted && context_.limiter->IsLimited(*upstream)) {
     return AcquirePermit(upstream);
@@ -443,18 +479,10 @@
           .may_be_stream = route_->kind == RequestKind::kStream},
       SendEvents());
   send_->Start(context_.wire.encode_call(CallTo(*upstream)));
+  context_.connections->OnSend(*upstream);
   ReleaseInputsOnceFetched();
 }
 
-int RequestRun::ConnectionLimit() const {
-  const routing::ServiceSpec* spec = table_->FindService(service_);
-  if (spec == nullptr) return 0;
-  // One connection until the fleet size is known, as any larger share could be
-  // too large.
-  const int instances = context_.retries.listed_instances();
-  return instances == 0 ? 1 : std::max(1, spec->max_connections / instances);
-}
-
 UpstreamCall RequestRun::CallTo(const routing::Upstream& upstream) const {
   UpstreamCall call{.request = request_,
                     .time_left = TimeLeft(),
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/upstream_connections.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/routing/choice.h"
@@ -123,6 +124,19 @@
   return text;
 }
 
+UpstreamPtr UpstreamWithoutConnection(const EntryContext& context,
+                                      const UpstreamGroup& group,
+                                      std::span<const std::string> tried) {
+  const auto now = Clock::now();
+  const auto upstreams = context.upstreams.ForService(group.service);
+  const auto it = std::ranges::find_if(upstreams, [&](const UpstreamPtr& u) {
+    return MaySend(*u, now) && HasVersion(*u, group.version) &&
+           !context.connections->HasFree(*u) &&
+           std::ranges::count(tried, u->entry.id) == 0;
+  });
+  return it == upstreams.end() ? nullptr : *it;
+}
+
 bool MayHaveCapacitySoon(const EntryContext& context,
                          const UpstreamGroup& group,
                          std::span<const std::string> tried) {
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -70,10 +70,25 @@
 
 bool UpstreamClient::HasConnection(const Upstream& upstream, int limit) const {
   if (limit <= 0 || upstream.connections < limit) return true;
+  return HasIdle(upstream);
+}
+
+bool UpstreamClient::HasIdle(const Upstream& upstream) const {
   const auto it = pools_.find(upstream.entry.id);
   return it != pools_.end() && !it->second.idle.empty();
 }
 
+void UpstreamClient::TrimIdle(Upstream& upstream, int connections) {
+  const auto it = pools_.find(upstream.entry.id);
+  if (it == pools_.end()) return;
+  auto& idle = it->second.idle;
+  while (!idle.empty() && upstream.connections > connections) {
+    ClientConnection* oldest = idle.front();
+    idle.erase(idle.begin());
+    Discard(oldest, upstream);
+  }
+}
+
 bool UpstreamClient::IsTunnel(const ClientConnection* connection) const {
   return tunnels_.contains(connection);
 }
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "turmeric/connections/loan.h"
 #include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/limit_statement.h"
 #include "turmeric/quarantine/crash.h"
@@ -222,6 +223,13 @@
   kPartitioned,  ///< Repeated while it holds.
 };
 
+/** Whether an instance can serve the connections that callers open to it. */
+enum class LoadStatement {
+  kNone,  ///< The frame states nothing.
+  kWithinMeans,
+  kOverloaded,  ///< Repeated while it holds.
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Identity; set in the first frame only.
@@ -262,6 +270,9 @@
   std::vector<OriginQuery> origin_queries;
   std::vector<OriginAnswer> origin_answers;
   ReachStatement reach = ReachStatement::kNone;
+  std::vector<connections::LoanOrder> loan_orders;
+  std::vector<connections::LoanGrant> loan_grants;
+  LoadStatement load = LoadStatement::kNone;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -86,9 +86,48 @@
 struct OriginAnswer;
 struct OriginAnswerBuilder;
 
+struct LoanOrder;
+struct LoanOrderBuilder;
+
+struct LoanGrant;
+struct LoanGrantBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
+enum class LoadStatement : int8_t {
+  None = 0,
+  WithinMeans = 1,
+  Overloaded = 2,
+  MIN = None,
+  MAX = Overloaded
+};
+
+inline const LoadStatement (&EnumValuesLoadStatement())[3] {
+  static const LoadStatement values[] = {
+    LoadStatement::None,
+    LoadStatement::WithinMeans,
+    LoadStatement::Overloaded
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesLoadStatement() {
+  static const char * const names[4] = {
+    "None",
+    "WithinMeans",
+    "Overloaded",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameLoadStatement(LoadStatement e) {
+  if (flatbuffers::IsOutRange(e, LoadStatement::None, LoadStatement::Overloaded)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesLoadStatement()[index];
+}
+
 enum class ReachStatement : int8_t {
   None = 0,
   Reaches = 1,
@@ -2293,6 +2332,168 @@
       versions__);
 }
 
+struct LoanOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoanOrderBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_SEQUENCE = 6,
+    VT_HELD = 8,
+    VT_WANTED = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int32_t held() const {
+    return GetField<int32_t>(VT_HELD, 0);
+  }
+  int32_t wanted() const {
+    return GetField<int32_t>(VT_WANTED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int32_t>(verifier, VT_HELD, 4) &&
+           VerifyField<int32_t>(verifier, VT_WANTED, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoanOrderBuilder {
+  typedef LoanOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(LoanOrder::VT_UPSTREAM, upstream);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(LoanOrder::VT_SEQUENCE, sequence, 0);
+  }
+  void add_held(int32_t held) {
+    fbb_.AddElement<int32_t>(LoanOrder::VT_HELD, held, 0);
+  }
+  void add_wanted(int32_t wanted) {
+    fbb_.AddElement<int32_t>(LoanOrder::VT_WANTED, wanted, 0);
+  }
+  explicit LoanOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoanOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoanOrder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoanOrder> CreateLoanOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t sequence = 0,
+    int32_t held = 0,
+    int32_t wanted = 0) {
+  LoanOrderBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_wanted(wanted);
+  builder_.add_held(held);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoanOrder> CreateLoanOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint64_t sequence = 0,
+    int32_t held = 0,
+    int32_t wanted = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreateLoanOrder(
+      _fbb,
+      upstream__,
+      sequence,
+      held,
+      wanted);
+}
+
+struct LoanGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LoanGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_SEQUENCE = 6,
+    VT_HELD = 8
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  int32_t held() const {
+    return GetField<int32_t>(VT_HELD, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<int32_t>(verifier, VT_HELD, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct LoanGrantBuilder {
+  typedef LoanGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(LoanGrant::VT_UPSTREAM, upstream);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(LoanGrant::VT_SEQUENCE, sequence, 0);
+  }
+  void add_held(int32_t held) {
+    fbb_.AddElement<int32_t>(LoanGrant::VT_HELD, held, 0);
+  }
+  explicit LoanGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LoanGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LoanGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LoanGrant> CreateLoanGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    uint64_t sequence = 0,
+    int32_t held = 0) {
+  LoanGrantBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_held(held);
+  builder_.add_upstream(upstream);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LoanGrant> CreateLoanGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    uint64_t sequence = 0,
+    int32_t held = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return turmeric::peer::wire::CreateLoanGrant(
+      _fbb,
+      upstream__,
+      sequence,
+      held);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2328,7 +2529,10 @@
     VT_ORIGIN_QUERIES = 62,
     VT_ORIGIN_ANSWERS = 64,
     VT_TRIALS = 66,
-    VT_AVAILABILITY_NOTICES = 68
+    VT_AVAILABILITY_NOTICES = 68,
+    VT_LOAN_ORDERS = 70,
+    VT_LOAN_GRANTS = 72,
+    VT_LOAD = 74
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -2429,6 +2633,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>> *availability_notices() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>> *>(VT_AVAILABILITY_NOTICES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>> *loan_orders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>> *>(VT_LOAN_ORDERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>> *loan_grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>> *>(VT_LOAN_GRANTS);
+  }
+  turmeric::peer::wire::LoadStatement load() const {
+    return static_cast<turmeric::peer::wire::LoadStatement>(GetField<int8_t>(VT_LOAD, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2510,6 +2723,13 @@
            VerifyOffset(verifier, VT_AVAILABILITY_NOTICES) &&
            verifier.VerifyVector(availability_notices()) &&
            verifier.VerifyVectorOfTables(availability_notices()) &&
+           VerifyOffset(verifier, VT_LOAN_ORDERS) &&
+           verifier.VerifyVector(loan_orders()) &&
+           verifier.VerifyVectorOfTables(loan_orders()) &&
+           VerifyOffset(verifier, VT_LOAN_GRANTS) &&
+           verifier.VerifyVector(loan_grants()) &&
+           verifier.VerifyVectorOfTables(loan_grants()) &&
+           VerifyField<int8_t>(verifier, VT_LOAD, 1) &&
            verifier.EndTable();
   }
 };
@@ -2617,6 +2837,15 @@
   void add_availability_notices(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>> availability_notices) {
     fbb_.AddOffset(Frame::VT_AVAILABILITY_NOTICES, availability_notices);
   }
+  void add_loan_orders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>> loan_orders) {
+    fbb_.AddOffset(Frame::VT_LOAN_ORDERS, loan_orders);
+  }
+  void add_loan_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>> loan_grants) {
+    fbb_.AddOffset(Frame::VT_LOAN_GRANTS, loan_grants);
+  }
+  void add_load(turmeric::peer::wire::LoadStatement load) {
+    fbb_.AddElement<int8_t>(Frame::VT_LOAD, static_cast<int8_t>(load), 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2662,13 +2891,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>>> origin_queries = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>> origin_answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::Trial>>> trials = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>> availability_notices = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>> availability_notices = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>> loan_orders = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>> loan_grants = 0,
+    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_loan_grants(loan_grants);
+  builder_.add_loan_orders(loan_orders);
   builder_.add_availability_notices(availability_notices);
   builder_.add_trials(trials);
   builder_.add_origin_answers(origin_answers);
@@ -2695,6 +2929,7 @@
   builder_.add_taken(taken);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
+  builder_.add_load(load);
   builder_.add_reach(reach);
   builder_.add_leaving(leaving);
   return builder_.Finish();
@@ -2734,7 +2969,10 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginQuery>> *origin_queries = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>> *origin_answers = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::Trial>> *trials = nullptr,
-    const std::vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>> *availability_notices = nullptr) {
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>> *availability_notices = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>> *loan_orders = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>> *loan_grants = nullptr,
+    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -2759,6 +2997,8 @@
   auto origin_answers__ = origin_answers ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OriginAnswer>>(*origin_answers) : 0;
   auto trials__ = trials ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Trial>>(*trials) : 0;
   auto availability_notices__ = availability_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>(*availability_notices) : 0;
+  auto loan_orders__ = loan_orders ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>(*loan_orders) : 0;
+  auto loan_grants__ = loan_grants ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>(*loan_grants) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -2793,7 +3033,10 @@
       origin_queries__,
       origin_answers__,
       trials__,
-      availability_notices__);
+      availability_notices__,
+      loan_orders__,
+      loan_grants__,
+      load);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "details/loan_parts.h"
 #include "details/peer_generated.h"
 
 namespace turmeric::peer {
@@ -585,6 +586,7 @@
   const auto trial_list = b.CreateVector(trials);
   const LimitParts limits = WriteLimitParts(b, frame, now);
   const StreamParts streams = WriteStreamParts(b, frame);
+  const LoanParts loans = WriteLoanParts(b, frame);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
@@ -599,7 +601,8 @@
              frame.newest_revisions.evacuations, limits.notices, limits.orders,
              limits.permits, static_cast<wire::ReachStatement>(frame.reach),
              limits.brittle, streams.versions, streams.records, streams.queries,
-             streams.answers, trial_list, limits.availability));
+             streams.answers, trial_list, limits.availability, loans.orders,
+             loans.grants, static_cast<wire::LoadStatement>(frame.load)));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -621,10 +624,15 @@
       f.reach() <= wire::ReachStatement::MAX) {
     frame.reach = static_cast<ReachStatement>(f.reach());
   }
+  if (f.load() >= wire::LoadStatement::MIN &&
+      f.load() <= wire::LoadStatement::MAX) {
+    frame.load = static_cast<LoadStatement>(f.load());
+  }
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
   ReadLimitParts(f, now, frame);
   ReadStreamParts(f, frame);
+  ReadLoanParts(f, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
