New connections beyond an instance's means are left unread

Cause: every accepted connection was read and served, and at most 16 were accepted in one iteration of the event loop, so that the rest waited in the system's queue where nothing measured it. Class: as for the connections of upstreams, an instance was sized for an even load.

Change: the rate of new connections is bounded while the event loop's iterations or the receipt of requests take longer than 250 ms; those beyond are reset at accept, unread, so that callers retry elsewhere. Not while half of the instances that tell this one their load are overloaded too. The listener accepts up to 256 connections at once, and pauses if no descriptor is left (it fired without end). Connections beyond the descriptors (max_descriptors) are reset.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -48,6 +48,9 @@
   /** CPU cores that this instance may use; 0: not stated. Instances with a
    * larger share are preferred as relays of the store's changes. */
   double cpu_share = 0;
+  /** File descriptors that this instance may open; 0: the limit of the process
+   * that the system states. */
+  double max_descriptors = 0;
   double retry_ratio = 0.2;  ///< Retries per request, fleet-wide.
   double retry_slack = 50;   ///< Retries allowed in addition, fleet-wide.
   /** Window of the retry budget. */
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -29,6 +29,8 @@
  * error. */
 constexpr double kMaxColdOver = 100;
 constexpr double kMaxColdSlack = 1e6;
+/** Upper bound of the file descriptors of a process. */
+constexpr double kMaxDescriptors = 1e8;
 /** Largest CPU share that an instance may state, cores. */
 constexpr double kMaxCpuShare = 1024;
 
@@ -169,6 +171,7 @@
   reader.ReadNumber("cold_over", s.cold_over, kMaxColdOver);
   reader.ReadNumber("cold_slack", s.cold_slack, kMaxColdSlack);
   reader.ReadNumber("cpu_share", s.cpu_share, kMaxCpuShare);
+  reader.ReadNumber("max_descriptors", s.max_descriptors, kMaxDescriptors);
   reader.ReadNumber("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.ReadNumber("retry_slack", s.retry_slack, kMaxRetrySlack);
   reader.ReadDuration("retry_window_ms", s.retry_window);
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -19,6 +19,7 @@
 namespace turmeric::entry {
 
 class BrittleUpstreams;
+class CallerIntake;
 class ConfigCheck;
 class EnginePlacer;
 class InstanceDirectory;
@@ -89,6 +90,7 @@
   bool Owns(const std::string& key);
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
   std::unique_ptr<UpstreamConnections> MakeConnections();
+  std::unique_ptr<CallerIntake> MakeIntake();
   std::unique_ptr<VersionRegistry> MakeVersions();
   std::unique_ptr<StreamOrigins> MakeOrigins();
   utils::Result<void> StartPeers();
@@ -116,6 +118,7 @@
   QTimer permit_timer_;
   std::unique_ptr<UpstreamLimiter> limiter_;
   std::unique_ptr<UpstreamConnections> connections_;
+  std::unique_ptr<CallerIntake> intake_;
   std::unique_ptr<BrittleUpstreams> brittle_;
   std::unique_ptr<UpstreamAvailability> availability_;
   std::unique_ptr<VersionRegistry> versions_;
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -100,6 +100,9 @@
    */
   std::vector<std::string> HoldersOf(const std::string& key, size_t count,
                                      bool with_leaving) const;
+  /** @param count most names returned. @return the reachable instances that
+   * follow this one in the order of names, the first one after the last. */
+  std::vector<std::string> Successors(size_t count) const;
   /**
    * @param name name of another instance.
    * @return a connection to it, opened if there is none; nullptr if the name is
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "turmeric/entry/brittle_upstreams.h"
+#include "turmeric/entry/caller_intake.h"
 #include "turmeric/entry/config_check.h"
 #include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
@@ -74,6 +75,7 @@
       quarantine_(std::make_unique<RequestQuarantine>(context_, *links_)),
       limiter_(MakeLimiter()),
       connections_(MakeConnections()),
+      intake_(MakeIntake()),
       brittle_(std::make_unique<BrittleUpstreams>(
           context_.upstreams,
           [this](const auto& add) { links_->Broadcast(add); })),
@@ -137,6 +139,7 @@
   ConnectPaths();
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
+  front_->set_takes([this] { return intake_->Takes(callers_.size()); });
   readiness_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
   metrics_listener_ =
@@ -200,6 +203,16 @@
                                const auto& add) { AddToFrame(name, add); }});
 }
 
+std::unique_ptr<CallerIntake> EntryService::MakeIntake() {
+  return std::make_unique<CallerIntake>(
+      metrics_, static_cast<size_t>(context_.settings.max_descriptors),
+      IntakeLinks{
+          .successors =
+              [this](size_t count) { return links_->Successors(count); },
+          .send = [this](const std::string& name,
+                         const auto& add) { AddToFrame(name, add); }});
+}
+
 std::unique_ptr<VersionRegistry> EntryService::MakeVersions() {
   return std::make_unique<VersionRegistry>(
       context_,
@@ -261,6 +274,7 @@
   brittle_->OnFrame(frame);
   availability_->OnFrame(name, frame, Clock::now());
   versions_->OnFrame(frame);
+  intake_->OnFrame(name, frame);
   if (frame.leaving) context_.client.CloseIdleTunnels(name);
 }
 
@@ -432,6 +446,7 @@
   if (message.target == link_.wire.readiness_path) {
     return OnProbe(connection, message);
   }
+  intake_->OnRequest(connection.receive_time());
   if (draining_) connection.CloseWhenIdle();
   auto* run =
       new RequestRun(context_, connection,
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -127,6 +127,19 @@
   return names;
 }
 
+std::vector<std::string> InstanceLinks::Successors(size_t count) const {
+  std::vector<std::string> names;
+  const auto add = [&names, count](const auto& entry) {
+    if (names.size() < count && !entry.second.unreachable) {
+      names.push_back(entry.first);
+    }
+  };
+  const auto next = instances_.upper_bound(context_.settings.name);
+  std::for_each(next, instances_.end(), add);
+  std::for_each(instances_.begin(), next, add);
+  return names;
+}
+
 peer::PeerLink* InstanceLinks::Open(const std::string& name) {
   const auto it = instances_.find(name);
   return it == instances_.end() ? nullptr : &Connect(name, it->second);
--- a/libs/http/include/turmeric/http/listener.h
+++ b/libs/http/include/turmeric/http/listener.h
@@ -4,6 +4,7 @@
 #include <QSocketNotifier>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "turmeric/http/tcp_socket.h"
 #include "turmeric/utils/result.h"
@@ -16,6 +17,9 @@
   /** @param on_accept called with each accepted, non-blocking descriptor, which
    * it owns. */
   explicit Listener(std::function<void(int fd)> on_accept);
+  /** @param takes called with each accepted connection; if it returns false,
+   * the connection is reset with its bytes unread, and not passed on. */
+  void set_takes(std::function<bool()> takes) { takes_ = std::move(takes); }
   ~Listener() override;
 
   /**
@@ -30,8 +34,10 @@
 
  private:
   void Accept();
+  void PauseAccepting();
 
   std::function<void(int fd)> on_accept_;
+  std::function<bool()> takes_;
   int fd_ = -1;
   std::unique_ptr<QSocketNotifier> notifier_;
 };
--- a/libs/http/include/turmeric/http/server_connection.h
+++ b/libs/http/include/turmeric/http/server_connection.h
@@ -81,6 +81,9 @@
   void CloseWhenIdle();
   /** @return true while the response to a request is not finished. */
   bool busy() const { return busy_; }
+  /** @return time from the first byte of the last complete request until it
+   * was complete. */
+  std::chrono::milliseconds receive_time() const { return receive_time_; }
   /** @return response bytes that have not been handed to the system yet. */
   size_t unsent() const;
 
@@ -108,6 +111,8 @@
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
   bool reading_ = false;  ///< A request has been received in part.
+  std::chrono::steady_clock::time_point reading_since_;
+  std::chrono::milliseconds receive_time_{0};
 };
 
 }  // namespace turmeric::http
--- a/libs/http/src/listener.cc
+++ b/libs/http/src/listener.cc
@@ -5,8 +5,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <QTimer>
+#include <cerrno>
+#include <chrono>
 #include <cstring>
 
+#include "turmeric/utils/decision_log.h"
+
 namespace turmeric::http {
 
 namespace {
@@ -14,8 +19,18 @@
 /** Connections that may wait to be accepted; many clients may reconnect at the
  * same time. */
 constexpr int kBacklog = 512;
-/** Connections accepted in one iteration of the event loop. */
-constexpr int kMaxAcceptsPerIteration = 16;
+/** Connections accepted in one iteration of the event loop. Those that wait
+ * longer are not seen by the callback that decides which to take. */
+constexpr int kMaxAcceptsPerIteration = 256;
+/** Pause after which connections are accepted again when no descriptors were
+ * left: the notifier would fire without end. */
+constexpr std::chrono::milliseconds kDescriptorPause{50};
+
+void Reset(int fd) {
+  const linger reset{1, 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  ::close(fd);
+}
 
 }  // namespace
 
@@ -62,11 +77,26 @@
   for (int i = 0; i < kMaxAcceptsPerIteration && fd_ >= 0; ++i) {
     const int fd =
         ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0) return;
+    if (fd < 0) {
+      if (errno == EMFILE || errno == ENFILE) PauseAccepting();
+      return;
+    }
+    if (takes_ && !takes_()) {
+      Reset(fd);
+      continue;
+    }
     on_accept_(fd);
   }
 }
 
+void Listener::PauseAccepting() {
+  utils::DecisionLog("out_of_descriptors").Add("port", port());
+  notifier_->setEnabled(false);
+  QTimer::singleShot(kDescriptorPause, this, [this] {
+    if (notifier_) notifier_->setEnabled(true);
+  });
+}
+
 void Listener::Close() {
   if (notifier_) notifier_->setEnabled(false);
   if (notifier_) notifier_.release()->deleteLater();
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -80,6 +80,7 @@
       return;
     }
     reading_ = true;
+    reading_since_ = std::chrono::steady_clock::now();
     parser_ = std::make_unique<RequestParser>(limits.max_header_bytes,
                                               limits.max_body_bytes);
     timer_.start(limits.header_timeout);
@@ -100,6 +101,8 @@
   }
   timer_.stop();
   reading_ = false;
+  receive_time_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - reading_since_);
   busy_ = true;
   keep_alive_ = parser_->keep_alive();
   RequestMessage message = std::move(parser_->message());
