Requests without a free connection order connections to all upstreams

Cause: a waiting request ordered connections to the first upstream of the list only; the log shows loans of i-1 and of no other upstream. With an own share of one connection to each, the other eleven were never extended.

Change: each waiting request orders connections to one of the upstreams at random.

--- a/libs/connections/test/loan_fleet_test.cc
+++ b/libs/connections/test/loan_fleet_test.cc
@@ -22,6 +22,7 @@
 
 constexpr milliseconds kStep{50};
 constexpr milliseconds kMaxDelay{400};
+constexpr milliseconds kMaxFreeze{4000};
 /** Longest time for which a request keeps its connection. */
 constexpr milliseconds kMaxRequest{20'000};
 
@@ -115,8 +116,9 @@
 
   void Deliver() {
     for (size_t i = 0; i < messages_.size(); ++i) {
-      if (messages_[i].at > now_) continue;
-      if (instances_[messages_[i].to].frozen_until > now_) continue;
+      const Instance& receiver = instances_[messages_[i].to];
+      const bool is_due = messages_[i].at <= now_;
+      if (!is_due || receiver.frozen_until > now_) continue;
       const Message m = messages_[i];
       messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(i--));
       m.is_grant ? OnGrant(m) : OnOrder(m);
@@ -154,8 +156,9 @@
       i.start = start;
       i.lends_from = now_ + kLoanExpiry;
     }
-    if (Draw(rates_.freeze))
-      i.frozen_until = now_ + DrawTime(milliseconds(4000));
+    if (Draw(rates_.freeze)) {
+      i.frozen_until = now_ + DrawTime(kMaxFreeze);
+    }
     if (i.frozen_until > now_) return;
     std::erase_if(i.ends, [this](auto end) { return end <= now_; });
     const int own = OwnShare(max_, fleet_.instances);
--- a/libs/entry/include/turmeric/entry/upstream_choice.h
+++ b/libs/entry/include/turmeric/entry/upstream_choice.h
@@ -119,10 +119,10 @@
  * @param context the instance's state.
  * @param group the upstreams that may serve the request.
  * @param tried ids of upstreams that must not be used again.
- * @return an upstream that may be sent to, but to which this instance has no
- *     free connection; nullptr if there is none.
+ * @return the upstreams that may be sent to, but to which this instance has no
+ *     free connection.
  */
-routing::UpstreamPtr UpstreamWithoutConnection(
+std::vector<routing::UpstreamPtr> UpstreamsWithoutConnection(
     const EntryContext& context, const UpstreamGroup& group,
     std::span<const std::string> tried);
 
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -403,16 +403,20 @@
 }
 
 bool RequestRun::WaitForConnection() {
-  const routing::UpstreamPtr upstream = UpstreamWithoutConnection(
+  const auto upstreams = UpstreamsWithoutConnection(
       context_, {service_, stream_version_}, tried_upstreams_);
-  if (!upstream || connection_waits_ >= kMaxConnectionWaits ||
+  if (upstreams.empty() || connection_waits_ >= kMaxConnectionWaits ||
       TimeLeft() < kMaxConnectionWaits * kConnectionWait) {
     return false;
   }
+  // Requests that wait at the same time order connections to different
+  // upstreams.
+  const routing::Upstream& upstream = *upstreams[static_cast<size_t>(
+      Uniform() * static_cast<double>(upstreams.size()))];
   if (connection_waits_++ == 0) {
-    context_.connections->OnShortage(*upstream, request_.attempt_id);
+    context_.connections->OnShortage(upstream, request_.attempt_id);
   } else {
-    context_.connections->Order(*upstream);
+    context_.connections->Order(upstream);
   }
   placement_.reset();
   QTimer::singleShot(kConnectionWait, this, [this] {
@@ -423,8 +427,9 @@
 
 void RequestRun::RefuseWithoutUpstream() {
   const bool lacks_connection =
-      UpstreamWithoutConnection(context_, {service_, stream_version_},
-                                tried_upstreams_) != nullptr;
+      !UpstreamsWithoutConnection(context_, {service_, stream_version_},
+                                  tried_upstreams_)
+           .empty();
   if (may_have_run_) {
     return Fail(kBadGateway,
                 lacks_connection ? "no_connection_left" : "no_upstream_left");
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -1,6 +1,7 @@
 #include "turmeric/entry/upstream_choice.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_connections.h"
@@ -124,17 +125,19 @@
   return text;
 }
 
-UpstreamPtr UpstreamWithoutConnection(const EntryContext& context,
-                                      const UpstreamGroup& group,
-                                      std::span<const std::string> tried) {
+std::vector<UpstreamPtr> UpstreamsWithoutConnection(
+    const EntryContext& context, const UpstreamGroup& group,
+    std::span<const std::string> tried) {
   const auto now = Clock::now();
-  const auto upstreams = context.upstreams.ForService(group.service);
-  const auto it = std::ranges::find_if(upstreams, [&](const UpstreamPtr& u) {
-    return MaySend(*u, now) && HasVersion(*u, group.version) &&
-           !context.connections->HasFree(*u) &&
-           std::ranges::count(tried, u->entry.id) == 0;
-  });
-  return it == upstreams.end() ? nullptr : *it;
+  std::vector<UpstreamPtr> found;
+  std::ranges::copy_if(context.upstreams.ForService(group.service),
+                       std::back_inserter(found), [&](const UpstreamPtr& u) {
+                         return MaySend(*u, now) &&
+                                HasVersion(*u, group.version) &&
+                                !context.connections->HasFree(*u) &&
+                                std::ranges::count(tried, u->entry.id) == 0;
+                       });
+  return found;
 }
 
 bool MayHaveCapacitySoon(const EntryContext& context,
