--- a/libs/gateway/test/path_test.cc
+++ b/libs/gateway/test/path_test.cc
@@ -7,7 +7,10 @@
 #include <QNetworkAccessManager>
 #include <QNetworkReply>
 #include <QTimer>
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <numeric>
 
 #include "path_helpers.h"
 #include "turmeric/gateway/embedded_platform.h"
@@ -43,7 +46,18 @@
     r.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
     replies.push_back(network.post(r, Body("nile-hotels", "room 4 moved")));
   }
-  Wait(30);
+  const auto received = [&stack] {
+    const auto& engines = stack.embedded->engines();
+    return std::accumulate(
+        engines.begin(), engines.end(), int64_t{0},
+        [](int64_t sum, const auto& e) { return sum + e->received(); });
+  };
+  const auto none_finished = [&replies] {
+    return std::ranges::none_of(replies, &QNetworkReply::isFinished);
+  };
+  for (int i = 0; i < 2000 && received() < 5; ++i) Wait(1);
+  REQUIRE(received() == 5);
+  REQUIRE(none_finished());
   bool drained = false;
   stack.gateways[0]->Drain([&] { drained = true; });
   const HttpResponse late =
@@ -53,8 +67,14 @@
   CHECK(Json(late).value("code").toInt() == 2003);
   CHECK(Json(late).value("state").toString() == "not_run");
   for (int i = 0; i < 200 && !drained; ++i) Wait(10);
-  CHECK(drained);
+  REQUIRE(drained);
+  // As the program does before it exits.
+  bool closed = false;
+  stack.gateways[0]->Close([&] { closed = true; });
+  for (int i = 0; i < 200 && !closed; ++i) Wait(10);
+  CHECK(closed);
   for (QNetworkReply* r : replies) {
+    for (int i = 0; i < 200 && !r->isFinished(); ++i) Wait(10);
     REQUIRE(r->isFinished());
     CHECK(QJsonDocument::fromJson(r->readAll())
               .object()
