Loans of connections: their sum holds through partitions, restarts and mixed releases

The lenders now leave room for each instance that has not stated in its first frame that it borrows and lends.

Change: a loan order states what may be open (held), the grant what may be opened; the lender counts the larger one. OnProcessStart ends the loans of an earlier process and ignores its late orders. The first frame on a connection states whether the process has loans. Shares are divided by the largest list of the last 22 s. Idle connections are trimmed to the limit when the fleet's list is read, and a connection opened fresh replaces an idle one.

Does not hold: instances that join take their own share when they read the list, up to 10 s before the others do; a list that an instance cannot read for longer; a release without loans that replaces a newer one.

--- a/libs/connections/include/turmeric/connections/connection_borrower.h
+++ b/libs/connections/include/turmeric/connections/connection_borrower.h
@@ -54,7 +54,7 @@
   /**
    * Returns what exceeds a number of connections.
    * @param upstream process incarnation.
-   * @param kept connections kept in all.
+   * @param kept connections kept in all, at least those that are open.
    * @param now current time.
    * @return orders to send.
    */
@@ -79,8 +79,11 @@
  private:
   /** A loan of one lender, or an order for it. */
   struct Loan {
-    int held = 0;
+    int granted = 0;
     Clock::time_point valid_until;
+    /** Connections that may be open: those granted, and those of earlier grants
+     * until Reduce. */
+    int held = 0;
     uint64_t sequence = 0;  ///< Of the last order.
     Clock::time_point ordered_at;
     int wanted = 0;     ///< By the last order.
@@ -89,6 +92,9 @@
   };
   using LoansByLender = std::map<std::string, Loan, std::less<>>;
 
+  static int Usable(const Loan& loan, Clock::time_point now) {
+    return now < loan.valid_until ? loan.granted : 0;
+  }
   AddressedOrder Order(const std::string& upstream, const std::string& lender,
                        Loan& loan, int wanted, Clock::time_point now);
 
--- a/libs/connections/include/turmeric/connections/connection_lender.h
+++ b/libs/connections/include/turmeric/connections/connection_lender.h
@@ -25,7 +25,7 @@
  public:
   /**
    * Decides on an order.
-   * @param borrower identity of the process that orders.
+   * @param borrower identity of the process that orders, "name#start".
    * @param order see LoanOrder.
    * @param part what may be lent of this upstream.
    * @param now current time.
@@ -36,6 +36,10 @@
   /** @param upstream process incarnation. @param now current time.
    * @return connections lent. */
   int Lent(const std::string& upstream, Clock::time_point now) const;
+  /** Ends the loans of the earlier process of an instance that has started
+   * again: the system has closed its connections. @param borrower identity of
+   * the new process. */
+  void OnProcessStart(const std::string& borrower);
   /** Forgets loans that have ended. @param now current time. */
   void Expire(Clock::time_point now);
   /** @return number of upstreams with loans. */
@@ -48,10 +52,16 @@
     Clock::time_point renewed_at;
   };
   using LoansByBorrower = std::map<std::string, Loan>;
+  /** The processes of an instance. */
+  struct Processes {
+    std::string current;
+    std::string ended;  ///< The one before; its late orders are ignored.
+  };
 
   static void EraseEnded(LoansByBorrower& loans, Clock::time_point now);
 
   std::map<std::string, LoansByBorrower> loans_;  ///< By upstream.
+  std::map<std::string, Processes> processes_;    ///< By instance.
 };
 
 }  // namespace turmeric::connections
--- a/libs/connections/include/turmeric/connections/connection_shares.h
+++ b/libs/connections/include/turmeric/connections/connection_shares.h
@@ -7,6 +7,9 @@
   int instances = 0;  ///< 0: not known yet.
   int lenders = 0;    ///< Instances that lend connections; see
                       ///< ConnectionLender.
+  /** Instances that may use EvenShare, as they are of a release that neither
+   * borrows nor lends, or as their release is not known. */
+  int older = 0;
 };
 
 /**
@@ -18,6 +21,14 @@
  */
 int OwnShare(int max_connections, int instances);
 
+/**
+ * @param max_connections see OwnShare.
+ * @param fleet see Fleet.
+ * @return connections that an instance of a release without loans may open, at
+ *     least 1; 0: unlimited.
+ */
+int EvenShare(int max_connections, const Fleet& fleet);
+
 /**
  * @param max_connections see OwnShare.
  * @param fleet see Fleet.
--- a/libs/connections/include/turmeric/connections/loan.h
+++ b/libs/connections/include/turmeric/connections/loan.h
@@ -19,15 +19,17 @@
 struct LoanOrder {
   std::string upstream;   ///< Process incarnation.
   uint64_t sequence = 0;  ///< Increases with each order of the borrower.
-  int held = 0;           ///< Connections that the borrower has of the lender.
-  int wanted = 0;         ///< Connections that it wants of it in all.
+  /** Connections that the borrower may have open on loans of the lender: those
+   * of lapsed or reduced loans count until they are closed. */
+  int held = 0;
+  int wanted = 0;  ///< Connections that it wants of it in all.
 };
 
 /** Answers a LoanOrder. */
 struct LoanGrant {
   std::string upstream;   ///< Process incarnation.
   uint64_t sequence = 0;  ///< Of the order.
-  int held = 0;           ///< Connections that the borrower has from now on.
+  int held = 0;           ///< Connections that the borrower may open.
 };
 
 }  // namespace turmeric::connections
--- a/libs/connections/src/connection_borrower.cc
+++ b/libs/connections/src/connection_borrower.cc
@@ -13,9 +13,7 @@
   if (it == loans_.end()) return 0;
   return std::accumulate(it->second.begin(), it->second.end(), 0,
                          [now](int sum, const auto& entry) {
-                           const Loan& loan = entry.second;
-                           return now < loan.valid_until ? sum + loan.held
-                                                         : sum;
+                           return sum + Usable(entry.second, now);
                          });
 }
 
@@ -49,8 +47,8 @@
     const std::string& lender = lenders[(first + i) % lenders.size()];
     Loan& loan = loans[lender];
     if (now < loan.refused_until) continue;
-    const int valid = now < loan.valid_until ? loan.held : 0;
-    return {Order(upstream, lender, loan, valid + missing, now)};
+    const int more = Usable(loan, now) + missing;
+    return {Order(upstream, lender, loan, std::max(loan.held, more), now)};
   }
   return {};
 }
@@ -67,6 +65,7 @@
     const bool unanswered = loan.open && now - loan.ordered_at > kRenewInterval;
     if (keep == loan.held && !(keep == 0 && unanswered)) continue;
     loan.held = keep;
+    loan.granted = std::min(loan.granted, keep);
     orders.push_back(Order(upstream, lender, loan, keep, now));
   }
   std::erase_if(it->second, [now](const auto& entry) {
@@ -87,11 +86,12 @@
   Loan& loan = found->second;
   if (!loan.open || loan.sequence != grant.sequence) return false;
   loan.open = false;
-  loan.held = std::clamp(grant.held, 0, loan.wanted);
+  loan.granted = std::clamp(grant.held, 0, loan.wanted);
+  loan.held = std::max(loan.held, loan.granted);
   // The lender counts from a later time.
   loan.valid_until = loan.ordered_at + kLoanValidity;
   loan.refused_until =
-      loan.held < loan.wanted ? now + kRefusalPause : Clock::time_point();
+      loan.granted < loan.wanted ? now + kRefusalPause : Clock::time_point();
   return true;
 }
 
--- a/libs/connections/src/connection_lender.cc
+++ b/libs/connections/src/connection_lender.cc
@@ -2,12 +2,26 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace turmeric::connections {
 
+namespace {
+
+/** @return the instance's name in an identity "name#start". */
+std::string NameOf(const std::string& identity) {
+  return identity.substr(0, identity.rfind('#'));
+}
+
+}  // namespace
+
 LoanGrant ConnectionLender::Decide(const std::string& borrower,
                                    const LoanOrder& order, LendablePart part,
                                    Clock::time_point now) {
+  const auto processes = processes_.find(NameOf(borrower));
+  if (processes != processes_.end() && processes->second.ended == borrower) {
+    return {.upstream = order.upstream, .sequence = order.sequence};
+  }
   LoansByBorrower& loans = loans_[order.upstream];
   EraseEnded(loans, now);
   Loan& loan = loans[borrower];
@@ -22,7 +36,7 @@
   const int available =
       std::max(0, part.connections - Lent(order.upstream, now));
   grant.held = std::min(wanted, part.may_extend ? available : held);
-  loan.connections = grant.held;
+  loan.connections = std::max(grant.held, held);
   return grant;
 }
 
@@ -38,6 +52,13 @@
                          });
 }
 
+void ConnectionLender::OnProcessStart(const std::string& borrower) {
+  Processes& processes = processes_[NameOf(borrower)];
+  if (borrower == processes.current || borrower == processes.ended) return;
+  processes.ended = std::exchange(processes.current, borrower);
+  for (auto& [upstream, loans] : loans_) loans.erase(processes.ended);
+}
+
 void ConnectionLender::Expire(Clock::time_point now) {
   for (auto& [upstream, loans] : loans_) EraseEnded(loans, now);
   std::erase_if(loans_, [](const auto& entry) { return entry.second.empty(); });
--- a/libs/connections/src/connection_shares.cc
+++ b/libs/connections/src/connection_shares.cc
@@ -24,11 +24,19 @@
   return std::max(1, max_connections / (kOwnDivisor * instances));
 }
 
+int EvenShare(int max_connections, const Fleet& fleet) {
+  if (max_connections <= 0) return 0;
+  if (fleet.instances <= 0) return 1;
+  return std::max(1, max_connections / fleet.instances);
+}
+
 int LenderPart(int max_connections, const Fleet& fleet, int rank) {
   if (fleet.instances <= 1 || rank < 0 || rank >= fleet.lenders) return 0;
   const int own = OwnShare(max_connections, fleet.instances);
   const int usable = max_connections - max_connections / kReserveDivisor;
-  const int pool = std::max(0, usable - own * fleet.instances);
+  const int taken = own * (fleet.instances - fleet.older) +
+                    EvenShare(max_connections, fleet) * fleet.older;
+  const int pool = std::max(0, usable - taken);
   const bool has_rest = rank < pool % fleet.lenders;
   return pool / fleet.lenders + (has_rest ? 1 : 0);
 }
--- a/libs/connections/test/connection_borrower_test.cc
+++ b/libs/connections/test/connection_borrower_test.cc
@@ -111,6 +111,39 @@
   CHECK(borrower.Renew(later + ConnectionBorrower::kRenewInterval).empty());
 }
 
+// Guards against connections that are lent twice after a partition.
+TEST_CASE("a lapsed loan is ordered again as long as it may be in use") {
+  ConnectionBorrower borrower("a");
+  const Clock::time_point now = Clock::now();
+  const auto granted = Borrow(borrower, 5, now);
+  const auto later = now + kLoanValidity;
+  CHECK(borrower.Borrowed("u", later) == 0);
+  const std::vector<std::string> lenders = {granted.lender};
+  const auto again = borrower.Extend("u", 2, lenders, later);
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].order.held == 5);
+  CHECK(again[0].order.wanted == 5);
+  const auto returned = borrower.Reduce("u", 3, later);
+  REQUIRE(returned.size() == 1);
+  CHECK(returned[0].order.held == 3);
+  CHECK(borrower.Borrowed("u", later) == 0);
+}
+
+// Guards against the use of connections that the lender has taken back.
+TEST_CASE("a smaller grant bounds the use, not what is stated as held") {
+  ConnectionBorrower borrower("a");
+  const Clock::time_point now = Clock::now();
+  const auto granted = Borrow(borrower, 5, now);
+  const auto later = now + ConnectionBorrower::kRenewInterval;
+  const auto renewals = borrower.Renew(later);
+  REQUIRE(renewals.size() == 1);
+  borrower.OnGrant(granted.lender, Grant(renewals[0], 2), later);
+  CHECK(borrower.Borrowed("u", later) == 2);
+  const auto next = borrower.Renew(later + ConnectionBorrower::kRenewInterval);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].order.held == 5);
+}
+
 TEST_CASE("the orders of a lost lender are dropped, its loans are kept") {
   ConnectionBorrower borrower("a");
   const Clock::time_point now = Clock::now();
--- a/libs/connections/test/connection_lender_test.cc
+++ b/libs/connections/test/connection_lender_test.cc
@@ -75,6 +75,32 @@
   CHECK(lender.Decide("a", Order(2, 6, 6), none, now).held == 0);
 }
 
+// Guards against connections that are lent again while their borrower has them
+// open.
+TEST_CASE("connections of a reduced loan are lent again once returned") {
+  ConnectionLender lender;
+  const Clock::time_point now;
+  const LendablePart smaller{.connections = 7, .may_extend = true};
+  lender.Decide("a", Order(1, 0, 10), kPart, now);
+  CHECK(lender.Decide("a", Order(2, 10, 10), smaller, now).held == 7);
+  CHECK(lender.Lent("u", now) == 10);
+  CHECK(lender.Decide("b", Order(1, 0, 2), smaller, now).held == 0);
+  lender.Decide("a", Order(3, 5, 5), smaller, now);
+  CHECK(lender.Decide("b", Order(2, 0, 2), smaller, now).held == 2);
+}
+
+TEST_CASE("the loans of a process that has ended are lent again at once") {
+  ConnectionLender lender;
+  const Clock::time_point now;
+  lender.OnProcessStart("a#1");
+  lender.Decide("a#1", Order(1, 0, 8), kPart, now);
+  lender.OnProcessStart("a#2");
+  // Frames of the earlier process may be read late.
+  lender.OnProcessStart("a#1");
+  CHECK(lender.Decide("a#1", Order(2, 0, 8), kPart, now).held == 0);
+  CHECK(lender.Decide("a#2", Order(1, 0, 10), kPart, now).held == 10);
+}
+
 TEST_CASE("negative numbers in an order count as 0") {
   ConnectionLender lender;
   const Clock::time_point now;
--- a/libs/connections/test/connection_shares_test.cc
+++ b/libs/connections/test/connection_shares_test.cc
@@ -9,7 +9,9 @@
 namespace {
 
 int SumOfParts(int max_connections, const Fleet& fleet) {
-  int sum = fleet.instances * OwnShare(max_connections, fleet.instances);
+  int sum = (fleet.instances - fleet.older) *
+                OwnShare(max_connections, fleet.instances) +
+            fleet.older * EvenShare(max_connections, fleet);
   for (int rank = 0; rank < fleet.lenders; ++rank) {
     sum += LenderPart(max_connections, fleet, rank);
   }
@@ -46,5 +48,18 @@
   }));
 }
 
+// Guards against more connections than an upstream accepts while instances of
+// two releases run.
+TEST_CASE("the shares leave room for instances that take an even share") {
+  CHECK(rc::check("if there are as many connections as instances", [] {
+    const int instances = *rc::gen::inRange(2, 400);
+    const int max_connections = *rc::gen::inRange(instances, 2000);
+    const int older = *rc::gen::inRange(0, instances + 1);
+    RC_ASSERT(SumOfParts(max_connections, {.instances = instances,
+                                           .lenders = 5,
+                                           .older = older}) <= max_connections);
+  }));
+}
+
 }  // namespace
 }  // namespace turmeric::connections
--- a/libs/entry/include/turmeric/entry/retry_budgets.h
+++ b/libs/entry/include/turmeric/entry/retry_budgets.h
@@ -29,6 +29,8 @@
   /** @return instances in the fleet's list, including this one; 0: the list
    * has not been read. */
   int listed_instances() const { return fleet_.listed(); }
+  /** @return see FleetSize::largest_listed. */
+  int largest_listed() const { return fleet_.largest_listed(); }
   /** Earns credit for a request. @param service the service requested.
    * @param now current time. @param weight less than 1 if several instances
    * count the same request. */
--- a/libs/entry/include/turmeric/entry/upstream_connections.h
+++ b/libs/entry/include/turmeric/entry/upstream_connections.h
@@ -5,17 +5,20 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "turmeric/connections/connection_borrower.h"
 #include "turmeric/connections/connection_lender.h"
+#include "turmeric/connections/connection_shares.h"
 #include "turmeric/routing/upstream.h"
 
 namespace turmeric::peer {
 struct Frame;
-}
+enum class LoanStatement;
+}  // namespace turmeric::peer
 
 namespace turmeric::entry {
 
@@ -64,8 +67,15 @@
   /** Orders connections to an upstream without a free one. @param upstream the
    * upstream. */
   void Order(const routing::Upstream& upstream);
-  /** Applies the fleet's list. @param now current time. */
-  void OnInstances(Clock::time_point now);
+  /** Applies the fleet's list. @param names of all instances. @param now
+   * current time. */
+  void OnInstances(std::span<const std::string> names, Clock::time_point now);
+
+  /** Adds to the first frame on a connection. @param frame the frame. */
+  void AddStatement(peer::Frame& frame) const;
+  /** Handles the first frame on a connection that another instance has opened.
+   * @param identity of its process. @param frame its frame. */
+  void OnFirstFrame(const std::string& identity, const peer::Frame& frame);
 
   /** Handles a frame on a connection that this instance has opened. @param name
    * of the other instance. @param frame its frame. */
@@ -84,7 +94,24 @@
     int peak = 0;  ///< Most requests in flight.
   };
 
+  /** Since when this instance is a lender of a service. */
+  struct LenderSince {
+    Clock::time_point at;
+    /** It was a lender before its process started, too, so that no other
+     * instance has lent the same connections meanwhile. */
+    bool before_start = false;
+  };
+
   int OwnShareOf(const routing::Upstream& upstream) const;
+  /** @return true if the instance is known to borrow and lend. */
+  bool HasLoanRelease(const std::string& name) const;
+  /** @return the fleet, as far as the division of connections depends on it. */
+  connections::Fleet FleetOf(const std::string& service) const;
+  void UpdateLenderSince(Clock::time_point now);
+  void OnStatement(const std::string& name, peer::LoanStatement statement);
+  /** Ends the wait of a restarted lender once no instance has a loan. */
+  void SettleWithoutLoans(Clock::time_point now);
+  void TrimToLimits();
   void Extend(const routing::Upstream& upstream, int missing,
               Clock::time_point now);
   void Send(const std::vector<connections::AddressedOrder>& orders,
@@ -106,9 +133,12 @@
   connections::ConnectionLender lender_;
   /** Upstreams with loans, by process incarnation. */
   std::map<std::string, Use> use_;
-  /** Since when this instance is a lender, by service. */
-  std::map<std::string, Clock::time_point> lender_since_;
+  Clock::time_point started_ = Clock::now();
+  std::map<std::string, LenderSince> lender_since_;  ///< By service.
   bool was_lender_ = false;
+  std::vector<std::string> others_;  ///< The fleet without this instance.
+  /** The last statements of other instances, by name. */
+  std::map<std::string, peer::LoanStatement> statements_;
   QTimer timer_;
 };
 
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -154,6 +154,7 @@
   brittle_->AddKnown(frame);
   availability_->AddKnown(frame);
   versions_->AddKnown(frame);
+  connections_->AddStatement(frame);
 }
 
 void EntryService::AddToFrame(const std::string& name,
@@ -311,6 +312,7 @@
         quarantine_->OnFrame(identity, frame);
         peer::Frame* reply = peer_server_->FrameTo(identity);
         limiter_->OnOrders(frame, reply, Clock::now());
+        if (!frame.sender.empty()) connections_->OnFirstFrame(identity, frame);
         connections_->OnOrders(identity, frame, reply);
         origins_->OnQueries(frame, reply);
       });
@@ -382,7 +384,7 @@
         std::vector<std::string> names;
         for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
-        connections_->OnInstances(Clock::now());
+        connections_->OnInstances(names, Clock::now());
         sharing_->SetInstances(fleet);
         origins_->OnFleetList();
       });
--- a/libs/entry/src/upstream_client.cc
+++ b/libs/entry/src/upstream_client.cc
@@ -69,8 +69,10 @@
 }
 
 bool UpstreamClient::HasConnection(const Upstream& upstream, int limit) const {
-  if (limit <= 0 || upstream.connections < limit) return true;
-  return HasIdle(upstream);
+  if (limit <= 0) return true;
+  const auto it = pools_.find(upstream.entry.id);
+  const size_t idle = it == pools_.end() ? 0 : it->second.idle.size();
+  return upstream.connections - static_cast<int>(idle) < limit;
 }
 
 bool UpstreamClient::HasIdle(const Upstream& upstream) const {
@@ -250,6 +252,8 @@
 std::shared_ptr<UpstreamExchange> UpstreamClient::Send(
     UpstreamPtr upstream, std::string_view bytes, http::ExchangeEvents events,
     ExchangeOptions options) {
+  // Replaces an idle connection, so that their number does not grow.
+  if (options.fresh_connection) TrimIdle(*upstream, upstream->connections - 1);
   ClientConnection* connection =
       options.fresh_connection
           ? nullptr
--- a/libs/entry/src/upstream_connections.cc
+++ b/libs/entry/src/upstream_connections.cc
@@ -31,6 +31,9 @@
  * in kReserveDivisor of those needed is kept free. */
 constexpr int kExtensionDivisor = 2;
 constexpr int kReserveDivisor = 4;
+/** Time from the start of a process to its first read of the fleet's list and
+ * of the configuration, at most, for a lender that was one before. */
+constexpr milliseconds kStartTime{5000};
 /** Bounds the size of a placement order. */
 constexpr size_t kMaxIds = 64;
 
@@ -49,7 +52,23 @@
       context_.FindService(upstream.entry.service);
   if (spec == nullptr) return 0;
   return connections::OwnShare(spec->max_connections,
-                               context_.retries.listed_instances());
+                               context_.retries.largest_listed());
+}
+
+bool UpstreamConnections::HasLoanRelease(const std::string& name) const {
+  const auto it = statements_.find(name);
+  return it != statements_.end() && it->second != peer::LoanStatement::kNone;
+}
+
+connections::Fleet UpstreamConnections::FleetOf(
+    const std::string& service) const {
+  const auto older = std::ranges::count_if(
+      others_,
+      [this](const std::string& name) { return !HasLoanRelease(name); });
+  return {.instances = context_.retries.largest_listed(),
+          .lenders =
+              static_cast<int>(context_.limiter->issuers().Of(service).size()),
+          .older = static_cast<int>(older)};
 }
 
 int UpstreamConnections::Limit(const Upstream& upstream) const {
@@ -108,11 +127,12 @@
                                  Clock::time_point now) {
   const std::string incarnation = ProcessStartId(upstream.entry);
   std::vector<std::string> lenders;
-  std::ranges::copy_if(
-      context_.limiter->issuers().Of(upstream.entry.service),
-      std::back_inserter(lenders), [this](const std::string& name) {
-        return name == context_.settings.name || links_.reaches(name);
-      });
+  std::ranges::copy_if(context_.limiter->issuers().Of(upstream.entry.service),
+                       std::back_inserter(lenders),
+                       [this](const std::string& name) {
+                         return name == context_.settings.name ||
+                                (HasLoanRelease(name) && links_.reaches(name));
+                       });
   const int more = std::max(missing, upstream.connections / kExtensionDivisor);
   const int wanted = borrower_.Borrowed(incarnation, now) + more;
   if (!timer_.isActive()) timer_.start();
@@ -132,21 +152,76 @@
   }
 }
 
-void UpstreamConnections::OnInstances(Clock::time_point now) {
+void UpstreamConnections::OnInstances(std::span<const std::string> names,
+                                      Clock::time_point now) {
+  others_.clear();
+  std::ranges::copy_if(names, std::back_inserter(others_),
+                       [this](const std::string& name) {
+                         return name != context_.settings.name;
+                       });
+  lender_.Expire(now);
+  UpdateLenderSince(now);
+  TrimToLimits();
+}
+
+void UpstreamConnections::UpdateLenderSince(Clock::time_point now) {
+  if (!context_.table) return;
   // The first lenders of a fleet that starts for the first time have no
   // predecessors.
   const bool is_first = context_.settings.first_start && !was_lender_;
-  const auto since = is_first ? now - connections::kLoanExpiry : now;
-  if (!context_.table) return;
+  const routing::IssuerList& issuers = context_.limiter->issuers();
+  const LenderSince since{.at = is_first ? now - connections::kLoanExpiry : now,
+                          .before_start = issuers.listed_before_start() &&
+                                          now - started_ < kStartTime};
   for (const auto& [name, spec] : context_.table->services) {
-    if (!context_.limiter->issuers().OwnRank(name, now)) {
+    if (!issuers.OwnRank(name, now)) {
       lender_since_.erase(name);
       continue;
     }
     lender_since_.try_emplace(name, since);
     was_lender_ = true;
   }
-  lender_.Expire(now);
+  SettleWithoutLoans(now);
+}
+
+void UpstreamConnections::SettleWithoutLoans(Clock::time_point now) {
+  const bool no_loans =
+      std::ranges::all_of(others_, [this](const std::string& name) {
+        const auto it = statements_.find(name);
+        return it != statements_.end() &&
+               it->second == peer::LoanStatement::kNoLoans;
+      });
+  if (!no_loans) return;
+  for (auto& [service, since] : lender_since_) {
+    if (since.before_start) since.at = now - connections::kLoanExpiry;
+  }
+}
+
+void UpstreamConnections::AddStatement(peer::Frame& frame) const {
+  frame.loans = borrower_.empty() ? peer::LoanStatement::kNoLoans
+                                  : peer::LoanStatement::kHasLoans;
+}
+
+void UpstreamConnections::OnFirstFrame(const std::string& identity,
+                                       const peer::Frame& frame) {
+  lender_.OnProcessStart(identity);
+  OnStatement(identity.substr(0, identity.rfind('#')), frame.loans);
+}
+
+void UpstreamConnections::OnStatement(const std::string& name,
+                                      peer::LoanStatement statement) {
+  statements_[name] = statement;
+  SettleWithoutLoans(Clock::now());
+}
+
+void UpstreamConnections::TrimToLimits() {
+  if (!context_.table) return;
+  for (const auto& [service, spec] : context_.table->services) {
+    for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
+      const int limit = Limit(*u);
+      if (limit > 0) context_.client.TrimIdle(*u, limit);
+    }
+  }
 }
 
 LendablePart UpstreamConnections::PartOf(const std::string& incarnation,
@@ -155,18 +230,14 @@
   if (!upstream) return {};
   const std::string& service = upstream->entry.service;
   const routing::ServiceSpec* spec = context_.FindService(service);
-  const routing::IssuerList& lenders = context_.limiter->issuers();
-  const auto rank = lenders.OwnRank(service, now);
+  const auto rank = context_.limiter->issuers().OwnRank(service, now);
   if (spec == nullptr || !rank) return {.connections = 0, .may_extend = true};
-  if (!lender_since_.contains(service)) OnInstances(now);
+  if (!lender_since_.contains(service)) UpdateLenderSince(now);
   const auto since = lender_since_.find(service);
   const bool settled = since != lender_since_.end() &&
-                       now - since->second >= connections::kLoanExpiry;
-  return {.connections = connections::LenderPart(
-              spec->max_connections,
-              {.instances = context_.retries.listed_instances(),
-               .lenders = static_cast<int>(lenders.Of(service).size())},
-              *rank),
+                       now - since->second.at >= connections::kLoanExpiry;
+  return {.connections = connections::LenderPart(spec->max_connections,
+                                                 FleetOf(service), *rank),
           .may_extend = settled};
 }
 
@@ -201,6 +272,7 @@
 
 void UpstreamConnections::OnGrants(const std::string& name,
                                    const peer::Frame& frame) {
+  if (frame.loans != peer::LoanStatement::kNone) OnStatement(name, frame.loans);
   const auto now = Clock::now();
   for (const LoanGrant& grant : frame.loan_grants) OnGrant(name, grant, now);
 }
@@ -238,8 +310,11 @@
   use.peak = upstream->in_flight;
   const int own = OwnShareOf(*upstream);
   const int kept_for_use = needed > own ? needed + needed / kReserveDivisor : 0;
-  context_.client.TrimIdle(*upstream, std::max(own, kept_for_use));
-  const int kept = std::max(kept_for_use, upstream->connections) - own;
+  const int limit = Limit(*upstream);
+  context_.client.TrimIdle(*upstream,
+                           std::min(limit, std::max(own, kept_for_use)));
+  const int kept =
+      std::max(std::min(limit, kept_for_use), upstream->connections) - own;
   Send(borrower_.Reduce(incarnation, std::max(0, kept), now), now);
 }
 
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -230,6 +230,13 @@
   kOverloaded,  ///< Repeated while it holds.
 };
 
+/** Whether an instance borrows connections to upstreams from others. */
+enum class LoanStatement {
+  kNone,  ///< The frame is not the first one, or the release has no loans.
+  kNoLoans,
+  kHasLoans,
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Identity; set in the first frame only.
@@ -273,6 +280,7 @@
   std::vector<connections::LoanOrder> loan_orders;
   std::vector<connections::LoanGrant> loan_grants;
   LoadStatement load = LoadStatement::kNone;
+  LoanStatement loans = LoanStatement::kNone;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -95,6 +95,39 @@
 struct Frame;
 struct FrameBuilder;
 
+enum class LoanStatement : int8_t {
+  None = 0,
+  NoLoans = 1,
+  HasLoans = 2,
+  MIN = None,
+  MAX = HasLoans
+};
+
+inline const LoanStatement (&EnumValuesLoanStatement())[3] {
+  static const LoanStatement values[] = {
+    LoanStatement::None,
+    LoanStatement::NoLoans,
+    LoanStatement::HasLoans
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesLoanStatement() {
+  static const char * const names[4] = {
+    "None",
+    "NoLoans",
+    "HasLoans",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameLoanStatement(LoanStatement e) {
+  if (flatbuffers::IsOutRange(e, LoanStatement::None, LoanStatement::HasLoans)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesLoanStatement()[index];
+}
+
 enum class LoadStatement : int8_t {
   None = 0,
   WithinMeans = 1,
@@ -2532,7 +2565,8 @@
     VT_AVAILABILITY_NOTICES = 68,
     VT_LOAN_ORDERS = 70,
     VT_LOAN_GRANTS = 72,
-    VT_LOAD = 74
+    VT_LOAD = 74,
+    VT_LOANS = 76
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -2642,6 +2676,9 @@
   turmeric::peer::wire::LoadStatement load() const {
     return static_cast<turmeric::peer::wire::LoadStatement>(GetField<int8_t>(VT_LOAD, 0));
   }
+  turmeric::peer::wire::LoanStatement loans() const {
+    return static_cast<turmeric::peer::wire::LoanStatement>(GetField<int8_t>(VT_LOANS, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2730,6 +2767,7 @@
            verifier.VerifyVector(loan_grants()) &&
            verifier.VerifyVectorOfTables(loan_grants()) &&
            VerifyField<int8_t>(verifier, VT_LOAD, 1) &&
+           VerifyField<int8_t>(verifier, VT_LOANS, 1) &&
            verifier.EndTable();
   }
 };
@@ -2846,6 +2884,9 @@
   void add_load(turmeric::peer::wire::LoadStatement load) {
     fbb_.AddElement<int8_t>(Frame::VT_LOAD, static_cast<int8_t>(load), 0);
   }
+  void add_loans(turmeric::peer::wire::LoanStatement loans) {
+    fbb_.AddElement<int8_t>(Frame::VT_LOANS, static_cast<int8_t>(loans), 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2894,7 +2935,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>> availability_notices = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>> loan_orders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>> loan_grants = 0,
-    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None) {
+    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
+    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None) {
   FrameBuilder builder_(_fbb);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
@@ -2929,6 +2971,7 @@
   builder_.add_taken(taken);
   builder_.add_pieces(pieces);
   builder_.add_sender(sender);
+  builder_.add_loans(loans);
   builder_.add_load(load);
   builder_.add_reach(reach);
   builder_.add_leaving(leaving);
@@ -2972,7 +3015,8 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>> *availability_notices = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>> *loan_orders = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>> *loan_grants = nullptr,
-    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None) {
+    turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
+    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -3036,7 +3080,8 @@
       availability_notices__,
       loan_orders__,
       loan_grants__,
-      load);
+      load,
+      loans);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -602,7 +602,8 @@
              limits.permits, static_cast<wire::ReachStatement>(frame.reach),
              limits.brittle, streams.versions, streams.records, streams.queries,
              streams.answers, trial_list, limits.availability, loans.orders,
-             loans.grants, static_cast<wire::LoadStatement>(frame.load)));
+             loans.grants, static_cast<wire::LoadStatement>(frame.load),
+             static_cast<wire::LoanStatement>(frame.loans)));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -628,6 +629,10 @@
       f.load() <= wire::LoadStatement::MAX) {
     frame.load = static_cast<LoadStatement>(f.load());
   }
+  if (f.loans() >= wire::LoanStatement::MIN &&
+      f.loans() <= wire::LoanStatement::MAX) {
+    frame.loans = static_cast<LoanStatement>(f.loans());
+  }
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
   ReadLimitParts(f, now, frame);
--- a/libs/routing/include/turmeric/routing/fleet_size.h
+++ b/libs/routing/include/turmeric/routing/fleet_size.h
@@ -56,6 +56,10 @@
   /** @return instances in the last list; 0 if no list was read; 1 if this
    * instance is marked as the only one. */
   int listed() const;
+  /** @return instances in the largest of the lists read within kListValidity
+   * before the last read; 0 if no list was read; 1 if this instance is marked
+   * as the only one. */
+  int largest_listed() const;
   /** @param now current time. @return instances in the largest of the lists
    * read within kListValidity before the last read; nullopt: the list may not
    * have been read in full yet. */
--- a/libs/routing/include/turmeric/routing/issuer_list.h
+++ b/libs/routing/include/turmeric/routing/issuer_list.h
@@ -49,6 +49,9 @@
    * as one. */
   std::optional<int> OwnRank(const std::string& service,
                              Clock::time_point now) const;
+  /** @return true if the first list that was read contained this instance, from
+   * an earlier start. */
+  bool listed_before_start() const { return listed_before_start_; }
   /** @return instances of the fleet, including this one. */
   int fleet_size() const { return static_cast<int>(last_listed_.size()) + 1; }
 
--- a/libs/routing/src/fleet_size.cc
+++ b/libs/routing/src/fleet_size.cc
@@ -22,7 +22,13 @@
 std::optional<int> FleetSize::SettledSize(Clock::time_point now) const {
   if (!first_read_ || now < *first_read_ + kListSettleTime) return std::nullopt;
   // Instances that are no longer listed may still act on an earlier list.
-  return std::max(1, std::ranges::max(reads_, {}, &Read::instances).instances);
+  return std::max(1, largest_listed());
+}
+
+int FleetSize::largest_listed() const {
+  if (single_instance_) return 1;
+  if (reads_.empty()) return 0;
+  return std::ranges::max(reads_, {}, &Read::instances).instances;
 }
 
 int FleetSize::listed() const {
