Loans last as long as the longest request; fewer lookups without a shortage

A loan ended at its lender after 32 s, which assumes that no request keeps its connection for more than 20 s. A configuration may allow longer ones (timeout_ms of a route), so that connections of a lapsed loan could be lent again while requests use them. Found by reading; "a loan lasts as long as a request may keep its connection" fails without the change (it has no such setting).

The upstreams without a free connection were collected for each request with a lookup of the service, the fleet's size and the pool for each upstream, also without any shortage. Now only those with as many connections as the own share are looked up.

No change of what is lent or refused otherwise; loan tests and path tests of connections pass.

--- a/libs/connections/include/turmeric/connections/connection_lender.h
+++ b/libs/connections/include/turmeric/connections/connection_lender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <string>
@@ -19,7 +20,7 @@
 /**
  * Lends a part of the connections that upstreams accept to the instances that
  * need more than their own shares. A loan ends when the borrower returns it, or
- * has not renewed it for kLoanExpiry. Time is passed in by the caller.
+ * has not renewed it for expiry(). Time is passed in by the caller.
  */
 class ConnectionLender {
  public:
@@ -33,6 +34,12 @@
    */
   LoanGrant Decide(const std::string& borrower, const LoanOrder& order,
                    LendablePart part, Clock::time_point now);
+  /** Requests that began before may still last longer, so that the expiry does
+   * not decrease. @param time for which a request may keep its connection. */
+  void SetLongestRequest(std::chrono::milliseconds time);
+  /** @return time after which a loan ends unless it is renewed: its validity
+   * and the time that an open request may last. */
+  std::chrono::milliseconds expiry() const { return expiry_; }
   /** @param upstream process incarnation. @param now current time.
    * @return connections lent. */
   int Lent(const std::string& upstream, Clock::time_point now) const;
@@ -58,8 +65,12 @@
     std::string ended;  ///< The one before; its late orders are ignored.
   };
 
-  static void EraseEnded(LoansByBorrower& loans, Clock::time_point now);
+  bool HasEnded(const Loan& loan, Clock::time_point now) const {
+    return now - loan.renewed_at > expiry_;
+  }
+  void EraseEnded(LoansByBorrower& loans, Clock::time_point now) const;
 
+  std::chrono::milliseconds expiry_ = kLoanExpiry;
   std::map<std::string, LoansByBorrower> loans_;  ///< By upstream.
   std::map<std::string, Processes> processes_;    ///< By instance.
 };
--- a/libs/connections/include/turmeric/connections/loan.h
+++ b/libs/connections/include/turmeric/connections/loan.h
@@ -8,11 +8,14 @@
 
 using Clock = std::chrono::steady_clock;
 
-/** Time after which a loan ends at its lender unless the borrower renews it. It
- * exceeds kLoanValidity by the time that an open request may last. */
+/** Least time after which a loan ends at its lender unless the borrower renews
+ * it; see ConnectionLender::expiry. */
 inline constexpr std::chrono::milliseconds kLoanExpiry{32000};
 /** Time for which the borrower uses a loan after it ordered or renewed it. */
 inline constexpr std::chrono::milliseconds kLoanValidity{8000};
+/** Time that connections on a lapsed loan may stay open after their requests
+ * have ended: idle ones are closed at intervals. */
+inline constexpr std::chrono::milliseconds kCloseTime{4000};
 
 /** Asks a lender for connections to an upstream, renews a loan or returns it.
  */
--- a/libs/connections/src/connection_lender.cc
+++ b/libs/connections/src/connection_lender.cc
@@ -44,12 +44,11 @@
                            Clock::time_point now) const {
   const auto it = loans_.find(upstream);
   if (it == loans_.end()) return 0;
-  return std::accumulate(it->second.begin(), it->second.end(), 0,
-                         [now](int sum, const auto& entry) {
-                           const bool ended =
-                               now - entry.second.renewed_at > kLoanExpiry;
-                           return ended ? sum : sum + entry.second.connections;
-                         });
+  return std::accumulate(
+      it->second.begin(), it->second.end(), 0, [&](int sum, const auto& entry) {
+        const Loan& loan = entry.second;
+        return HasEnded(loan, now) ? sum : sum + loan.connections;
+      });
 }
 
 void ConnectionLender::OnProcessStart(const std::string& borrower) {
@@ -65,10 +64,13 @@
 }
 
 void ConnectionLender::EraseEnded(LoansByBorrower& loans,
-                                  Clock::time_point now) {
-  std::erase_if(loans, [now](const auto& entry) {
-    return now - entry.second.renewed_at > kLoanExpiry;
-  });
+                                  Clock::time_point now) const {
+  std::erase_if(loans,
+                [&](const auto& entry) { return HasEnded(entry.second, now); });
+}
+
+void ConnectionLender::SetLongestRequest(std::chrono::milliseconds time) {
+  expiry_ = std::max(expiry_, kLoanValidity + time + kCloseTime);
 }
 
 }  // namespace turmeric::connections
--- a/libs/connections/test/connection_lender_test.cc
+++ b/libs/connections/test/connection_lender_test.cc
@@ -43,6 +43,19 @@
   CHECK(lender.size() == 0);
 }
 
+// Guards against connections that are lent again while requests with a long
+// timeout use them.
+TEST_CASE("a loan lasts as long as a request may keep its connection") {
+  ConnectionLender lender;
+  const Clock::time_point start;
+  lender.SetLongestRequest(milliseconds(60'000));
+  lender.Decide("a", Order(1, 0, 10), kPart, start);
+  CHECK(lender.Lent("u", start + kLoanValidity + milliseconds(60'000)) == 10);
+  const auto expiry = lender.expiry();
+  lender.SetLongestRequest(milliseconds(6000));
+  CHECK(lender.expiry() == expiry);
+}
+
 TEST_CASE("a renewed loan does not expire") {
   ConnectionLender lender;
   const Clock::time_point start;
--- a/libs/entry/src/upstream_connections.cc
+++ b/libs/entry/src/upstream_connections.cc
@@ -17,6 +17,7 @@
 using connections::LendablePart;
 using connections::LoanGrant;
 using connections::LoanOrder;
+using routing::Route;
 using routing::Upstream;
 using routing::UpstreamPtr;
 using std::chrono::milliseconds;
@@ -84,9 +85,14 @@
 std::vector<std::string> UpstreamConnections::WithoutFree(
     const std::string& service) const {
   std::vector<std::string> ids;
+  const routing::ServiceSpec* spec = context_.FindService(service);
+  if (spec == nullptr) return ids;
+  const int own = connections::OwnShare(spec->max_connections,
+                                        context_.retries.largest_listed());
+  if (own == 0) return ids;
   for (const UpstreamPtr& u : context_.upstreams.ForService(service)) {
     if (ids.size() >= kMaxIds) break;
-    if (!HasFree(*u)) ids.push_back(u->entry.id);
+    if (u->connections >= own && !HasFree(*u)) ids.push_back(u->entry.id);
   }
   return ids;
 }
@@ -159,6 +165,11 @@
                        [this](const std::string& name) {
                          return name != context_.settings.name;
                        });
+  if (context_.table) {
+    const auto& routes = context_.table->routes;
+    const auto longest = std::ranges::max_element(routes, {}, &Route::timeout);
+    if (longest != routes.end()) lender_.SetLongestRequest(longest->timeout);
+  }
   lender_.Expire(now);
   UpdateLenderSince(now);
   TrimToLimits();
@@ -170,7 +181,7 @@
   // predecessors.
   const bool is_first = context_.settings.first_start && !was_lender_;
   const routing::IssuerList& issuers = context_.limiter->issuers();
-  const LenderSince since{.at = is_first ? now - connections::kLoanExpiry : now,
+  const LenderSince since{.at = is_first ? now - lender_.expiry() : now,
                           .before_start = issuers.listed_before_start() &&
                                           now - started_ < kStartTime};
   for (const auto& [name, spec] : context_.table->services) {
@@ -193,7 +204,7 @@
       });
   if (!no_loans) return;
   for (auto& [service, since] : lender_since_) {
-    if (since.before_start) since.at = now - connections::kLoanExpiry;
+    if (since.before_start) since.at = now - lender_.expiry();
   }
 }
 
@@ -235,7 +246,7 @@
   if (!lender_since_.contains(service)) UpdateLenderSince(now);
   const auto since = lender_since_.find(service);
   const bool settled = since != lender_since_.end() &&
-                       now - since->second.at >= connections::kLoanExpiry;
+                       now - since->second.at >= lender_.expiry();
   return {.connections = connections::LenderPart(spec->max_connections,
                                                  FleetOf(service), *rank),
           .may_extend = settled};
