--- a/libs/utils/include/turmeric/utils/random_id.h
+++ b/libs/utils/include/turmeric/utils/random_id.h
@@ -14,4 +14,7 @@
  */
 std::string RandomHex(size_t digits);
 
+/** @return a random number from the same generator, uniform in [0, 1). */
+double RandomFraction();
+
 }  // namespace turmeric::utils
