Lenders ask for loans instead of waiting for their end

Callers at a crowded instance were refused with connections_used_up although half of the connections to the upstreams were free: a lender whose settings do not state a first start lent nothing for 27 s after it was listed, and waited 32 s more for loans of its predecessors.

The connection of an instance shows that its list contains the other one, so that 8 s are enough once all have connected; a lender that all others know asks them whether they use loans (LoanSurvey); the fleet's list states which instances lend, so that one without a link is not taken for an older release.

--- a/libs/connections/include/turmeric/connections/connection_borrower.h
+++ b/libs/connections/include/turmeric/connections/connection_borrower.h
@@ -75,6 +75,10 @@
   /** @return upstreams with loans or open orders. */
   std::vector<std::string> Upstreams() const;
   bool empty() const { return loans_.empty(); }
+  /** @param asker a lender that has not granted the orders which are open at
+   * it. @return true if connections on loan may be open now, or after the
+   * answer to an open order at another lender. */
+  bool MayHoldLoans(std::string_view asker) const;
 
  private:
   /** A loan of one lender, or an order for it. */
--- a/libs/connections/src/connection_borrower.cc
+++ b/libs/connections/src/connection_borrower.cc
@@ -121,6 +121,16 @@
   if (it != loans_.end()) loans_.erase(it);
 }
 
+bool ConnectionBorrower::MayHoldLoans(std::string_view asker) const {
+  return std::ranges::any_of(loans_, [asker](const auto& upstream) {
+    return std::ranges::any_of(upstream.second, [asker](const auto& entry) {
+      const Loan& loan = entry.second;
+      return loan.held > 0 ||
+             (entry.first != asker && loan.open && loan.wanted > 0);
+    });
+  });
+}
+
 std::vector<std::string> ConnectionBorrower::Upstreams() const {
   std::vector<std::string> names;
   std::ranges::transform(loans_, std::back_inserter(names),
--- a/libs/entry/include/turmeric/entry/instance_info.h
+++ b/libs/entry/include/turmeric/entry/instance_info.h
@@ -12,6 +12,8 @@
   std::string tunnel_address;
   std::string zone;      ///< Availability zone; empty: not stated.
   double cpu_share = 0;  ///< CPU cores it may use; 0: not stated.
+  /** Its release borrows and lends connections to upstreams. */
+  bool lends_connections = false;
 
   bool operator==(const InstanceInfo&) const = default;
 };
--- a/libs/entry/include/turmeric/entry/upstream_connections.h
+++ b/libs/entry/include/turmeric/entry/upstream_connections.h
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +13,8 @@
 #include "turmeric/connections/connection_borrower.h"
 #include "turmeric/connections/connection_lender.h"
 #include "turmeric/connections/connection_shares.h"
+#include "turmeric/connections/loan_survey.h"
+#include "turmeric/entry/instance_info.h"
 #include "turmeric/routing/upstream.h"
 
 namespace turmeric::peer {
@@ -33,6 +35,8 @@
   std::function<bool(const std::string& name)> reaches;
   /** Adds to the next frame to an instance. */
   std::function<void(const std::string& name, const AddToFrame&)> send;
+  /** Adds to the next frame to each reachable instance. */
+  std::function<void(const AddToFrame&)> broadcast;
 };
 
 /**
@@ -67,9 +71,9 @@
   /** Orders connections to an upstream without a free one. @param upstream the
    * upstream. */
   void Order(const routing::Upstream& upstream);
-  /** Applies the fleet's list. @param names of all instances. @param now
-   * current time. */
-  void OnInstances(std::span<const std::string> names, Clock::time_point now);
+  /** Applies the fleet's list. @param fleet all instances. @param now current
+   * time. */
+  void OnInstances(const Instances& fleet, Clock::time_point now);
 
   /** Adds to the first frame on a connection. @param frame the frame. */
   void AddStatement(peer::Frame& frame) const;
@@ -111,6 +115,10 @@
   void OnStatement(const std::string& name, peer::LoanStatement statement);
   /** Ends the wait of a restarted lender once no instance has a loan. */
   void SettleWithoutLoans(Clock::time_point now);
+  /** Asks all instances for loans of earlier lenders, while this one waits for
+   * their end. */
+  void SurveyLoans(Clock::time_point now);
+  bool IsSettled(const LenderSince& since, Clock::time_point now) const;
   void TrimToLimits();
   void Extend(const routing::Upstream& upstream, int missing,
               Clock::time_point now);
@@ -136,7 +144,9 @@
   Clock::time_point started_ = Clock::now();
   std::map<std::string, LenderSince> lender_since_;  ///< By service.
   bool was_lender_ = false;
-  std::vector<std::string> others_;  ///< The fleet without this instance.
+  std::vector<std::string> others_;       ///< The fleet without this instance.
+  std::set<std::string> listed_lenders_;  ///< Of others_, by their entries.
+  connections::LoanSurvey survey_;
   /** The last statements of other instances, by name. */
   std::map<std::string, peer::LoanStatement> statements_;
   QTimer timer_;
--- a/libs/entry/include/turmeric/entry/upstream_limiter.h
+++ b/libs/entry/include/turmeric/entry/upstream_limiter.h
@@ -66,6 +66,9 @@
   void set_metrics(EntryMetrics* metrics) { metrics_ = metrics; }
   /** @return the issuers of permits. */
   const routing::IssuerList& issuers() const { return issuers_; }
+  /** Records that an instance has read a list that contains this one.
+   * @param name of the instance. */
+  void OnKnownBy(const std::string& name) { issuers_.OnKnownBy(name); }
   /** Marks this instance as the only one, according to its settings. */
   void SetSingleInstance() { issuers_.SetSingleInstance(); }
   /**
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -196,12 +196,14 @@
 std::unique_ptr<UpstreamConnections> EntryService::MakeConnections() {
   return std::make_unique<UpstreamConnections>(
       context_,
-      LoanLinks{.reaches =
-                    [this](const std::string& name) {
-                      return links_->Reaches(name) && !links_->leaving(name);
-                    },
-                .send = [this](const std::string& name,
-                               const auto& add) { AddToFrame(name, add); }});
+      LoanLinks{
+          .reaches =
+              [this](const std::string& name) {
+                return links_->Reaches(name) && !links_->leaving(name);
+              },
+          .send = [this](const std::string& name,
+                         const auto& add) { AddToFrame(name, add); },
+          .broadcast = [this](const auto& add) { links_->Broadcast(add); }});
 }
 
 std::unique_ptr<CallerIntake> EntryService::MakeIntake() {
@@ -312,7 +314,11 @@
         quarantine_->OnFrame(identity, frame);
         peer::Frame* reply = peer_server_->FrameTo(identity);
         limiter_->OnOrders(frame, reply, Clock::now());
-        if (!frame.sender.empty()) connections_->OnFirstFrame(identity, frame);
+        if (!frame.sender.empty()) {
+          // An instance connects to those in its list.
+          limiter_->OnKnownBy(identity.substr(0, identity.rfind('#')));
+          connections_->OnFirstFrame(identity, frame);
+        }
         connections_->OnOrders(identity, frame, reply);
         origins_->OnQueries(frame, reply);
       });
@@ -377,14 +383,15 @@
       InstanceInfo{.address = s.peer_address,
                    .tunnel_address = s.tunnel_address,
                    .zone = s.zone,
-                   .cpu_share = s.cpu_share},
+                   .cpu_share = s.cpu_share,
+                   .lends_connections = true},
       [this](const Instances& fleet, bool listed) {
         links_->SetInstances(fleet, listed);
         tunnel_peers_->SetInstances(fleet);
         std::vector<std::string> names;
         for (const auto& [name, info] : fleet) names.push_back(name);
         limiter_->OnInstances(names, listed, Clock::now());
-        connections_->OnInstances(names, Clock::now());
+        connections_->OnInstances(fleet, Clock::now());
         sharing_->SetInstances(fleet);
         origins_->OnFleetList();
       });
--- a/libs/entry/src/instance_directory.cc
+++ b/libs/entry/src/instance_directory.cc
@@ -34,6 +34,7 @@
 constexpr auto kTunnelAddressField = "tunnel_address";
 constexpr auto kZoneField = "zone";
 constexpr auto kCpuShareField = "cpu_share";
+constexpr auto kLendsConnectionsField = "lends_connections";
 
 }  // namespace
 
@@ -67,7 +68,8 @@
       {kAddressField, QString::fromStdString(info_.address)},
       {kTunnelAddressField, QString::fromStdString(info_.tunnel_address)},
       {kZoneField, QString::fromStdString(info_.zone)},
-      {kCpuShareField, info_.cpu_share}};
+      {kCpuShareField, info_.cpu_share},
+      {kLendsConnectionsField, info_.lends_connections}};
   source_.Put(kind_, name_, spec, [this](const auto& written) {
     if (written) {
       registered_ = true;
@@ -108,7 +110,8 @@
         .tunnel_address =
             object.spec[kTunnelAddressField].toString().toStdString(),
         .zone = object.spec[kZoneField].toString().toStdString(),
-        .cpu_share = object.spec[kCpuShareField].toDouble()};
+        .cpu_share = object.spec[kCpuShareField].toDouble(),
+        .lends_connections = object.spec[kLendsConnectionsField].toBool()};
   }
   // A restarted instance is usually listed with the same entry. Writing it
   // again would cost two calls for each instance when a fleet restarts.
--- a/libs/entry/src/upstream_connections.cc
+++ b/libs/entry/src/upstream_connections.cc
@@ -57,8 +57,10 @@
 }
 
 bool UpstreamConnections::HasLoanRelease(const std::string& name) const {
+  // The process may be of another release than the one that wrote the entry.
   const auto it = statements_.find(name);
-  return it != statements_.end() && it->second != peer::LoanStatement::kNone;
+  if (it == statements_.end()) return listed_lenders_.contains(name);
+  return it->second != peer::LoanStatement::kNone;
 }
 
 connections::Fleet UpstreamConnections::FleetOf(
@@ -158,13 +160,15 @@
   }
 }
 
-void UpstreamConnections::OnInstances(std::span<const std::string> names,
+void UpstreamConnections::OnInstances(const Instances& fleet,
                                       Clock::time_point now) {
   others_.clear();
-  std::ranges::copy_if(names, std::back_inserter(others_),
-                       [this](const std::string& name) {
-                         return name != context_.settings.name;
-                       });
+  listed_lenders_.clear();
+  for (const auto& [name, info] : fleet) {
+    if (name == context_.settings.name) continue;
+    others_.push_back(name);
+    if (info.lends_connections) listed_lenders_.insert(name);
+  }
   if (context_.table) {
     const auto& routes = context_.table->routes;
     const auto longest = std::ranges::max_element(routes, {}, &Route::timeout);
@@ -172,6 +176,7 @@
   }
   lender_.Expire(now);
   UpdateLenderSince(now);
+  SurveyLoans(now);
   TrimToLimits();
 }
 
@@ -185,7 +190,10 @@
                           .before_start = issuers.listed_before_start() &&
                                           now - started_ < kStartTime};
   for (const auto& [name, spec] : context_.table->services) {
-    if (!issuers.OwnRank(name, now)) {
+    const bool lends = issuers.IsKnownByAll()
+                           ? issuers.FutureRank(name).has_value()
+                           : issuers.OwnRank(name, now).has_value();
+    if (!lends) {
       lender_since_.erase(name);
       continue;
     }
@@ -208,6 +216,26 @@
   }
 }
 
+bool UpstreamConnections::IsSettled(const LenderSince& since,
+                                    Clock::time_point now) const {
+  return now - since.at >= lender_.expiry();
+}
+
+void UpstreamConnections::SurveyLoans(Clock::time_point now) {
+  // An instance that does not know this one may still order at the lender that
+  // this one replaces.
+  if (!context_.limiter->issuers().IsKnownByAll() || !survey_.MayBegin(now)) {
+    return;
+  }
+  const bool waits = std::ranges::any_of(lender_since_, [&](const auto& entry) {
+    return !IsSettled(entry.second, now);
+  });
+  if (!waits) return;
+  const uint64_t number = survey_.Begin(others_, now);
+  links_.broadcast(
+      [number](peer::Frame& frame) { frame.loan_survey = number; });
+}
+
 void UpstreamConnections::AddStatement(peer::Frame& frame) const {
   frame.loans = borrower_.empty() ? peer::LoanStatement::kNoLoans
                                   : peer::LoanStatement::kHasLoans;
@@ -217,6 +245,13 @@
                                        const peer::Frame& frame) {
   lender_.OnProcessStart(identity);
   OnStatement(identity.substr(0, identity.rfind('#')), frame.loans);
+  // This instance may have become known by all.
+  const auto now = Clock::now();
+  if (!lender_since_.empty() || !context_.limiter->issuers().IsKnownByAll()) {
+    return;
+  }
+  UpdateLenderSince(now);
+  SurveyLoans(now);
 }
 
 void UpstreamConnections::OnStatement(const std::string& name,
@@ -245,8 +280,9 @@
   if (spec == nullptr || !rank) return {.connections = 0, .may_extend = true};
   if (!lender_since_.contains(service)) UpdateLenderSince(now);
   const auto since = lender_since_.find(service);
-  const bool settled = since != lender_since_.end() &&
-                       now - since->second.at >= lender_.expiry();
+  const bool settled =
+      since != lender_since_.end() && IsSettled(since->second, now);
+  if (!settled) SurveyLoans(now);
   return {.connections = connections::LenderPart(spec->max_connections,
                                                  FleetOf(service), *rank),
           .may_extend = settled};
@@ -275,6 +311,13 @@
                                    const peer::Frame& frame,
                                    peer::Frame* reply) {
   const auto now = Clock::now();
+  if (frame.loan_survey != 0 && reply != nullptr) {
+    const std::string asker = identity.substr(0, identity.rfind('#'));
+    reply->loans = borrower_.MayHoldLoans(asker)
+                       ? peer::LoanStatement::kHasLoans
+                       : peer::LoanStatement::kNoLoans;
+    reply->loan_survey_answered = frame.loan_survey;
+  }
   for (const LoanOrder& order : frame.loan_orders) {
     const LoanGrant grant = Decide(identity, order, now);
     if (reply != nullptr) reply->loan_grants.push_back(grant);
@@ -285,6 +328,14 @@
                                    const peer::Frame& frame) {
   if (frame.loans != peer::LoanStatement::kNone) OnStatement(name, frame.loans);
   const auto now = Clock::now();
+  const bool no_loans =
+      survey_.OnAnswer(frame.loan_survey_answered, name,
+                       frame.loans != peer::LoanStatement::kNoLoans);
+  if (no_loans && !borrower_.MayHoldLoans(context_.settings.name)) {
+    for (auto& [service, since] : lender_since_) {
+      if (since.at <= survey_.began_at()) since.at = now - lender_.expiry();
+    }
+  }
   for (const LoanGrant& grant : frame.loan_grants) OnGrant(name, grant, now);
 }
 
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -281,6 +281,9 @@
   std::vector<connections::LoanGrant> loan_grants;
   LoadStatement load = LoadStatement::kNone;
   LoanStatement loans = LoanStatement::kNone;
+  /** Number of a survey; see connections::LoanSurvey. 0: none. */
+  uint64_t loan_survey = 0;
+  uint64_t loan_survey_answered = 0;  ///< Answered by `loans`; 0: none.
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -2566,7 +2566,9 @@
     VT_LOAN_ORDERS = 70,
     VT_LOAN_GRANTS = 72,
     VT_LOAD = 74,
-    VT_LOANS = 76
+    VT_LOANS = 76,
+    VT_LOAN_SURVEY = 78,
+    VT_LOAN_SURVEY_ANSWERED = 80
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -2679,6 +2681,12 @@
   turmeric::peer::wire::LoanStatement loans() const {
     return static_cast<turmeric::peer::wire::LoanStatement>(GetField<int8_t>(VT_LOANS, 0));
   }
+  uint64_t loan_survey() const {
+    return GetField<uint64_t>(VT_LOAN_SURVEY, 0);
+  }
+  uint64_t loan_survey_answered() const {
+    return GetField<uint64_t>(VT_LOAN_SURVEY_ANSWERED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2768,6 +2776,8 @@
            verifier.VerifyVectorOfTables(loan_grants()) &&
            VerifyField<int8_t>(verifier, VT_LOAD, 1) &&
            VerifyField<int8_t>(verifier, VT_LOANS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN_SURVEY, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOAN_SURVEY_ANSWERED, 8) &&
            verifier.EndTable();
   }
 };
@@ -2887,6 +2897,12 @@
   void add_loans(turmeric::peer::wire::LoanStatement loans) {
     fbb_.AddElement<int8_t>(Frame::VT_LOANS, static_cast<int8_t>(loans), 0);
   }
+  void add_loan_survey(uint64_t loan_survey) {
+    fbb_.AddElement<uint64_t>(Frame::VT_LOAN_SURVEY, loan_survey, 0);
+  }
+  void add_loan_survey_answered(uint64_t loan_survey_answered) {
+    fbb_.AddElement<uint64_t>(Frame::VT_LOAN_SURVEY_ANSWERED, loan_survey_answered, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2936,8 +2952,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>> loan_orders = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>> loan_grants = 0,
     turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
-    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None) {
+    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None,
+    uint64_t loan_survey = 0,
+    uint64_t loan_survey_answered = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_loan_survey_answered(loan_survey_answered);
+  builder_.add_loan_survey(loan_survey);
   builder_.add_evacuations_change(evacuations_change);
   builder_.add_upstreams_change(upstreams_change);
   builder_.add_config_change(config_change);
@@ -3016,7 +3036,9 @@
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>> *loan_orders = nullptr,
     const std::vector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>> *loan_grants = nullptr,
     turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
-    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None) {
+    turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None,
+    uint64_t loan_survey = 0,
+    uint64_t loan_survey_answered = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -3081,7 +3103,9 @@
       loan_orders__,
       loan_grants__,
       load,
-      loans);
+      loans,
+      loan_survey,
+      loan_survey_answered);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -603,7 +603,8 @@
              limits.brittle, streams.versions, streams.records, streams.queries,
              streams.answers, trial_list, limits.availability, loans.orders,
              loans.grants, static_cast<wire::LoadStatement>(frame.load),
-             static_cast<wire::LoanStatement>(frame.loans)));
+             static_cast<wire::LoanStatement>(frame.loans), frame.loan_survey,
+             frame.loan_survey_answered));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -633,6 +634,8 @@
       f.loans() <= wire::LoanStatement::MAX) {
     frame.loans = static_cast<LoanStatement>(f.loans());
   }
+  frame.loan_survey = f.loan_survey();
+  frame.loan_survey_answered = f.loan_survey_answered();
   ReadStoreParts(f, frame);
   ReadCrashParts(f, now, frame);
   ReadLimitParts(f, now, frame);
--- a/libs/routing/include/turmeric/routing/issuer_list.h
+++ b/libs/routing/include/turmeric/routing/issuer_list.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,7 +22,9 @@
  * An instance acts as an issuer only if each other instance that does so has
  * read a list that contains it, and if it has itself read the list recently
  * (see FleetSize). Its list then contains all instances that may act, so that
- * at most kMaxIssuers act at once, whatever the instances can reach.
+ * at most kMaxIssuers act at once, whatever the instances can reach. That the
+ * others have read such a list follows from the age of its entry, or from their
+ * connections to it: an instance connects to those in its list.
  */
 class IssuerList {
  public:
@@ -41,6 +44,13 @@
   void OnList(std::span<const std::string> names, bool self_listed,
               Clock::time_point now);
 
+  /** Records that an instance has read a list that contains this one.
+   * @param name of the instance. */
+  void OnKnownBy(const std::string& name) { known_by_.insert(name); }
+  /** @return true if this instance is listed, and all others in the list have
+   * read one that contains it, as recorded by OnKnownBy. */
+  bool IsKnownByAll() const;
+
   /** @param service its name. @return the issuers, by descending rank; valid
    * until the next call of OnList. */
   std::span<const std::string> Of(const std::string& service) const;
@@ -49,6 +59,10 @@
    * as one. */
   std::optional<int> OwnRank(const std::string& service,
                              Clock::time_point now) const;
+  /** @param service its name.
+   * @return rank of this instance among the issuers, whether it may act yet or
+   * not; nullopt: it is none of them. */
+  std::optional<int> FutureRank(const std::string& service) const;
   /** @return true if the first list that was read contained this instance, from
    * an earlier start. */
   bool listed_before_start() const { return listed_before_start_; }
@@ -69,6 +83,7 @@
   std::optional<Clock::time_point> self_listed_since_;
   /** When each other instance was last found in the list. */
   std::map<std::string, Clock::time_point> last_listed_;
+  std::set<std::string> known_by_;
   /** Issuers by service, for the present list. */
   mutable std::map<std::string, std::vector<std::string>> ranked_;
 };
--- a/libs/routing/src/issuer_list.cc
+++ b/libs/routing/src/issuer_list.cc
@@ -22,13 +22,22 @@
   });
 }
 
+bool IssuerList::IsKnownByAll() const {
+  if (!self_listed_since_ || last_listed_.empty()) return false;
+  return std::ranges::all_of(last_listed_, [this](const auto& entry) {
+    return known_by_.contains(entry.first);
+  });
+}
+
 bool IssuerList::MayAct(Clock::time_point now) const {
   if (single_instance_) return true;
   if (!self_listed_since_) return false;
   if (*last_read_ + FleetSize::kListValidity < now) return false;
   if (listed_before_start_) return true;
-  const auto wait =
-      first_start_ ? FleetSize::kListSettleTime : FleetSize::kJoinVisibleAfter;
+  // A list that was read while the fleet starts may be incomplete.
+  const auto wait = first_start_ || IsKnownByAll()
+                        ? FleetSize::kListSettleTime
+                        : FleetSize::kJoinVisibleAfter;
   return now >= *self_listed_since_ + wait;
 }
 
@@ -56,7 +65,10 @@
 
 std::optional<int> IssuerList::OwnRank(const std::string& service,
                                        Clock::time_point now) const {
-  if (!MayAct(now)) return std::nullopt;
+  return MayAct(now) ? FutureRank(service) : std::nullopt;
+}
+
+std::optional<int> IssuerList::FutureRank(const std::string& service) const {
   const auto issuers = Of(service);
   const auto own = std::ranges::find(issuers, self_);
   if (own == issuers.end()) return std::nullopt;
