Requests wait for the configuration of an instance that has started

A request now waits for a quarter of its time, at most a second, and is admitted once the configuration and the list of upstreams have been read; after that it is refused as before.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -9,6 +9,7 @@
 #include "turmeric/entry/retry_budgets.h"
 #include "turmeric/entry/revision_gossip.h"
 #include "turmeric/entry/stage_client.h"
+#include "turmeric/entry/start_waiters.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/usual_deadlines.h"
 #include "turmeric/entry/wire_format.h"
@@ -78,6 +79,7 @@
   routing::UpstreamTable upstreams;
   bool upstreams_known = false;    ///< The list of upstreams has been read.
   bool store_unreachable = false;  ///< Calls to the store fail.
+  StartWaiters start_waiters;
   UpstreamClient client;
   RetryBudgets retries;
   ColdLimiter cold_limiter;
--- a/libs/entry/include/turmeric/entry/request_admission.h
+++ b/libs/entry/include/turmeric/entry/request_admission.h
@@ -64,6 +64,22 @@
  * would be refused too; its answer has no Retry-After delay. */
 bool IsFinal(AdmissionRefusal refusal);
 
+/** @param refusal a refusal. @return true if it ends once the instance has read
+ * the configuration and the list of upstreams. */
+bool EndsWithStart(AdmissionRefusal refusal);
+
+/**
+ * Decides how long a request waits at an instance that has started and has not
+ * read the configuration yet. Load: all instances of a fleet restart at once,
+ * so that no other one can serve the caller, who has few retries left.
+ * @param deadline time that the caller waits for the answer; nullopt: not
+ *     stated.
+ * @return the longest wait: a quarter of the caller's time, so that most of it
+ *     is left for the request itself or a retry, and at most a second.
+ */
+std::chrono::milliseconds StartWaitLimit(
+    std::optional<std::chrono::milliseconds> deadline);
+
 /** The answer to a request that is not admitted. */
 struct RefusalAnswer {
   int status = 0;        ///< HTTP status.
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -73,6 +73,10 @@
   /** Checks whether the configuration in force is the latest of the store, then
    * runs the admission a second time. Called before a refusal that is final. */
   void CheckConfigIsLatest();
+  /** Waits until the instance has read the configuration; see StartWaitLimit.
+   * @return false if the request must not wait, or has waited. */
+  bool WaitForStart();
+  void OnStartWaitEnd();
   void StartStages();
   /** @return expected duration of the request's stages. */
   std::chrono::milliseconds StageTime() const;
@@ -168,6 +172,9 @@
   /** Whether the configuration in force is the latest of the store; nullopt:
    * not checked, because no final refusal depended on it. */
   std::optional<bool> config_is_latest_;
+  /** Whether the request waits for the first configuration; nullopt: it has not
+   * waited. */
+  std::optional<bool> waits_for_start_;
   RequestEvidence evidence_;
   std::string service_;
   /** Software version that began the stream; empty: none has yet. */
--- a/libs/entry/src/request_admission.cc
+++ b/libs/entry/src/request_admission.cc
@@ -25,6 +25,12 @@
  * work.
  */
 constexpr milliseconds kDisconnectGrace{250};
+/** A request waits for the first configuration of a started instance for one in
+ * kStartWaitDivisor of its time, and for at most kMaxStartWait. */
+constexpr int kStartWaitDivisor = 4;
+constexpr milliseconds kMaxStartWait{1000};
+/** Time that a caller is assumed to wait if it states none. */
+constexpr milliseconds kAssumedDeadline{1000};
 /** Rank of an organisation without a priority; 0 is served first. */
 constexpr int kDefaultOrganisationRank = 1;
 /** Number of route ranks within one rank of organisations. With three, the
@@ -101,6 +107,16 @@
          refusal == AdmissionRefusal::kUnknownKey;
 }
 
+bool EndsWithStart(AdmissionRefusal refusal) {
+  return refusal == AdmissionRefusal::kNotReady ||
+         refusal == AdmissionRefusal::kStoreUnreachable;
+}
+
+milliseconds StartWaitLimit(std::optional<milliseconds> deadline) {
+  return std::clamp(deadline.value_or(kAssumedDeadline) / kStartWaitDivisor,
+                    milliseconds(0), kMaxStartWait);
+}
+
 RefusalAnswer AnswerTo(AdmissionRefusal refusal) {
   switch (refusal) {
     case AdmissionRefusal::kNone:
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -162,6 +162,7 @@
         context_.usual_deadlines.TimeUsed(route_->name, request_.deadline);
     return true;
   }
+  if (EndsWithStart(admission_.refusal) && WaitForStart()) return false;
   const RefusalAnswer answer = AnswerTo(admission_.refusal);
   if (answer.retry_after) {
     Refuse(answer.why, *answer.retry_after);
@@ -180,6 +181,25 @@
   });
 }
 
+bool RequestRun::WaitForStart() {
+  if (waits_for_start_ || context_.stopping_since) return false;
+  const milliseconds limit = StartWaitLimit(request_.deadline);
+  const QPointer<RequestRun> self(this);
+  const bool waits = context_.start_waiters.Add([self] {
+    if (self) self->OnStartWaitEnd();
+  });
+  if (!waits) return false;
+  waits_for_start_ = true;
+  QTimer::singleShot(limit, this, [this] { OnStartWaitEnd(); });
+  return true;
+}
+
+void RequestRun::OnStartWaitEnd() {
+  if (finished_ || !*waits_for_start_) return;
+  waits_for_start_ = false;
+  Start();
+}
+
 bool RequestRun::AnswerIfQuarantined() {
   const auto remaining = evidence_.RemainingQuarantine();
   if (!remaining) return false;
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -222,6 +222,7 @@
 
 void TopologyFeed::NoteComplete() {
   if (!complete()) return;
+  context_.start_waiters.Release();
   if (auto callback = std::exchange(on_complete_, nullptr)) callback();
 }
 
