An overdue stage call does not keep its upstream from the next one

A call is now overdue after one and a half times the duration of the upstream's last calls and 100 ms; the upstream gets another call then, which waits in the queue of the upstream if the first one still runs.

--- a/libs/entry/include/turmeric/entry/piece_call.h
+++ b/libs/entry/include/turmeric/entry/piece_call.h
@@ -27,6 +27,7 @@
   std::vector<stages::QueuedPiece> pieces;
   /** The call is abandoned if no response arrives within this time. */
   std::chrono::milliseconds timeout{0};
+  std::chrono::milliseconds overdue{0};  ///< See stages::OverdueTime.
 };
 
 /**
@@ -38,6 +39,8 @@
    * pieces.
    */
   std::function<void(PieceCall&)> on_inputs_fetched;
+  /** Called once if the call is overdue. */
+  std::function<void(PieceCall&)> on_overdue;
   /** Called with one result for each piece, in the order of the pieces. */
   std::function<void(PieceCall&, std::span<const stages::PieceResult>)> on_done;
   /** Called when the call as a whole has failed. */
@@ -70,6 +73,8 @@
   std::vector<stages::QueuedPiece>& pieces() { return spec_.pieces; }
   /** @return approximate size of the results of all pieces, bytes. */
   int64_t bytes() const { return bytes_; }
+  /** @return true once on_overdue was called. */
+  bool overdue() const { return overdue_; }
   /** @return HTTP status of the response; 0: no response. */
   int status() const { return status_; }
   /** @return time since Start. */
@@ -87,10 +92,12 @@
   std::shared_ptr<UpstreamExchange> exchange_;
   QTimer timeout_timer_;
   QTimer input_fetch_timer_;
+  QTimer overdue_timer_;
   std::string body_;
   int status_ = 0;
   bool not_run_ = false;
   bool ended_ = false;
+  bool overdue_ = false;
   stages::Clock::time_point started_;
   int64_t bytes_ = 0;
 };
--- a/libs/entry/include/turmeric/entry/stage_dispatcher.h
+++ b/libs/entry/include/turmeric/entry/stage_dispatcher.h
@@ -95,6 +95,8 @@
                 const routing::StageCallLimits& limits);
   void OnCallDone(PieceCall& call, std::span<const stages::PieceResult> results,
                   int batch);
+  /** Gives the slot of an overdue call to another one. */
+  void OnCallOverdue(PieceCall& call);
   void OnCallFailed(PieceCall& call, routing::Outcome outcome);
   void Deliver(PieceCall& call, std::span<const stages::PieceResult> results);
   /**
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -35,7 +35,8 @@
       bytes_(std::transform_reduce(
           spec_.pieces.begin(), spec_.pieces.end(), int64_t{0}, std::plus<>(),
           [](const QueuedPiece& q) { return q.piece.result_bytes; })) {
-  for (QTimer* timer : {&timeout_timer_, &input_fetch_timer_}) {
+  for (QTimer* timer :
+       {&timeout_timer_, &input_fetch_timer_, &overdue_timer_}) {
     timer->setSingleShot(true);
   }
   connect(&timeout_timer_, &QTimer::timeout, this, [this] {
@@ -44,6 +45,10 @@
   });
   connect(&input_fetch_timer_, &QTimer::timeout, this,
           [this] { events_.on_inputs_fetched(*this); });
+  connect(&overdue_timer_, &QTimer::timeout, this, [this] {
+    overdue_ = true;
+    events_.on_overdue(*this);
+  });
 }
 
 PieceCall::~PieceCall() = default;
@@ -69,6 +74,7 @@
                                 started_);
   timeout_timer_.start(spec_.timeout);
   input_fetch_timer_.start(kInputFetchTime);
+  overdue_timer_.start(spec_.overdue);
   exchange_ = context_.client.Send(spec_.upstream, request, AnswerEvents());
 }
 
@@ -108,6 +114,7 @@
   if (std::exchange(ended_, true)) return false;
   timeout_timer_.stop();
   input_fetch_timer_.stop();
+  overdue_timer_.stop();
   deleteLater();
   return true;
 }
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -43,12 +43,20 @@
  * example because all its upstreams are avoided.
  */
 constexpr std::chrono::milliseconds kRetryDelay{50};
+/** Weight of the last call in an upstream's slowness: high, as an upstream that
+ * turns slow stays so for seconds. */
+constexpr double kSlownessWeight = 0.5;
 
 }  // namespace
 
 /** Calls in progress and results held of one upstream. */
 struct StageDispatcher::Worker {
-  int calls = 0;
+  int calls = 0;    ///< Without those that are overdue.
+  int overdue = 0;  ///< Overdue calls.
+  /** Moving average of the durations of calls, as multiples of CallTime. */
+  double slowness = 1;
+
+  void OnCallEnd(bool was_overdue) { --(was_overdue ? overdue : calls); }
   stages::ResultMemory memory;
 };
 
@@ -256,7 +264,8 @@
   }
   const StageCallLimits& limits = *found;
   std::erase_if(queue.workers, [](const auto& entry) {
-    return !entry.first->listed && entry.second.calls == 0;
+    return !entry.first->listed && entry.second.calls == 0 &&
+           entry.second.overdue == 0;
   });
   FailLatePieces(queue, limits);
   const Clock::time_point now = Clock::now();
@@ -272,8 +281,11 @@
     if (!MaySend(*u, now) || IsAvoided(*u, now)) continue;
     if (admits && !admits(*u)) continue;
     zones.push_back(u->entry.zone);
-    const int calls = WorkerOf(queue, u).calls;
-    if (calls < limits.slots && u->brittle.Admits(calls, limits.slots, now)) {
+    const Worker& worker = WorkerOf(queue, u);
+    const int calls = worker.calls;
+    if (calls < limits.slots &&
+        stages::MayReplaceOverdue(limits, worker.overdue) &&
+        u->brittle.Admits(calls, limits.slots, now)) {
       free.push_back(u);
     }
   }
@@ -316,14 +328,18 @@
                                kPieceCreditWeight);
   }
   const auto timeout = stages::CallTimeout(limits, pieces.size());
+  const auto overdue = stages::OverdueTime(limits, pieces.size(),
+                                           WorkerOf(queue, upstream).slowness);
   auto* call = new PieceCall(
       context_,
       {.shard = queue.name,
        .service = queue.shard.service,
        .upstream = upstream,
        .pieces = std::move(pieces),
-       .timeout = timeout},
+       .timeout = timeout,
+       .overdue = overdue},
       {.on_inputs_fetched = [this](PieceCall& c) { OnInputsFetched(c); },
+       .on_overdue = [this](PieceCall& c) { OnCallOverdue(c); },
        .on_done = [this, batch = limits.batch](
                       PieceCall& c,
                       auto results) { OnCallDone(c, results, batch); },
@@ -369,10 +385,17 @@
                               std::span<const PieceResult> results) {
   Queue& queue = QueueOf(call.shard());
   Worker& worker = WorkerOf(queue, call.upstream());
-  --worker.calls;
+  worker.OnCallEnd(call.overdue());
   worker.memory.Unreserve(call.bytes());
   const routing::ServiceSpec* spec =
       context_.table->FindService(call.service());
+  if (spec != nullptr && spec->stage) {
+    const auto usual = stages::CallTime(*spec->stage, results.size());
+    worker.slowness +=
+        kSlownessWeight * (std::chrono::duration<double>(call.elapsed()) /
+                               std::max(usual, std::chrono::milliseconds(1)) -
+                           worker.slowness);
+  }
   const double result_retention_s =
       spec && spec->stage ? spec->stage->result_retention_s : 0;
   const auto expires_at =
@@ -403,13 +426,26 @@
       stages::ResultMemoryLeft(*spec->stage, worker.memory.Used(now)), now);
 }
 
+void StageDispatcher::OnCallOverdue(PieceCall& call) {
+  Worker& worker = WorkerOf(QueueOf(call.shard()), call.upstream());
+  --worker.calls;
+  ++worker.overdue;
+  utils::DecisionLog("stage_call_overdue")
+      .Add("service", call.service())
+      .Add("upstream", call.upstream()->entry.id)
+      .Add("pieces", call.pieces().size())
+      .Add("slowness", worker.slowness)
+      .Add("ms", call.elapsed().count());
+  ScheduleDispatch();
+}
+
 void StageDispatcher::OnCallFailed(PieceCall& call, Outcome outcome) {
   context_.RecordOutcome(*call.upstream(), outcome, 0);
   Worker& worker = WorkerOf(QueueOf(call.shard()), call.upstream());
   if (outcome == Outcome::kRefused) {
     call.upstream()->brittle.OnRefusal(worker.calls, Clock::now());
   }
-  --worker.calls;
+  worker.OnCallEnd(call.overdue());
   worker.memory.Unreserve(call.bytes());
   utils::DecisionLog("stage_call_failed")
       .Add("service", call.service())
--- a/libs/stages/include/turmeric/stages/call_plan.h
+++ b/libs/stages/include/turmeric/stages/call_plan.h
@@ -18,6 +18,25 @@
 std::chrono::milliseconds CallTimeout(const routing::StageCallLimits& limits,
                                       size_t pieces);
 
+/**
+ * Decides when a call is overdue: its response is probably lost, and the slot
+ * of its upstream free. Load: upstreams run calls whose responses never arrive;
+ * until the timeout of the call, such an upstream would stay idle.
+ * @param limits of a stage service. @param pieces in the call.
+ * @param slowness of the upstream's last calls as a multiple of CallTime.
+ * @return time from the start of the call.
+ */
+std::chrono::milliseconds OverdueTime(const routing::StageCallLimits& limits,
+                                      size_t pieces, double slowness);
+
+/**
+ * @param limits of a stage service. @param overdue calls in progress at an
+ *     upstream that are overdue.
+ * @return true if the upstream may get another call in their place: if they
+ *     still run, the call waits in the upstream's queue.
+ */
+bool MayReplaceOverdue(const routing::StageCallLimits& limits, int overdue);
+
 /**
  * @param limits of a stage service. @param used memory of an upstream taken by
  *     results that it holds or is making, bytes.
--- a/libs/stages/src/call_plan.cc
+++ b/libs/stages/src/call_plan.cc
@@ -17,6 +17,10 @@
  * Slow upstreams take four to five times as long and still return results. */
 constexpr int kCallTimeoutFactor = 5;
 constexpr milliseconds kCallGrace{500};
+/** A call is overdue after this multiple of the duration of the upstream's last
+ * calls, plus kOverdueGrace for the transfer of inputs. */
+constexpr double kOverdueFactor = 1.5;
+constexpr milliseconds kOverdueGrace{100};
 /** Calls waiting per upstream of a service above which no more work for the
  * service is started: the backlog is then served within about a second, and
  * results are read before their retention time ends. */
@@ -33,6 +37,18 @@
   return CallTime(limits, pieces) * kCallTimeoutFactor + kCallGrace;
 }
 
+milliseconds OverdueTime(const StageCallLimits& limits, size_t pieces,
+                         double slowness) {
+  const double usual = static_cast<double>(CallTime(limits, pieces).count()) *
+                       std::max(1.0, slowness);
+  return milliseconds(static_cast<int64_t>(kOverdueFactor * usual)) +
+         kOverdueGrace;
+}
+
+bool MayReplaceOverdue(const StageCallLimits& limits, int overdue) {
+  return overdue <= limits.queue;
+}
+
 int64_t ResultMemoryLeft(const StageCallLimits& limits, int64_t used) {
   const double memory =
       kUsableMemoryFraction * static_cast<double>(limits.result_memory_bytes);
--- a/libs/stages/test/call_plan_test.cc
+++ b/libs/stages/test/call_plan_test.cc
@@ -33,6 +33,21 @@
   REQUIRE(turmeric::stages::CallTimeout(Portal(), 8) > 5 * 368ms);
 }
 
+// Guards against upstreams that stay idle until the timeout of a lost call, and
+// against calls that pile up at an upstream which has only become slow.
+TEST_CASE("a call is overdue by the durations of the calls before it") {
+  using turmeric::stages::MayReplaceOverdue;
+  using turmeric::stages::OverdueTime;
+  REQUIRE(OverdueTime(Portal(), 8, 1) < 2 * 368ms);
+  REQUIRE(OverdueTime(Portal(), 8, 5) > 5 * 368ms);
+  REQUIRE(OverdueTime(Portal(), 8, 0.5) == OverdueTime(Portal(), 8, 1));
+  StageCallLimits limits = Portal();
+  REQUIRE_FALSE(MayReplaceOverdue(limits, 1));
+  limits.queue = 2;
+  REQUIRE(MayReplaceOverdue(limits, 2));
+  REQUIRE_FALSE(MayReplaceOverdue(limits, 3));
+}
+
 TEST_CASE("a piece waits for each full round of calls ahead of it") {
   REQUIRE(turmeric::stages::MinCompletionTime(Portal(), 31, 4) == 221ms);
   REQUIRE(turmeric::stages::MinCompletionTime(Portal(), 32, 4) ==
