Bound chunk lines, trailers and skipped responses of upstreams

Cause: an upstream that never ended a chunk extension, a chunk size, its trailers or its 1xx heads had its bytes kept, or its connection held, until the request's time limit. The parser consumes a chunk's line and the trailers only once they are complete.

Change: a response is malformed when an incomplete chunk line exceeds 4 KB, the trailers exceed 16 KB, or 16 responses (1xx, or foreign) precede it. Trailers, which are not forwarded, are no longer collected. A connection whose receiver paused reading during the last bytes of a response reads again before its next exchange.

--- a/libs/http/include/turmeric/http/client_connection.h
+++ b/libs/http/include/turmeric/http/client_connection.h
@@ -119,6 +119,7 @@
   bool busy_ = false;
   bool used_ = false;
   bool skipping_response_ = false;
+  int skipped_responses_ = 0;  ///< Before the response to the open exchange.
   bool is_head_request_ = false;
   bool broken_ = false;
   bool was_reset_ = false;
--- a/libs/http/include/turmeric/http/message_parser.h
+++ b/libs/http/include/turmeric/http/message_parser.h
@@ -13,7 +13,8 @@
 enum class ParseStatus {
   kNeedMore,        ///< The message is incomplete.
   kDone,            ///< The message is complete; no more bytes are consumed.
-  kMalformed,       ///< Not HTTP/1.1, or contradictory framing.
+  kMalformed,       ///< Not HTTP/1.1, contradictory framing, or a chunk line
+                    ///< or trailers beyond their limits.
   kHeaderTooLarge,  ///< The head exceeds the limit.
   kBodyTooLarge,    ///< The body exceeds the limit.
 };
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -10,6 +10,9 @@
 /** Keep-alive timeout assumed if the server states none. Common servers close
  * idle connections after 5 s or more. */
 constexpr std::chrono::milliseconds kDefaultKeepAlive{3000};
+/** Most informational (1xx) and foreign responses that are skipped before the
+ * response to a request. Servers send one or two. */
+constexpr int kMaxSkippedResponses = 16;
 
 std::chrono::milliseconds KeepAliveTimeout(const ResponseHead& head) {
   constexpr std::string_view kParameter = "timeout=";
@@ -66,6 +69,7 @@
   events_ = std::move(events);
   busy_ = true;
   is_head_request_ = bytes.starts_with("HEAD ");
+  skipped_responses_ = 0;
   ResetParser();
   socket_->Write(bytes);
 }
@@ -94,6 +98,9 @@
     if (outcome.status != ParseStatus::kDone) {
       return Fail(ExchangeFailure::kMalformed);
     }
+    if (skipping_response_ && ++skipped_responses_ > kMaxSkippedResponses) {
+      return Fail(ExchangeFailure::kMalformed);
+    }
     OnResponseComplete();
   }
 }
@@ -117,6 +124,9 @@
   }
   busy_ = false;
   used_ = true;
+  // Guard: the receiver may have paused reading during the last bytes. The next
+  // response on the connection would then never be read.
+  socket_->PauseReading(false);
   idle_since_ = std::chrono::steady_clock::now();
   if (!parser_->keep_alive() || !unparsed_.empty() || socket_->unsent() > 0) {
     broken_ = true;
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -16,6 +16,11 @@
 
 /** Largest response head accepted from an upstream. */
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+/** Longest line that begins a chunk, with its extensions. The usual line has
+ * a few digits; servers that sign chunks use about 100 bytes. */
+constexpr size_t kMaxChunkLineBytes = 4 * 1024;
+/** Largest trailer section, together with the line of the last chunk. */
+constexpr size_t kMaxTrailerBytes = 16 * 1024;
 
 std::string_view View(string_view text) { return {text.data(), text.size()}; }
 
@@ -49,6 +54,19 @@
   return outcome;
 }
 
+/**
+ * @param rest bytes of a chunked body that the parser cannot consume yet: the
+ *     end of a chunk and an incomplete line, or the last chunk's line and
+ *     incomplete trailers.
+ * @return true if they exceed their limit.
+ */
+bool ExceedsChunkLimits(std::string_view rest) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (rest.starts_with(kLineEnd)) rest.remove_prefix(kLineEnd.size());
+  const bool in_trailers = rest.find(kLineEnd) != std::string_view::npos;
+  return rest.size() > (in_trailers ? kMaxTrailerBytes : kMaxChunkLineBytes);
+}
+
 }  // namespace
 
 struct RequestParser::Impl : beast::basic_parser<true> {
@@ -122,6 +140,7 @@
 struct ResponseParser::Impl : beast::basic_parser<false> {
   ResponseSink sink;
   ResponseHead head;
+  size_t trailer_bytes = 0;
 
   void on_request_impl(beast::verb, string_view, string_view, int,
                        error_code&) override {}
@@ -129,7 +148,13 @@
     head.status = code;
   }
   void on_field_impl(beast::field, string_view name, string_view value,
-                     error_code&) override {
+                     error_code& ec) override {
+    if (is_header_done()) {
+      // Trailers are not forwarded.
+      trailer_bytes += name.size() + value.size();
+      if (trailer_bytes > kMaxTrailerBytes) ec = beast::error::header_limit;
+      return;
+    }
     head.headers.push_back({std::string(View(name)), std::string(View(value))});
   }
   void on_header_impl(error_code&) override { sink.on_head(std::move(head)); }
@@ -139,7 +164,12 @@
     sink.on_body(View(body));
     return body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  void on_chunk_header_impl(std::uint64_t, string_view extensions,
+                            error_code& ec) override {
+    if (extensions.size() > kMaxChunkLineBytes) {
+      ec = beast::error::bad_chunk_extension;
+    }
+  }
   size_t on_chunk_body_impl(std::uint64_t, string_view body,
                             error_code&) override {
     if (!body.empty()) sink.on_body(View(body));
@@ -159,7 +189,15 @@
 ResponseParser::~ResponseParser() = default;
 
 ParseOutcome ResponseParser::Feed(std::string_view bytes) {
-  return FeedParser(*impl_, bytes);
+  ParseOutcome outcome = FeedParser(*impl_, bytes);
+  // Guard: the parser consumes a chunk's line and the trailers only once they
+  // are complete. An upstream that never ends them would otherwise make the
+  // caller of this function keep all bytes until the request's time limit.
+  if (outcome.status == ParseStatus::kNeedMore && impl_->is_header_done() &&
+      impl_->chunked() && ExceedsChunkLimits(bytes.substr(outcome.consumed))) {
+    outcome.status = ParseStatus::kMalformed;
+  }
+  return outcome;
 }
 
 bool ResponseParser::FeedEnd() {
--- a/libs/http/test/message_parser_test.cc
+++ b/libs/http/test/message_parser_test.cc
@@ -138,6 +138,44 @@
           ParseStatus::kDone);
 }
 
+// Guards against upstreams that never end a chunk line or the trailers: all of
+// their bytes would be kept until the request's time limit.
+TEST_CASE("chunk lines and trailers without end are malformed") {
+  constexpr std::string_view kHead =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+  const auto kept_until_malformed = [&](std::string_view begin,
+                                        std::string_view part) {
+    ReceivedResponse response;
+    ResponseParser parser = MakeParser(response);
+    std::string pending = std::string(kHead) + std::string(begin);
+    for (int i = 0; i < 1000; ++i) {
+      const auto outcome = parser.Feed(pending);
+      if (outcome.status == ParseStatus::kMalformed) return pending.size();
+      pending.erase(0, outcome.consumed);
+      pending.append(part);
+    }
+    return std::string::npos;
+  };
+  const std::string part(1000, 'x');
+  REQUIRE(kept_until_malformed("5;a=", part) < 6000);
+  REQUIRE(kept_until_malformed("", std::string(1000, '0')) < 6000);
+  REQUIRE(kept_until_malformed("0\r\n", "T: " + part + "\r\n") < 18000);
+  REQUIRE(kept_until_malformed("5;" + std::string(4200, 'a') + "\r\nhello\r\n",
+                               "") < 6000);
+}
+
+// Guards against limits that sound upstreams exceed.
+TEST_CASE("chunk extensions and trailers within the limits are accepted") {
+  ReceivedResponse response;
+  ResponseParser parser = MakeParser(response);
+  const std::string bytes =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=" +
+      std::string(4000, 'x') +
+      "\r\nhello\r\n0\r\nT: " + std::string(15000, 'y') + "\r\n\r\n";
+  REQUIRE(parser.Feed(bytes).status == ParseStatus::kDone);
+  REQUIRE(response.body == "hello");
+}
+
 // Guards against a cut answer that is taken for a whole one.
 TEST_CASE("answers with neither a length nor chunks end with the connection") {
   REQUIRE(turmeric::http::EndsWithConnection({200, {{"Server", "x"}}}));
