Bound the memory that an instance holds in buffers

Cause: the limits of one exchange do not bound their sum. Upstreams that send without end, and callers that read slowly, took the memory of an instance. A large answer was buffered whole before its first byte was forwarded.

Change: one account (settings memory_mb and buffer_share; 0: no bound) is charged with requests of callers, bytes that callers have not taken, answers that are held back, and links between instances. - From 3/4 of the bound on, reading of answers larger than the mean pauses, and callers that read less than 1 KB a second over 10 s are cut off, the slowest first. At the bound, the largest answers that are held back are given up as broken, and requests that do not fit are refused before anything else is done for them (memory_full: 503, not run, 500 ms). - A successful answer with a receipt and the right attempt id that exceeds 256 KB is forwarded as it arrives, with its length or chunked. Reading pauses while the caller has not taken 64 KB. A failure after that aborts the caller's connection, and the request is not retried. Failing answers, and those without a receipt, count as broken beyond 1 MB, stage answers too; these had no limit. - Log lines memory_pressure, answer_given_up, slow_caller_cut; metrics turmeric_buffered_bytes and turmeric_memory_refusals_total.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -58,6 +58,11 @@
   /** True if the whole fleet, including this instance, starts for the first
    * time. */
   bool first_start = false;
+  /** Memory that this instance may use, MB; 0: not stated, and the bytes that
+   * it holds in buffers have no bound. */
+  double memory_mb = 0;
+  /** Part of the memory that buffers may hold. */
+  double buffer_share = 0.2;
   /** Mechanisms in use; some may be switched off to measure their effect. */
   Mechanisms mechanisms;
 };
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -31,6 +31,8 @@
 constexpr double kMaxColdSlack = 1e6;
 /** Upper bound of the file descriptors of a process. */
 constexpr double kMaxDescriptors = 1e8;
+/** Upper bound of the memory of an instance, MB. */
+constexpr double kMaxMemoryMb = 1e7;
 /** Largest CPU share that an instance may state, cores. */
 constexpr double kMaxCpuShare = 1024;
 
@@ -172,6 +174,8 @@
   reader.ReadNumber("cold_slack", s.cold_slack, kMaxColdSlack);
   reader.ReadNumber("cpu_share", s.cpu_share, kMaxCpuShare);
   reader.ReadNumber("max_descriptors", s.max_descriptors, kMaxDescriptors);
+  reader.ReadNumber("memory_mb", s.memory_mb, kMaxMemoryMb);
+  reader.ReadNumber("buffer_share", s.buffer_share, 1);
   reader.ReadNumber("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.ReadNumber("retry_slack", s.retry_slack, kMaxRetrySlack);
   reader.ReadDuration("retry_window_ms", s.retry_window);
--- a/libs/config/test/entry_settings_test.cc
+++ b/libs/config/test/entry_settings_test.cc
@@ -41,6 +41,17 @@
   REQUIRE(Load(std::string(kGood) + "first_start=true\n").value().first_start);
 }
 
+// Guards against an instance that ignores the memory it is given.
+TEST_CASE("the memory for buffers is read") {
+  const auto settings =
+      Load(std::string(kGood) + "memory_mb=160\nbuffer_share=0.25\n");
+  REQUIRE(settings.value().memory_mb == 160);
+  REQUIRE(settings.value().buffer_share == 0.25);
+  REQUIRE(Load(kGood).value().memory_mb == 0);
+  REQUIRE(Load(kGood).value().buffer_share == 0.2);
+  REQUIRE_FALSE(Load(std::string(kGood) + "buffer_share=2\n"));
+}
+
 TEST_CASE("an error names the key and the value") {
   const std::string good(kGood);
   const auto error_detail = [&](const std::string& line) {
--- a/libs/entry/include/turmeric/entry/caller_answer.h
+++ b/libs/entry/include/turmeric/entry/caller_answer.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <QPointer>
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "turmeric/http/server_connection.h"
@@ -25,23 +27,30 @@
 
   /** @return true until the caller disconnects. */
   bool caller_connected() const { return !connection_.isNull(); }
-  /** @return true once a stream has begun. */
+  /** @return true once a stream, or an answer in parts, has begun. */
   bool streaming() const { return streaming_; }
+  /** @return true while reading from the upstream is paused because the caller
+   * reads more slowly. */
+  bool paused() const { return paused_; }
   /** Sends a whole answer. @param message the answer. */
   void Respond(const http::ResponseMessage& message);
   /** Begins a stream. @param head its status and header fields. */
   void BeginStream(const http::ResponseHead& head);
+  /** Begins an answer that is forwarded in parts. @param head its status and
+   * header fields. @param length bytes of its body; nullopt: not known. */
+  void BeginParts(const http::ResponseHead& head,
+                  std::optional<uint64_t> length);
   /**
-   * Forwards part of a stream that has begun.
-   * @param events whole events. @param pause called with true when the caller
-   *     reads more slowly than its upstream writes, and with false once all
-   *     buffered bytes have been sent.
+   * Forwards part of a stream or an answer that has begun.
+   * @param part whole events, or the next bytes. @param pause called with true
+   * when the caller reads more slowly than its upstream writes, and with false
+   * once all buffered bytes have been sent.
    */
-  void WriteEvents(std::string_view events, const PauseReading& pause);
-  /** Ends a stream as complete. */
+  void Write(std::string_view part, const PauseReading& pause);
+  /** Ends a stream, or an answer in parts, as complete. */
   void EndStream();
-  /** Closes the connection without the end mark of the stream, so that the
-   * caller sees that the stream is incomplete. */
+  /** Closes the connection without the end of the stream or the answer, so that
+   * the caller sees that it is incomplete. */
   void Abort();
 
  private:
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -12,6 +12,7 @@
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/usual_deadlines.h"
 #include "turmeric/entry/wire_format.h"
+#include "turmeric/memory/memory_account.h"
 #include "turmeric/routing/prompt_memory.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream_table.h"
@@ -24,6 +25,7 @@
 class ConfigCheck;
 class EnginePlacer;
 class EntryMetrics;
+class MemoryGuard;
 class ReachMonitor;
 class RequestQuarantine;
 class StreamOrigins;
@@ -39,7 +41,9 @@
         retries(
             {settings.retry_ratio, settings.retry_slack, settings.retry_window},
             settings.first_start),
-        cold_limiter({settings.cold_over, settings.cold_slack}, settings.name) {
+        cold_limiter({settings.cold_over, settings.cold_slack}, settings.name),
+        memory(static_cast<size_t>(settings.memory_mb * kBytesPerMb *
+                                   settings.buffer_share)) {
     cold_limiter.set_enabled(Uses(config::Mechanism::kColdLimit));
     if (!Uses(config::Mechanism::kRepeats)) retries.set_limits({});
   }
@@ -72,6 +76,8 @@
     if (!Uses(config::Mechanism::kEjection)) upstream.ejected_until = {};
   }
 
+  static constexpr double kBytesPerMb = 1024 * 1024;
+
   config::EntrySettings settings;
   WireFormat wire;
   routing::RouteTablePtr table;  ///< Null until the first table was read.
@@ -81,6 +87,8 @@
   UpstreamClient client;
   RetryBudgets retries;
   ColdLimiter cold_limiter;
+  /** Bytes that this instance holds in buffers. */
+  memory::MemoryAccount memory;
   stages::StageTimes stage_times;
   stages::EngineTimes engine_times;
   UsualDeadlines usual_deadlines;
@@ -111,6 +119,7 @@
   ReachMonitor* reach = nullptr;
   StreamOrigins* origins = nullptr;
   EntryMetrics* metrics = nullptr;
+  MemoryGuard* memory_guard = nullptr;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <string_view>
 
+namespace turmeric::memory {
+class MemoryAccount;
+}
+
 namespace turmeric::entry {
 
 /** Counters and latency histograms of one entry instance. */
@@ -108,6 +112,10 @@
    * @param reason a fixed word.
    */
   void OnLeftUnread(std::string_view reason);
+  /** Records a request that was refused because the memory is full. */
+  void OnMemoryRefusal();
+  /** @param account the bytes that the instance holds in buffers. */
+  void SetBuffered(const memory::MemoryAccount& account);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -134,6 +142,8 @@
   prometheus::Gauge& unreached_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
+  prometheus::Family<prometheus::Gauge>& buffered_;
+  prometheus::Counter& memory_refusals_;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -11,6 +11,7 @@
 #include "turmeric/entry/platform_link.h"
 #include "turmeric/http/listener.h"
 #include "turmeric/kernel/service.h"
+#include "turmeric/memory/charge.h"
 
 namespace turmeric::peer {
 struct Frame;
@@ -19,11 +20,13 @@
 namespace turmeric::entry {
 
 class BrittleUpstreams;
+class CallerBuffers;
 class CallerIntake;
 class ConfigCheck;
 class EnginePlacer;
 class InstanceDirectory;
 class InstanceLinks;
+class MemoryGuard;
 class PeerServer;
 class PlacementCoordinator;
 class ReachMonitor;
@@ -103,6 +106,8 @@
   /** @param action called with each open request. */
   void ForEachRun(const std::function<void(RequestRun&)>& action);
   void CheckDrained();
+  /** Charges the bytes that links to peer instances hold. */
+  void ChargeLinks();
   http::ServerLimits Limits() const;
   bool ready() const;
   int open_requests() const;
@@ -110,6 +115,10 @@
   EntryMetrics metrics_;
   PlatformLink link_;
   EntryContext context_;
+  std::unique_ptr<MemoryGuard> memory_guard_;
+  std::unique_ptr<CallerBuffers> caller_buffers_;
+  memory::Charge link_charge_;  ///< Of the links to peer instances.
+  QTimer link_charge_timer_;
   std::unique_ptr<InstanceLinks> links_;
   std::unique_ptr<TunnelPeers> tunnel_peers_;
   std::unique_ptr<ReachMonitor> reach_;
--- a/libs/entry/include/turmeric/entry/instance_links.h
+++ b/libs/entry/include/turmeric/entry/instance_links.h
@@ -109,6 +109,8 @@
    *     unknown.
    */
   peer::PeerLink* Open(const std::string& name);
+  /** @return bytes buffered by all links that this instance has opened. */
+  size_t buffered() const;
   /**
    * @param add called with the next frame to each reachable instance, to add to
    *     it.
--- a/libs/entry/include/turmeric/entry/peer_server.h
+++ b/libs/entry/include/turmeric/entry/peer_server.h
@@ -89,6 +89,8 @@
    *     results may still be in flight.
    */
   bool busy(stages::Clock::time_point now) const;
+  /** @return bytes buffered by all links that peers have opened. */
+  size_t buffered() const;
 
  private:
   struct PeerState;
--- a/libs/entry/include/turmeric/entry/piece_call.h
+++ b/libs/entry/include/turmeric/entry/piece_call.h
@@ -8,8 +8,10 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "turmeric/entry/held_answer.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece_queue.h"
@@ -77,7 +79,10 @@
 
  private:
   http::ExchangeEvents AnswerEvents();
+  void OnBody(std::string_view bytes);
   void OnAnswer();
+  /** Cancels the exchange as broken. */
+  void BreakOff();
   void Fail(routing::Outcome outcome);
   bool MarkEnded();
 
@@ -88,6 +93,7 @@
   QTimer timeout_timer_;
   QTimer input_fetch_timer_;
   std::string body_;
+  HeldAnswer held_;  ///< Charge of `body_`.
   int status_ = 0;
   bool not_run_ = false;
   bool ended_ = false;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -16,6 +16,7 @@
 #include "turmeric/entry/stream_forwarder.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
+#include "turmeric/memory/charge.h"
 #include "turmeric/routing/route_table.h"
 #include "turmeric/routing/upstream.h"
 #include "turmeric/stages/piece.h"
@@ -135,6 +136,8 @@
   bool MayRetry(SendOutcome outcome);
   void Retry();
   void OnStreamBytes(std::string_view bytes);
+  /** Forwards a part of a large answer before its end. */
+  void OnForwardedBytes(std::string_view bytes);
   /** Records the version that has begun the stream, before its first event is
    * sent. */
   void RecordOrigin();
@@ -168,6 +171,7 @@
   /** Whether the configuration in force is the latest of the store; nullopt:
    * not checked, because no final refusal depended on it. */
   std::optional<bool> config_is_latest_;
+  memory::Charge request_charge_;  ///< Of the request and `last_error_`.
   RequestEvidence evidence_;
   std::string service_;
   /** Software version that began the stream; empty: none has yet. */
--- a/libs/entry/include/turmeric/entry/upstream_send.h
+++ b/libs/entry/include/turmeric/entry/upstream_send.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "turmeric/entry/held_answer.h"
 #include "turmeric/entry/upstream_client.h"
 #include "turmeric/entry/wire_format.h"
 #include "turmeric/http/client_connection.h"
@@ -21,6 +24,9 @@
 struct UpstreamSendEvents {
   /** Called with the bytes of an event stream as they arrive. */
   std::function<void(std::string_view)> on_stream_bytes;
+  /** Called with the parts of a large response that is forwarded before its
+   * end; see UpstreamSend::forwarded(). */
+  std::function<void(std::string_view)> on_forwarded_bytes;
   /** Called when the response is complete; see UpstreamSend::head(). */
   std::function<void()> on_end;
   /** Called when the exchange fails before the response is complete. */
@@ -30,6 +36,11 @@
    * is already cancelled.
    */
   std::function<void()> on_too_large;
+  /**
+   * Called when the response is given up because the memory of the instance is
+   * full; the send is already cancelled.
+   */
+  std::function<void()> on_given_up;
 };
 
 /** Parameters of one send. */
@@ -42,6 +53,9 @@
   std::unique_ptr<EnginePlacement> placement;
   /** A response with status 200 is an event stream. */
   bool may_be_stream = false;
+  /** A large response may be forwarded before its end: the caller has received
+   * no part of an earlier one. */
+  bool may_forward = true;
 };
 
 /**
@@ -94,6 +108,11 @@
   bool open() const { return exchange_ != nullptr; }
   /** @return true once the head of the response to this request has arrived. */
   bool has_head() const { return has_head_; }
+  /** @return true once parts of a response that is no event stream have been
+   * forwarded: the request can no longer get another response. */
+  bool forwarded() const { return forwarded_; }
+  /** @return the length that the response states; nullopt: none. */
+  std::optional<uint64_t> stated_length() const;
   /** @return true if the response is an event stream. */
   bool IsEventStream() const;
   /** @return the upstream that the request was sent to. */
@@ -111,13 +130,17 @@
   /** @return true if the response has neither a length nor chunks, so that its
    * end does not show whether it is whole. */
   bool ends_with_connection() const { return ends_with_connection_; }
-  /** @return the response body; empty for event streams. */
+  /** @return the response body; empty for event streams and for responses that
+   * were forwarded before their end. */
   const std::string& body() const { return body_; }
 
  private:
   http::ExchangeEvents AnswerEvents();
   bool OnHead(const http::ResponseHead& head);
   void OnBody(std::string_view bytes);
+  bool MayForward() const;
+  size_t MaxHeldBytes() const;
+  void GiveUp();
 
   EntryContext& context_;
   UpstreamSendSpec spec_;
@@ -128,7 +151,10 @@
   AnswerInfo info_;
   bool has_head_ = false;
   bool ends_with_connection_ = false;
+  bool forwarded_ = false;
+  std::string stated_length_;
   std::string body_;
+  HeldAnswer held_;  ///< Charge of `body_`.
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/caller_answer.cc
+++ b/libs/entry/src/caller_answer.cc
@@ -11,7 +11,7 @@
  * Number of bytes not yet sent to a slow caller at which reading from its
  * upstream pauses; reading resumes once all of them have been sent.
  */
-constexpr size_t kPauseThresholdBytes = 256 * 1024;
+constexpr size_t kPauseThresholdBytes = 64 * 1024;
 
 }  // namespace
 
@@ -30,10 +30,16 @@
   if (connection_) connection_->StartChunked(head.status, head.headers);
 }
 
-void CallerAnswer::WriteEvents(std::string_view events,
-                               const PauseReading& pause) {
+void CallerAnswer::BeginParts(const http::ResponseHead& head,
+                              std::optional<uint64_t> length) {
+  if (!length) return BeginStream(head);
+  streaming_ = true;
+  if (connection_) connection_->StartSized(head.status, head.headers, *length);
+}
+
+void CallerAnswer::Write(std::string_view part, const PauseReading& pause) {
   if (!connection_) return;
-  connection_->WriteChunk(events);
+  connection_->WriteChunk(part);
   if (connection_->unsent() <= kPauseThresholdBytes || paused_) return;
   paused_ = true;
   pause(true);
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -4,6 +4,7 @@
 
 #include <sstream>
 
+#include "turmeric/memory/memory_account.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -117,7 +118,17 @@
                          .Name("turmeric_log_lines_dropped_total")
                          .Help("Log lines dropped to bound their volume")
                          .Register(*registry_)
-                         .Add({})) {}
+                         .Add({})),
+      buffered_(prometheus::BuildGauge()
+                    .Name("turmeric_buffered_bytes")
+                    .Help("Bytes held in buffers, by what they are held for")
+                    .Register(*registry_)),
+      memory_refusals_(
+          prometheus::BuildCounter()
+              .Name("turmeric_memory_refusals_total")
+              .Help("Requests refused because the memory for buffers is full")
+              .Register(*registry_)
+              .Add({})) {}
 
 void EntryMetrics::OnRequest(std::string_view route, int status,
                              std::string_view outcome, double seconds) {
@@ -204,6 +215,16 @@
   evacuated_.Set(static_cast<double>(upstreams));
 }
 
+void EntryMetrics::OnMemoryRefusal() { memory_refusals_.Increment(); }
+
+void EntryMetrics::SetBuffered(const memory::MemoryAccount& account) {
+  for (size_t i = 0; i < memory::kBufferKinds; ++i) {
+    const auto kind = static_cast<memory::BufferKind>(i);
+    buffered_.Add({{"kind", std::string(memory::kBufferKindNames[i])}})
+        .Set(static_cast<double>(account.bytes(kind)));
+  }
+}
+
 std::string EntryMetrics::Render() {
   const double dropped_total =
       static_cast<double>(utils::DecisionLog::dropped());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -4,12 +4,14 @@
 #include <utility>
 
 #include "turmeric/entry/brittle_upstreams.h"
+#include "turmeric/entry/caller_buffers.h"
 #include "turmeric/entry/caller_intake.h"
 #include "turmeric/entry/config_check.h"
 #include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/instance_links.h"
+#include "turmeric/entry/memory_guard.h"
 #include "turmeric/entry/peer_server.h"
 #include "turmeric/entry/placement_coordinator.h"
 #include "turmeric/entry/reach_monitor.h"
@@ -46,6 +48,9 @@
  */
 constexpr milliseconds kBalancerDetectionTime{2600};
 constexpr milliseconds kDrainCheckInterval{50};
+/** Interval at which the bytes of links to peer instances are counted. A link
+ * that does not take them ends after its acknowledgement timeout. */
+constexpr milliseconds kLinkChargeInterval{500};
 /** Interval of the check for permits that may be used now. */
 constexpr milliseconds kPermitCheckInterval{5};
 
@@ -64,6 +69,9 @@
 EntryService::EntryService(config::EntrySettings settings, PlatformLink link)
     : link_(WithCountedCalls(std::move(link), metrics_)),
       context_(std::move(settings), link_.wire),
+      memory_guard_(std::make_unique<MemoryGuard>(context_.memory, metrics_)),
+      caller_buffers_(std::make_unique<CallerBuffers>(*memory_guard_)),
+      link_charge_(context_.memory, memory::BufferKind::kPeerLink),
       links_(std::make_unique<InstanceLinks>(context_)),
       tunnel_peers_(std::make_unique<TunnelPeers>(
           context_.settings.name, context_.settings.zone,
@@ -121,6 +129,7 @@
           [this] { return sharing_->config_current_at(); },
           [this](ConfigCheck::Callback done) { feed_->FetchConfig(done); })) {
   context_.metrics = &metrics_;
+  context_.memory_guard = memory_guard_.get();
   context_.config_check = config_check_.get();
   context_.stages = router_.get();
   context_.placer = placer_.get();
@@ -144,6 +153,10 @@
       std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
   metrics_listener_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
+  link_charge_timer_.setInterval(kLinkChargeInterval);
+  connect(&link_charge_timer_, &QTimer::timeout, this,
+          [this] { ChargeLinks(); });
+  if (context_.memory.bound() > 0) link_charge_timer_.start();
   drain_timer_.setInterval(kDrainCheckInterval);
   connect(&drain_timer_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
@@ -422,6 +435,7 @@
       },
       this);
   callers_.insert(connection);
+  caller_buffers_->Add(*connection);
   connect(connection, &QObject::destroyed, this,
           [this, connection] { callers_.erase(connection); });
 }
@@ -442,6 +456,8 @@
         {.status = ready() ? kOk : kUnavailable, .headers = {}, .body = {}});
   }
   if (message.target == kMetricsPath) {
+    ChargeLinks();
+    metrics_.SetBuffered(context_.memory);
     return connection.Respond({.status = kOk,
                                .headers = {{"Content-Type", "text/plain"}},
                                .body = metrics_.Render()});
@@ -468,6 +484,12 @@
       std::ranges::count_if(callers_, &http::ServerConnection::busy));
 }
 
+void EntryService::ChargeLinks() {
+  const size_t before = link_charge_.bytes();
+  link_charge_.Set(links_->buffered() + peer_server_->buffered());
+  if (link_charge_.bytes() > before) memory_guard_->OnGrowth();
+}
+
 void EntryService::Drain(std::function<void()> done) {
   if (std::exchange(draining_, true)) return;
   on_drained_ = std::move(done);
--- a/libs/entry/src/instance_links.cc
+++ b/libs/entry/src/instance_links.cc
@@ -260,4 +260,12 @@
   }
 }
 
+size_t InstanceLinks::buffered() const {
+  size_t bytes = 0;
+  for (const auto& [name, instance] : instances_) {
+    if (instance.link != nullptr) bytes += instance.link->buffered();
+  }
+  return bytes;
+}
+
 }  // namespace turmeric::entry
--- a/libs/entry/src/peer_server.cc
+++ b/libs/entry/src/peer_server.cc
@@ -298,4 +298,10 @@
   }
 }
 
+size_t PeerServer::buffered() const {
+  size_t bytes = 0;
+  for (const auto& [link, identity] : identity_of_) bytes += link->buffered();
+  return bytes;
+}
+
 }  // namespace turmeric::entry
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr int kOk = 200;
+/** A larger response fails the call. It holds a handle for each piece, which
+ * has some hundred bytes. */
+constexpr size_t kMaxAnswerBytes = 1024 * 1024;
 /**
  * Time after which the upstream is assumed to have fetched the inputs: some
  * megabytes over links of 10 Gbit/s, plus the round trip.
@@ -32,6 +35,9 @@
       context_(context),
       spec_(std::move(spec)),
       events_(std::move(events)),
+      held_(*context.memory_guard, spec_.upstream->entry.id,
+            {.pause = [this](bool paused) { exchange_->PauseReading(paused); },
+             .give_up = [this] { BreakOff(); }}),
       bytes_(std::transform_reduce(
           spec_.pieces.begin(), spec_.pieces.end(), int64_t{0}, std::plus<>(),
           [](const QueuedPiece& q) { return q.piece.result_bytes; })) {
@@ -81,7 +87,7 @@
     ApplyStatements(context_, spec_.upstream, head.status, info, started_);
     return true;
   };
-  events.on_body = [this](std::string_view bytes) { body_.append(bytes); };
+  events.on_body = [this](std::string_view bytes) { OnBody(bytes); };
   events.on_end = [this] { OnAnswer(); };
   events.on_failure = [this](http::ExchangeFailure failure) {
     const bool not_sent = failure == http::ExchangeFailure::kNotSent;
@@ -90,6 +96,17 @@
   return events;
 }
 
+void PieceCall::OnBody(std::string_view bytes) {
+  body_.append(bytes);
+  if (body_.size() > kMaxAnswerBytes) return BreakOff();
+  held_.Set(body_.size());
+}
+
+void PieceCall::BreakOff() {
+  exchange_->Cancel();
+  Fail(Outcome::kBroken);
+}
+
 void PieceCall::OnAnswer() {
   if (status_ != kOk) {
     return Fail(not_run_ ? Outcome::kRefused : Outcome::kError);
@@ -106,6 +123,7 @@
 
 bool PieceCall::MarkEnded() {
   if (std::exchange(ended_, true)) return false;
+  held_.Release();
   timeout_timer_.stop();
   input_fetch_timer_.stop();
   deleteLater();
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/memory_guard.h"
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/retry_after.h"
 #include "turmeric/entry/send_permits.h"
@@ -37,9 +38,21 @@
  */
 constexpr std::string_view kQuarantined = "quarantined";
 
+/** Delay after which a request that found the memory full may return. Bytes
+ * that are given up are free at once; those of callers take a while. */
+constexpr milliseconds kMemoryRetryDelay{500};
+
 /** Value of a log field for a request that resumes no stream. */
 constexpr int64_t kNoEvent = -1;
 
+size_t BytesOf(const CallerRequest& request) {
+  size_t bytes = request.target.size() + request.body.size();
+  for (const http::HeaderField& field : request.headers) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 RequestRun::RequestRun(EntryContext& context,
@@ -48,8 +61,10 @@
     : QObject(parent),
       context_(context),
       answer_(connection, [this] { OnCallerDisconnected(); }),
-      evidence_(context),
       request_(std::move(request)),
+      request_charge_(context.memory, memory::BufferKind::kCallerRequest,
+                      BytesOf(request_)),
+      evidence_(context),
       arrived_(Clock::now()) {}
 
 RequestRun::~RequestRun() {
@@ -68,6 +83,9 @@
 }
 
 void RequestRun::Start() {
+  if (context_.memory_guard->RefusesRequest()) {
+    return Refuse("memory_full", kMemoryRetryDelay);
+  }
   if (!Admitted()) return;
   limit_timer_.setSingleShot(true);
   limit_timer_.setTimerType(Qt::PreciseTimer);
--- a/libs/entry/src/request_run_answer.cc
+++ b/libs/entry/src/request_run_answer.cc
@@ -48,8 +48,18 @@
   send_->OnPromptRead();
   // `send_` is read when called: the stream may have been resumed at another
   // upstream by the time that the caller reads on.
-  answer_.WriteEvents(events,
-                      [this](bool paused) { send_->PauseReading(paused); });
+  answer_.Write(events, [this](bool paused) { send_->PauseReading(paused); });
+}
+
+void RequestRun::OnForwardedBytes(std::string_view bytes) {
+  if (!answer_.caller_connected()) return;
+  if (!answer_.streaming()) {
+    first_byte_ms_ = static_cast<int64_t>(MsSinceArrival());
+    may_have_run_ = true;
+    send_->OnPromptRead();
+    answer_.BeginParts(send_->head(), send_->stated_length());
+  }
+  answer_.Write(bytes, [this](bool paused) { send_->PauseReading(paused); });
 }
 
 void RequestRun::RecordOrigin() {
@@ -136,6 +146,9 @@
   send_->End(upstream_error ? Outcome::kError : Outcome::kAnswered);
   if (upstream_error && route_->retryable() &&
       MayRetry(SendOutcome::kMayHaveRun)) {
+    const size_t replaced = last_error_ ? last_error_->body.size() : 0;
+    request_charge_.Set(request_charge_.bytes() - replaced +
+                        send_->body().size());
     last_error_ =
         http::ResponseMessage{head.status, head.headers, send_->body()};
     return Retry();
@@ -214,6 +227,9 @@
 
 bool RequestRun::MayRetry(SendOutcome outcome) {
   if (evidence_.RemainingQuarantine()) return false;
+  // The caller has the beginning of this upstream's answer; that of another run
+  // may differ.
+  if (send_->forwarded()) return false;
   if (outcome == SendOutcome::kUnreached &&
       !context_.Uses(Mechanism::kTryNext)) {
     outcome = SendOutcome::kNotRun;
@@ -248,6 +264,8 @@
   if (send_->IsEventStream()) {
     if (!answer_.streaming()) ForwardHead();
     answer_.EndStream();
+  } else if (send_->forwarded()) {
+    answer_.EndStream();
   } else {
     answer_.Respond({head.status, head.headers, send_->body()});
   }
@@ -287,7 +305,12 @@
   }
   if (finished_) return;
   const bool sent = MayHaveRun();
-  if (send_ && send_->open()) send_->Cancel(Outcome::kTimeout);
+  if (send_ && answer_.paused()) {
+    // The caller reads too slowly; the upstream has not failed.
+    send_->Abandon();
+  } else if (send_ && send_->open()) {
+    send_->Cancel(Outcome::kTimeout);
+  }
   if (sent) return Fail(kGatewayTimeout, "time_limit");
   Refuse("time_limit_before_send", RetryAfter::kLater);
 }
--- a/libs/entry/src/request_run_send.cc
+++ b/libs/entry/src/request_run_send.cc
@@ -251,7 +251,8 @@
           .attempt_id = request_.attempt_id,
           .prompt_ms = route_->carries_prompt ? PromptMs(request_) : 0,
           .placement = std::move(placement_),
-          .may_be_stream = route_->kind == RequestKind::kStream},
+          .may_be_stream = route_->kind == RequestKind::kStream,
+          .may_forward = !answer_.streaming()},
       SendEvents());
   send_->Start(context_.wire.encode_call(CallTo(*upstream)));
   context_.connections->OnSend(*upstream);
@@ -286,14 +287,21 @@
 }
 
 UpstreamSendEvents RequestRun::SendEvents() {
-  return {.on_stream_bytes = [this](std::string_view b) { OnStreamBytes(b); },
-          .on_end = [this] { OnEnd(); },
-          .on_failure = [this](http::ExchangeFailure f) { OnFailure(f); },
-          .on_too_large =
-              [this] {
-                may_have_run_ = true;
-                OnExchangeBroken("answer_too_large");
-              }};
+  return {
+      .on_stream_bytes = [this](std::string_view b) { OnStreamBytes(b); },
+      .on_forwarded_bytes = [this](std::string_view b) { OnForwardedBytes(b); },
+      .on_end = [this] { OnEnd(); },
+      .on_failure = [this](http::ExchangeFailure f) { OnFailure(f); },
+      .on_too_large =
+          [this] {
+            may_have_run_ = true;
+            OnExchangeBroken("answer_too_large");
+          },
+      .on_given_up =
+          [this] {
+            may_have_run_ = true;
+            OnExchangeBroken("answer_given_up");
+          }};
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -1,5 +1,6 @@
 #include "turmeric/entry/upstream_send.h"
 
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -18,14 +19,27 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kServerError = 500;
 /** A larger response that is not a stream fails the send. */
 constexpr size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+/** As above, for responses that cannot reach the caller as a success: failing
+ * ones, and those without a receipt. */
+constexpr size_t kMaxFailingAnswerBytes = 1024 * 1024;
+/** A larger successful response is forwarded before its end. Smaller ones are
+ * held back, so that the request can be retried if they break off. */
+constexpr size_t kMaxHeldBackBytes = 256 * 1024;
 
 }  // namespace
 
 UpstreamSend::UpstreamSend(EntryContext& context, UpstreamSendSpec spec,
                            UpstreamSendEvents events)
-    : context_(context), spec_(std::move(spec)), events_(std::move(events)) {
+    : context_(context),
+      spec_(std::move(spec)),
+      events_(std::move(events)),
+      held_(*context.memory_guard, spec_.upstream->entry.id,
+            {.pause = [this](bool paused) { PauseReading(paused); },
+             .give_up = [this] { GiveUp(); }}) {
   spec_.upstream->pending_prompt_ms += spec_.prompt_ms;
 }
 
@@ -47,11 +61,13 @@
           .on_body = [this](std::string_view bytes) { OnBody(bytes); },
           .on_end =
               [this] {
+                held_.Keep();
                 const auto on_end = events_.on_end;
                 on_end();
               },
           .on_failure =
               [this](http::ExchangeFailure failure) {
+                held_.Keep();
                 const auto on_failure = events_.on_failure;
                 on_failure(failure);
               }};
@@ -70,6 +86,7 @@
     return false;
   }
   ends_with_connection_ = http::EndsWithConnection(head);
+  stated_length_ = http::HeaderValue(head.headers, "Content-Length");
   head_ = head;
   std::erase_if(head_.headers, [](const http::HeaderField& field) {
     return http::IsHopByHop(field.name);
@@ -89,11 +106,48 @@
     const auto on_stream_bytes = events_.on_stream_bytes;
     return on_stream_bytes(bytes);
   }
+  const auto on_forwarded_bytes = events_.on_forwarded_bytes;
+  if (forwarded_) return on_forwarded_bytes(bytes);
   body_.append(bytes);
-  if (body_.size() <= kMaxAnswerBytes) return;
+  if (body_.size() > kMaxHeldBackBytes && MayForward()) {
+    forwarded_ = true;
+    held_.Release();
+    const std::string begin = std::exchange(body_, {});
+    return on_forwarded_bytes(begin);
+  }
+  if (body_.size() > MaxHeldBytes()) {
+    Cancel(Outcome::kBroken);
+    const auto on_too_large = events_.on_too_large;
+    return on_too_large();
+  }
+  // May give up this response and destroy this object.
+  held_.Set(body_.size());
+}
+
+bool UpstreamSend::MayForward() const {
+  return spec_.may_forward && head_.status >= kOk &&
+         head_.status < kFirstRedirect && info_.has_receipt &&
+         !info_.attempt_id.empty() && !info_.encoded && !info_.not_run;
+}
+
+size_t UpstreamSend::MaxHeldBytes() const {
+  const bool success = head_.status < kFirstRedirect;
+  return success || head_.status >= kServerError ? kMaxFailingAnswerBytes
+                                                 : kMaxAnswerBytes;
+}
+
+std::optional<uint64_t> UpstreamSend::stated_length() const {
+  uint64_t length = 0;
+  const char* const end = stated_length_.data() + stated_length_.size();
+  const auto parsed = std::from_chars(stated_length_.data(), end, length);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return length;
+}
+
+void UpstreamSend::GiveUp() {
   Cancel(Outcome::kBroken);
-  const auto on_too_large = events_.on_too_large;
-  on_too_large();
+  const auto on_given_up = events_.on_given_up;
+  on_given_up();
 }
 
 void UpstreamSend::OnPromptRead() {
@@ -114,11 +168,15 @@
 
 void UpstreamSend::Cancel(Outcome outcome) {
   if (exchange_) exchange_->Cancel();
+  held_.Release();
+  body_ = {};
   End(outcome);
 }
 
 void UpstreamSend::Abandon() {
   if (exchange_) exchange_->Cancel();
+  held_.Release();
+  body_ = {};
   OnPromptRead();
   spec_.placement.reset();
   exchange_.reset();
--- a/libs/http/include/turmeric/http/message_parser.h
+++ b/libs/http/include/turmeric/http/message_parser.h
@@ -43,6 +43,8 @@
   bool head_done() const;
   /** @return true if the client wants the connection kept open. */
   bool keep_alive() const;
+  /** @return bytes of the body parsed so far. */
+  size_t body_bytes() const;
   /** @return the part of the request parsed so far. */
   RequestMessage& message();
 
--- a/libs/http/include/turmeric/http/server_connection.h
+++ b/libs/http/include/turmeric/http/server_connection.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <QObject>
+#include <QPointer>
 #include <QTimer>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,17 +69,30 @@
   void set_on_drained(std::function<void()> callback) {
     on_drained_ = std::move(callback);
   }
+  /** @param callback called when the bytes that this connection holds may have
+   * changed: see received() and unsent(). */
+  void set_on_buffered(std::function<void()> callback) {
+    on_buffered_ = std::move(callback);
+  }
   /** @param response the complete response to the open request. */
   void Respond(const ResponseMessage& response);
   /** Starts a chunked response. @param status HTTP status. @param headers
    * header fields. */
   void StartChunked(int status, std::span<const HeaderField> headers);
+  /** Starts a response with a known length. @param status HTTP status.
+   * @param headers header fields. @param length bytes of the body. */
+  void StartSized(int status, std::span<const HeaderField> headers,
+                  uint64_t length);
   /** @param bytes next part of a started response; empty writes nothing. */
   void WriteChunk(std::string_view bytes);
-  /** Completes a started response. */
+  /** Completes a started response; one that is shorter or longer than its
+   * length is aborted. */
   void EndChunked();
   /** Resets the connection, so that an open response cannot appear complete. */
   void Abort();
+  /** Resets the connection, also while the last response is being sent, and
+   * reports that the client has disconnected. */
+  void CutOff();
   /** Closes after the response to the open request, or now if there is none. */
   void CloseWhenIdle();
   /** @return true while the response to a request is not finished. */
@@ -86,6 +102,11 @@
   std::chrono::milliseconds receive_time() const { return receive_time_; }
   /** @return response bytes that have not been handed to the system yet. */
   size_t unsent() const;
+  /** @return response bytes handed to the system so far. */
+  uint64_t sent() const;
+  /** @return received bytes of requests that are incomplete or wait for the
+   * response to an earlier one. */
+  size_t received() const;
 
  private:
   void OnBytes(std::string_view bytes);
@@ -98,15 +119,20 @@
   void Close();
   void CloseIfIdle();
   void NotifyDisconnected();
+  void NotifyBuffered();
 
   LimitsSource limits_source_;
   RequestHandler handler_;
   std::function<void()> on_disconnected_;
   std::function<void()> on_drained_;
+  std::function<void()> on_buffered_;
   TcpSocket* socket_;  ///< Child object; released on an orderly close.
+  QPointer<TcpSocket> flushing_;  ///< Sends the last response after Close().
   std::unique_ptr<RequestParser> parser_;
   std::string unparsed_;
   QTimer timer_;  ///< Header timeout or idle timeout.
+  /** Bytes missing of a started response; nullopt: it is chunked. */
+  std::optional<uint64_t> body_left_;
   bool busy_ = false;
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
--- a/libs/http/include/turmeric/http/tcp_socket.h
+++ b/libs/http/include/turmeric/http/tcp_socket.h
@@ -83,6 +83,8 @@
   void Write(std::string_view bytes);
   /** @return bytes buffered by Write and not yet handed to the system. */
   size_t unsent() const { return send_buffer_.size() - send_offset_; }
+  /** @return bytes handed to the system so far. */
+  uint64_t sent() const { return sent_; }
   /** @return bytes written that have not been acknowledged by TCP. */
   size_t unacknowledged() const;
   /** @param paused true: stop reading, which slows the peer by flow control. */
@@ -135,6 +137,7 @@
   bool closing_ = false;
   std::string send_buffer_;
   size_t send_offset_ = 0;
+  uint64_t sent_ = 0;
   SocketEvents events_;
   std::unique_ptr<QSocketNotifier> read_notifier_;
   std::unique_ptr<QSocketNotifier> write_notifier_;
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -135,6 +135,8 @@
 
 bool RequestParser::keep_alive() const { return impl_->keep_alive(); }
 
+size_t RequestParser::body_bytes() const { return impl_->message.body.size(); }
+
 RequestMessage& RequestParser::message() { return impl_->message; }
 
 struct ResponseParser::Impl : beast::basic_parser<false> {
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -46,6 +46,7 @@
        .on_drained =
            [this] {
              if (on_drained_) on_drained_();
+             NotifyBuffered();
            }});
   timer_.setSingleShot(true);
   timer_.setTimerType(Qt::PreciseTimer);
@@ -60,12 +61,30 @@
 ServerConnection::~ServerConnection() = default;
 
 size_t ServerConnection::unsent() const {
+  if (flushing_) return flushing_->unsent();
   return socket_ == nullptr ? 0 : socket_->unsent();
 }
 
+uint64_t ServerConnection::sent() const {
+  if (flushing_) return flushing_->sent();
+  return socket_ == nullptr ? 0 : socket_->sent();
+}
+
+size_t ServerConnection::received() const {
+  return unparsed_.size() + (reading_ && parser_ ? parser_->body_bytes() : 0);
+}
+
+void ServerConnection::NotifyBuffered() {
+  if (on_buffered_) on_buffered_();
+}
+
 void ServerConnection::OnBytes(std::string_view bytes) {
   unparsed_.append(bytes);
-  if (!busy_) return ParseNext();
+  if (!busy_) {
+    ParseNext();
+    return NotifyBuffered();
+  }
+  NotifyBuffered();
   // A client that sends ahead of its responses is slowed by TCP flow control.
   if (unparsed_.size() > limits_source_().max_header_bytes) {
     socket_->PauseReading(true);
@@ -106,6 +125,8 @@
   busy_ = true;
   keep_alive_ = parser_->keep_alive();
   RequestMessage message = std::move(parser_->message());
+  // The handler accounts for the request from here on.
+  NotifyBuffered();
   handler_(*this, std::move(message));
 }
 
@@ -139,6 +160,19 @@
   FinishResponse();
 }
 
+void ServerConnection::StartSized(int status,
+                                  std::span<const HeaderField> headers,
+                                  uint64_t length) {
+  if (socket_ == nullptr || !busy_) return;
+  std::string out;
+  if (close_when_idle_) keep_alive_ = false;
+  WriteHead(status, headers, out);
+  AppendHeader(out, "Content-Length", std::to_string(length));
+  out.append("\r\n");
+  body_left_ = length;
+  socket_->Write(out);
+}
+
 void ServerConnection::StartChunked(int status,
                                     std::span<const HeaderField> headers) {
   if (socket_ == nullptr || !busy_) return;
@@ -147,19 +181,29 @@
   WriteHead(status, headers, out);
   AppendHeader(out, "Transfer-Encoding", "chunked");
   out.append("\r\n");
+  body_left_.reset();
   socket_->Write(out);
 }
 
 void ServerConnection::WriteChunk(std::string_view bytes) {
   if (socket_ == nullptr || !busy_ || bytes.empty()) return;
+  if (body_left_) {
+    if (bytes.size() > *body_left_) return CutOff();
+    *body_left_ -= bytes.size();
+    socket_->Write(bytes);
+    return NotifyBuffered();
+  }
   std::string out = HexSize(bytes.size());
   out.append("\r\n").append(bytes).append("\r\n");
   socket_->Write(out);
+  NotifyBuffered();
 }
 
 void ServerConnection::EndChunked() {
   if (socket_ == nullptr || !busy_) return;
-  socket_->Write("0\r\n\r\n");
+  const auto missing = std::exchange(body_left_, std::nullopt);
+  if (missing.value_or(0) > 0) return Abort();
+  if (!missing) socket_->Write("0\r\n\r\n");
   FinishResponse();
 }
 
@@ -167,6 +211,7 @@
   on_disconnected_ = nullptr;
   on_drained_ = nullptr;
   busy_ = false;
+  NotifyBuffered();
   if (!keep_alive_) return Close();
   socket_->PauseReading(false);
   // The next request is parsed from the event loop, so that a handler that
@@ -196,6 +241,7 @@
   // Guard: a planned stop waits until all connection objects are destroyed.
   // This object stays until the socket has sent the response to the peer.
   connect(socket_, &QObject::destroyed, this, &QObject::deleteLater);
+  flushing_ = socket_;
   std::exchange(socket_, nullptr)->CloseAfterFlush();
 }
 
@@ -222,6 +268,18 @@
   deleteLater();
 }
 
+void ServerConnection::CutOff() {
+  timer_.stop();
+  if (flushing_) {
+    flushing_->Abort();
+    flushing_->deleteLater();
+    return;
+  }
+  if (socket_ == nullptr) return;
+  socket_->Abort();
+  OnEnd();
+}
+
 void ServerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
   if (!busy_ && !reading_ && unparsed_.empty()) CloseIfIdle();
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -207,6 +207,7 @@
       return false;
     }
     send_offset_ += static_cast<size_t>(sent);
+    sent_ += static_cast<uint64_t>(sent);
   }
   if (send_offset_ == send_buffer_.size()) {
     send_buffer_.clear();
@@ -224,7 +225,10 @@
   // failed send is not reported here: the callback must not run inside Write.
   const ssize_t sent = ::send(fd_, send_buffer_.data() + send_offset_, unsent(),
                               MSG_NOSIGNAL | MSG_DONTWAIT);
-  if (sent > 0) send_offset_ += static_cast<size_t>(sent);
+  if (sent > 0) {
+    send_offset_ += static_cast<size_t>(sent);
+    sent_ += static_cast<uint64_t>(sent);
+  }
   if (send_offset_ == send_buffer_.size()) {
     send_buffer_.clear();
     send_offset_ = 0;
--- a/libs/memory/include/turmeric/memory/memory_account.h
+++ b/libs/memory/include/turmeric/memory/memory_account.h
@@ -41,13 +41,16 @@
   /** @param kind a kind. @return mean of the bytes of its charges that hold
    * any; 0 if none does. */
   size_t Mean(BufferKind kind) const;
-  /** @param kind a kind. @return its largest charge; nullptr if none holds any
-   * bytes. */
-  const Charge* Largest(BufferKind kind) const;
+  /** A charge that holds bytes, and their number. */
+  using Holder = std::pair<size_t, const Charge*>;
+  /** @param kind a kind. @return its charges that hold any bytes, the smallest
+   * first. */
+  const std::set<Holder>& holders(BufferKind kind) const {
+    return holders_[static_cast<size_t>(kind)];
+  }
 
  private:
   friend class Charge;
-  using Holder = std::pair<size_t, const Charge*>;
 
   void Replace(const Charge& charge, size_t before, size_t after);
 
--- a/libs/memory/src/memory_account.cc
+++ b/libs/memory/src/memory_account.cc
@@ -10,11 +10,6 @@
   return holders == 0 ? 0 : bytes(kind) / holders;
 }
 
-const Charge* MemoryAccount::Largest(BufferKind kind) const {
-  const auto& holders = holders_[static_cast<size_t>(kind)];
-  return holders.empty() ? nullptr : holders.rbegin()->second;
-}
-
 void MemoryAccount::Replace(const Charge& charge, size_t before, size_t after) {
   const auto kind = static_cast<size_t>(charge.kind());
   if (before > 0) holders_[kind].erase({before, &charge});
--- a/libs/memory/test/memory_account_test.cc
+++ b/libs/memory/test/memory_account_test.cc
@@ -25,7 +25,7 @@
     REQUIRE(account.bytes(BufferKind::kUpstreamAnswer) == 50);
   }
   REQUIRE(account.total() == 0);
-  REQUIRE(account.Largest(BufferKind::kUpstreamAnswer) == nullptr);
+  REQUIRE(account.holders(BufferKind::kUpstreamAnswer).empty());
   REQUIRE(account.Mean(BufferKind::kUpstreamAnswer) == 0);
 }
 
@@ -36,12 +36,15 @@
   Charge request(account, BufferKind::kCallerRequest, 500);
   std::optional<Charge> second;
   second.emplace(account, BufferKind::kUpstreamAnswer, 20);
-  REQUIRE(account.Largest(BufferKind::kUpstreamAnswer) == &*second);
+  const auto largest = [&account] {
+    return account.holders(BufferKind::kUpstreamAnswer).rbegin()->second;
+  };
+  REQUIRE(largest() == &*second);
   first.Set(31);
-  REQUIRE(account.Largest(BufferKind::kUpstreamAnswer) == &first);
+  REQUIRE(largest() == &first);
   REQUIRE(account.Mean(BufferKind::kUpstreamAnswer) == 25);
   first.Set(0);
-  REQUIRE(account.Largest(BufferKind::kUpstreamAnswer) == &*second);
+  REQUIRE(largest() == &*second);
   REQUIRE(account.Mean(BufferKind::kUpstreamAnswer) == 20);
 }
 
--- a/libs/peer/include/turmeric/peer/peer_link.h
+++ b/libs/peer/include/turmeric/peer/peer_link.h
@@ -53,6 +53,8 @@
   void Close();
   /** @return true until the link has ended. */
   bool alive() const { return alive_; }
+  /** @return bytes received in part or not handed to the system yet. */
+  size_t buffered() const;
   /** @return true once a frame has been received. */
   bool has_received() const { return has_received_; }
   /** @return true if the link ended because an acknowledgement timed out. */
--- a/libs/peer/src/peer_link.cc
+++ b/libs/peer/src/peer_link.cc
@@ -60,6 +60,10 @@
 
 PeerLink::~PeerLink() = default;
 
+size_t PeerLink::buffered() const {
+  return receive_buffer_.size() + socket_->unsent();
+}
+
 void PeerLink::AttachSocket() {
   socket_->set_events(
       {.on_connected = {},
