Choose among uneven upstreams by the expected time

Cause: the fourth figure of Server-Load was dropped and the other three were added up and not used, so a third of the work ran at slow upstreams while fast ones had free capacity.

Change: libs/balancing learns a service time for each upstream from the answers (waiting and pace taken out), and chooses for requests without a prompt by power of d choices on the expected time, once the upstreams are known to be uneven (mechanism expected_time). Log line upstream_pace, gauge turmeric_upstream_speed.

The balancing, routing and stages tests pass, and the five decoder tests of answers.

--- a/libs/entry/include/turmeric/entry/answer_statements.h
+++ b/libs/entry/include/turmeric/entry/answer_statements.h
@@ -9,7 +9,7 @@
 
 /**
  * Applies what an answer states about its upstream: its rate limit, whether it
- * is brittle, leaves or wants a rest.
+ * is brittle, leaves or wants a rest, and its load.
  * @param context the instance's state.
  * @param upstream the upstream that answered.
  * @param status status of the answer.
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <string>
 
 #include "turmeric/config/entry_settings.h"
 #include "turmeric/entry/backlog_reports.h"
@@ -86,6 +88,8 @@
   UsualDeadlines usual_deadlines;
   /** Exchanges store revisions with the other instances. */
   RevisionGossip revision_gossip;
+  /** When the last change of an upstream's speed was logged, by service. */
+  std::map<std::string, routing::Clock::time_point> speed_logged_at;
   /** Queue lengths reported by other instances. */
   BacklogReports backlog_reports;
   /** Start of the planned stop; nullopt: no stop has begun. */
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -9,11 +9,21 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmeric::entry {
 
+/** The learned speed of one upstream. */
+struct UpstreamSpeed {
+  std::string service;
+  std::string upstream;  ///< Id of the upstream.
+  /** Service time, as a multiple of the mean of the service. */
+  double relative = 1;
+};
+
 /** Counters and latency histograms of one entry instance. */
 class EntryMetrics {
  public:
@@ -108,6 +118,11 @@
    * @param reason a fixed word.
    */
   void OnLeftUnread(std::string_view reason);
+  /**
+   * Replaces the learned speeds of upstreams.
+   * @param speeds at most 64 of them.
+   */
+  void SetUpstreamSpeeds(std::span<const UpstreamSpeed> speeds);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -134,6 +149,8 @@
   prometheus::Gauge& unreached_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
+  prometheus::Family<prometheus::Gauge>& speed_family_;
+  std::vector<prometheus::Gauge*> speeds_;  ///< Of `speed_family_`.
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/upstream_send.h
+++ b/libs/entry/include/turmeric/entry/upstream_send.h
@@ -118,12 +118,16 @@
   http::ExchangeEvents AnswerEvents();
   bool OnHead(const http::ResponseHead& head);
   void OnBody(std::string_view bytes);
+  /** Learns the speed of the upstream from the head of the answer. */
+  void LearnSpeed(const http::ResponseHead& head);
+  void EndLoad();
 
   EntryContext& context_;
   UpstreamSendSpec spec_;
   UpstreamSendEvents events_;
   std::shared_ptr<UpstreamExchange> exchange_;
   routing::Clock::time_point sent_at_;
+  std::optional<balancing::OpenSend> counted_;  ///< In the upstream's load.
   http::ResponseHead head_;
   AnswerInfo info_;
   bool has_head_ = false;
--- a/libs/entry/include/turmeric/entry/wire_format.h
+++ b/libs/entry/include/turmeric/entry/wire_format.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/balancing/load_report.h"
 #include "turmeric/http/message.h"
 #include "turmeric/http/server_connection.h"
 #include "turmeric/stages/piece.h"
@@ -64,7 +65,9 @@
   bool has_receipt = false;  ///< Carries the upstream's receipt.
   /** The body is encoded, so its bytes are not the upstream's own. */
   bool encoded = false;
-  std::optional<int> load;  ///< Requests in flight and queued at the upstream.
+  /** The load that the upstream reports, without the time of the answer;
+   * nullopt: none, or none that is valid. */
+  std::optional<balancing::LoadReport> load;
   /** Requests per second that the upstream takes from all instances together;
    * nullopt: no limit is stated. */
   std::optional<double> rate_limit;
--- a/libs/entry/src/answer_statements.cc
+++ b/libs/entry/src/answer_statements.cc
@@ -15,6 +15,11 @@
   context.limiter->OnAnswer(*upstream, status, info, sent_at, now);
   context.brittle->OnAnswer(*upstream, status, info, sent_at, now);
   context.availability->OnAnswer(upstream, status, info, now);
+  if (info.load) {
+    balancing::LoadReport report = *info.load;
+    report.at = now;
+    upstream->load.OnReport(report);
+  }
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -117,7 +117,12 @@
                          .Name("turmeric_log_lines_dropped_total")
                          .Help("Log lines dropped to bound their volume")
                          .Register(*registry_)
-                         .Add({})) {}
+                         .Add({})),
+      speed_family_(prometheus::BuildGauge()
+                        .Name("turmeric_upstream_speed")
+                        .Help("Learned service time of an upstream, as a "
+                              "multiple of the mean of its service")
+                        .Register(*registry_)) {}
 
 void EntryMetrics::OnRequest(std::string_view route, int status,
                              std::string_view outcome, double seconds) {
@@ -204,6 +209,17 @@
   evacuated_.Set(static_cast<double>(upstreams));
 }
 
+void EntryMetrics::SetUpstreamSpeeds(std::span<const UpstreamSpeed> speeds) {
+  for (prometheus::Gauge* gauge : speeds_) speed_family_.Remove(gauge);
+  speeds_.clear();
+  for (const UpstreamSpeed& speed : speeds) {
+    prometheus::Gauge& gauge = speed_family_.Add(
+        {{"service", speed.service}, {"upstream", speed.upstream}});
+    gauge.Set(speed.relative);
+    speeds_.push_back(&gauge);
+  }
+}
+
 std::string EntryMetrics::Render() {
   const double dropped_total =
       static_cast<double>(utils::DecisionLog::dropped());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -25,6 +25,7 @@
 #include "turmeric/entry/upstream_availability.h"
 #include "turmeric/entry/upstream_connections.h"
 #include "turmeric/entry/upstream_limiter.h"
+#include "turmeric/entry/upstream_speeds.h"
 #include "turmeric/entry/version_registry.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -442,6 +443,7 @@
         {.status = ready() ? kOk : kUnavailable, .headers = {}, .body = {}});
   }
   if (message.target == kMetricsPath) {
+    metrics_.SetUpstreamSpeeds(UpstreamSpeeds(context_));
     return connection.Respond({.status = kOk,
                                .headers = {{"Content-Type", "text/plain"}},
                                .body = metrics_.Render()});
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/routing/choice.h"
+#include "turmeric/utils/random_id.h"
 
 namespace turmeric::entry {
 
@@ -60,6 +61,9 @@
   request.admits = [&cold](const routing::Upstream& u) {
     return !u.brittle.is_brittle() && (!cold || cold(u));
   };
+  if (context.Uses(config::Mechanism::kExpectedTime)) {
+    request.draw = static_cast<uint64_t>(utils::RandomFraction() * 0x1p53);
+  }
   const UpstreamPtr chosen =
       choice.suspect
           ? ChooseByFingerprint(upstreams, choice.fingerprint, request, now)
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_availability.h"
 #include "turmeric/entry/upstream_limiter.h"
+#include "turmeric/entry/upstream_speeds.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -31,10 +32,12 @@
 
 UpstreamSend::~UpstreamSend() {
   spec_.upstream->pending_prompt_ms -= spec_.prompt_ms;
+  EndLoad();
 }
 
 void UpstreamSend::Start(std::string_view bytes) {
   sent_at_ = Clock::now();
+  counted_ = spec_.upstream->load.OnSend(sent_at_);
   context_.limiter->OnSend(*spec_.upstream);
   context_.availability->OnSend(*spec_.upstream, spec_.attempt_id, sent_at_);
   exchange_ = context_.client.Send(spec_.upstream, bytes, AnswerEvents(),
@@ -77,9 +80,24 @@
   info_ = info;
   ApplyStatements(context_, spec_.upstream, head.status, info, sent_at_);
   has_head_ = true;
+  LearnSpeed(head);
   return true;
 }
 
+void UpstreamSend::LearnSpeed(const http::ResponseHead& head) {
+  // A request with a prompt has no size by which its time could be compared.
+  const bool comparable = head.status == kOk && spec_.prompt_ms == 0;
+  if (!counted_ || !comparable) return;
+  const auto now = Clock::now();
+  spec_.upstream->load.OnServed(*counted_, 1.0, now);
+  ReportSpeed(context_, *spec_.upstream, now);
+}
+
+void UpstreamSend::EndLoad() {
+  if (counted_) spec_.upstream->load.OnEnd(*counted_);
+  counted_.reset();
+}
+
 bool UpstreamSend::IsEventStream() const {
   return spec_.may_be_stream && head_.status == kOk;
 }
@@ -103,6 +121,7 @@
 
 void UpstreamSend::End(Outcome outcome) {
   OnPromptRead();
+  EndLoad();
   const double ms =
       std::chrono::duration<double, std::milli>(Clock::now() - sent_at_)
           .count();
@@ -120,6 +139,7 @@
 void UpstreamSend::Abandon() {
   if (exchange_) exchange_->Cancel();
   OnPromptRead();
+  EndLoad();
   spec_.placement.reset();
   exchange_.reset();
 }
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -47,6 +47,10 @@
   /** The request is sent by a peer instance, which upstreams may not have asked
    * for the rests that they want from this one. */
   bool for_peer = false;
+  /** Random number. With it, a request without a prompt goes to an upstream by
+   * the expected time to its answer, if the upstreams are known to be uneven
+   * (see balancing::IsUneven); nullopt: to the least loaded one. */
+  std::optional<uint64_t> draw = {};
 };
 
 /**
@@ -54,10 +58,10 @@
  * upstream, and requests that share the first part of their prompt go to a few
  * upstreams, while these are not much more loaded than the others (rendezvous
  * hashing with bounded load); requests without affinity go to the least loaded
- * upstream. Upstreams to which this instance may not send (see MaySend) are not
- * used; avoided ones (see IsAvoided), those that rest from a peer, and for a
- * peer's request those that rest from this instance, only when no other is
- * left.
+ * upstream, or by ChoiceRequest::draw. Upstreams to which this instance may not
+ * send (see MaySend) are not used; avoided ones (see IsAvoided), those that
+ * rest from a peer, and for a peer's request those that rest from this
+ * instance, only when no other is left.
  * @param upstreams of the service. @param request its properties.
  * @param now current time.
  * @return the choice, or nullptr if no listed upstream is left.
--- a/libs/routing/include/turmeric/routing/upstream.h
+++ b/libs/routing/include/turmeric/routing/upstream.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "turmeric/balancing/upstream_load.h"
 #include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/stated_availability.h"
 #include "turmeric/limits/stated_limit.h"
@@ -69,14 +70,14 @@
   int placed = 0;
   /** Time to read the prompts of the placed requests, ms. */
   double placed_prompt_ms = 0;
-  double latency_ms = 0;    ///< Moving average to the first byte.
-  int reported_load = 0;    ///< Running and waiting requests, last reported.
-  int failures = 0;         ///< Consecutive failed requests.
-  double failure_rate = 0;  ///< Moving average, 0 to 1.
+  double latency_ms = 0;            ///< Moving average to the first byte.
+  int failures = 0;                 ///< Consecutive failed requests.
+  double failure_rate = 0;          ///< Moving average, 0 to 1.
   Clock::time_point ejected_until;  ///< Avoided until then, after failures.
   Clock::time_point full_until;     ///< Avoided until then, after a refusal.
   int connections = 0;              ///< Connections of this instance to it.
   Reach reach;                      ///< How this instance reaches it.
+  balancing::UpstreamLoad load;     ///< Its reports and its learned speed.
 };
 
 using UpstreamPtr = std::shared_ptr<Upstream>;
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -4,6 +4,9 @@
 #include <functional>
 #include <limits>
 
+#include "turmeric/balancing/choice.h"
+#include "turmeric/balancing/expected_time.h"
+
 namespace turmeric::routing {
 
 namespace {
@@ -141,6 +144,46 @@
          (request.session_ms + (in_group ? 0 : request.shared_ms));
 }
 
+/** Cost of serving from another zone than the preferred one, ms. */
+double ZoneCost(const ChoiceRequest& request, const Upstream& upstream) {
+  const bool elsewhere =
+      !request.zone.empty() && upstream.entry.zone != request.zone;
+  return elsewhere ? request.zone_cost_ms : 0;
+}
+
+/** @return the choice by expected time, or nullopt if the upstreams are not
+ * known to be uneven. */
+std::optional<UpstreamPtr> ChooseIfUneven(std::span<const UpstreamPtr> usable,
+                                          const ChoiceRequest& request,
+                                          Clock::time_point now) {
+  std::vector<balancing::UpstreamState> states;
+  states.reserve(usable.size());
+  for (const UpstreamPtr& u : usable) {
+    states.push_back({.load = &u->load, .slots = u->entry.slots});
+  }
+  if (!balancing::IsUneven(states, now)) return std::nullopt;
+  const balancing::ServiceMean mean = balancing::MeanOf(states, now);
+  std::vector<balancing::Candidate> candidates;
+  candidates.reserve(usable.size());
+  for (size_t i = 0; i < usable.size(); ++i) {
+    const Upstream& u = *usable[i];
+    const double failures = 1.0 + u.failure_rate;
+    const double zone_ms = ZoneCost(request, u);
+    candidates.push_back(
+        {.expected_ms =
+             balancing::ExpectedTime(states[i], mean, 1.0, now) * failures +
+             zone_ms,
+         .service_ms =
+             balancing::ServiceTime(states[i], mean, 1.0, now) * failures +
+             zone_ms,
+         .slots = u.entry.slots,
+         .sampled_at = u.load.speed().sampled_at()});
+  }
+  const auto chosen =
+      balancing::ChooseByExpectedTime(candidates, *request.draw, now);
+  return chosen ? usable[*chosen] : nullptr;
+}
+
 }  // namespace
 
 UpstreamPtr HomeUpstream(std::span<const UpstreamPtr> upstreams,
@@ -164,6 +207,11 @@
                            const ChoiceRequest& request,
                            Clock::time_point now) {
   Candidates found = FindCandidates(upstreams, request, now);
+  if (request.draw && !request.has_prompt) {
+    if (const auto chosen = ChooseIfUneven(found.usable, request, now)) {
+      return *chosen;
+    }
+  }
   if (request.memory != nullptr) {
     found.session_held = IsSessionHeld(found, request);
   }
@@ -171,10 +219,8 @@
   double best_cost = std::numeric_limits<double>::max();
   uint64_t best_tie = 0;
   for (const UpstreamPtr& u : found.usable) {
-    double cost = LoadCost(*u, request) + ReadCost(found, request, u);
-    if (!request.zone.empty() && u->entry.zone != request.zone) {
-      cost += request.zone_cost_ms;
-    }
+    const double cost = LoadCost(*u, request) + ReadCost(found, request, u) +
+                        ZoneCost(request, *u);
     // Breaks ties by a hash that changes with the load, not by list order.
     const uint64_t tie =
         RendezvousWeight(std::to_string(u->in_flight), u->entry.id);
--- a/libs/routing/test/upstream_table_test.cc
+++ b/libs/routing/test/upstream_table_test.cc
@@ -101,6 +101,7 @@
   const UpstreamPtr before = table.Find("a");
   before->ejected_until = kNow + 4s;
   before->latency_ms = 900;
+  before->load.OnReport({.running = 3, .at = kNow});
   UpstreamEntry again = EntryOfStart("a", 2000);
   again.address = "10.0.0.2:80";
   table.Put(again);
@@ -111,6 +112,7 @@
   REQUIRE(left == std::vector<bool>{false});
   REQUIRE(after->entry.address == "10.0.0.2:80");
   REQUIRE(after->latency_ms == 0);
+  REQUIRE_FALSE(after->load.report());
   REQUIRE_FALSE(IsAvoided(*after, kNow));
   REQUIRE(table.ForService("s").size() == 1);
 }
