Call stage upstreams in the order of their learned speed

Cause: free stage upstreams were ordered by the latency of their last calls, which grows with the number of pieces, and a call was planned with the same duration at a slow upstream as at a fast one.

Change: calls teach the speed of their upstream as a multiple of the usual duration of such a call. While the upstreams of a shard are known to be uneven, StageDispatcher orders the free ones by it and plans a call with the duration expected at its upstream (stages::CallSpeeds).

Measured: the stages tests pass (49 cases).

--- a/libs/entry/include/turmeric/entry/piece_call.h
+++ b/libs/entry/include/turmeric/entry/piece_call.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   std::vector<stages::QueuedPiece> pieces;
   /** The call is abandoned if no response arrives within this time. */
   std::chrono::milliseconds timeout{0};
+  /** Usual duration of such a call, by which the speed is learned. */
+  std::chrono::milliseconds usual{0};
 };
 
 /**
@@ -92,6 +95,7 @@
   bool not_run_ = false;
   bool ended_ = false;
   stages::Clock::time_point started_;
+  std::optional<balancing::OpenSend> counted_;  ///< In the upstream's load.
   int64_t bytes_ = 0;
 };
 
--- a/libs/entry/src/piece_call.cc
+++ b/libs/entry/src/piece_call.cc
@@ -7,6 +7,7 @@
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/upstream_availability.h"
 #include "turmeric/entry/upstream_limiter.h"
+#include "turmeric/entry/upstream_speeds.h"
 
 namespace turmeric::entry {
 
@@ -46,7 +47,9 @@
           [this] { events_.on_inputs_fetched(*this); });
 }
 
-PieceCall::~PieceCall() = default;
+PieceCall::~PieceCall() {
+  if (counted_) spec_.upstream->load.OnEnd(*counted_);
+}
 
 std::chrono::milliseconds PieceCall::elapsed() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
@@ -67,6 +70,7 @@
   context_.limiter->OnSend(*spec_.upstream);
   context_.availability->OnSend(*spec_.upstream, pieces.front().request_id,
                                 started_);
+  counted_ = spec_.upstream->load.OnSend(started_);
   timeout_timer_.start(spec_.timeout);
   input_fetch_timer_.start(kInputFetchTime);
   exchange_ = context_.client.Send(spec_.upstream, request, AnswerEvents());
@@ -97,6 +101,10 @@
   const std::vector<PieceResult> results =
       context_.wire.decode_stage_answer(body_);
   if (results.size() != spec_.pieces.size()) return Fail(Outcome::kBroken);
+  const auto now = Clock::now();
+  spec_.upstream->load.OnServed(*counted_,
+                                static_cast<double>(spec_.usual.count()), now);
+  ReportSpeed(context_, *spec_.upstream, now);
   if (MarkEnded()) events_.on_done(*this, results);
 }
 
@@ -106,6 +114,8 @@
 
 bool PieceCall::MarkEnded() {
   if (std::exchange(ended_, true)) return false;
+  if (counted_) spec_.upstream->load.OnEnd(*counted_);
+  counted_.reset();
   timeout_timer_.stop();
   input_fetch_timer_.stop();
   deleteLater();
--- a/libs/entry/src/stage_dispatcher.cc
+++ b/libs/entry/src/stage_dispatcher.cc
@@ -10,6 +10,7 @@
 #include "turmeric/entry/retry_credit.h"
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/stages/call_plan.h"
+#include "turmeric/stages/call_speeds.h"
 #include "turmeric/stages/result_memory.h"
 #include "turmeric/stages/shard.h"
 #include "turmeric/utils/decision_log.h"
@@ -277,9 +278,9 @@
       free.push_back(u);
     }
   }
-  std::ranges::sort(free, {}, [](const UpstreamPtr& u) {
-    return std::pair(u->latency_ms, u->entry.id);
-  });
+  const stages::CallSpeeds speeds(UpstreamsOf(queue),
+                                  context_.Uses(Mechanism::kExpectedTime), now);
+  speeds.Sort(free);
   const std::vector<std::string> backed_up = BackedUpShards();
   for (const UpstreamPtr& u : free) {
     if (queue.pieces.size() == 0) return;
@@ -287,15 +288,16 @@
         u, [this] { ScheduleDispatch(); }, now);
     if (!permitted) continue;
     Worker& worker = WorkerOf(queue, u);
-    std::vector<QueuedPiece> call =
-        queue.pieces.TakeCall({.pieces = limits.batch,
-                               .result_memory_bytes = stages::ResultMemoryLeft(
-                                   limits, worker.memory.Used(now)),
-                               .other_zones = zones,
-                               .backed_up = backed_up,
-                               .zone = u->entry.zone,
-                               .call_time = NextCallDuration(queue, limits)},
-                              now);
+    std::vector<QueuedPiece> call = queue.pieces.TakeCall(
+        {.pieces = limits.batch,
+         .result_memory_bytes =
+             stages::ResultMemoryLeft(limits, worker.memory.Used(now)),
+         .other_zones = zones,
+         .backed_up = backed_up,
+         .zone = u->entry.zone,
+         .call_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+             NextCallDuration(queue, limits) * speeds.Factor(*u))},
+        now);
     if (!call.empty()) {
       SendCall(queue, u, std::move(call), limits);
     }
@@ -316,13 +318,15 @@
                                kPieceCreditWeight);
   }
   const auto timeout = stages::CallTimeout(limits, pieces.size());
+  const auto usual = CallTime(limits, pieces.size());
   auto* call = new PieceCall(
       context_,
       {.shard = queue.name,
        .service = queue.shard.service,
        .upstream = upstream,
        .pieces = std::move(pieces),
-       .timeout = timeout},
+       .timeout = timeout,
+       .usual = usual},
       {.on_inputs_fetched = [this](PieceCall& c) { OnInputsFetched(c); },
        .on_done = [this, batch = limits.batch](
                       PieceCall& c,
