--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -9,8 +9,10 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmeric::memory {
 class MemoryAccount;
@@ -18,6 +20,14 @@
 
 namespace turmeric::entry {
 
+/** The learned speed of one upstream. */
+struct UpstreamSpeed {
+  std::string service;
+  std::string upstream;  ///< Id of the upstream.
+  /** Service time, as a multiple of the mean of the service. */
+  double relative = 1;
+};
+
 /** Counters and latency histograms of one entry instance. */
 class EntryMetrics {
  public:
@@ -116,6 +126,11 @@
   void OnMemoryRefusal();
   /** @param account the bytes that the instance holds in buffers. */
   void SetBuffered(const memory::MemoryAccount& account);
+  /**
+   * Replaces the learned speeds of upstreams.
+   * @param speeds at most 64 of them.
+   */
+  void SetUpstreamSpeeds(std::span<const UpstreamSpeed> speeds);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -144,6 +159,8 @@
   prometheus::Counter& dropped_lines_;
   prometheus::Family<prometheus::Gauge>& buffered_;
   prometheus::Counter& memory_refusals_;
+  prometheus::Family<prometheus::Gauge>& speed_family_;
+  std::vector<prometheus::Gauge*> speeds_;  ///< Of `speed_family_`.
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/piece_call.h
+++ b/libs/entry/include/turmeric/entry/piece_call.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,6 +31,8 @@
   /** The call is abandoned if no response arrives within this time. */
   std::chrono::milliseconds timeout{0};
   std::chrono::milliseconds overdue{0};  ///< See stages::OverdueTime.
+  /** Usual duration of such a call, by which the speed is learned. */
+  std::chrono::milliseconds usual{0};
 };
 
 /**
@@ -105,6 +108,7 @@
   bool ended_ = false;
   bool overdue_ = false;
   stages::Clock::time_point started_;
+  std::optional<balancing::OpenSend> counted_;  ///< In the upstream's load.
   int64_t bytes_ = 0;
 };
 
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -128,7 +128,12 @@
               .Name("turmeric_memory_refusals_total")
               .Help("Requests refused because the memory for buffers is full")
               .Register(*registry_)
-              .Add({})) {}
+              .Add({})),
+      speed_family_(prometheus::BuildGauge()
+                        .Name("turmeric_upstream_speed")
+                        .Help("Learned service time of an upstream, as a "
+                              "multiple of the mean of its service")
+                        .Register(*registry_)) {}
 
 void EntryMetrics::OnRequest(std::string_view route, int status,
                              std::string_view outcome, double seconds) {
@@ -225,6 +230,17 @@
   }
 }
 
+void EntryMetrics::SetUpstreamSpeeds(std::span<const UpstreamSpeed> speeds) {
+  for (prometheus::Gauge* gauge : speeds_) speed_family_.Remove(gauge);
+  speeds_.clear();
+  for (const UpstreamSpeed& speed : speeds) {
+    prometheus::Gauge& gauge = speed_family_.Add(
+        {{"service", speed.service}, {"upstream", speed.upstream}});
+    gauge.Set(speed.relative);
+    speeds_.push_back(&gauge);
+  }
+}
+
 std::string EntryMetrics::Render() {
   const double dropped_total =
       static_cast<double>(utils::DecisionLog::dropped());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -27,6 +27,7 @@
 #include "turmeric/entry/upstream_availability.h"
 #include "turmeric/entry/upstream_connections.h"
 #include "turmeric/entry/upstream_limiter.h"
+#include "turmeric/entry/upstream_speeds.h"
 #include "turmeric/entry/version_registry.h"
 #include "turmeric/utils/decision_log.h"
 
@@ -458,6 +459,7 @@
   if (message.target == kMetricsPath) {
     ChargeLinks();
     metrics_.SetBuffered(context_.memory);
+    metrics_.SetUpstreamSpeeds(UpstreamSpeeds(context_));
     return connection.Respond({.status = kOk,
                                .headers = {{"Content-Type", "text/plain"}},
                                .body = metrics_.Render()});
