Fair shares between organisations: decisions and coordinator

Cause: nothing in the request path knows which requests compete with each other. With one organisation at twice the capacity, the others are served a third of their requests.

Change: libs/fairness divides the capacity of a service by max-min fairness. Peer frames carry DemandReport and SharePlanNotice. FairShares connects this to requests of services without an owner; a refusal has the outcome over_share. Active from two organisations on, with the mechanism fair_shares.

--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -24,6 +24,7 @@
 class ConfigCheck;
 class EnginePlacer;
 class EntryMetrics;
+class FairShares;
 class ReachMonitor;
 class RequestQuarantine;
 class StreamOrigins;
@@ -111,6 +112,7 @@
   ReachMonitor* reach = nullptr;
   StreamOrigins* origins = nullptr;
   EntryMetrics* metrics = nullptr;
+  FairShares* shares = nullptr;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -8,10 +8,15 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include "turmeric/fairness/share_plan.h"
+
 namespace turmeric::entry {
 
 /** Counters and latency histograms of one entry instance. */
@@ -108,10 +113,25 @@
    * @param reason a fixed word.
    */
   void OnLeftUnread(std::string_view reason);
+  /**
+   * Records a request that is refused because its organisation is above its
+   * share. Of the organisations, the first 16 that are limited have a label of
+   * their own, the others have the label "other".
+   * @param service service of the request. @param organisation its name.
+   */
+  void OnShareRefusal(std::string_view service, std::string_view organisation);
+  /**
+   * @param service its name. @param limited organisations above their share;
+   * see OnShareRefusal for their labels. Demands with one label are added up.
+   */
+  void SetShareDemands(std::string_view service,
+                       std::span<const fairness::LimitedOrganisation> limited);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
  private:
+  std::string OrganisationLabel(std::string_view organisation);
+
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
@@ -134,6 +154,10 @@
   prometheus::Gauge& unreached_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& dropped_lines_;
+  prometheus::Family<prometheus::Counter>& share_refusals_;
+  prometheus::Family<prometheus::Gauge>& share_demand_;
+  /** Organisations with a label of their own. */
+  std::set<std::string, std::less<>> labelled_;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -38,6 +38,7 @@
 class UpstreamAvailability;
 class UpstreamConnections;
 class VersionRegistry;
+class FairShares;
 class RequestQuarantine;
 
 /**
@@ -93,6 +94,7 @@
   std::unique_ptr<CallerIntake> MakeIntake();
   std::unique_ptr<VersionRegistry> MakeVersions();
   std::unique_ptr<StreamOrigins> MakeOrigins();
+  std::unique_ptr<FairShares> MakeShares();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
   void AcceptProbe(int fd);
@@ -123,6 +125,7 @@
   std::unique_ptr<UpstreamAvailability> availability_;
   std::unique_ptr<VersionRegistry> versions_;
   std::unique_ptr<StreamOrigins> origins_;
+  std::unique_ptr<FairShares> shares_;
   std::unique_ptr<StageDispatcher> dispatcher_;
   std::unique_ptr<StageRouter> router_;
   std::unique_ptr<PlacementCoordinator> placement_coordinator_;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -26,6 +26,7 @@
 struct EntryContext;
 class EnginePlacement;
 class SendPermits;
+class SharedWork;
 class StageRun;
 struct UpstreamSendEvents;
 struct UpstreamCriteria;
@@ -130,6 +131,9 @@
    * @return true if it is quarantined.
    */
   bool AnswerIfQuarantined();
+  /** Refuses the request if its organisation is above its share of the service.
+   * @return true if it is refused. */
+  bool RefuseIfOverShare();
   /** Decides on a retry and spends its credit.
    * @return true if the request may be retried. */
   bool MayRetry(SendOutcome outcome);
@@ -188,6 +192,8 @@
   /** Those that must not be chosen: tried, or without a permit. */
   std::vector<std::string> excluded_upstreams_;
   std::unique_ptr<SendPermits> permits_;
+  /** Work in progress at a service whose capacity is shared; else null. */
+  std::unique_ptr<SharedWork> shared_work_;
   /** Stream events forwarded by earlier sends. */
   int64_t events_before_send_ = 0;
   int sends_ = 0;
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <map>
 #include <sstream>
 
 #include "turmeric/utils/decision_log.h"
@@ -17,6 +18,11 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
     0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 1.6, 2.0, 3.0, 6.0, 20.0};
 
+/** Bound of the labels of organisations, of which a deployment may have many
+ * thousands. */
+constexpr size_t kMaxOrganisationLabels = 16;
+constexpr std::string_view kOtherLabel = "other";
+
 }  // namespace
 
 EntryMetrics::EntryMetrics()
@@ -117,7 +123,17 @@
                          .Name("turmeric_log_lines_dropped_total")
                          .Help("Log lines dropped to bound their volume")
                          .Register(*registry_)
-                         .Add({})) {}
+                         .Add({})),
+      share_refusals_(prometheus::BuildCounter()
+                          .Name("turmeric_share_refusals_total")
+                          .Help("Requests refused because their organisation "
+                                "is above its share")
+                          .Register(*registry_)),
+      share_demand_(prometheus::BuildGauge()
+                        .Name("turmeric_share_demand")
+                        .Help("Work that organisations above their share "
+                              "demand, in slot milliseconds per second")
+                        .Register(*registry_)) {}
 
 void EntryMetrics::OnRequest(std::string_view route, int status,
                              std::string_view outcome, double seconds) {
@@ -204,6 +220,39 @@
   evacuated_.Set(static_cast<double>(upstreams));
 }
 
+std::string EntryMetrics::OrganisationLabel(std::string_view organisation) {
+  if (labelled_.size() < kMaxOrganisationLabels) {
+    labelled_.emplace(organisation);
+  }
+  return std::string(labelled_.contains(organisation) ? organisation
+                                                      : kOtherLabel);
+}
+
+void EntryMetrics::OnShareRefusal(std::string_view service,
+                                  std::string_view organisation) {
+  share_refusals_
+      .Add({{"service", std::string(service)},
+            {"organisation", OrganisationLabel(organisation)}})
+      .Increment();
+}
+
+void EntryMetrics::SetShareDemands(
+    std::string_view service,
+    std::span<const fairness::LimitedOrganisation> limited) {
+  std::map<std::string, double> demands;
+  for (const std::string& label : labelled_) demands[label] = 0;
+  demands[std::string(kOtherLabel)] = 0;
+  for (const fairness::LimitedOrganisation& organisation : limited) {
+    demands[OrganisationLabel(organisation.organisation)] +=
+        organisation.demand;
+  }
+  for (const auto& [label, demand] : demands) {
+    share_demand_
+        .Add({{"service", std::string(service)}, {"organisation", label}})
+        .Set(demand);
+  }
+}
+
 std::string EntryMetrics::Render() {
   const double dropped_total =
       static_cast<double>(utils::DecisionLog::dropped());
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/config_check.h"
 #include "turmeric/entry/counted_source.h"
 #include "turmeric/entry/engine_placer.h"
+#include "turmeric/entry/fair_shares.h"
 #include "turmeric/entry/instance_directory.h"
 #include "turmeric/entry/instance_links.h"
 #include "turmeric/entry/peer_server.h"
@@ -97,6 +98,7 @@
                   }})),
       versions_(MakeVersions()),
       origins_(MakeOrigins()),
+      shares_(MakeShares()),
       dispatcher_(std::make_unique<StageDispatcher>(context_)),
       router_(std::make_unique<StageRouter>(context_, *links_, *dispatcher_)),
       placement_coordinator_(std::make_unique<PlacementCoordinator>(context_)),
@@ -131,6 +133,7 @@
   context_.connections = connections_.get();
   context_.reach = reach_.get();
   context_.origins = origins_.get();
+  context_.shares = shares_.get();
   versions_->set_on_change([this](const std::string& service) {
     origins_->OnVersionsChanged(service);
   });
@@ -242,6 +245,22 @@
               [this] { return context_.retries.listed_instances(); }});
 }
 
+std::unique_ptr<FairShares> EntryService::MakeShares() {
+  return std::make_unique<FairShares>(
+      context_,
+      ShareLinks{
+          .owner_of =
+              [this](const std::string& key) { return links_->OwnerOf(key); },
+          .send =
+              [this](const std::string& name, const auto& add) {
+                peer::PeerLink* link = links_->Open(name);
+                if (link == nullptr) return;
+                add(link->outgoing());
+                // Shows a coordinator that is frozen or cut off.
+                link->RequestAck();
+              }});
+}
+
 std::unique_ptr<TunnelServer> EntryService::MakeTunnelServer() {
   return std::make_unique<TunnelServer>([this](std::string_view id) {
     const routing::UpstreamPtr upstream = context_.upstreams.Find(id);
@@ -295,6 +314,7 @@
              limiter_->OnPermits(name, frame, Clock::now());
              connections_->OnGrants(name, frame);
              origins_->OnAnswers(name, frame);
+             shares_->OnPlans(name, frame);
              if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
              router_->OnFrame(frame);
            },
@@ -321,6 +341,7 @@
         }
         connections_->OnOrders(identity, frame, reply);
         origins_->OnQueries(frame, reply);
+        shares_->OnReports(identity, frame, reply);
       });
   peer_server_->set_on_follow(
       [this](const std::string& identity, const peer::FollowRequest& request) {
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -11,6 +11,7 @@
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/retry_after.h"
 #include "turmeric/entry/send_permits.h"
+#include "turmeric/entry/shared_work.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/stream_origins.h"
 #include "turmeric/entry/traits_of.h"
@@ -117,7 +118,7 @@
       rest && *rest > StageTime()) {
     return RefuseForRest(*rest);
   }
-  StartStages();
+  if (!RefuseIfOverShare()) StartStages();
 }
 
 milliseconds RequestRun::StageTime() const {
@@ -304,6 +305,7 @@
   limit_timer_.stop();
   if (stages_) stages_->Stop();
   placement_.reset();
+  if (shared_work_) shared_work_->End(outcome == "answered");
   const double ms = MsSinceArrival();
   context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
                               outcome, ms / 1000);
--- a/libs/entry/src/request_run_answer.cc
+++ b/libs/entry/src/request_run_answer.cc
@@ -7,12 +7,14 @@
 #include "turmeric/entry/engine_placement.h"
 #include "turmeric/entry/entry_context.h"
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/fair_shares.h"
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/request_run.h"
 #include "turmeric/entry/retry_after.h"
 #include "turmeric/entry/retry_credit.h"
 #include "turmeric/entry/retry_policy.h"
 #include "turmeric/entry/send_permits.h"
+#include "turmeric/entry/shared_work.h"
 #include "turmeric/entry/stage_run.h"
 #include "turmeric/entry/stream_origins.h"
 #include "turmeric/entry/upstream_choice.h"
@@ -265,6 +267,16 @@
   Finish(kUnavailable, why);
 }
 
+bool RequestRun::RefuseIfOverShare() {
+  if (!SharesCapacity(context_, service_, *route_)) return false;
+  auto admission =
+      context_.shares->Admit(service_, admission_.organisation, route_->name);
+  shared_work_ = std::move(admission.work);
+  if (shared_work_) return false;
+  Refuse("over_share", admission.retry_after);
+  return true;
+}
+
 void RequestRun::Fail(int status, std::string_view why) {
   if (!answer_.caller_connected()) return;
   if (answer_.streaming()) {
--- /dev/null
+++ b/libs/fairness/src/share_controller.cc
@@ -0,0 +1,43 @@
+#include "turmeric/fairness/share_controller.h"
+
+#include <algorithm>
+
+namespace turmeric::fairness {
+
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+/** Work in progress over slots from which the capacity shrinks. */
+constexpr double kOverload = 1.1;
+constexpr double kShrink = 0.9;
+constexpr double kGrow = 1.05;
+/** Part of the served work that stays admitted while the capacity shrinks.
+ * Lower values leave slots idle once the queue from before has ended. */
+constexpr double kServedFloor = 0.9;
+
+}  // namespace
+
+std::optional<double> ShareController::Update(const FleetLoad& load,
+                                              bool limited,
+                                              Clock::time_point now) {
+  if (step_at_ && now - *step_at_ < kStep) return capacity_;
+  step_at_ = now;
+  const bool overloaded = load.in_progress > kOverload * load.slots;
+  if (!capacity_) {
+    if (overloaded && load.slots > 0) {
+      capacity_ = std::min(load.demand, load.slots * kMsPerSecond);
+    }
+    return capacity_;
+  }
+  if (overloaded) {
+    capacity_ = std::max(kShrink * std::min(*capacity_, load.demand),
+                         kServedFloor * load.served);
+  } else if (load.in_progress < load.slots && limited) {
+    capacity_ = *capacity_ * kGrow;
+  } else if (load.in_progress < load.slots && load.demand < *capacity_) {
+    capacity_.reset();
+  }
+  return capacity_;
+}
+
+}  // namespace turmeric::fairness
--- a/libs/insight/include/turmeric/insight/request_outcome_report.h
+++ b/libs/insight/include/turmeric/insight/request_outcome_report.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "turmeric/insight/log_event.h"
 
@@ -32,7 +33,8 @@
  public:
   /** @param event of any instance, in any order. */
   void Add(const LogEvent& event);
-  /** @return two tables as text: stage services, then routes. */
+  /** @return tables as text: stage services, routes, and the organisations
+   * that were above their share, if any. */
   std::string Render() const;
 
  private:
@@ -58,13 +60,24 @@
     std::map<std::string, int64_t> lost;
   };
 
+  /** Refusals of one organisation at one service, by its log lines. */
+  struct Share {
+    int64_t lines = 0;
+    double demand = 0;    ///< Largest, slot milliseconds per second.
+    double fraction = 1;  ///< Smallest that was admitted.
+  };
+
   void AddCall(const LogEvent& event);
+  void AddShare(const LogEvent& event);
   void AddRequest(const LogEvent& event);
   std::string RenderServices() const;
   std::string RenderRoutes() const;
+  std::string RenderShares() const;
 
   std::map<std::string, Service> services_;
   std::map<std::string, Route> routes_;
+  /** By service and organisation. */
+  std::map<std::pair<std::string, std::string>, Share> shares_;
 };
 
 }  // namespace turmeric::insight
--- a/libs/insight/src/request_outcome_report.cc
+++ b/libs/insight/src/request_outcome_report.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cinttypes>
 #include <cstdio>
+#include <cstdlib>
+#include <string_view>
 #include <vector>
 
 namespace turmeric::insight {
@@ -27,6 +29,11 @@
   return line + "\n";
 }
 
+/** @return the number that a field states; 0 if it states none. */
+double ToNumber(std::string_view text) {
+  return std::strtod(std::string(text).c_str(), nullptr);
+}
+
 double Ratio(int64_t part, int64_t whole) {
   return whole == 0 ? 0
                     : static_cast<double>(part) / static_cast<double>(whole);
@@ -64,6 +71,7 @@
 void RequestOutcomeReport::Add(const LogEvent& event) {
   if (event.name == "stage_call_done") AddCall(event);
   if (event.name == "request_end") AddRequest(event);
+  if (event.name == "share_exceeded") AddShare(event);
 }
 
 void RequestOutcomeReport::AddCall(const LogEvent& event) {
@@ -95,6 +103,28 @@
   }
 }
 
+void RequestOutcomeReport::AddShare(const LogEvent& event) {
+  Share& share = shares_[{std::string(event.Text("service")),
+                          std::string(event.Text("organisation"))}];
+  ++share.lines;
+  share.demand = std::max(share.demand, ToNumber(event.Text("demand")));
+  share.fraction = std::min(share.fraction, ToNumber(event.Text("fraction")));
+}
+
+std::string RequestOutcomeReport::RenderShares() const {
+  if (shares_.empty()) return {};
+  std::string out =
+      "above their share (over_share): service, organisation, seconds with "
+      "refusals, largest demand in slot ms per second, smallest admitted "
+      "fraction\n";
+  for (const auto& [key, share] : shares_) {
+    out += Line("%s  %s  refused in %" PRId64 "  demand %.0f  fraction %.2f",
+                key.first.c_str(), key.second.c_str(), share.lines,
+                share.demand, share.fraction);
+  }
+  return out;
+}
+
 std::string RequestOutcomeReport::RenderServices() const {
   std::string out =
       "stage services, every 2 s: busy share of the upstreams' "
@@ -138,7 +168,7 @@
 }
 
 std::string RequestOutcomeReport::Render() const {
-  return RenderServices() + RenderRoutes();
+  return RenderServices() + RenderRoutes() + RenderShares();
 }
 
 }  // namespace turmeric::insight
--- a/libs/insight/test/request_outcome_report_test.cc
+++ b/libs/insight/test/request_outcome_report_test.cc
@@ -65,3 +65,15 @@
 TEST_CASE("an empty log gives an empty report") {
   REQUIRE(RequestOutcomeReport().Render().find("stage services") == 0);
 }
+
+// Guards against refusals whose cause an operator cannot see.
+TEST_CASE("the report states whose share caused refusals") {
+  RequestOutcomeReport report;
+  CHECK(report.Render().find("over_share") == std::string::npos);
+  report.Add(
+      Event("event=share_exceeded service=app organisation=large demand=4800.5 "
+            "level=1200 fraction=0.25 plan_age_ms=40"));
+  CHECK(report.Render().find(
+            "app  large  refused in 1  demand 4800  fraction 0.25") !=
+        std::string::npos);
+}
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "turmeric/connections/loan.h"
+#include "turmeric/fairness/demand_report.h"
+#include "turmeric/fairness/share_plan.h"
 #include "turmeric/limits/brittle_state.h"
 #include "turmeric/limits/limit_statement.h"
 #include "turmeric/quarantine/crash.h"
@@ -237,6 +239,12 @@
   kHasLoans,
 };
 
+/** Answers a fairness::DemandReport with the plan in force. */
+struct SharePlanNotice {
+  std::string service;
+  fairness::SharePlan plan;
+};
+
 /** One message between two instances. */
 struct Frame {
   std::string sender;         ///< Identity; set in the first frame only.
@@ -284,6 +292,8 @@
   /** Number of a survey; see connections::LoanSurvey. 0: none. */
   uint64_t loan_survey = 0;
   uint64_t loan_survey_answered = 0;  ///< Answered by `loans`; 0: none.
+  std::vector<fairness::DemandReport> demand_reports;
+  std::vector<SharePlanNotice> share_plans;
 };
 
 /**
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -92,6 +92,18 @@
 struct LoanGrant;
 struct LoanGrantBuilder;
 
+struct OrganisationDemand;
+struct OrganisationDemandBuilder;
+
+struct DemandReport;
+struct DemandReportBuilder;
+
+struct LimitedOrganisation;
+struct LimitedOrganisationBuilder;
+
+struct SharePlanNotice;
+struct SharePlanNoticeBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -2527,6 +2539,336 @@
       held);
 }
 
+struct OrganisationDemand FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OrganisationDemandBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_DEMAND = 6,
+    VT_ORGANISATIONS = 8
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  double demand() const {
+    return GetField<double>(VT_DEMAND, 0.0);
+  }
+  int32_t organisations() const {
+    return GetField<int32_t>(VT_ORGANISATIONS, 1);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<double>(verifier, VT_DEMAND, 8) &&
+           VerifyField<int32_t>(verifier, VT_ORGANISATIONS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct OrganisationDemandBuilder {
+  typedef OrganisationDemand Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(OrganisationDemand::VT_ORGANISATION, organisation);
+  }
+  void add_demand(double demand) {
+    fbb_.AddElement<double>(OrganisationDemand::VT_DEMAND, demand, 0.0);
+  }
+  void add_organisations(int32_t organisations) {
+    fbb_.AddElement<int32_t>(OrganisationDemand::VT_ORGANISATIONS, organisations, 1);
+  }
+  explicit OrganisationDemandBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OrganisationDemand> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OrganisationDemand>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OrganisationDemand> CreateOrganisationDemand(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    double demand = 0.0,
+    int32_t organisations = 1) {
+  OrganisationDemandBuilder builder_(_fbb);
+  builder_.add_demand(demand);
+  builder_.add_organisations(organisations);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<OrganisationDemand> CreateOrganisationDemandDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    double demand = 0.0,
+    int32_t organisations = 1) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return turmeric::peer::wire::CreateOrganisationDemand(
+      _fbb,
+      organisation__,
+      demand,
+      organisations);
+}
+
+struct DemandReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DemandReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_IN_PROGRESS = 6,
+    VT_SLOTS = 8,
+    VT_SERVED = 10,
+    VT_DEMANDS = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  int32_t in_progress() const {
+    return GetField<int32_t>(VT_IN_PROGRESS, 0);
+  }
+  int32_t slots() const {
+    return GetField<int32_t>(VT_SLOTS, 0);
+  }
+  double served() const {
+    return GetField<double>(VT_SERVED, 0.0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>> *demands() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>> *>(VT_DEMANDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<int32_t>(verifier, VT_IN_PROGRESS, 4) &&
+           VerifyField<int32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<double>(verifier, VT_SERVED, 8) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
+           verifier.VerifyVectorOfTables(demands()) &&
+           verifier.EndTable();
+  }
+};
+
+struct DemandReportBuilder {
+  typedef DemandReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(DemandReport::VT_SERVICE, service);
+  }
+  void add_in_progress(int32_t in_progress) {
+    fbb_.AddElement<int32_t>(DemandReport::VT_IN_PROGRESS, in_progress, 0);
+  }
+  void add_slots(int32_t slots) {
+    fbb_.AddElement<int32_t>(DemandReport::VT_SLOTS, slots, 0);
+  }
+  void add_served(double served) {
+    fbb_.AddElement<double>(DemandReport::VT_SERVED, served, 0.0);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>>> demands) {
+    fbb_.AddOffset(DemandReport::VT_DEMANDS, demands);
+  }
+  explicit DemandReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DemandReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DemandReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DemandReport> CreateDemandReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    int32_t in_progress = 0,
+    int32_t slots = 0,
+    double served = 0.0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>>> demands = 0) {
+  DemandReportBuilder builder_(_fbb);
+  builder_.add_served(served);
+  builder_.add_demands(demands);
+  builder_.add_slots(slots);
+  builder_.add_in_progress(in_progress);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<DemandReport> CreateDemandReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    int32_t in_progress = 0,
+    int32_t slots = 0,
+    double served = 0.0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>> *demands = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto demands__ = demands ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::OrganisationDemand>>(*demands) : 0;
+  return turmeric::peer::wire::CreateDemandReport(
+      _fbb,
+      service__,
+      in_progress,
+      slots,
+      served,
+      demands__);
+}
+
+struct LimitedOrganisation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitedOrganisationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ORGANISATION = 4,
+    VT_FRACTION = 6,
+    VT_DEMAND = 8
+  };
+  const flatbuffers::String *organisation() const {
+    return GetPointer<const flatbuffers::String *>(VT_ORGANISATION);
+  }
+  double fraction() const {
+    return GetField<double>(VT_FRACTION, 0.0);
+  }
+  double demand() const {
+    return GetField<double>(VT_DEMAND, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ORGANISATION) &&
+           verifier.VerifyString(organisation()) &&
+           VerifyField<double>(verifier, VT_FRACTION, 8) &&
+           VerifyField<double>(verifier, VT_DEMAND, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitedOrganisationBuilder {
+  typedef LimitedOrganisation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_organisation(flatbuffers::Offset<flatbuffers::String> organisation) {
+    fbb_.AddOffset(LimitedOrganisation::VT_ORGANISATION, organisation);
+  }
+  void add_fraction(double fraction) {
+    fbb_.AddElement<double>(LimitedOrganisation::VT_FRACTION, fraction, 0.0);
+  }
+  void add_demand(double demand) {
+    fbb_.AddElement<double>(LimitedOrganisation::VT_DEMAND, demand, 0.0);
+  }
+  explicit LimitedOrganisationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitedOrganisation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitedOrganisation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitedOrganisation> CreateLimitedOrganisation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> organisation = 0,
+    double fraction = 0.0,
+    double demand = 0.0) {
+  LimitedOrganisationBuilder builder_(_fbb);
+  builder_.add_demand(demand);
+  builder_.add_fraction(fraction);
+  builder_.add_organisation(organisation);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<LimitedOrganisation> CreateLimitedOrganisationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *organisation = nullptr,
+    double fraction = 0.0,
+    double demand = 0.0) {
+  auto organisation__ = organisation ? _fbb.CreateString(organisation) : 0;
+  return turmeric::peer::wire::CreateLimitedOrganisation(
+      _fbb,
+      organisation__,
+      fraction,
+      demand);
+}
+
+struct SharePlanNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SharePlanNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_LEVEL = 6,
+    VT_LIMITED = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  double level() const {
+    return GetField<double>(VT_LEVEL, 0.0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>> *limited() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>> *>(VT_LIMITED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<double>(verifier, VT_LEVEL, 8) &&
+           VerifyOffset(verifier, VT_LIMITED) &&
+           verifier.VerifyVector(limited()) &&
+           verifier.VerifyVectorOfTables(limited()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SharePlanNoticeBuilder {
+  typedef SharePlanNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(SharePlanNotice::VT_SERVICE, service);
+  }
+  void add_level(double level) {
+    fbb_.AddElement<double>(SharePlanNotice::VT_LEVEL, level, 0.0);
+  }
+  void add_limited(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>>> limited) {
+    fbb_.AddOffset(SharePlanNotice::VT_LIMITED, limited);
+  }
+  explicit SharePlanNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SharePlanNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SharePlanNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SharePlanNotice> CreateSharePlanNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    double level = 0.0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>>> limited = 0) {
+  SharePlanNoticeBuilder builder_(_fbb);
+  builder_.add_level(level);
+  builder_.add_limited(limited);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SharePlanNotice> CreateSharePlanNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    double level = 0.0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>> *limited = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto limited__ = limited ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LimitedOrganisation>>(*limited) : 0;
+  return turmeric::peer::wire::CreateSharePlanNotice(
+      _fbb,
+      service__,
+      level,
+      limited__);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2568,7 +2910,9 @@
     VT_LOAD = 74,
     VT_LOANS = 76,
     VT_LOAN_SURVEY = 78,
-    VT_LOAN_SURVEY_ANSWERED = 80
+    VT_LOAN_SURVEY_ANSWERED = 80,
+    VT_DEMAND_REPORTS = 82,
+    VT_SHARE_PLANS = 84
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -2687,6 +3031,12 @@
   uint64_t loan_survey_answered() const {
     return GetField<uint64_t>(VT_LOAN_SURVEY_ANSWERED, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>> *demand_reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>> *>(VT_DEMAND_REPORTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>> *share_plans() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>> *>(VT_SHARE_PLANS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -2778,6 +3128,12 @@
            VerifyField<int8_t>(verifier, VT_LOANS, 1) &&
            VerifyField<uint64_t>(verifier, VT_LOAN_SURVEY, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOAN_SURVEY_ANSWERED, 8) &&
+           VerifyOffset(verifier, VT_DEMAND_REPORTS) &&
+           verifier.VerifyVector(demand_reports()) &&
+           verifier.VerifyVectorOfTables(demand_reports()) &&
+           VerifyOffset(verifier, VT_SHARE_PLANS) &&
+           verifier.VerifyVector(share_plans()) &&
+           verifier.VerifyVectorOfTables(share_plans()) &&
            verifier.EndTable();
   }
 };
@@ -2903,6 +3259,12 @@
   void add_loan_survey_answered(uint64_t loan_survey_answered) {
     fbb_.AddElement<uint64_t>(Frame::VT_LOAN_SURVEY_ANSWERED, loan_survey_answered, 0);
   }
+  void add_demand_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>>> demand_reports) {
+    fbb_.AddOffset(Frame::VT_DEMAND_REPORTS, demand_reports);
+  }
+  void add_share_plans(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>>> share_plans) {
+    fbb_.AddOffset(Frame::VT_SHARE_PLANS, share_plans);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2954,7 +3316,9 @@
     turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
     turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None,
     uint64_t loan_survey = 0,
-    uint64_t loan_survey_answered = 0) {
+    uint64_t loan_survey_answered = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>>> demand_reports = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>>> share_plans = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_loan_survey_answered(loan_survey_answered);
   builder_.add_loan_survey(loan_survey);
@@ -2963,6 +3327,8 @@
   builder_.add_config_change(config_change);
   builder_.add_acknowledged(acknowledged);
   builder_.add_sequence(sequence);
+  builder_.add_share_plans(share_plans);
+  builder_.add_demand_reports(demand_reports);
   builder_.add_loan_grants(loan_grants);
   builder_.add_loan_orders(loan_orders);
   builder_.add_availability_notices(availability_notices);
@@ -3038,7 +3404,9 @@
     turmeric::peer::wire::LoadStatement load = turmeric::peer::wire::LoadStatement::None,
     turmeric::peer::wire::LoanStatement loans = turmeric::peer::wire::LoanStatement::None,
     uint64_t loan_survey = 0,
-    uint64_t loan_survey_answered = 0) {
+    uint64_t loan_survey_answered = 0,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>> *demand_reports = nullptr,
+    const std::vector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>> *share_plans = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto pieces__ = pieces ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::Piece>>(*pieces) : 0;
   auto taken__ = taken ? _fbb.CreateVector<uint64_t>(*taken) : 0;
@@ -3065,6 +3433,8 @@
   auto availability_notices__ = availability_notices ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::AvailabilityNotice>>(*availability_notices) : 0;
   auto loan_orders__ = loan_orders ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LoanOrder>>(*loan_orders) : 0;
   auto loan_grants__ = loan_grants ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::LoanGrant>>(*loan_grants) : 0;
+  auto demand_reports__ = demand_reports ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::DemandReport>>(*demand_reports) : 0;
+  auto share_plans__ = share_plans ? _fbb.CreateVector<flatbuffers::Offset<turmeric::peer::wire::SharePlanNotice>>(*share_plans) : 0;
   return turmeric::peer::wire::CreateFrame(
       _fbb,
       sender__,
@@ -3105,7 +3475,9 @@
       load,
       loans,
       loan_survey,
-      loan_survey_answered);
+      loan_survey_answered,
+      demand_reports__,
+      share_plans__);
 }
 
 inline const turmeric::peer::wire::Frame *GetFrame(const void *buf) {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -5,6 +5,7 @@
 
 #include "details/loan_parts.h"
 #include "details/peer_generated.h"
+#include "details/share_parts.h"
 
 namespace turmeric::peer {
 
@@ -587,6 +588,7 @@
   const LimitParts limits = WriteLimitParts(b, frame, now);
   const StreamParts streams = WriteStreamParts(b, frame);
   const LoanParts loans = WriteLoanParts(b, frame);
+  const ShareParts shares = WriteShareParts(b, frame);
   const Offset<wire::FollowRequest> follow =
       frame.follow ? Write(b, *frame.follow) : 0;
   const Offset<wire::RelayStatus> relay =
@@ -604,7 +606,7 @@
              streams.answers, trial_list, limits.availability, loans.orders,
              loans.grants, static_cast<wire::LoadStatement>(frame.load),
              static_cast<wire::LoanStatement>(frame.loans), frame.loan_survey,
-             frame.loan_survey_answered));
+             frame.loan_survey_answered, shares.reports, shares.plans));
   return {b.GetBufferPointer(), b.GetBufferPointer() + b.GetSize()};
 }
 
@@ -641,6 +643,7 @@
   ReadLimitParts(f, now, frame);
   ReadStreamParts(f, frame);
   ReadLoanParts(f, frame);
+  ReadShareParts(f, frame);
   if (f.pieces() != nullptr) {
     for (const auto* p : *f.pieces()) frame.pieces.push_back(Read(*p, now));
   }
--- a/libs/peer/test/frame_test.cc
+++ b/libs/peer/test/frame_test.cc
@@ -284,6 +284,41 @@
   REQUIRE(frame->pieces[0].piece.due == later + 900ms);
 }
 
+TEST_CASE("a frame carries demand reports and share plans") {
+  const auto now = Clock::now();
+  Frame frame;
+  frame.demand_reports.push_back(
+      {.service = "app",
+       .in_progress = 7,
+       .slots = 24,
+       .served = 1200.5,
+       .demands = {{"org", 900.25, 1}, {"", 3, 1}, {"(others)", 50, 12}}});
+  frame.share_plans.push_back(
+      {.service = "app",
+       .plan = {.level = 300, .limited = {{"org", 0.25, 1200}}}});
+  frame.share_plans.push_back({.service = "web", .plan = {}});
+  const auto decoded = Decode(Encode(frame, now), now);
+  REQUIRE(decoded);
+  REQUIRE(decoded->demand_reports.size() == 1);
+  const auto& report = decoded->demand_reports[0];
+  CHECK(report.service == "app");
+  CHECK(report.in_progress == 7);
+  CHECK(report.slots == 24);
+  CHECK(report.served == 1200.5);
+  REQUIRE(report.demands.size() == 3);
+  CHECK(report.demands[0].demand == 900.25);
+  CHECK(report.demands[1].organisation.empty());
+  CHECK(report.demands[2].organisations == 12);
+  REQUIRE(decoded->share_plans.size() == 2);
+  const auto& plan = decoded->share_plans[0].plan;
+  CHECK(plan.level == 300);
+  REQUIRE(plan.limited.size() == 1);
+  CHECK(plan.limited[0].organisation == "org");
+  CHECK(plan.limited[0].fraction == 0.25);
+  CHECK(plan.limited[0].demand == 1200);
+  CHECK(decoded->share_plans[1].plan.limited.empty());
+}
+
 // A process that is not an instance connects to the peer port, or bytes are
 // corrupted in transit. Decoding must neither read past the received bytes nor
 // crash.
--- a/libs/routing/include/turmeric/routing/route_table.h
+++ b/libs/routing/include/turmeric/routing/route_table.h
@@ -110,6 +110,7 @@
   std::unordered_map<std::string, Organisation> organisation_by_key;
   bool has_organisations = false;
   CallerLimits limits;
+  size_t organisation_count = 0;  ///< Organisations with different names.
 
   /**
    * @param host the Host header; a port in it is ignored.
