--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -72,10 +72,12 @@
   /** Upstreams that are known to be uneven are chosen by the expected time to
    * the answer. */
   kExpectedTime,
+  /** Scarce capacity is divided between organisations. */
+  kFairShares,
 };
 
 /** Number of enumerators of Mechanism. */
-inline constexpr size_t kMechanismCount = 25;
+inline constexpr size_t kMechanismCount = 26;
 
 /** @param mechanism a mechanism. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -29,6 +29,7 @@
 class EnginePlacer;
 class EntryMetrics;
 class MemoryGuard;
+class FairShares;
 class ReachMonitor;
 class RequestQuarantine;
 class StreamOrigins;
@@ -126,6 +127,7 @@
   StreamOrigins* origins = nullptr;
   EntryMetrics* metrics = nullptr;
   MemoryGuard* memory_guard = nullptr;
+  FairShares* shares = nullptr;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -8,7 +8,9 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,6 +20,8 @@
 class MemoryAccount;
 }
 
+#include "turmeric/fairness/share_plan.h"
+
 namespace turmeric::entry {
 
 /** The learned speed of one upstream. */
@@ -131,10 +135,25 @@
    * @param speeds at most 64 of them.
    */
   void SetUpstreamSpeeds(std::span<const UpstreamSpeed> speeds);
+  /**
+   * Records a request that is refused because its organisation is above its
+   * share. Of the organisations, the first 16 that are limited have a label of
+   * their own, the others have the label "other".
+   * @param service service of the request. @param organisation its name.
+   */
+  void OnShareRefusal(std::string_view service, std::string_view organisation);
+  /**
+   * @param service its name. @param limited organisations above their share;
+   * see OnShareRefusal for their labels. Demands with one label are added up.
+   */
+  void SetShareDemands(std::string_view service,
+                       std::span<const fairness::LimitedOrganisation> limited);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
  private:
+  std::string OrganisationLabel(std::string_view organisation);
+
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& retries_;
@@ -161,6 +180,10 @@
   prometheus::Counter& memory_refusals_;
   prometheus::Family<prometheus::Gauge>& speed_family_;
   std::vector<prometheus::Gauge*> speeds_;  ///< Of `speed_family_`.
+  prometheus::Family<prometheus::Counter>& share_refusals_;
+  prometheus::Family<prometheus::Gauge>& share_demand_;
+  /** Organisations with a label of their own. */
+  std::set<std::string, std::less<>> labelled_;
 };
 
 }  // namespace turmeric::entry
