Placements consider the memory of engines

Cause: the owner of a cell knew neither the free memory of an engine nor the output of a request, so an engine could run out of memory and preempt requests while others had room. A new session went to its home among half of the engines, each of which read the shared part again, and parts counted as held up to half of an engine's memory only.

Change: libs/engines has OutputEstimate (the 0.8 quantile of seen to hinted output by route, Length-Hint) and EngineRoom (tokens promised to open placements, a shared part once; reservations end with their placement). The owner passes over engines without room, counts recently used parts that a placement would evict as cost, and notes parts as held up to the memory that requests leave. With the mechanism engine_room and a stated kv_capacity, a quarter of the engines is home to a shared part, and a part that is not held costs 1.8 times its reading time instead of 2.

--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -69,10 +69,12 @@
   /** Upstreams that this instance does not reach are reached through peer
    * instances. */
   kTunnels,
+  /** Placements consider the memory of engines. */
+  kEngineRoom,
 };
 
 /** Number of enumerators of Mechanism. */
-inline constexpr size_t kMechanismCount = 24;
+inline constexpr size_t kMechanismCount = 25;
 
 /** @param mechanism a mechanism. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/config/src/mechanisms.cc
+++ b/libs/config/src/mechanisms.cc
@@ -17,6 +17,7 @@
     "repeats",          "try_next",        "engine_priority",
     "long_watches",     "store_relays",    "quarantine",
     "cold_limit",       "upstream_limit",  "tunnels",
+    "engine_room",
 };
 
 }  // namespace
--- /dev/null
+++ b/libs/engines/test/engine_load_test.cc
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+#include <cstdint>
+
+#include "engine_simulation.h"
+
+using turmeric::engines::Simulate;
+using turmeric::engines::SimulatedLoad;
+using turmeric::engines::SimulatedPlacement;
+using turmeric::engines::SimulatedResult;
+
+namespace {
+
+/** The engine service of a deployment, whose engines have ample memory. */
+SimulatedLoad SharedPartsLoad() {
+  return {.engines = 90,
+          .capacity = 222'293,
+          .seconds = 34,
+          .classes = {{.per_s = 41,
+                       .shared_parts = 4,
+                       .shared_tokens = 2520,
+                       .sessions = 655,
+                       .session_tokens = 3780,
+                       .own_tokens = 2890,
+                       .output_tokens = 250,
+                       .ms = 700},
+                      {.per_s = 94,
+                       .shared_parts = 80,
+                       .shared_tokens = 341,
+                       .sessions = 862,
+                       .session_tokens = 227,
+                       .own_tokens = 1800,
+                       .output_tokens = 110,
+                       .ms = 350},
+                      {.per_s = 47,
+                       .shared_parts = 80,
+                       .shared_tokens = 103,
+                       .sessions = 747,
+                       .session_tokens = 69,
+                       .own_tokens = 543,
+                       .output_tokens = 1400,
+                       .ms = 2000}}};
+}
+
+/** Engines that hold few long requests at once. */
+SimulatedLoad LittleMemoryLoad() {
+  return {.engines = 12,
+          .capacity = 20'000,
+          .seconds = 60,
+          .classes = {{.per_s = 8,
+                       .shared_parts = 2,
+                       .shared_tokens = 1000,
+                       .sessions = 30,
+                       .session_tokens = 500,
+                       .own_tokens = 1500,
+                       .output_tokens = 1500,
+                       .output_factors = {0.5, 1, 1, 1.5},
+                       .ms = 4000},
+                      {.per_s = 20,
+                       .shared_parts = 4,
+                       .shared_tokens = 300,
+                       .sessions = 100,
+                       .session_tokens = 200,
+                       .own_tokens = 300,
+                       .output_tokens = 100,
+                       .ms = 350}}};
+}
+
+}  // namespace
+
+// Guards against shared parts that half of all engines read, and against
+// groups of engines so small that requests wait for each other.
+TEST_CASE("engine load: small groups read fewer parts again without waiting") {
+  SimulatedResult today;
+  SimulatedResult placed;
+  const auto add = [](SimulatedResult& sum, const SimulatedResult& one) {
+    sum.read_again += one.read_again;
+    sum.wait_ms += one.wait_ms;
+    sum.first_token_ms += one.first_token_ms;
+  };
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    SimulatedLoad load = SharedPartsLoad();
+    load.seed = seed;
+    add(today, Simulate(load, SimulatedPlacement::kByReading));
+    add(placed, Simulate(load, SimulatedPlacement::kByRoom));
+  }
+  CAPTURE(today.read_again, placed.read_again, today.wait_ms, placed.wait_ms,
+          today.first_token_ms, placed.first_token_ms);
+  REQUIRE(static_cast<double>(placed.read_again) <
+          0.85 * static_cast<double>(today.read_again));
+  REQUIRE(placed.wait_ms <= today.wait_ms);
+  REQUIRE(placed.first_token_ms <= today.first_token_ms);
+}
+
+// Guards against requests that are preempted and read again at full engines
+// while others have room.
+TEST_CASE("engine load: with room considered, few requests are preempted") {
+  const SimulatedLoad load = LittleMemoryLoad();
+  const auto today = Simulate(load, SimulatedPlacement::kByReading);
+  const auto placed = Simulate(load, SimulatedPlacement::kByRoom);
+  CAPTURE(today.preempted, placed.preempted, today.wait_ms, placed.wait_ms,
+          today.read_again, placed.read_again);
+  REQUIRE(today.preempted > 50);
+  REQUIRE(placed.preempted < today.preempted / 20);
+  REQUIRE(placed.read_again < today.read_again);
+  REQUIRE(placed.wait_ms < today.wait_ms);
+}
+
+// Guards against a new owner, which knows neither parts nor reservations, that
+// has more requests preempted than a placement without room has all the time.
+TEST_CASE("engine load: a new owner without a record soon places as before") {
+  SimulatedLoad load = LittleMemoryLoad();
+  load.owner_changes_at = 30;
+  const auto today = Simulate(load, SimulatedPlacement::kByReading);
+  const auto placed = Simulate(load, SimulatedPlacement::kByRoom);
+  CAPTURE(today.preempted, placed.preempted);
+  REQUIRE(placed.preempted < today.preempted / 10);
+}
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -3,6 +3,8 @@
 #include <optional>
 
 #include "turmeric/config/entry_settings.h"
+#include "turmeric/engines/engine_room.h"
+#include "turmeric/engines/output_estimate.h"
 #include "turmeric/entry/backlog_reports.h"
 #include "turmeric/entry/cold_limiter.h"
 #include "turmeric/entry/drain_policy.h"
@@ -100,6 +102,10 @@
    * instance.
    */
   routing::PromptMemory prompt_memory;
+  /** Memory that the placements by this instance occupy. */
+  engines::EngineRoom engine_room;
+  /** Output lengths of the streams that this instance has served. */
+  engines::OutputEstimate output_estimate;
   ConfigCheck* config_check = nullptr;
   StageClient* stages = nullptr;
   EnginePlacer* placer = nullptr;
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -108,6 +109,16 @@
    * @param reason a fixed word.
    */
   void OnLeftUnread(std::string_view reason);
+  /**
+   * Records a placement on an engine without room for the request.
+   * @param service service of the engine.
+   */
+  void OnPlacementWithoutRoom(std::string_view service);
+  /**
+   * @param service an engine service.
+   * @param tokens memory that open placements by this instance occupy.
+   */
+  void SetTokensPromised(std::string_view service, int64_t tokens);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -125,6 +136,8 @@
   prometheus::Family<prometheus::Counter>& connection_shortages_;
   prometheus::Family<prometheus::Counter>& loans_;
   prometheus::Family<prometheus::Counter>& left_unread_;
+  prometheus::Family<prometheus::Counter>& without_room_;
+  prometheus::Family<prometheus::Gauge>& tokens_promised_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
   prometheus::Gauge& quarantined_;
--- a/libs/entry/include/turmeric/entry/placement_coordinator.h
+++ b/libs/entry/include/turmeric/entry/placement_coordinator.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "turmeric/peer/frame.h"
+#include "turmeric/routing/choice.h"
 #include "turmeric/routing/placement_tracker.h"
 
 namespace turmeric::entry {
@@ -64,11 +65,19 @@
 
  private:
   void RecordPromptParts(const peer::PlacementOrder& order,
-                         const routing::Upstream& engine);
+                         const routing::Upstream& engine,
+                         routing::Clock::time_point now);
+  /** Records a choice that has no room for the request. */
+  void CheckRoom(const std::string& service, const routing::Upstream& engine,
+                 const routing::RoomCriteria& memory,
+                 routing::Clock::time_point now);
+  void ExportPromised() const;
 
   EntryContext& context_;
   /** By identity, see Place. */
   std::map<std::string, routing::PlacementTracker> trackers_;
+  /** Time of the last log line about a placement without room, by service. */
+  std::map<std::string, routing::Clock::time_point> without_room_logged_;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -115,6 +115,8 @@
    * not show whether it is whole. */
   void ConfirmAnswerIsWhole();
   void OnWholeAnswer();
+  /** Records the length of a stream that has ended, for later placements. */
+  void RecordOutput();
   void OnFailure(http::ExchangeFailure failure);
   void OnNotRun(SendOutcome outcome);
   /** Ends a run that has not brought a whole answer. */
--- a/libs/entry/include/turmeric/entry/upstream_choice.h
+++ b/libs/entry/include/turmeric/entry/upstream_choice.h
@@ -35,6 +35,13 @@
                   const routing::Route& route,
                   std::span<const int> stage_pieces);
 
+/**
+ * @param context the instance's state.
+ * @param service name of a service.
+ * @return true if placements on its upstreams consider their memory: its
+ *     configuration states the memory of an engine.
+ */
+bool UsesEngineRoom(const EntryContext& context, const std::string& service);
 /**
  * @param context the instance's state.
  * @param service an engine service.
--- a/libs/entry/include/turmeric/entry/wire_format.h
+++ b/libs/entry/include/turmeric/entry/wire_format.h
@@ -38,7 +38,8 @@
   std::string resumed_attempt_id;
   std::string model;
   int prompt_tokens = 0;
-  int output_tokens = 0;
+  int output_tokens = 0;  ///< Maximum; 0: not stated.
+  int output_hint = 0;    ///< The caller's estimate, tokens; 0: not stated.
   /** The parts in order; the last one belongs to this request alone. */
   std::vector<PromptPart> prompt;
   std::vector<int> stage_pieces;  ///< Number of pieces, by stage.
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -76,6 +76,16 @@
                        .Help("Connections of callers that were closed unread, "
                              "by reason")
                        .Register(*registry_)),
+      without_room_(prometheus::BuildCounter()
+                        .Name("turmeric_placements_without_room_total")
+                        .Help("Requests placed on an engine without room for "
+                              "them, as no engine had room")
+                        .Register(*registry_)),
+      tokens_promised_(
+          prometheus::BuildGauge()
+              .Name("turmeric_engine_tokens_promised")
+              .Help("Memory of engines that open placements occupy, in tokens")
+              .Register(*registry_)),
       followers_(
           prometheus::BuildGauge()
               .Name("turmeric_entry_store_followers")
@@ -176,6 +186,15 @@
   left_unread_.Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void EntryMetrics::OnPlacementWithoutRoom(std::string_view service) {
+  without_room_.Add({{"service", std::string(service)}}).Increment();
+}
+
+void EntryMetrics::SetTokensPromised(std::string_view service, int64_t tokens) {
+  tokens_promised_.Add({{"service", std::string(service)}})
+      .Set(static_cast<double>(tokens));
+}
+
 void EntryMetrics::OnStoreCall(std::string_view kind, std::string_view call,
                                std::string_view outcome) {
   store_calls_
--- a/libs/entry/src/placement_coordinator.cc
+++ b/libs/entry/src/placement_coordinator.cc
@@ -1,11 +1,15 @@
 #include "turmeric/entry/placement_coordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "turmeric/entry/entry_context.h"
+#include "turmeric/entry/entry_metrics.h"
+#include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/routing/choice.h"
 #include "turmeric/stages/shard.h"
+#include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
 
@@ -26,6 +30,32 @@
   return own + routing::UncachedPromptMs(choice, engine);
 }
 
+/** Fraction of an engine's memory that prompt parts are assumed to fill if the
+ * memory of running requests is not considered. */
+constexpr double kPartsFraction = 0.5;
+
+/** Least time between two log lines about one service. */
+constexpr std::chrono::seconds kLogInterval{1};
+
+/**
+ * @param capacity memory of an engine, tokens. Counts of a peer or a caller are
+ *     limited to it.
+ */
+engines::TokenDemand ToTokenDemand(const peer::PlacementOrder& order,
+                                   int64_t capacity) {
+  const auto limited = [capacity](int64_t tokens) {
+    return std::clamp<int64_t>(tokens, 0, capacity);
+  };
+  const int64_t shared = limited(order.shared_tokens);
+  const int64_t session = limited(order.session_tokens);
+  return {.shared_part = order.shared_part,
+          .session_part = order.session_part,
+          .shared_tokens = shared,
+          .session_tokens = session,
+          .own_tokens = limited(order.prompt_tokens - shared - session) +
+                        limited(order.output_tokens)};
+}
+
 }  // namespace
 
 PlacementCoordinator::PlacementCoordinator(EntryContext& context)
@@ -41,6 +71,14 @@
   }
   choice.for_peer = !identity.empty();
   const routing::ServiceSpec* spec = context_.FindService(cell.service);
+  const bool uses_room = UsesEngineRoom(context_, cell.service);
+  if (uses_room) {
+    choice.small_groups = true;
+    choice.memory_use = {.room = &context_.engine_room,
+                         .demand = ToTokenDemand(order, spec->engine_tokens),
+                         .capacity = spec->engine_tokens,
+                         .ms_per_token = PromptMs(1)};
+  }
   choice.admits =
       [cold = context_.cold_limiter.AdmitsAsOwner(spec, order.service, now),
        now](const routing::Upstream& u) {
@@ -52,21 +90,54 @@
   const UpstreamPtr engine = ChooseUpstream(engines, choice, now);
   if (!engine) return nullptr;
   context_.cold_limiter.RecordSend(spec, *engine, now);
+  engines::Reservation reservation;
+  if (uses_room) {
+    CheckRoom(cell.service, *engine, choice.memory_use, now);
+    reservation = context_.engine_room.Reserve(engine->entry.id,
+                                               choice.memory_use.demand);
+  }
   trackers_[identity].Add(order.ticket, engine,
-                          PromptCostMs(order, choice, *engine), now);
-  RecordPromptParts(order, *engine);
+                          PromptCostMs(order, choice, *engine), now,
+                          std::move(reservation));
+  RecordPromptParts(order, *engine, now);
   return engine;
 }
 
+void PlacementCoordinator::CheckRoom(const std::string& service,
+                                     const routing::Upstream& engine,
+                                     const routing::RoomCriteria& memory,
+                                     Clock::time_point now) {
+  const std::string& id = engine.entry.id;
+  if (memory.room->Fits(id, memory.demand, memory.capacity)) return;
+  if (context_.metrics != nullptr) {
+    context_.metrics->OnPlacementWithoutRoom(service);
+  }
+  const auto [logged, first] = without_room_logged_.try_emplace(service, now);
+  if (!first && now - logged->second < kLogInterval) return;
+  logged->second = now;
+  utils::DecisionLog("engine_without_room")
+      .Add("service", service)
+      .Add("engine", id)
+      .Add("promised", memory.room->Promised(id))
+      .Add("capacity", memory.capacity)
+      .Add("request", memory.room->Added(id, memory.demand));
+}
+
 void PlacementCoordinator::RecordPromptParts(const peer::PlacementOrder& order,
-                                             const routing::Upstream& engine) {
+                                             const routing::Upstream& engine,
+                                             Clock::time_point now) {
   const routing::ServiceSpec* spec = context_.FindService(engine.entry.service);
   const int64_t capacity = spec == nullptr ? 0 : spec->engine_tokens;
   if (order.shared_part.empty()) return;
   const std::string& id = engine.entry.id;
+  const int64_t max_tokens =
+      UsesEngineRoom(context_, engine.entry.service)
+          ? capacity - context_.engine_room.Own(id)
+          : static_cast<int64_t>(kPartsFraction *
+                                 static_cast<double>(capacity));
   routing::PromptMemory& memory = context_.prompt_memory;
-  memory.Note(id, order.shared_part, order.shared_tokens, capacity);
-  memory.Note(id, order.session_part, order.session_tokens, capacity);
+  memory.Note(id, order.shared_part, order.shared_tokens, max_tokens, now);
+  memory.Note(id, order.session_part, order.session_tokens, max_tokens, now);
 }
 
 void PlacementCoordinator::OnPromptRead(const std::string& identity,
@@ -101,6 +172,19 @@
 
 void PlacementCoordinator::Expire(Clock::time_point now) {
   for (auto& [identity, tracker] : trackers_) tracker.Expire(now);
+  ExportPromised();
+}
+
+void PlacementCoordinator::ExportPromised() const {
+  if (context_.metrics == nullptr || !context_.table) return;
+  for (const auto& [name, spec] : context_.table->services) {
+    if (!UsesEngineRoom(context_, name)) continue;
+    int64_t promised = 0;
+    for (const UpstreamPtr& u : context_.upstreams.ForService(name)) {
+      promised += context_.engine_room.Promised(u->entry.id);
+    }
+    context_.metrics->SetTokensPromised(name, promised);
+  }
 }
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/request_run_answer.cc
+++ b/libs/entry/src/request_run_answer.cc
@@ -125,10 +125,19 @@
       });
 }
 
+void RequestRun::RecordOutput() {
+  // Other streams do not show the whole output.
+  if (!route_->carries_prompt || sends_ > 1 || ResumesStream()) return;
+  context_.output_estimate.Note(route_->name, {.events = forwarder_.events(),
+                                               .tokens = std::nullopt,
+                                               .hinted = request_.output_hint});
+}
+
 void RequestRun::OnWholeAnswer() {
   const http::ResponseHead& head = send_->head();
   evidence_.OnAnswered(head.status, Clock::now());
   if (send_->IsEventStream()) {
+    RecordOutput();
     send_->End(Outcome::kAnswered);
     return ForwardAnswer();
   }
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -81,6 +81,7 @@
   context_.upstreams.set_on_leave([this](const routing::UpstreamPtr& u) {
     context_.client.CloseIdle(u->entry.id);
     context_.prompt_memory.RemoveEngine(u->entry.id);
+    context_.engine_room.Reset(u->entry.id);
     utils::DecisionLog("upstream_leaves")
         .Add("upstream", u->entry.id)
         .Add("service", u->entry.service)
--- a/libs/entry/src/upstream_choice.cc
+++ b/libs/entry/src/upstream_choice.cc
@@ -38,13 +38,20 @@
   return true;
 }
 
+bool UsesEngineRoom(const EntryContext& context, const std::string& service) {
+  const routing::ServiceSpec* spec = context.FindService(service);
+  return spec != nullptr && spec->engine_tokens > 0 &&
+         context.Uses(config::Mechanism::kEngineRoom);
+}
+
 std::string AffinityZone(const EntryContext& context,
                          const std::string& service,
                          const UpstreamCriteria& criteria) {
   const peer::PlacementOrder order = ToPlacementOrder(criteria);
+  routing::ChoiceRequest choice = ToChoiceRequest(order);
+  choice.small_groups = UsesEngineRoom(context, service);
   const UpstreamPtr preferred =
-      HomeUpstream(context.upstreams.ForService(service),
-                   ToChoiceRequest(order), Clock::now());
+      HomeUpstream(context.upstreams.ForService(service), choice, Clock::now());
   return preferred ? preferred->entry.zone : context.settings.zone;
 }
 
@@ -56,6 +63,7 @@
   const routing::UpstreamFilter cold =
       choice.has_owner ? context.cold_limiter.AdmitsAsNonOwner(spec, now)
                        : context.cold_limiter.AdmitsForUnowned(spec, now);
+  request.small_groups = UsesEngineRoom(context, choice.service);
   // Only the owner knows whether a brittle upstream has room.
   request.admits = [&cold](const routing::Upstream& u) {
     return !u.brittle.is_brittle() && (!cold || cold(u));
--- a/libs/peer/include/turmeric/peer/frame.h
+++ b/libs/peer/include/turmeric/peer/frame.h
@@ -63,6 +63,7 @@
   int zone_cost_ms = 0;   ///< Cost of using another zone, as waiting time.
   std::vector<std::string> excluded;  ///< Upstream ids not to be chosen.
   std::string version = {};           ///< Software version; empty: any.
+  int output_tokens = 0;              ///< Expected; from a peer of any value.
 };
 
 /** Answers a PlacementOrder with the chosen engine. */
--- a/libs/peer/src/details/peer_generated.h
+++ b/libs/peer/src/details/peer_generated.h
@@ -670,7 +670,8 @@
     VT_ZONE = 18,
     VT_ZONE_COST_MS = 20,
     VT_EXCLUDED = 22,
-    VT_VERSION = 24
+    VT_VERSION = 24,
+    VT_OUTPUT_TOKENS = 26
   };
   uint64_t ticket() const {
     return GetField<uint64_t>(VT_TICKET, 0);
@@ -705,6 +706,9 @@
   const flatbuffers::String *version() const {
     return GetPointer<const flatbuffers::String *>(VT_VERSION);
   }
+  int32_t output_tokens() const {
+    return GetField<int32_t>(VT_OUTPUT_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TICKET, 8) &&
@@ -725,6 +729,7 @@
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyOffset(verifier, VT_VERSION) &&
            verifier.VerifyString(version()) &&
+           VerifyField<int32_t>(verifier, VT_OUTPUT_TOKENS, 4) &&
            verifier.EndTable();
   }
 };
@@ -766,6 +771,9 @@
   void add_version(flatbuffers::Offset<flatbuffers::String> version) {
     fbb_.AddOffset(PlacementOrder::VT_VERSION, version);
   }
+  void add_output_tokens(int32_t output_tokens) {
+    fbb_.AddElement<int32_t>(PlacementOrder::VT_OUTPUT_TOKENS, output_tokens, 0);
+  }
   explicit PlacementOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -789,9 +797,11 @@
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     int32_t zone_cost_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
-    flatbuffers::Offset<flatbuffers::String> version = 0) {
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    int32_t output_tokens = 0) {
   PlacementOrderBuilder builder_(_fbb);
   builder_.add_ticket(ticket);
+  builder_.add_output_tokens(output_tokens);
   builder_.add_version(version);
   builder_.add_excluded(excluded);
   builder_.add_zone_cost_ms(zone_cost_ms);
@@ -817,7 +827,8 @@
     const char *zone = nullptr,
     int32_t zone_cost_ms = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
-    const char *version = nullptr) {
+    const char *version = nullptr,
+    int32_t output_tokens = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto shared_part__ = shared_part ? _fbb.CreateString(shared_part) : 0;
   auto session_part__ = session_part ? _fbb.CreateString(session_part) : 0;
@@ -836,7 +847,8 @@
       zone__,
       zone_cost_ms,
       excluded__,
-      version__);
+      version__,
+      output_tokens);
 }
 
 struct Placed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/libs/peer/src/frame.cc
+++ b/libs/peer/src/frame.cc
@@ -79,7 +79,8 @@
       b.CreateString(order.shared_part), b.CreateString(order.session_part),
       order.shared_tokens, order.session_tokens, order.prompt_tokens,
       b.CreateSharedString(order.zone), order.zone_cost_ms,
-      WriteTexts(b, order.excluded), b.CreateSharedString(order.version));
+      WriteTexts(b, order.excluded), b.CreateSharedString(order.version),
+      order.output_tokens);
 }
 
 PlacementOrder Read(const wire::PlacementOrder& o) {
@@ -93,7 +94,8 @@
           .zone = Text(o.zone()),
           .zone_cost_ms = o.zone_cost_ms(),
           .excluded = Texts(o.excluded()),
-          .version = Text(o.version())};
+          .version = Text(o.version()),
+          .output_tokens = o.output_tokens()};
 }
 
 /** Wire value of a PlacementEnd without an outcome. */
--- a/libs/routing/include/turmeric/routing/choice.h
+++ b/libs/routing/include/turmeric/routing/choice.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/engines/engine_room.h"
 #include "turmeric/routing/prompt_memory.h"
 #include "turmeric/routing/upstream.h"
 
@@ -17,6 +18,15 @@
  * admits every upstream. */
 using UpstreamFilter = std::function<bool(const Upstream&)>;
 
+/** The memory of engines, for placements that consider it. */
+struct RoomCriteria {
+  /** Memory that open requests occupy; null: not considered. */
+  const engines::EngineRoom* room = nullptr;
+  engines::TokenDemand demand;  ///< Of the request.
+  int64_t capacity = 0;         ///< Memory of each engine, tokens.
+  double ms_per_token = 0;      ///< Time to read a prompt token, ms.
+};
+
 /** The properties of a request by which its upstream is chosen. */
 struct ChoiceRequest {
   /** Id of the first part of its prompt, which many requests share; empty: the
@@ -47,6 +57,10 @@
   /** The request is sent by a peer instance, which upstreams may not have asked
    * for the rests that they want from this one. */
   bool for_peer = false;
+  /** Few engines serve the requests with one shared part, instead of half of
+   * the service's, so that few read it. */
+  bool small_groups = false;
+  RoomCriteria memory_use = {};
 };
 
 /**
@@ -57,7 +71,8 @@
  * upstream. Upstreams to which this instance may not send (see MaySend) are not
  * used; avoided ones (see IsAvoided), those that rest from a peer, and for a
  * peer's request those that rest from this instance, only when no other is
- * left.
+ * left. Engines without room for the request (see RoomCriteria) are not used
+ * while another has room; if none has, the one with the most room is.
  * @param upstreams of the service. @param request its properties.
  * @param now current time.
  * @return the choice, or nullptr if no listed upstream is left.
--- a/libs/routing/include/turmeric/routing/placement_tracker.h
+++ b/libs/routing/include/turmeric/routing/placement_tracker.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <unordered_map>
 
+#include "turmeric/engines/reservation.h"
 #include "turmeric/routing/upstream.h"
 
 namespace turmeric::routing {
@@ -25,9 +26,10 @@
    * Adds a placement; replaces one with the same ticket.
    * @param ticket identifies the request. @param engine that serves it.
    * @param prompt_ms time to read its prompt. @param now current time.
+   * @param reservation freed when the placement ends.
    */
   void Add(uint64_t ticket, UpstreamPtr engine, double prompt_ms,
-           Clock::time_point now);
+           Clock::time_point now, engines::Reservation reservation = {});
   /** Removes the prompt load of a request whose answer has begun.
    * @param ticket from Add; unknown ones are ignored. */
   void PromptRead(uint64_t ticket);
@@ -45,6 +47,7 @@
     UpstreamPtr engine;
     double prompt_ms = 0;
     Clock::time_point since;
+    engines::Reservation reservation;
   };
   static void RemoveLoad(Open& open);
 
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -1,6 +1,7 @@
 #include "turmeric/routing/choice.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <limits>
 
@@ -11,14 +12,24 @@
 /** Cost of reading a part that an engine does not hold, as a factor on the
  * reading time: the engine's other requests wait during the read. */
 constexpr double kUncachedReadFactor = 2.0;
+/** The same with small groups, whose engines hold more of the parts that their
+ * requests need: with 2, requests wait longer at them than in large groups. */
+constexpr double kSmallGroupReadFactor = 1.8;
 /** Preference for the home engine of a session that is not in the prompt
- * memory, as a factor on the time to read its parts: a new owner then sends
+ * memory, as a factor on the cost to read its parts: a new owner then sends
  * most sessions to the engines on which the previous owner has placed them. */
-constexpr double kHomePreference = 1.0;
+constexpr double kHomePreference = 0.5;
 /** Least number of upstreams that serve the requests with one shared part; half
  * of the service's upstreams if that is more. Enough for a burst of its
  * requests, few enough that not every engine reads every part. */
 constexpr size_t kMinGroupSize = 6;
+/** With small groups, the service's upstreams over this, if that is more than
+ * the least. Each engine of a group reads the part once. With a fifth, requests
+ * wait longer for each other than with half of the upstreams. */
+constexpr size_t kSmallGroupDivisor = 4;
+/** Prompt parts that were not used for this long cost nothing to evict: the
+ * requests of a session follow each other within a few seconds. */
+constexpr std::chrono::seconds kPartReuse{8};
 /** Waiting time in ms that each open request on an engine adds for a new
  * request: the duration of the engine's step grows a little with each open
  * request. */
@@ -109,7 +120,9 @@
   };
   std::ranges::sort(found.group, std::ranges::greater(),
                     weight(request.shared_part));
-  const size_t size = std::max(kMinGroupSize, found.group.size() / 2);
+  const size_t size = std::max(
+      kMinGroupSize,
+      found.group.size() / (request.small_groups ? kSmallGroupDivisor : 2));
   if (found.group.size() > size) found.group.resize(size);
   const auto home =
       std::ranges::max_element(found.group, {}, weight(request.session_part));
@@ -124,23 +137,70 @@
   });
 }
 
+double ReadFactor(const ChoiceRequest& request) {
+  return request.small_groups ? kSmallGroupReadFactor : kUncachedReadFactor;
+}
+
 double ReadCost(const Candidates& found, const ChoiceRequest& request,
                 const UpstreamPtr& upstream) {
   if (request.memory != nullptr) {
     const double uncached_cost =
-        kUncachedReadFactor * UncachedPromptMs(request, *upstream);
+        ReadFactor(request) * UncachedPromptMs(request, *upstream);
     const bool may_hold = !found.session_held && upstream == found.home &&
                           PromptWaitMs(*upstream) == 0;
     if (!may_hold) return uncached_cost;
-    return uncached_cost -
-           kHomePreference * (request.shared_ms + request.session_ms);
+    return uncached_cost - kHomePreference * ReadFactor(request) *
+                               (request.shared_ms + request.session_ms);
   }
   if (!found.home || upstream == found.home) return 0;
   const bool in_group = std::ranges::count(found.group, upstream) > 0;
-  return kUncachedReadFactor *
+  return ReadFactor(request) *
          (request.session_ms + (in_group ? 0 : request.shared_ms));
 }
 
+/** Leaves the engines with room for the request, or those with the most room if
+ * none has any. */
+void KeepThoseWithRoom(std::vector<UpstreamPtr>& usable,
+                       const RoomCriteria& memory) {
+  if (memory.room == nullptr || usable.empty()) return;
+  const auto lacks_room = [&](const UpstreamPtr& u) {
+    return !memory.room->Fits(u->entry.id, memory.demand, memory.capacity);
+  };
+  if (!std::ranges::all_of(usable, lacks_room)) {
+    std::erase_if(usable, lacks_room);
+    return;
+  }
+  const auto needed = [&](const UpstreamPtr& u) {
+    return memory.room->Promised(u->entry.id) +
+           memory.room->Added(u->entry.id, memory.demand);
+  };
+  const int64_t least = needed(*std::ranges::min_element(usable, {}, needed));
+  std::erase_if(usable,
+                [&](const UpstreamPtr& u) { return needed(u) > least; });
+}
+
+/** @return time to read the parts again that the request would evict, ms. */
+double EvictionCost(const ChoiceRequest& request, const Upstream& upstream,
+                    Clock::time_point now) {
+  const RoomCriteria& memory = request.memory_use;
+  if (memory.room == nullptr || request.memory == nullptr) return 0;
+  const std::string& id = upstream.entry.id;
+  const engines::TokenDemand& demand = memory.demand;
+  int64_t added = 0;
+  if (!request.memory->Holds(id, demand.shared_part)) {
+    added += demand.shared_tokens;
+  }
+  if (!request.memory->Holds(id, demand.session_part)) {
+    added += demand.session_tokens;
+  }
+  const std::array kept = {demand.shared_part, demand.session_part};
+  const int64_t parts_limit =
+      memory.capacity - memory.room->Own(id) - demand.own_tokens;
+  return memory.ms_per_token *
+         static_cast<double>(request.memory->EvictedTokens(
+             id, kept, added, parts_limit, now - kPartReuse));
+}
+
 }  // namespace
 
 UpstreamPtr HomeUpstream(std::span<const UpstreamPtr> upstreams,
@@ -164,6 +224,7 @@
                            const ChoiceRequest& request,
                            Clock::time_point now) {
   Candidates found = FindCandidates(upstreams, request, now);
+  KeepThoseWithRoom(found.usable, request.memory_use);
   if (request.memory != nullptr) {
     found.session_held = IsSessionHeld(found, request);
   }
@@ -171,7 +232,8 @@
   double best_cost = std::numeric_limits<double>::max();
   uint64_t best_tie = 0;
   for (const UpstreamPtr& u : found.usable) {
-    double cost = LoadCost(*u, request) + ReadCost(found, request, u);
+    double cost = LoadCost(*u, request) + ReadCost(found, request, u) +
+                  EvictionCost(request, *u, now);
     if (!request.zone.empty() && u->entry.zone != request.zone) {
       cost += request.zone_cost_ms;
     }
--- a/libs/routing/src/placement_tracker.cc
+++ b/libs/routing/src/placement_tracker.cc
@@ -23,11 +23,12 @@
 }
 
 void PlacementTracker::Add(uint64_t ticket, UpstreamPtr engine,
-                           double prompt_ms, Clock::time_point now) {
+                           double prompt_ms, Clock::time_point now,
+                           engines::Reservation reservation) {
   End(ticket);
   engine->placed_prompt_ms += prompt_ms;
   ++engine->placed;
-  open_[ticket] = {std::move(engine), prompt_ms, now};
+  open_[ticket] = {std::move(engine), prompt_ms, now, std::move(reservation)};
 }
 
 void PlacementTracker::PromptRead(uint64_t ticket) {
