--- a/libs/config/include/turmeric/config/mechanisms.h
+++ b/libs/config/include/turmeric/config/mechanisms.h
@@ -74,10 +74,12 @@
   kExpectedTime,
   /** Scarce capacity is divided between organisations. */
   kFairShares,
+  /** Placements consider the memory of engines. */
+  kEngineRoom,
 };
 
 /** Number of enumerators of Mechanism. */
-inline constexpr size_t kMechanismCount = 26;
+inline constexpr size_t kMechanismCount = 27;
 
 /** @param mechanism a mechanism. @return its name in settings. */
 std::string_view MechanismName(Mechanism mechanism);
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
@@ -16,12 +17,12 @@
 #include <string_view>
 #include <vector>
 
+#include "turmeric/fairness/share_plan.h"
+
 namespace turmeric::memory {
 class MemoryAccount;
 }
 
-#include "turmeric/fairness/share_plan.h"
-
 namespace turmeric::entry {
 
 /** The learned speed of one upstream. */
@@ -148,6 +149,16 @@
    */
   void SetShareDemands(std::string_view service,
                        std::span<const fairness::LimitedOrganisation> limited);
+  /**
+   * Records a placement on an engine without room for the request.
+   * @param service service of the engine.
+   */
+  void OnPlacementWithoutRoom(std::string_view service);
+  /**
+   * @param service an engine service.
+   * @param tokens memory that open placements by this instance occupy.
+   */
+  void SetTokensPromised(std::string_view service, int64_t tokens);
   /** @return the metrics in the Prometheus text format. */
   std::string Render();
 
@@ -167,6 +178,8 @@
   prometheus::Family<prometheus::Counter>& connection_shortages_;
   prometheus::Family<prometheus::Counter>& loans_;
   prometheus::Family<prometheus::Counter>& left_unread_;
+  prometheus::Family<prometheus::Counter>& without_room_;
+  prometheus::Family<prometheus::Gauge>& tokens_promised_;
   prometheus::Gauge& followers_;
   prometheus::Gauge& store_age_;
   prometheus::Gauge& quarantined_;
