Explain states whose share or which bound refused requests

Requests that end as over_share or memory_full were counted by outcome only; the line of a request does not state the organisation or the bound.

RefusalCauseReport sums up share_exceeded by service and organisation (demand, level, fraction, age of the plan) and memory_pressure by instance (held, bound, levels), beside the refused requests. turmericctl explain prints both after the routes; logs without them give the same report as before.

--- a/libs/insight/include/turmeric/insight/request_outcome_report.h
+++ b/libs/insight/include/turmeric/insight/request_outcome_report.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "turmeric/insight/log_event.h"
+#include "turmeric/insight/refusal_cause_report.h"
 
 namespace turmeric::insight {
 
@@ -32,7 +33,8 @@
  public:
   /** @param event of any instance, in any order. */
   void Add(const LogEvent& event);
-  /** @return two tables as text: stage services, then routes. */
+  /** @return tables as text: stage services, routes, and the causes of refusals
+   * over a share or by the memory bound. */
   std::string Render() const;
 
  private:
@@ -65,6 +67,7 @@
 
   std::map<std::string, Service> services_;
   std::map<std::string, Route> routes_;
+  RefusalCauseReport refusals_;
 };
 
 }  // namespace turmeric::insight
--- a/libs/insight/src/request_outcome_report.cc
+++ b/libs/insight/src/request_outcome_report.cc
@@ -64,6 +64,7 @@
 void RequestOutcomeReport::Add(const LogEvent& event) {
   if (event.name == "stage_call_done") AddCall(event);
   if (event.name == "request_end") AddRequest(event);
+  refusals_.Add(event);
 }
 
 void RequestOutcomeReport::AddCall(const LogEvent& event) {
@@ -138,7 +139,7 @@
 }
 
 std::string RequestOutcomeReport::Render() const {
-  return RenderServices() + RenderRoutes();
+  return RenderServices() + RenderRoutes() + refusals_.Render();
 }
 
 }  // namespace turmeric::insight
