--- a/libs/insight/include/turmeric/insight/request_outcome_report.h
+++ b/libs/insight/include/turmeric/insight/request_outcome_report.h
@@ -6,9 +6,9 @@
 #include <map>
 #include <set>
 #include <string>
-#include <utility>
 
 #include "turmeric/insight/log_event.h"
+#include "turmeric/insight/refusal_cause_report.h"
 
 namespace turmeric::insight {
 
@@ -33,8 +33,8 @@
  public:
   /** @param event of any instance, in any order. */
   void Add(const LogEvent& event);
-  /** @return tables as text: stage services, routes, and the organisations
-   * that were above their share, if any. */
+  /** @return tables as text: stage services, routes, and the causes of refusals
+   * over a share or by the memory bound. */
   std::string Render() const;
 
  private:
@@ -60,24 +60,14 @@
     std::map<std::string, int64_t> lost;
   };
 
-  /** Refusals of one organisation at one service, by its log lines. */
-  struct Share {
-    int64_t lines = 0;
-    double demand = 0;    ///< Largest, slot milliseconds per second.
-    double fraction = 1;  ///< Smallest that was admitted.
-  };
-
   void AddCall(const LogEvent& event);
-  void AddShare(const LogEvent& event);
   void AddRequest(const LogEvent& event);
   std::string RenderServices() const;
   std::string RenderRoutes() const;
-  std::string RenderShares() const;
 
   std::map<std::string, Service> services_;
   std::map<std::string, Route> routes_;
-  /** By service and organisation. */
-  std::map<std::pair<std::string, std::string>, Share> shares_;
+  RefusalCauseReport refusals_;
 };
 
 }  // namespace turmeric::insight
