Shared capacity recovers after an outage of the upstreams

The capacity shrank towards 0, from which steps of a twentieth do not grow it again, and every request was refused.

--- a/libs/fairness/test/fair_fleet.cc
+++ b/libs/fairness/test/fair_fleet.cc
@@ -1,6 +1,7 @@
 #include "fair_fleet.h"
 
 #include <algorithm>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -38,7 +39,7 @@
 }
 
 double FairResult::worst() const {
-  return std::ranges::min(organisations | std::views::drop(1), {},
+  return std::ranges::min(std::span(organisations).subspan(1), {},
                           &Served::ratio)
       .ratio();
 }
--- a/libs/fairness/test/fair_fleet.h
+++ b/libs/fairness/test/fair_fleet.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <ranges>
 #include <string>
 #include <vector>
 
--- a/libs/fairness/test/share_coordinator_test.cc
+++ b/libs/fairness/test/share_coordinator_test.cc
@@ -115,5 +115,23 @@
   CHECK(*controller.Update(load, true, now) == Approx(9450));
 }
 
+// Guards against refusals that go on for ever after an outage.
+TEST_CASE("the capacity recovers after an outage of the upstreams") {
+  ShareController controller;
+  FleetLoad load{.in_progress = 20, .slots = 10, .served = 0, .demand = 30'000};
+  Clock::time_point now = kStart;
+  for (int i = 0; i < 50; ++i, now += ShareController::kStep) {
+    controller.Update(load, true, now);
+  }
+  load.in_progress = 5;
+  std::optional<double> capacity;
+  for (int i = 0; i < 35; ++i, now += ShareController::kStep) {
+    capacity = controller.Update(load, true, now);
+  }
+  CHECK(capacity.value_or(0) >= 10'000);
+  load.slots = 0;
+  CHECK_FALSE(controller.Update(load, true, now).has_value());
+}
+
 }  // namespace
 }  // namespace turmeric::fairness
