Measure the read rate of callers by acknowledged bytes

Cause: the system's send buffer accepts bytes again only once a large part of it is free. A caller that reads some 10 KB a second could be taken for one that has read nothing for 10 s, and be cut off under pressure.

Change: ServerConnection::sent() leaves out the bytes that TCP has not acknowledged.

No test shows the fault: it needs a send buffer of some 100 KB and 10 s.

--- a/libs/http/include/turmeric/http/server_connection.h
+++ b/libs/http/include/turmeric/http/server_connection.h
@@ -102,7 +102,7 @@
   std::chrono::milliseconds receive_time() const { return receive_time_; }
   /** @return response bytes that have not been handed to the system yet. */
   size_t unsent() const;
-  /** @return response bytes handed to the system so far. */
+  /** @return response bytes that TCP of the client has acknowledged so far. */
   uint64_t sent() const;
   /** @return received bytes of requests that are incomplete or wait for the
    * response to an earlier one. */
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -1,5 +1,6 @@
 #include "turmeric/http/server_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -66,8 +67,13 @@
 }
 
 uint64_t ServerConnection::sent() const {
-  if (flushing_) return flushing_->sent();
-  return socket_ == nullptr ? 0 : socket_->sent();
+  const TcpSocket* socket = flushing_ ? flushing_.data() : socket_;
+  if (socket == nullptr) return 0;
+  // The send buffer of the system accepts bytes again only once a large part of
+  // it is free, so that bytes handed to it do not show how fast a slow client
+  // reads.
+  const size_t in_transit = socket->unacknowledged() - socket->unsent();
+  return socket->sent() - std::min<uint64_t>(in_transit, socket->sent());
 }
 
 size_t ServerConnection::received() const {
