Look up an engine's memory less often in a placement

Cause: for each engine, a placement looked up the room three times and both prompt parts once more, although hardly any placement evicts a part.

Change: Fits looks the room up once, and the parts are looked up only where the request would evict something if the engine held neither.

--- a/libs/engines/src/engine_room.cc
+++ b/libs/engines/src/engine_room.cc
@@ -18,6 +18,19 @@
   return std::max<int64_t>(0, tokens);
 }
 
+int64_t AddedTo(const Room* room, const TokenDemand& demand) {
+  int64_t added = std::max<int64_t>(0, demand.own_tokens) +
+                  AddedBy(room, demand.shared_part, demand.shared_tokens);
+  if (demand.session_part != demand.shared_part) {
+    added += AddedBy(room, demand.session_part, demand.session_tokens);
+  }
+  return added;
+}
+
+int64_t PromisedAt(const Room* room) {
+  return room == nullptr ? 0 : room->part_tokens + room->own_tokens;
+}
+
 }  // namespace
 
 const Room* EngineRoom::Find(std::string_view engine) const {
@@ -27,24 +40,18 @@
 
 int64_t EngineRoom::Added(std::string_view engine,
                           const TokenDemand& demand) const {
-  const Room* room = Find(engine);
-  int64_t added = std::max<int64_t>(0, demand.own_tokens) +
-                  AddedBy(room, demand.shared_part, demand.shared_tokens);
-  if (demand.session_part != demand.shared_part) {
-    added += AddedBy(room, demand.session_part, demand.session_tokens);
-  }
-  return added;
+  return AddedTo(Find(engine), demand);
 }
 
 bool EngineRoom::Fits(std::string_view engine, const TokenDemand& demand,
                       int64_t capacity) const {
-  return static_cast<double>(Promised(engine) + Added(engine, demand)) <=
+  const Room* room = Find(engine);
+  return static_cast<double>(PromisedAt(room) + AddedTo(room, demand)) <=
          kUsableFraction * static_cast<double>(capacity);
 }
 
 int64_t EngineRoom::Promised(std::string_view engine) const {
-  const Room* room = Find(engine);
-  return room == nullptr ? 0 : room->part_tokens + room->own_tokens;
+  return PromisedAt(Find(engine));
 }
 
 int64_t EngineRoom::Own(std::string_view engine) const {
--- a/libs/routing/src/choice.cc
+++ b/libs/routing/src/choice.cc
@@ -186,6 +186,15 @@
   if (memory.room == nullptr || request.memory == nullptr) return 0;
   const std::string& id = upstream.entry.id;
   const engines::TokenDemand& demand = memory.demand;
+  const std::array kept = {demand.shared_part, demand.session_part};
+  const int64_t parts_limit =
+      memory.capacity - memory.room->Own(id) - demand.own_tokens;
+  const auto evicted = [&](int64_t added) {
+    return request.memory->EvictedTokens(id, kept, added, parts_limit,
+                                         now - kPartReuse);
+  };
+  // Most engines would evict nothing even if they held neither part.
+  if (evicted(demand.shared_tokens + demand.session_tokens) == 0) return 0;
   int64_t added = 0;
   if (!request.memory->Holds(id, demand.shared_part)) {
     added += demand.shared_tokens;
@@ -193,12 +202,7 @@
   if (!request.memory->Holds(id, demand.session_part)) {
     added += demand.session_tokens;
   }
-  const std::array kept = {demand.shared_part, demand.session_part};
-  const int64_t parts_limit =
-      memory.capacity - memory.room->Own(id) - demand.own_tokens;
-  return memory.ms_per_token *
-         static_cast<double>(request.memory->EvictedTokens(
-             id, kept, added, parts_limit, now - kPartReuse));
+  return memory.ms_per_token * static_cast<double>(evicted(added));
 }
 
 }  // namespace
