--- a/libs/engines/test/engine_load_test.cc
+++ b/libs/engines/test/engine_load_test.cc
@@ -70,8 +70,8 @@
 // Guards against shared parts that half of all engines read, and against
 // groups of engines so small that requests wait for each other.
 TEST_CASE("engine load: small groups read fewer parts again without waiting") {
-  SimulatedResult today;
-  SimulatedResult placed;
+  SimulatedResult by_reading;
+  SimulatedResult by_room;
   const auto add = [](SimulatedResult& sum, const SimulatedResult& one) {
     sum.read_again += one.read_again;
     sum.wait_ms += one.wait_ms;
@@ -80,29 +80,29 @@
   for (uint64_t seed = 1; seed <= 5; ++seed) {
     SimulatedLoad load = SharedPartsLoad();
     load.seed = seed;
-    add(today, Simulate(load, SimulatedPlacement::kByReading));
-    add(placed, Simulate(load, SimulatedPlacement::kByRoom));
+    add(by_reading, Simulate(load, SimulatedPlacement::kByReading));
+    add(by_room, Simulate(load, SimulatedPlacement::kByRoom));
   }
-  CAPTURE(today.read_again, placed.read_again, today.wait_ms, placed.wait_ms,
-          today.first_token_ms, placed.first_token_ms);
-  REQUIRE(static_cast<double>(placed.read_again) <
-          0.85 * static_cast<double>(today.read_again));
-  REQUIRE(placed.wait_ms <= today.wait_ms);
-  REQUIRE(placed.first_token_ms <= today.first_token_ms);
+  CAPTURE(by_reading.read_again, by_room.read_again, by_reading.wait_ms,
+          by_room.wait_ms, by_reading.first_token_ms, by_room.first_token_ms);
+  REQUIRE(static_cast<double>(by_room.read_again) <
+          0.85 * static_cast<double>(by_reading.read_again));
+  REQUIRE(by_room.wait_ms <= by_reading.wait_ms);
+  REQUIRE(by_room.first_token_ms <= by_reading.first_token_ms);
 }
 
 // Guards against requests that are preempted and read again at full engines
 // while others have room.
 TEST_CASE("engine load: with room considered, few requests are preempted") {
   const SimulatedLoad load = LittleMemoryLoad();
-  const auto today = Simulate(load, SimulatedPlacement::kByReading);
-  const auto placed = Simulate(load, SimulatedPlacement::kByRoom);
-  CAPTURE(today.preempted, placed.preempted, today.wait_ms, placed.wait_ms,
-          today.read_again, placed.read_again);
-  REQUIRE(today.preempted > 50);
-  REQUIRE(placed.preempted < today.preempted / 20);
-  REQUIRE(placed.read_again < today.read_again);
-  REQUIRE(placed.wait_ms < today.wait_ms);
+  const auto by_reading = Simulate(load, SimulatedPlacement::kByReading);
+  const auto by_room = Simulate(load, SimulatedPlacement::kByRoom);
+  CAPTURE(by_reading.preempted, by_room.preempted, by_reading.wait_ms,
+          by_room.wait_ms, by_reading.read_again, by_room.read_again);
+  REQUIRE(by_reading.preempted > 50);
+  REQUIRE(by_room.preempted < by_reading.preempted / 20);
+  REQUIRE(by_room.read_again < by_reading.read_again);
+  REQUIRE(by_room.wait_ms < by_reading.wait_ms);
 }
 
 // Guards against a new owner, which knows neither parts nor reservations, that
@@ -110,8 +110,8 @@
 TEST_CASE("engine load: a new owner without a record soon places as before") {
   SimulatedLoad load = LittleMemoryLoad();
   load.owner_changes_at = 30;
-  const auto today = Simulate(load, SimulatedPlacement::kByReading);
-  const auto placed = Simulate(load, SimulatedPlacement::kByRoom);
-  CAPTURE(today.preempted, placed.preempted);
-  REQUIRE(placed.preempted < today.preempted / 10);
+  const auto by_reading = Simulate(load, SimulatedPlacement::kByReading);
+  const auto by_room = Simulate(load, SimulatedPlacement::kByRoom);
+  CAPTURE(by_reading.preempted, by_room.preempted);
+  REQUIRE(by_room.preempted < by_reading.preempted / 10);
 }
