--- a/libs/entry/src/memory_guard.cc
+++ b/libs/entry/src/memory_guard.cc
@@ -109,7 +109,8 @@
   logged_at_ = time;
   const auto& answers = account_.holders(BufferKind::kUpstreamAnswer);
   utils::DecisionLog line("memory_pressure");
-  line.Add("pressure", memory::PressureName(now))
+  line.Add("level", memory::PressureName(now))
+      .Add("held", account_.total())
       .Add("bound", account_.bound());
   for (size_t i = 0; i < memory::kBufferKinds; ++i) {
     line.Add(memory::kBufferKindNames[i],
--- a/libs/fairness/test/fair_fleet_test.cc
+++ b/libs/fairness/test/fair_fleet_test.cc
@@ -9,10 +9,6 @@
 constexpr double kMinServedEach = 0.9;
 constexpr double kMinPerSecond = 100;
 
-/** Limits while messages between instances are lost or late. */
-constexpr double kMinTogetherDegraded = 0.9;
-constexpr double kMinEachDegraded = 0.85;
-
 void CheckLimits(const FairRun& run) {
   const FairResult result = FairFleet(run).Run();
   INFO("seed " << run.seed << ", served together " << result.small().ratio()
@@ -23,13 +19,6 @@
   CHECK(result.per_s >= kMinPerSecond);
 }
 
-void CheckDegradedLimits(const FairRun& run) {
-  const FairResult result = FairFleet(run).Run();
-  CHECK(result.small().ratio() >= kMinTogetherDegraded);
-  CHECK(result.worst() >= kMinEachDegraded);
-  CHECK(result.per_s >= kMinPerSecond);
-}
-
 uint32_t Seed() { return GENERATE(range(1U, 9U)); }
 
 // Guards against a simulation whose load the fleet would handle without shares.
@@ -61,11 +50,11 @@
 }
 
 TEST_CASE("shares hold while a third of the messages is lost") {
-  CheckDegradedLimits({.seed = Seed(), .lost = 1.0 / 3});
+  CheckLimits({.seed = Seed(), .lost = 1.0 / 3});
 }
 
 TEST_CASE("shares hold while messages are late") {
-  CheckDegradedLimits(
+  CheckLimits(
       {.seed = Seed(), .message_delay = std::chrono::milliseconds(150)});
 }
 
