--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -181,6 +181,9 @@
   reader.ReadDuration("retry_window_ms", s.retry_window);
   reader.ReadBool("first_start", s.first_start);
   reader.ReadSwitchedOff("switched_off", s.mechanisms);
+  bool engine_room = false;
+  reader.ReadBool("engine_room", engine_room);
+  if (!engine_room) s.mechanisms.SwitchOff(Mechanism::kEngineRoom);
   reader.CheckUnknownKeys();
   if (!reader.error().empty()) {
     return Fail(Errc::kIniInvalid, reader.error());
--- a/libs/fairness/src/share_controller.cc
+++ b/libs/fairness/src/share_controller.cc
@@ -7,8 +7,12 @@
 namespace {
 
 constexpr double kMsPerSecond = 1000;
-/** Work in progress over slots from which the capacity shrinks. */
+/** Work in progress over slots from which the capacity shrinks, and below which
+ * it grows. Instances choose upstreams by what they see, so that requests wait
+ * at some while slots of others are free: with less work than slots, more than
+ * a fifth of the slots stays idle. */
 constexpr double kOverload = 1.1;
+constexpr double kTarget = 1.05;
 constexpr double kShrink = 0.9;
 constexpr double kGrow = 1.05;
 /** Part of the served work that stays admitted while the capacity shrinks.
@@ -39,7 +43,7 @@
     capacity_ = std::max({kShrink * std::min(*capacity_, load.demand),
                           kServedFloor * load.served,
                           kMinPart * load.slots * kMsPerSecond});
-  } else if (load.in_progress < load.slots && limited) {
+  } else if (load.in_progress < kTarget * load.slots && limited) {
     capacity_ = *capacity_ * kGrow;
   } else if (load.in_progress < load.slots && load.demand < *capacity_) {
     capacity_.reset();
