Forwarded answers are delivered beyond the time limit of their route

A large answer is forwarded as it arrives, so that its request ended at the route's timeout while its caller read on: "an answer that is read slowly is not truncated by the close" got 2.5 of 7.9 MB. The limit now ends it only if for half a second no bytes were forwarded and none waited for the caller. The test passes.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -214,6 +214,8 @@
   int connection_waits_ = 0;
   int unreached_sends_ = 0;  ///< Those of `sends_` that no upstream received.
   bool may_have_run_ = false;
+  /** Bytes of the answer were forwarded since the last check. */
+  bool forwards_ = false;
   /** Error answer of an upstream after which the request was retried. */
   std::optional<http::ResponseMessage> last_error_;
 
--- a/libs/entry/src/request_run_answer.cc
+++ b/libs/entry/src/request_run_answer.cc
@@ -37,6 +37,10 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+/** Interval at which an answer that is forwarded after the time limit must have
+ * made progress, or wait for its caller. */
+constexpr milliseconds kForwardCheckInterval{500};
+
 }  // namespace
 
 void RequestRun::OnStreamBytes(std::string_view bytes) {
@@ -61,6 +65,7 @@
     send_->OnPromptRead();
     answer_.BeginParts(send_->head(), send_->stated_length());
   }
+  forwards_ = true;
   answer_.Write(bytes, [this](bool paused) { send_->PauseReading(paused); });
 }
 
@@ -325,6 +330,11 @@
     return limit_timer_.start(std::chrono::ceil<milliseconds>(stream_left));
   }
   if (finished_) return;
+  // An answer that has begun is delivered, however slowly its caller reads it.
+  if (send_ && send_->forwarded() &&
+      (std::exchange(forwards_, false) || answer_.paused())) {
+    return limit_timer_.start(kForwardCheckInterval);
+  }
   const bool sent = MayHaveRun();
   if (send_ && answer_.paused()) {
     // The caller reads too slowly; the upstream has not failed.
