Waits for the start of an instance end in its list, too

A request whose wait for the first configuration had ended stayed in the list of waiters, so that after 512 of them in one outage further requests were refused without a wait.

--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -181,9 +181,9 @@
   /** Whether the configuration in force is the latest of the store; nullopt:
    * not checked, because no final refusal depended on it. */
   std::optional<bool> config_is_latest_;
-  /** Whether the request waits for the first configuration; nullopt: it has not
-   * waited. */
-  std::optional<bool> waits_for_start_;
+  /** Ticket of the wait for the first configuration, see StartWaiters; 0: the
+   * wait has ended; nullopt: it has not begun. */
+  std::optional<uint64_t> start_wait_;
   memory::Charge request_charge_;  ///< Of the request and `last_error_`.
   RequestEvidence evidence_;
   std::string service_;
--- a/libs/entry/include/turmeric/entry/start_waiters.h
+++ b/libs/entry/include/turmeric/entry/start_waiters.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
+#include <optional>
 #include <utility>
-#include <vector>
 
 namespace turmeric::entry {
 
@@ -15,19 +17,24 @@
   static constexpr size_t kMaxWaiters = 512;
 
   /** @param on_ready called once the instance can admit requests.
-   * @return false if too many requests wait. */
-  bool Add(std::function<void()> on_ready) {
-    if (waiters_.size() >= kMaxWaiters) return false;
-    waiters_.push_back(std::move(on_ready));
-    return true;
+   * @return to be passed to Remove; nullopt: too many requests wait. */
+  std::optional<uint64_t> Add(std::function<void()> on_ready) {
+    if (waiters_.size() >= kMaxWaiters) return std::nullopt;
+    waiters_.emplace(++last_ticket_, std::move(on_ready));
+    return last_ticket_;
   }
+  /** @param ticket of a request that no longer waits. */
+  void Remove(uint64_t ticket) { waiters_.erase(ticket); }
   /** Calls all waiters, in the order of their arrival. */
   void Release() {
-    for (const auto& on_ready : std::exchange(waiters_, {})) on_ready();
+    for (const auto& [ticket, on_ready] : std::exchange(waiters_, {})) {
+      on_ready();
+    }
   }
 
  private:
-  std::vector<std::function<void()>> waiters_;
+  std::map<uint64_t, std::function<void()>> waiters_;  ///< By ticket.
+  uint64_t last_ticket_ = 0;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -201,22 +201,22 @@
 }
 
 bool RequestRun::WaitForStart() {
-  if (waits_for_start_ || context_.stopping_since) return false;
+  if (start_wait_ || context_.stopping_since) return false;
   const milliseconds limit = StartWaitLimit(request_.deadline);
   const QPointer<RequestRun> self(this);
-  const bool waits = context_.start_waiters.Add([self] {
+  start_wait_ = context_.start_waiters.Add([self] {
     if (self) self->OnStartWaitEnd();
   });
-  if (!waits) return false;
-  waits_for_start_ = true;
+  if (!start_wait_) return false;
   QTimer::singleShot(limit, this, [this] { OnStartWaitEnd(); });
   return true;
 }
 
 void RequestRun::OnStartWaitEnd() {
-  if (finished_ || !*waits_for_start_) return;
-  waits_for_start_ = false;
-  Start();
+  const uint64_t ticket = std::exchange(*start_wait_, 0);
+  if (ticket == 0) return;
+  context_.start_waiters.Remove(ticket);
+  if (!finished_) Start();
 }
 
 bool RequestRun::AnswerIfQuarantined() {
