--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -30,6 +30,7 @@
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/upstream_speeds.h"
 #include "turmeric/entry/version_registry.h"
+#include "turmeric/peer/instance_identity.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -344,13 +345,13 @@
       [this](peer::Frame& frame) { AddKnownState(frame); });
   peer_server_->set_on_frame(
       [this](const std::string& identity, const peer::Frame& frame) {
-        OnPeerState(identity.substr(0, identity.rfind('#')), frame);
+        OnPeerState(peer::InstanceName(identity), frame);
         quarantine_->OnFrame(identity, frame);
         peer::Frame* reply = peer_server_->FrameTo(identity);
         limiter_->OnOrders(frame, reply, Clock::now());
         if (!frame.sender.empty()) {
           // An instance connects to those in its list.
-          limiter_->OnKnownBy(identity.substr(0, identity.rfind('#')));
+          limiter_->OnKnownBy(peer::InstanceName(identity));
           connections_->OnFirstFrame(identity, frame);
         }
         connections_->OnOrders(identity, frame, reply);
--- a/libs/entry/src/fair_shares.cc
+++ b/libs/entry/src/fair_shares.cc
@@ -8,6 +8,7 @@
 #include "turmeric/entry/entry_metrics.h"
 #include "turmeric/fairness/retry_after_excess.h"
 #include "turmeric/peer/frame.h"
+#include "turmeric/peer/instance_identity.h"
 #include "turmeric/utils/decision_log.h"
 #include "turmeric/utils/random_id.h"
 
@@ -154,7 +155,7 @@
 void FairShares::OnReports(const std::string& identity,
                            const peer::Frame& frame, peer::Frame* reply) {
   const auto now = Clock::now();
-  const std::string name = identity.substr(0, identity.rfind('#'));
+  const std::string name = peer::InstanceName(identity);
   for (const fairness::DemandReport& report : frame.demand_reports) {
     // A service that is not configured has no capacity to divide.
     if (context_.FindService(report.service) == nullptr) continue;
--- a/libs/entry/src/peer_server.cc
+++ b/libs/entry/src/peer_server.cc
@@ -7,6 +7,7 @@
 #include "turmeric/entry/placement_coordinator.h"
 #include "turmeric/entry/revision_gossip.h"
 #include "turmeric/entry/stage_dispatcher.h"
+#include "turmeric/peer/instance_identity.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -29,11 +30,6 @@
  */
 constexpr milliseconds kResultDeliveryTime{100};
 
-/** @return the instance's name in an identity "name#start". */
-std::string NameOf(const std::string& identity) {
-  return identity.substr(0, identity.rfind('#'));
-}
-
 }  // namespace
 
 /** One process start of another instance, and its pieces at this instance. */
@@ -131,7 +127,7 @@
   revision_gossip_.ReadFrom(frame, Clock::now());
   PeerState& peer_state = PeerStateOf(link, identity);
   if (!frame.sender.empty() || frame.leaving) {
-    on_presence_(NameOf(identity),
+    on_presence_(peer::InstanceName(identity),
                  frame.leaving ? Presence::kLeaving : Presence::kConnected);
   }
   if (frame.follow && on_follow_) on_follow_(identity, *frame.follow);
@@ -241,7 +237,7 @@
   if (it == peers_.end() || it->second->link != link) return;
   it->second->link = nullptr;
   it->second->disconnected_at = Clock::now();
-  on_presence_(NameOf(identity), Presence::kDisconnected);
+  on_presence_(peer::InstanceName(identity), Presence::kDisconnected);
 }
 
 peer::Frame* PeerServer::FrameTo(const std::string& identity) {
--- a/libs/entry/src/upstream_connections.cc
+++ b/libs/entry/src/upstream_connections.cc
@@ -9,6 +9,7 @@
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/upstream_probe.h"
 #include "turmeric/peer/frame.h"
+#include "turmeric/peer/instance_identity.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -244,7 +245,7 @@
 void UpstreamConnections::OnFirstFrame(const std::string& identity,
                                        const peer::Frame& frame) {
   lender_.OnProcessStart(identity);
-  OnStatement(identity.substr(0, identity.rfind('#')), frame.loans);
+  OnStatement(peer::InstanceName(identity), frame.loans);
   // This instance may have become known by all.
   const auto now = Clock::now();
   if (!lender_since_.empty() || !context_.limiter->issuers().IsKnownByAll()) {
@@ -312,7 +313,7 @@
                                    peer::Frame* reply) {
   const auto now = Clock::now();
   if (frame.loan_survey != 0 && reply != nullptr) {
-    const std::string asker = identity.substr(0, identity.rfind('#'));
+    const std::string asker = peer::InstanceName(identity);
     reply->loans = borrower_.MayHoldLoans(asker)
                        ? peer::LoanStatement::kHasLoans
                        : peer::LoanStatement::kNoLoans;
