The output of streams is estimated only where placements use it

Without engine_room=true each whole stream was still recorded by route, with two quantiles of 64 ratios, and each order stated an estimate that no owner read. A service without stated engine memory is left out likewise. The tests of engines, hints and streams pass, and entry_test.

--- a/libs/entry/src/request_run_answer.cc
+++ b/libs/entry/src/request_run_answer.cc
@@ -143,6 +143,7 @@
 }
 
 void RequestRun::RecordOutput() {
+  if (!UsesEngineRoom(context_, service_)) return;
   // Other streams do not show the whole output.
   if (!route_->carries_prompt || sends_ > 1 || ResumesStream()) return;
   context_.output_estimate.Note(route_->name, {.events = forwarder_.events(),
--- a/libs/entry/src/request_run_send.cc
+++ b/libs/entry/src/request_run_send.cc
@@ -87,11 +87,12 @@
   }
   peer::PlacementOrder order = ToPlacementOrder(wanted);
   order.service = service_;
-  if (route_->carries_prompt) {
+  if (UsesEngineRoom(context_, service_)) {
     order.output_tokens = static_cast<int>(context_.output_estimate.Tokens(
         route_->name,
         {.hinted = request_.output_hint, .maximum = request_.output_tokens}));
-  } else {
+  }
+  if (!route_->carries_prompt) {
     order.zone = context_.settings.zone;
     order.zone_cost_ms = kOtherZoneMs;
   }
