--- a/libs/gateway/test/stage_call_test.cc
+++ b/libs/gateway/test/stage_call_test.cc
@@ -95,6 +95,25 @@
   CHECK(end.output.empty());
 }
 
+// Guards against a head that stops in the middle being taken for an answer, or
+// being sent again by the network manager.
+TEST_CASE("a call whose head is cut fails and is not resent") {
+  const QByteArray whole = Answer("{}");
+  const qsizetype head = whole.indexOf("\r\n\r\n") + 4;
+  for (const qsizetype cut : {qsizetype{1}, qsizetype{17}, qsizetype{20},
+                              qsizetype{43}, head - 2, head - 1}) {
+    CAPTURE(cut);
+    RawUpstream upstream([&](QTcpSocket& s) {
+      s.write(whole.left(cut));
+      s.disconnectFromHost();
+    });
+    const StageOutcome end = RunCall(SpecFor(upstream));
+    CHECK(end.report.result == CallResult::kFailed);
+    Wait(20);
+    CHECK(upstream.received == 1);
+  }
+}
+
 TEST_CASE("streams with missing or duplicate tokens are detected") {
   // Guards against incomplete or duplicated streams: an engine ends its stream
   // after two tokens without an end event, another one sends tokens the caller
--- a/libs/http/test/message_parser_test.cc
+++ b/libs/http/test/message_parser_test.cc
@@ -76,6 +76,26 @@
   REQUIRE(response.body == "part");
 }
 
+// Guards against a head that stops in the middle being completed by the end of
+// the connection as an answer without a body.
+TEST_CASE("a head that is cut anywhere is never a complete response") {
+  const std::string framing =
+      GENERATE("", "Content-Length: 0\r\n", "Content-Length: 120\r\n",
+               "Transfer-Encoding: chunked\r\n", "Connection: close\r\n");
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nServer: s\r\n" + framing + "\r\n";
+  for (size_t cut = 0; cut < head.size(); ++cut) {
+    ReceivedResponse response;
+    ResponseParser parser = MakeParser(response);
+    CAPTURE(framing, cut);
+    if (cut > 0) {
+      CHECK(parser.Feed(head.substr(0, cut)).status == ParseStatus::kNeedMore);
+    }
+    CHECK_FALSE(parser.FeedEnd());
+    CHECK(response.status == 0);
+  }
+}
+
 TEST_CASE("a response shorter than its length is never complete") {
   ReceivedResponse response;
   ResponseParser parser = MakeParser(response);
