Delete at followers what a lost history created and deleted

A follower of the store's changes could keep an object that no longer exists: an upstream that has left stayed in use there until the next list.

A relay that lists the store passes on the difference between the list and its own state. A follower that is ahead of that state, by its other relay, merged the difference like a log. It kept objects that were created and deleted in between, which the difference does not name, and ignored deletions of objects of which it had a later state, as they bore the position of the earlier one.

A difference now says that it is one (held_before, which batches across eras have already), deletions bear the list's position, and the receiver removes the objects that it got after the difference's start and that it does not name. The difference is passed on also without changes, from its own start, and a history gives it only to a follower at its start; others read the store. Batches of other kinds are as before, and older instances merge as they did.

The three new cases of kind_replica_test pass.

--- a/libs/entry/src/store_relay.cc
+++ b/libs/entry/src/store_relay.cc
@@ -125,8 +125,9 @@
   } else {
     HistoryOf(kind).ResetTo(batch.revision);
   }
+  const bool is_list = store::IsListDifference(batch);
   const bool is_empty =
-      batch.objects.empty() && !store::CrossesEraBoundary(batch);
+      batch.objects.empty() && !is_list && !store::CrossesEraBoundary(batch);
   if (is_empty || followers_.empty()) return;
   const std::vector<peer::StoreObject> objects = ToWire(batch.objects);
   const bool too_large = BytesOf(objects) * followers_.size() > kMaxBatchBytes;
@@ -137,11 +138,12 @@
     if (too_large) {
       frame->store_changes.push_back(GapAt(kind, batch.revision));
     } else {
-      frame->store_changes.push_back({.kind = kind,
-                                      .follows = sent,
-                                      .revision = batch.revision,
-                                      .objects = objects,
-                                      .held_before = batch.held_before});
+      frame->store_changes.push_back(
+          {.kind = kind,
+           .follows = is_list ? std::min(sent, batch.follows) : sent,
+           .revision = batch.revision,
+           .objects = objects,
+           .held_before = batch.held_before});
     }
     // The follower needs the end of the store's last outage to decide whether
     // to keep objects that are missing from the changes.
--- a/libs/store/include/turmeric/store/change_batch.h
+++ b/libs/store/include/turmeric/store/change_batch.h
@@ -17,9 +17,9 @@
   int64_t follows = 0;   ///< Position before the first change (exclusive).
   int64_t revision = 0;  ///< Position after the last change (inclusive).
   std::vector<SourceObject> objects;
-  /** For a batch that crosses an era boundary: hash of the replica's content
-   * from which the changes were computed; 0 if not given. The batch applies to
-   * every replica with the same content. */
+  /** For a batch that was computed from a list: hash of the replica's content
+   * before it; 0 for other batches. Across an era boundary, the batch applies
+   * to every replica with the same content. */
   uint64_t held_before = 0;
 };
 
@@ -33,4 +33,15 @@
   return EraOf(batch.follows) < EraOf(batch.revision);
 }
 
+/**
+ * @param batch changes.
+ * @return true if the changes are the difference between a list and a replica
+ *     at `follows`, of the same era. They contain all objects that were changed
+ *     since and still exist, but no objects that were created and deleted
+ *     since.
+ */
+inline bool IsListDifference(const ChangeBatch& batch) {
+  return batch.held_before != 0 && !CrossesEraBoundary(batch);
+}
+
 }  // namespace turmeric::store
--- a/libs/store/include/turmeric/store/change_history.h
+++ b/libs/store/include/turmeric/store/change_history.h
@@ -28,7 +28,7 @@
   /**
    * @param revision the revision up to which the follower has all changes.
    * @return the changes after it; nullopt if some of them were evicted, or if
-   *     they lead into a new era from a state other than the follower's.
+   *     some were computed from a state other than the follower's.
    */
   std::optional<ChangeBatch> Since(int64_t revision) const;
   /** @return the revision up to which changes were added. */
--- a/libs/store/include/turmeric/store/kind_replica.h
+++ b/libs/store/include/turmeric/store/kind_replica.h
@@ -65,6 +65,9 @@
   /** @return true if the replica has the object with the same content. */
   bool HasSameContent(const SourceObject& object) const;
   void Record(const SourceObject& object);
+  /** @return deletions of the objects that the replica received after the
+   * difference's `follows` and that did not exist any more at its end. */
+  std::vector<SourceObject> DeletedBefore(const ChangeBatch& difference) const;
   /** @return a hash over names and contents of all objects, without their
    * positions; never 0. */
   uint64_t ContentHash() const;
--- a/libs/store/src/change_history.cc
+++ b/libs/store/src/change_history.cc
@@ -4,6 +4,18 @@
 
 namespace turmeric::store {
 
+namespace {
+
+bool IsDifference(const ChangeBatch& batch) {
+  return CrossesEraBoundary(batch) || IsListDifference(batch);
+}
+
+size_t CountOf(const ChangeBatch& batch) {
+  return std::max<size_t>(1, batch.objects.size());
+}
+
+}  // namespace
+
 void ChangeHistory::ResetTo(int64_t revision) {
   batches_.clear();
   object_count_ = 0;
@@ -16,15 +28,15 @@
   // A batch that leaves a gap after the last one starts a new history.
   if (batch.follows > revision_ || revision_ == 0) ResetTo(batch.follows);
   revision_ = batch.revision;
-  // A batch that crosses an era boundary is kept even without changes: a
-  // follower at any other state than `follows` must not skip it.
-  const bool is_empty = batch.objects.empty() && !CrossesEraBoundary(batch);
+  // The difference of two states is kept even without changes: a follower at
+  // any other state than `follows` must not skip it.
+  const bool is_empty = batch.objects.empty() && !IsDifference(batch);
   if (is_empty || batch.follows == batch.revision) return;
   batches_.push_back(batch);
-  object_count_ += batch.objects.size();
+  object_count_ += CountOf(batch);
   while (object_count_ > max_objects_ && !batches_.empty()) {
     first_revision_ = batches_.front().revision;
-    object_count_ -= batches_.front().objects.size();
+    object_count_ -= CountOf(batches_.front());
     batches_.pop_front();
   }
 }
@@ -36,7 +48,7 @@
                       .objects = {}};
   for (const ChangeBatch& batch : batches_) {
     if (batch.revision <= revision) continue;
-    if (CrossesEraBoundary(batch) && batch.follows < revision) {
+    if (IsDifference(batch) && batch.follows < revision) {
       return std::nullopt;
     }
     changes.objects.insert(changes.objects.end(), batch.objects.begin(),
--- a/libs/store/src/kind_replica.cc
+++ b/libs/store/src/kind_replica.cc
@@ -44,6 +44,25 @@
   return std::max<uint64_t>(1, hash);
 }
 
+std::vector<SourceObject> KindReplica::DeletedBefore(
+    const ChangeBatch& difference) const {
+  std::set<std::string_view> changed;
+  for (const SourceObject& object : difference.objects) {
+    changed.insert(object.name);
+  }
+  std::vector<SourceObject> deleted;
+  for (const auto& [name, entry] : entries_) {
+    const bool is_covered = entry.position > difference.follows &&
+                            entry.position <= difference.revision;
+    if (!is_covered || changed.contains(name)) continue;
+    deleted.push_back({.name = name,
+                       .spec = {},
+                       .revision = difference.revision,
+                       .deleted = true});
+  }
+  return deleted;
+}
+
 std::optional<ChangeBatch> KindReplica::MergeList(const SourceBatch& list) {
   if (synced_ && list.revision < revision_) return std::nullopt;
   // The first list is no sequence of changes, as it does not contain earlier
@@ -53,7 +72,7 @@
                       .revision = list.revision,
                       .objects = {}};
   const bool later_era = synced_ && EraOf(list.revision) > EraOf(revision_);
-  if (later_era) changes.held_before = ContentHash();
+  if (synced_) changes.held_before = ContentHash();
   std::set<std::string_view> listed;
   for (const SourceObject& object : list.objects) {
     listed.insert(object.name);
@@ -65,11 +84,10 @@
   }
   for (const auto& [name, entry] : entries_) {
     if (listed.contains(name)) continue;
-    // A follower that has already read a list of the new era has the object at
-    // a position of that era, and would ignore a deletion at an older position.
-    const Position position = later_era ? list.revision : entry.position;
+    // A follower may have a later state of the object than this replica, and
+    // would ignore a deletion at the position of the earlier state.
     changes.objects.push_back(
-        {.name = name, .spec = {}, .revision = position, .deleted = true});
+        {.name = name, .spec = {}, .revision = list.revision, .deleted = true});
   }
   std::ranges::for_each(changes.objects,
                         [this](const SourceObject& o) { Record(o); });
@@ -90,6 +108,10 @@
           : batch.follows <= revision_;
   if (!applies) return {Outcome::kGap, {}};
   MergeResult result{Outcome::kMerged, {}};
+  if (IsListDifference(batch)) result.changes = DeletedBefore(batch);
+  std::ranges::for_each(result.changes,
+                        [this](const SourceObject& o) { Record(o); });
+  // One by one, as an object may change more than once in a batch.
   for (const SourceObject& object : batch.objects) {
     if (!IsNew(object)) continue;
     Record(object);
--- a/libs/store/test/kind_replica_test.cc
+++ b/libs/store/test/kind_replica_test.cc
@@ -283,3 +283,44 @@
   REQUIRE(history.Since(MakePosition(1, 10))->objects.size() == 1);
   REQUIRE(history.Since(MakePosition(2, 4))->objects.size() == 1);
 }
+
+// Guards against an object that stays in use at a follower: it was created and
+// deleted while its relay had no watch, and the relay then listed the store.
+TEST_CASE("a list's difference removes objects that its sender never had") {
+  KindReplica relay = ReplicaFromList(10, {Object("kept", 4)});
+  KindReplica follower = relay;
+  follower.Merge({10, 13, {Object("gone", 12), Object("kept", 13)}});
+  const auto difference =
+      relay.MergeList({.objects = {Object("kept", 13)}, .revision = 20});
+  REQUIRE(difference);
+  const auto merged = follower.Merge(*difference);
+  CHECK(merged.outcome == Outcome::kMerged);
+  REQUIRE(merged.changes.size() == 1);
+  CHECK(merged.changes[0].name == "gone");
+  CHECK(merged.changes[0].deleted);
+  CHECK(follower.revision() == 20);
+}
+
+// Guards against a deletion that is ignored because the follower has a later
+// state of the object than its relay had.
+TEST_CASE("a list's difference deletes objects that changed in between") {
+  KindReplica relay = ReplicaFromList(10, {Object("a", 4)});
+  KindReplica follower = relay;
+  follower.Merge({10, 12, {Object("a", 12)}});
+  const auto merged =
+      follower.Merge(*relay.MergeList({.objects = {}, .revision = 20}));
+  REQUIRE(merged.changes.size() == 1);
+  CHECK(merged.changes[0].deleted);
+}
+
+// Guards against a follower that is brought up to date by the difference of two
+// states although it has another one.
+TEST_CASE("a history returns a list's difference only for its start state") {
+  KindReplica relay = ReplicaFromList(10, {Object("a", 4)});
+  ChangeHistory history(100);
+  history.ResetTo(10);
+  history.Add(*relay.MergeList({.objects = {Object("a", 4)}, .revision = 20}));
+  CHECK(history.Since(10));
+  CHECK_FALSE(history.Since(12));
+  CHECK(history.Since(20));
+}
