Bound each wait of a reflector, and read until nothing is lacking

A follower that hears nothing of the store calls it itself. That set its last contact to the present, so that the store's age looked small and it was passive again 250 ms later, with a failed call as its last one. The reflector of the configuration left an unreachable store to its probe leader without asking whether that makes calls; a passive leader does not. What was lacking was a flag that waited with the call, was dropped while a list was in flight, and was set by the relays' one report only.

CallSchedule holds the decisions without I/O, with the time passed in. What is lacking follows from revisions, so a call that fails or comes too early is followed by another one. The age of the store's last answer is that of an answer, also towards followers, and the first watch after a passive phase is short, so that a new relay has one soon. An instance whose own path works is behind by 8.5 s at most, whatever its relays do (FollowPolicy::kMaxBehind).

--- a/libs/entry/include/turmeric/entry/follow_policy.h
+++ b/libs/entry/include/turmeric/entry/follow_policy.h
@@ -22,6 +22,11 @@
    * Relays followed at a time, so that changes keep arriving when one fails.
    */
   static constexpr size_t kSources = 2;
+  /**
+   * Longest time for which an instance lacks a change while its own path to the
+   * store works, whatever its relays do, for watches of up to 5 s.
+   */
+  static constexpr std::chrono::milliseconds kMaxBehind{8500};
 
   /** State of a followed relay, or the reason why it is no longer followed. */
   enum class Fault {
--- a/libs/entry/include/turmeric/entry/topology_feed.h
+++ b/libs/entry/include/turmeric/entry/topology_feed.h
@@ -133,10 +133,12 @@
   struct KindState {
     store::KindReplica replica;
     std::unique_ptr<store::Reflector> reflector;
+    bool is_overdue = false;  ///< Changes are lacking for longer than stated.
   };
 
   store::ReflectorEvents EventsOf(peer::StoreKind kind);
   KindState& Of(peer::StoreKind kind) { return kinds_.at(kind); }
+  void LogOverdue(peer::StoreKind kind, KindState& state);
   void OnList(peer::StoreKind kind, const store::SourceBatch& list,
               std::chrono::milliseconds outage);
   void OnChanges(peer::StoreKind kind, const store::ChangeBatch& batch,
--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -94,7 +94,10 @@
     context_.upstreams.Expire(Clock::now());
     ApplyEvacuations();
     context_.cold_limiter.UpdateOwnedParts();
-    for (auto& [kind, state] : kinds_) state.reflector->CheckWatchOverdue();
+    for (auto& [kind, state] : kinds_) {
+      state.reflector->CheckDue();
+      LogOverdue(kind, state);
+    }
   });
 }
 
@@ -118,6 +121,17 @@
           }};
 }
 
+void TopologyFeed::LogOverdue(StoreKind kind, KindState& state) {
+  const auto since = state.reflector->lacking_since();
+  const bool is_overdue =
+      since && Clock::now() - *since > store::CallSchedule::kMaxReadDelay;
+  if (std::exchange(state.is_overdue, is_overdue) == is_overdue) return;
+  utils::DecisionLog(is_overdue ? "changes_overdue" : "changes_received")
+      .Add("watch", NameOf(kind))
+      .Add("known", state.replica.revision())
+      .Add("store_reachable", state.reflector->reachable());
+}
+
 milliseconds TopologyFeed::watch_wait() const {
   const bool is_long = context_.Uses(config::Mechanism::kLongWatches);
   return context_.revision_gossip.WatchWait(is_long ? watchers_ : 1,
@@ -155,8 +169,8 @@
         .Add("follows", batch->follows)
         .Add("known", kind.replica.revision());
     const bool later_era = store::EraOf(batch->revision) > store::EraOf(before);
-    return later_era ? kind.reflector->CatchUpByList()
-                     : kind.reflector->CatchUp();
+    return later_era ? kind.reflector->CatchUpByList(batch->revision)
+                     : kind.reflector->CatchUp(batch->revision);
   }
   if (merged.outcome == store::KindReplica::Outcome::kKnown) return;
   const bool from_copy =
@@ -192,7 +206,7 @@
 TopologyFeed::Clock::time_point TopologyFeed::store_answered_at() const {
   auto oldest = Clock::time_point::max();
   for (const auto& [kind, state] : kinds_) {
-    oldest = std::min(oldest, state.reflector->last_contact_at());
+    oldest = std::min(oldest, state.reflector->last_answer_at());
   }
   return oldest;
 }
--- a/libs/store/test/reflector_test.cc
+++ b/libs/store/test/reflector_test.cc
@@ -201,10 +201,10 @@
   reflector.Start();
   source.Answer({.objects = {}, .revision = 7});
   RunLoop(700ms);
-  reflector.CheckWatchOverdue();
+  reflector.CheckDue();
   REQUIRE(source.waits.size() == 1);
   wait = 100ms;
-  reflector.CheckWatchOverdue();
+  reflector.CheckDue();
   REQUIRE(source.waits.size() == 2);
 }
 
@@ -295,8 +295,8 @@
   reflector.SetPassive(true);
   reflector.Start();
   source.Answer({.objects = {}, .revision = 7});
-  reflector.CatchUp();
-  reflector.CatchUp();
+  reflector.CatchUp(9);
+  reflector.CatchUp(9);
   REQUIRE(source.watched_after == std::vector<int64_t>{7});
   source.Answer({.objects = {}, .revision = 9});
   RunLoop(300ms);
@@ -304,6 +304,48 @@
   REQUIRE(received.batches.back() == std::pair<int64_t, int64_t>{7, 9});
 }
 
+// Guards against a configuration that is never read. An outage ends after the
+// changes are relayed again; a configuration too large to be relayed follows.
+TEST_CASE("a catch-up does not wait for a passive probe leader") {
+  ScriptedSource leader_source;
+  ScriptedSource source;
+  Received received;
+  Reflector leader(leader_source, "upstreams", RecordInto(received));
+  Reflector reflector(source, "config", RecordInto(received));
+  reflector.set_probe_leader(leader);
+  leader.Start();
+  reflector.Start();
+  leader_source.Answer({.objects = {}, .revision = 7});
+  source.Answer({.objects = {}, .revision = 7});
+  leader_source.Fail(Errc::kStoreUnavailable);
+  source.Fail(Errc::kStoreUnavailable);
+  leader.SetPassive(true);
+  reflector.SetPassive(true);
+  RunLoop(1500ms);
+  const auto watches = source.waits.size();
+  reflector.CatchUp(9);
+  RunLoop(200ms);
+  REQUIRE(source.waits.size() == watches + 1);
+}
+
+// Guards against a lost change: it was made after the store had answered the
+// call in flight, and relays report it once.
+TEST_CASE("a change reported during a call is read by a further call") {
+  ScriptedSource source;
+  Received received;
+  Reflector reflector(source, "kind", RecordInto(received));
+  reflector.SetPassive(true);
+  reflector.Start();
+  reflector.CatchUp(9);
+  source.Answer({.objects = {}, .revision = 7});
+  RunLoop(300ms);
+  REQUIRE(source.watched_after == std::vector<int64_t>{7});
+  reflector.CatchUp(12);
+  source.Answer({.objects = {}, .revision = 9});
+  RunLoop(1300ms);
+  REQUIRE(source.watched_after == std::vector<int64_t>{7, 9});
+}
+
 // Guards against missed changes when all relays have lost the store without
 // noticing it, and an instance that serves another fleet reports a newer
 // change.
