Name in a list's difference the objects that an earlier list had ahead

By reading the change on list differences: a list of several pages may contain objects that are newer than its revision. A second list in a row, after a lost history, did not name them, as they were known already, and a follower that had received them by a watch would delete them: an upstream in use would be left out until its entry changes.

The difference now names each listed object that was changed after its start. Receivers that have the state already ignore it.

--- a/libs/store/include/turmeric/store/kind_replica.h
+++ b/libs/store/include/turmeric/store/kind_replica.h
@@ -62,6 +62,9 @@
 
  private:
   bool IsNew(const SourceObject& object) const;
+  /** @return true if the replica has this state of the object although it is
+   * newer than revision(). */
+  bool IsAhead(const SourceObject& object) const;
   /** @return true if the replica has the object with the same content. */
   bool HasSameContent(const SourceObject& object) const;
   void Record(const SourceObject& object);
--- a/libs/store/src/kind_replica.cc
+++ b/libs/store/src/kind_replica.cc
@@ -21,6 +21,12 @@
   return !synced_ || object.revision > std::max(revision_, known);
 }
 
+bool KindReplica::IsAhead(const SourceObject& object) const {
+  const auto it = entries_.find(object.name);
+  return it != entries_.end() && object.revision > revision_ &&
+         object.revision == it->second.position;
+}
+
 bool KindReplica::HasSameContent(const SourceObject& object) const {
   const auto it = entries_.find(object.name);
   return it != entries_.end() && it->second.content_hash == qHash(object.spec);
@@ -78,7 +84,9 @@
     listed.insert(object.name);
     if (later_era && HasSameContent(object)) {
       entries_[object.name].position = object.revision;
-    } else if (IsNew(object)) {
+    } else if (IsNew(object) || IsAhead(object)) {
+      // The difference names all objects that were changed after its start, as
+      // receivers delete the others.
       changes.objects.push_back(object);
     }
   }
--- a/libs/store/test/kind_replica_test.cc
+++ b/libs/store/test/kind_replica_test.cc
@@ -313,6 +313,18 @@
   CHECK(merged.changes[0].deleted);
 }
 
+// Guards against the deletion of an object that two lists contain, of which the
+// first one is older than the object, as its later pages were read later.
+TEST_CASE("a list's difference keeps objects that an earlier list had ahead") {
+  KindReplica relay = ReplicaFromList(10, {Object("a", 12)});
+  KindReplica follower = ReplicaFromList(10, {});
+  follower.Merge({10, 12, {Object("a", 12)}});
+  const auto merged = follower.Merge(
+      *relay.MergeList({.objects = {Object("a", 12)}, .revision = 20}));
+  CHECK(merged.outcome == Outcome::kMerged);
+  CHECK(merged.changes.empty());
+}
+
 // Guards against a follower that is brought up to date by the difference of two
 // states although it has another one.
 TEST_CASE("a history returns a list's difference only for its start state") {
