Date an outage from the last answer on any path

An instance that begins to watch during an outage dated it from that moment, so that a long outage looked short and lapsed entries were removed at once. It is now dated from the last answer that its relays had heard of.

A relay that had read the store shortly before it became active began with a watch of 3 s, which the outage cut, so that its followers went by an answer of 5.1 s ago and began to watch just as the store was back.

--- a/libs/entry/src/topology_feed.cc
+++ b/libs/entry/src/topology_feed.cc
@@ -144,9 +144,15 @@
 }
 
 void TopologyFeed::Watch(bool watch, bool slow_retry) {
+  // Guard: an instance that begins to watch during an outage has missed its
+  // begin. If the outage looked short, entries that have lapsed in it would be
+  // removed at once, although their processes run.
+  const auto now = Clock::now();
+  const auto age = relayed_store_age_ ? relayed_store_age_() : milliseconds(0);
+  const auto heard_at = age == milliseconds::max() ? now : now - age;
   for (auto& [kind, state] : kinds_) {
     state.reflector->set_slow_retry(slow_retry);
-    state.reflector->SetPassive(!watch);
+    state.reflector->SetPassive(!watch, heard_at);
   }
 }
 
--- a/libs/store/include/turmeric/store/call_schedule.h
+++ b/libs/store/include/turmeric/store/call_schedule.h
@@ -58,9 +58,10 @@
   void Start() { started_ = true; }
   /**
    * @param passive true: only read changes that are known to be lacking.
-   * @param now current time.
+   * @param heard_at when another path last had an answer of the store, as far
+   *     as known; an outage that the first calls show began then.
    */
-  void SetPassive(bool passive, Clock::time_point now);
+  void SetPassive(bool passive, Clock::time_point heard_at);
   /** @param slow true: probe an unreachable store at long intervals, because
    * other instances probe it. */
   void set_slow_retry(bool slow) { slow_retry_ = slow; }
@@ -161,6 +162,7 @@
   bool list_next_ = true;
   bool synced_ = false;
   bool reachable_ = false;
+  bool is_unconfirmed_ = false;  ///< No answer since the last passive phase.
   int64_t revision_ = 0;
   /** A lacking change up to this revision is read from lacking_due_ on. */
   int64_t lacking_ = 0;
@@ -178,7 +180,8 @@
   Clock::time_point slow_retry_at_;  ///< As retry_at_, with slow_retry_.
   /** When a call for lacking changes, or for a lost watch, was last made. */
   Clock::time_point extra_call_at_;
-  /** The last answer, or the end of the last passive phase if it is later. */
+  /** The last answer, here or on another path before the last passive phase
+   * ended. */
   Clock::time_point contact_at_;
   Clock::time_point answered_at_;
 };
--- a/libs/store/include/turmeric/store/reflector.h
+++ b/libs/store/include/turmeric/store/reflector.h
@@ -59,8 +59,10 @@
   void set_probe_leader(const Reflector& leader) { probe_leader_ = &leader; }
   /** Starts with a list. */
   void Start();
-  /** @param passive true: only read changes that are known to be lacking. */
-  void SetPassive(bool passive);
+  /** @param passive true: only read changes that are known to be lacking.
+   * @param heard_at see CallSchedule::SetPassive. */
+  void SetPassive(bool passive, std::chrono::steady_clock::time_point heard_at =
+                                    std::chrono::steady_clock::now());
   /** @param slow true: retry at long intervals while the store is unreachable,
    * because other instances probe it. */
   void set_slow_retry(bool slow);
--- a/libs/store/src/call_schedule.cc
+++ b/libs/store/src/call_schedule.cc
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-void CallSchedule::SetPassive(bool passive, Clock::time_point now) {
+void CallSchedule::SetPassive(bool passive, Clock::time_point heard_at) {
   if (std::exchange(passive_, passive) == passive || !synced_ || passive) {
     return;
   }
@@ -67,7 +67,8 @@
   // left would stay in use.
   reachable_ = true;
   failures_ = 0;
-  contact_at_ = now;
+  is_unconfirmed_ = true;
+  contact_at_ = std::max(answered_at_, heard_at);
 }
 
 void CallSchedule::AdvanceTo(int64_t revision, Clock::time_point now) {
@@ -175,9 +176,7 @@
   // and a configuration accepted in that time would come into force too late.
   // The same holds for a first watch after a passive phase, and its answer
   // shows to followers that this instance reaches the store.
-  const bool is_confirmed =
-      now - answered_at_ <= situation.watch_wait + kMaxWatchOverrun;
-  const bool is_short = !reachable_ || passive_ || !is_confirmed;
+  const bool is_short = !reachable_ || passive_ || is_unconfirmed_;
   flight_ = {.call = {.is_list = list_next_,
                       .after = revision_,
                       .wait = is_short ? kProbeWatchWait : situation.watch_wait,
@@ -200,6 +199,7 @@
   }
   outcome.reachable_changed = !std::exchange(reachable_, true);
   failures_ = 0;
+  is_unconfirmed_ = false;
   retry_at_ = slow_retry_at_ = {};
   contact_at_ = answered_at_ = now;
   AdvanceTo(revision, now);
--- a/libs/store/src/reflector.cc
+++ b/libs/store/src/reflector.cc
@@ -30,8 +30,8 @@
   MakeDueCalls();
 }
 
-void Reflector::SetPassive(bool passive) {
-  schedule_.SetPassive(passive, steady_clock::now());
+void Reflector::SetPassive(bool passive, steady_clock::time_point heard_at) {
+  schedule_.SetPassive(passive, heard_at);
   MakeDueCalls();
 }
 
--- a/libs/store/test/call_schedule_test.cc
+++ b/libs/store/test/call_schedule_test.cc
@@ -217,3 +217,21 @@
   REQUIRE(call);
   REQUIRE(call->wait <= 200ms);
 }
+
+// Guards against lapsed entries that are removed at once, because an outage
+// looks as short as the time since this instance began to watch.
+TEST_CASE("an outage begins with the last answer on any path") {
+  auto now = Clock::time_point(100s);
+  CallSchedule schedule;
+  schedule.Start();
+  schedule.SetPassive(true, now);
+  schedule.OnListed(*schedule.TakeCall({}, now), 1, now);
+  now += 60s;
+  schedule.SetPassive(false, now - 5s);
+  schedule.OnFailed(*schedule.TakeCall({}, now), Errc::kStoreUnavailable, 1.0,
+                    now);
+  now += 500ms;
+  const auto call = schedule.TakeCall({}, now);
+  REQUIRE(call);
+  CHECK(schedule.OnWatched(*call, 1, false, now).outage == 5500ms);
+}
