End the search for relays once those found are lost

Cause: an instance that has started less than 2 s ago and hears no relay counted as looking for relays, also if it had found its relay and lost it. In a fleet of one zone a relay has one source: with that killed, it watched nothing, and followers relied on it.

Change: FollowPolicy ends the search when the relays found are lost, and a relay then goes on watching.

--- a/libs/entry/include/turmeric/entry/follow_policy.h
+++ b/libs/entry/include/turmeric/entry/follow_policy.h
@@ -141,6 +141,8 @@
   std::map<std::string, Source> sources_;
   std::map<std::string, Backoff> backoffs_;
   std::optional<Clock::time_point> started_;
+  bool found_relay_ = false;   ///< A relay has sent a status since the start.
+  bool search_ended_ = false;  ///< See kRelaySearchTime.
 };
 
 /**
--- a/libs/entry/src/follow_policy.cc
+++ b/libs/entry/src/follow_policy.cc
@@ -34,9 +34,9 @@
 constexpr milliseconds kMinBackoff{3000};
 constexpr milliseconds kMaxBackoff{30000};
 /**
- * An instance looks for relays for this long after its start before it watches
- * the store itself. It has just listed the store, and with watches from all
- * instances a starting fleet would call the store several times more often.
+ * An instance looks for relays for at most this long after its start before it
+ * watches the store itself. It has just listed the store, and with watches from
+ * all instances a starting fleet would call the store several times more often.
  */
 constexpr milliseconds kRelaySearchTime{2000};
 /**
@@ -54,6 +54,7 @@
   const auto it = sources_.find(name);
   if (it == sources_.end()) return;
   Source& source = it->second;
+  found_relay_ = true;
   source.last_status_at = now;
   source.store_age = store_age;
   if (!behind) {
@@ -156,15 +157,19 @@
                                Clock::time_point now, Decision& decision) {
   const auto delivering = std::ranges::count_if(
       sources_, [&](const auto& s) { return IsDelivering(s.second, now); });
-  const bool searching = now - *started_ < kRelaySearchTime && delivering == 0;
+  // Guard: an instance that has lost the relays it found during the search is
+  // told of changes by no other instance. A relay keeps watching then, as its
+  // sources may be instances that have just started and rely on it.
+  const bool lost_relays = found_relay_ && delivering == 0;
+  if (lost_relays || now - *started_ >= kRelaySearchTime) search_ended_ = true;
   const auto start_watch = [&](std::string_view why, bool slow_retry) {
     decision.watch = true;
     decision.slow_retry = slow_retry;
     decision.why = why;
   };
-  if (searching) {
+  if (!search_ended_ && delivering == 0) {
     decision.why = "seeks_relays";
-  } else if (situation.is_relay && now - *started_ >= kRelaySearchTime) {
+  } else if (situation.is_relay && search_ended_) {
     start_watch("relay", false);
   } else if (delivering == 0) {
     start_watch("no_relay", false);
--- a/libs/entry/test/follow_policy_test.cc
+++ b/libs/entry/test/follow_policy_test.cc
@@ -128,6 +128,34 @@
   REQUIRE_FALSE(follower.Decide(3500ms).watch);
 }
 
+// Guards against a restarted instance that stays without any path to the store
+// when its only relay is killed during the search for relays.
+TEST_CASE("an instance that loses its relay after its start watches at once") {
+  Follower follower;
+  follower.situation.preferred = std::vector<std::string>{"a"};
+  (void)follower.Decide(0ms);
+  follower.ReceiveStatus("a", 100ms);
+  REQUIRE_FALSE(follower.Decide(250ms).watch);
+  follower.policy.OnDisconnected("a", kStart + 600ms);
+  REQUIRE(follower.Decide(600ms).watch);
+}
+
+// Guards against two restarted relays that follow each other while neither
+// watches the store.
+TEST_CASE("a relay that lost its source after its start keeps watching") {
+  Follower follower;
+  follower.situation.preferred = std::vector<std::string>{"a"};
+  follower.situation.is_relay = true;
+  (void)follower.Decide(0ms);
+  follower.ReceiveStatus("a", 100ms);
+  follower.policy.OnDisconnected("a", kStart + 300ms);
+  REQUIRE(follower.Decide(300ms).watch);
+  follower.situation.preferred = std::vector<std::string>{"b"};
+  (void)follower.Decide(400ms);
+  follower.ReceiveStatus("b", 500ms);
+  REQUIRE(follower.Decide(750ms).watch);
+}
+
 // Guards against following a relay that has resumed after a freeze, or whose
 // watch was lost unnoticed: it reports a recent answer of the store, but lacks
 // changes that the other relay has sent.
