--- /dev/null
+++ b/libs/utils/include/turmeric/utils/descriptor_limit.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstddef>
+
+namespace turmeric::utils {
+
+/** @return descriptors that the process may open, as the system states; the
+ * largest number if it states none. */
+size_t DescriptorLimit();
+
+}  // namespace turmeric::utils
--- a/libs/utils/include/turmeric/utils/result.h
+++ b/libs/utils/include/turmeric/utils/result.h
@@ -27,6 +27,7 @@
   kDeadlineExceeded = 2004,
   kCallerGone = 2005,
   kNotReady = 2006,
+  kNoMemory = 2007,
   // 3xxx: upstreams.
   kUpstreamFailed = 3001,
   kNoUpstream = 3002,
--- a/libs/utils/src/result.cc
+++ b/libs/utils/src/result.cc
@@ -30,6 +30,8 @@
       return "caller_gone";
     case Errc::kNotReady:
       return "not_ready";
+    case Errc::kNoMemory:
+      return "no_memory";
     case Errc::kUpstreamFailed:
       return "upstream_failed";
     case Errc::kNoUpstream:
@@ -110,6 +112,7 @@
     case Errc::kDuplicateInFlight:
       return 250;
     case Errc::kNotReady:
+    case Errc::kNoMemory:
     case Errc::kNoUpstream:
       return 500;
     default:
