Settings for the memory of requests and connections

request_share, partial_share and connection_share of entry instances; max_body_mb and memory_mb of the keyed interface. The defaults are above what a client inside the limits of the configuration meets.

--- a/libs/config/include/turmeric/config/entry_settings.h
+++ b/libs/config/include/turmeric/config/entry_settings.h
@@ -63,6 +63,14 @@
   double memory_mb = 0;
   /** Part of the memory that buffers may hold. */
   double buffer_share = 0.2;
+  /** Part of the memory that large requests may hold, beside the buffers. */
+  double request_share = 0.35;
+  /** Part of the memory that incomplete requests may hold which are not large.
+   */
+  double partial_share = 0.1;
+  /** Part of the memory that connections of callers may hold without their
+   * requests. */
+  double connection_share = 0.1;
   /** Mechanisms in use; some may be switched off to measure their effect. */
   Mechanisms mechanisms;
 };
--- a/libs/config/include/turmeric/config/instance_settings.h
+++ b/libs/config/include/turmeric/config/instance_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,6 +23,17 @@
   uint16_t membership_port = 0;  ///< UDP port for peer instances; 0: off.
   int claim_retention_s = 3600;  ///< How long answers can be replayed, s.
   uint16_t standin_base_port = 9100;  ///< First stand-in upstream port.
+  int memory_mb = 160;                ///< Memory that the instance may use, MB.
+  int max_body_mb = 16;               ///< Largest body of a request, MB.
+
+  /** @return bytes that large requests may hold: a quarter of the memory. */
+  size_t request_bytes() const;
+  /** @return bytes that incomplete requests may hold which are not large. */
+  size_t partial_bytes() const;
+  /** @return bytes that connections may hold without their requests. */
+  size_t connection_bytes() const;
+  /** @return bytes of the largest body of a request. */
+  size_t max_body_bytes() const;
 };
 
 /**
--- a/libs/config/src/entry_settings.cc
+++ b/libs/config/src/entry_settings.cc
@@ -176,6 +176,9 @@
   reader.ReadNumber("max_descriptors", s.max_descriptors, kMaxDescriptors);
   reader.ReadNumber("memory_mb", s.memory_mb, kMaxMemoryMb);
   reader.ReadNumber("buffer_share", s.buffer_share, 1);
+  reader.ReadNumber("request_share", s.request_share, 1);
+  reader.ReadNumber("partial_share", s.partial_share, 1);
+  reader.ReadNumber("connection_share", s.connection_share, 1);
   reader.ReadNumber("retry_ratio", s.retry_ratio, kMaxRetryRatio);
   reader.ReadNumber("retry_slack", s.retry_slack, kMaxRetrySlack);
   reader.ReadDuration("retry_window_ms", s.retry_window);
--- a/libs/config/src/instance_settings.cc
+++ b/libs/config/src/instance_settings.cc
@@ -24,8 +24,12 @@
                                           "instance/drain_grace_ms",
                                           "instance/claim_retention_s",
                                           "instance/membership_port",
+                                          "instance/memory_mb",
+                                          "instance/max_body_mb",
                                           "instance/standin_base_port"};
 
+constexpr size_t kBytesPerMb = 1024 * 1024;
+
 utils::Result<int> ReadInt(const QSettings& ini, const char* key, int min,
                            int max, int fallback) {
   if (!ini.contains(key)) return fallback;
@@ -50,6 +54,25 @@
 
 }  // namespace
 
+size_t InstanceSettings::max_body_bytes() const {
+  return static_cast<size_t>(max_body_mb) * kBytesPerMb;
+}
+
+size_t InstanceSettings::request_bytes() const {
+  constexpr size_t kRequestPart = 4;
+  return static_cast<size_t>(memory_mb) * kBytesPerMb / kRequestPart;
+}
+
+size_t InstanceSettings::partial_bytes() const {
+  constexpr size_t kPartialPart = 10;
+  return static_cast<size_t>(memory_mb) * kBytesPerMb / kPartialPart;
+}
+
+size_t InstanceSettings::connection_bytes() const {
+  constexpr size_t kConnectionPart = 10;
+  return static_cast<size_t>(memory_mb) * kBytesPerMb / kConnectionPart;
+}
+
 utils::Result<InstanceSettings> LoadInstanceSettings(std::string_view path) {
   const QString file = QString::fromUtf8(path.data(), path.size());
   if (!QFileInfo::exists(file)) {
@@ -112,6 +135,12 @@
                            s.claim_retention_s);
   if (!retention) return retention.error();
   s.claim_retention_s = retention.value();
+  auto memory = ReadInt(ini, "instance/memory_mb", 16, 10'000'000, s.memory_mb);
+  if (!memory) return memory.error();
+  s.memory_mb = memory.value();
+  auto body = ReadInt(ini, "instance/max_body_mb", 1, 1024, s.max_body_mb);
+  if (!body) return body.error();
+  s.max_body_mb = body.value();
   return s;
 }
 
--- a/libs/config/test/entry_settings_test.cc
+++ b/libs/config/test/entry_settings_test.cc
@@ -50,6 +50,12 @@
   REQUIRE(Load(kGood).value().memory_mb == 0);
   REQUIRE(Load(kGood).value().buffer_share == 0.2);
   REQUIRE_FALSE(Load(std::string(kGood) + "buffer_share=2\n"));
+  REQUIRE(Load(kGood).value().request_share == 0.35);
+  REQUIRE_FALSE(Load(std::string(kGood) + "request_share=2\n"));
+  REQUIRE(Load(kGood).value().partial_share == 0.1);
+  REQUIRE_FALSE(Load(std::string(kGood) + "partial_share=2\n"));
+  REQUIRE(Load(kGood).value().connection_share == 0.1);
+  REQUIRE_FALSE(Load(std::string(kGood) + "connection_share=2\n"));
 }
 
 TEST_CASE("an error names the key and the value") {
