Bound what is held for clients before a request is complete

Cause: the parser of requests consumed chunk lines and trailers only when they were complete, and nothing bounded what was left; a refused request kept its body; idle sockets kept the capacity of the largest body; the keyed interface read with Qt's HTTP server, which has no limit on heads and bodies.

--- a/libs/http/include/turmeric/http/listener.h
+++ b/libs/http/include/turmeric/http/listener.h
@@ -23,12 +23,14 @@
   ~Listener() override;
 
   /**
-   * @param address local address; port 0 selects a free port.
+   * @param address local address, IPv4 or IPv6; port 0 selects a free port.
    * @return kIniInvalid if the address cannot be bound.
    */
   utils::Result<void> Listen(const Endpoint& address);
   /** @return the bound port, 0 if not listening. */
   uint16_t port() const;
+  /** Accepts the connections that are waiting. */
+  void AcceptWaiting() { Accept(); }
   /** Stops accepting. */
   void Close();
 
--- a/libs/http/include/turmeric/http/message.h
+++ b/libs/http/include/turmeric/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +28,10 @@
   std::vector<HeaderField> headers;
 };
 
+/** @param headers header fields. @return bytes of memory that they hold; a
+ * short field holds many times its length. */
+size_t HeadBytes(std::span<const HeaderField> headers);
+
 /**
  * @param headers header fields. @param name a field name, any case.
  * @return value of the first field with that name, empty if there is none.
--- a/libs/http/include/turmeric/http/message_parser.h
+++ b/libs/http/include/turmeric/http/message_parser.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "turmeric/http/message.h"
@@ -15,7 +17,7 @@
   kDone,            ///< The message is complete; no more bytes are consumed.
   kMalformed,       ///< Not HTTP/1.1, contradictory framing, or a chunk line
                     ///< or trailers beyond their limits.
-  kHeaderTooLarge,  ///< The head exceeds the limit.
+  kHeaderTooLarge,  ///< The head or complete trailers exceed the limit.
   kBodyTooLarge,    ///< The body exceeds the limit.
 };
 
@@ -29,7 +31,7 @@
 class RequestParser {
  public:
   /**
-   * @param max_header_bytes limit of the head, bytes.
+   * @param max_header_bytes limit of the head, and of the trailers, bytes.
    * @param max_body_bytes limit of the body, bytes.
    */
   RequestParser(size_t max_header_bytes, size_t max_body_bytes);
@@ -43,8 +45,12 @@
   bool head_done() const;
   /** @return true if the client wants the connection kept open. */
   bool keep_alive() const;
+  /** @return bytes of memory that the complete head holds; 0 before. */
+  size_t head_bytes() const;
   /** @return bytes of the body parsed so far. */
   size_t body_bytes() const;
+  /** @return the length of the body that the head announces; nullopt: none. */
+  std::optional<uint64_t> announced_length() const;
   /** @return the part of the request parsed so far. */
   RequestMessage& message();
 
--- a/libs/http/include/turmeric/http/responder.h
+++ b/libs/http/include/turmeric/http/responder.h
@@ -1,19 +1,16 @@
 #pragma once
 
 #include <QByteArray>
+#include <QPointer>
 #include <functional>
 #include <memory>
 #include <utility>
 #include <vector>
 
-class QHttpServerResponder;
-class QTcpSocket;
-
 namespace turmeric::http {
 
-namespace details {
-class Exchange;
-}
+class ServerConnection;
+class ServerResponse;
 
 /** Additional response headers, name and value. */
 using Headers = std::vector<std::pair<QByteArray, QByteArray>>;
@@ -21,18 +18,15 @@
 /**
  * Writes the response to one request, at once or later. It may outlive the
  * caller's connection: writes after the caller has disconnected are dropped.
- * Responses on one connection are sent in the order of their requests,
- * independent of the order in which they are ready. A responder that is
- * destroyed without a response aborts the connection, so that the caller does
- * not wait forever. Movable, not copyable; event-loop thread only.
+ * Responses on one connection are sent in the order of their requests: the next
+ * request is read after the response to the last. A responder that is destroyed
+ * without a response aborts the connection, so that the caller does not wait
+ * forever. Movable, not copyable; event-loop thread only.
  */
 class Responder {
  public:
-  /**
-   * @param responder Qt's writer for this request.
-   * @param socket the caller's connection.
-   */
-  Responder(QHttpServerResponder&& responder, QTcpSocket* socket);
+  /** @param connection whose open request is answered. */
+  explicit Responder(ServerConnection& connection);
   Responder(Responder&&) noexcept;
   Responder& operator=(Responder&&) noexcept;
   ~Responder();
@@ -63,16 +57,14 @@
   void CloseAfterSending();
   /** Closes the connection after the response written by WriteResponse, which
    * carries `Connection: close`. */
-  void CloseAfterResponse() { close_after_response_ = true; }
-  /** @return true once the caller has disconnected. */
-  bool disconnected() const;
+  void CloseAfterResponse();
   /** @param callback called once if the caller disconnects before the response
    * is finished. */
   void OnDisconnected(std::function<void()> callback);
 
  private:
-  std::shared_ptr<details::Exchange> exchange_;
-  bool close_after_response_ = false;
+  QPointer<ServerConnection> connection_;
+  std::unique_ptr<ServerResponse> response_;
 };
 
 }  // namespace turmeric::http
--- a/libs/http/include/turmeric/http/server_connection.h
+++ b/libs/http/include/turmeric/http/server_connection.h
@@ -71,10 +71,27 @@
     on_drained_ = std::move(callback);
   }
   /** @param callback called when the bytes that this connection holds may have
-   * changed: see received() and unsent(). */
+   * changed: see held() and unsent(). */
   void set_on_buffered(std::function<void()> callback) {
     on_buffered_ = std::move(callback);
   }
+  /** @param callback called when a request is rejected: it is malformed, beyond
+   * a limit or too slow. `status` is that of the response. */
+  void set_on_rejected(std::function<void(int status)> callback) {
+    on_rejected_ = std::move(callback);
+  }
+  /** @param callback called when held() may have changed; may call
+   * RefuseIncomplete(). */
+  void set_on_received(std::function<void()> callback) {
+    on_received_ = std::move(callback);
+  }
+  /** @return the request that is being received, without its body; empty if
+   * none has a whole head. The caller refuses the request next. */
+  RequestMessage TakeIncompleteHead();
+  /** Refuses the request that is being received, drops what was received of it,
+   * and closes the connection. Does nothing if none is being received.
+   * @param response the complete response. */
+  void RefuseIncomplete(const ResponseMessage& response);
   /** Sends a whole response. If one has begun, resets the connection instead,
    * so that the client sees that it is incomplete; so do StartChunked and
    * StartSized. Writes that are not due do nothing.
@@ -94,11 +111,29 @@
   void EndChunked();
   /** Resets the connection, so that an open response cannot appear complete. */
   void Abort();
+  /** Closes the connection once all written bytes have been sent. A response in
+   * chunks that has not ended cannot appear complete. */
+  void CloseUnfinished();
   /** Resets the connection, also while the last response is being sent, and
    * reports that the client has disconnected. */
   void CutOff();
+  /** @return time since which the connection carries no request; nullopt: it
+   * carries one, in whole or in part. */
+  std::optional<std::chrono::steady_clock::time_point> idle_since() const;
+  /** @return time at which a request was refused before it was complete, while
+   * the refusal is being sent; nullopt otherwise. */
+  std::optional<std::chrono::steady_clock::time_point> refused_at() const;
+  /** Closes the connection now if it is idle and its client has received all
+   * responses. @return true if it was closed. */
+  bool CloseIfIdle();
   /** Closes after the response to the open request, or now if there is none. */
   void CloseWhenIdle();
+  /** @return true while a request is received. */
+  bool reading() const { return reading_; }
+  /** @return time of the first byte of the last request. */
+  std::chrono::steady_clock::time_point reading_since() const {
+    return reading_since_;
+  }
   /** @return number of this connection, unique in the process. */
   uint64_t id() const { return id_; }
   /** @return true while the response to a request is not finished. */
@@ -112,14 +147,21 @@
   size_t unsent() const;
   /** @return response bytes that TCP of the client has acknowledged so far. */
   uint64_t sent() const;
-  /** @return received bytes of requests that are incomplete or wait for the
-   * response to an earlier one. */
-  size_t received() const;
+  /** @return bytes of memory that requests hold which are incomplete or wait
+   * for the response to an earlier one. */
+  size_t held() const;
+  /** @return bytes that the incomplete request is expected to hold: its head
+   * and the announced length of its body, or an estimate from what has been
+   * received; 0 if there is none. */
+  size_t expected() const;
 
  private:
   void OnBytes(std::string_view bytes);
+  /** Keeps what a client sends ahead of its responses small. */
+  void LimitReadAhead();
   void ParseNext();
   void Reject(int status);
+  void DropReceived();
   void BeginExchange(bool is_head_request);
   /** Decides on a step of the response; resets the connection on a second head.
    * @return true if the step is to be written. */
@@ -129,7 +171,6 @@
   void WriteHead(int status, std::span<const HeaderField> headers,
                  std::string& out);
   void Close();
-  void CloseIfIdle();
   void NotifyDisconnected();
   void NotifyBuffered();
 
@@ -139,6 +180,8 @@
   std::function<void()> on_disconnected_;
   std::function<void()> on_drained_;
   std::function<void()> on_buffered_;
+  std::function<void()> on_received_;
+  std::function<void(int)> on_rejected_;
   TcpSocket* socket_;  ///< Child object; released on an orderly close.
   QPointer<TcpSocket> flushing_;  ///< Sends the last response after Close().
   std::unique_ptr<RequestParser> parser_;
@@ -152,7 +195,11 @@
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
   bool reading_ = false;  ///< A request has been received in part.
+  /** Bytes that a client may send after its incomplete request was refused. */
+  size_t max_discarded_ = 0;
   std::chrono::steady_clock::time_point reading_since_;
+  std::chrono::steady_clock::time_point idle_since_;
+  std::optional<std::chrono::steady_clock::time_point> refused_at_;
   std::chrono::milliseconds receive_time_{0};
 };
 
--- a/libs/http/include/turmeric/http/server_response.h
+++ b/libs/http/include/turmeric/http/server_response.h
@@ -30,6 +30,8 @@
   bool connected() const { return !connection_.isNull(); }
   /** @return how far the response has come. */
   ResponseState state() const { return progress_->state; }
+  /** @return true until the response has ended or is aborted. */
+  bool is_open() const { return IsOpen(*progress_); }
   /** @return true once a response in parts has begun. */
   bool has_begun() const { return progress_->has_begun; }
   /** @return bytes that have not been handed to the system yet; 0 once another
@@ -44,6 +46,7 @@
   void WriteChunk(std::string_view bytes);
   void EndChunked();
   void Abort();
+  void CloseUnfinished();
   void set_on_drained(std::function<void()> callback);
 
  private:
--- a/libs/http/include/turmeric/http/sse.h
+++ b/libs/http/include/turmeric/http/sse.h
@@ -24,7 +24,4 @@
 /** @param data payload. @return an SSE event, "data: ...\n\n". */
 QByteArray SseEvent(const QByteArray& data);
 
-/** @param payload bytes. @return an HTTP/1.1 chunk with these bytes. */
-QByteArray HttpChunk(const QByteArray& payload);
-
 }  // namespace turmeric::http
--- a/libs/http/include/turmeric/http/tcp_socket.h
+++ b/libs/http/include/turmeric/http/tcp_socket.h
@@ -94,11 +94,17 @@
   size_t unacknowledged() const;
   /** @param paused true: stop reading, which slows the peer by flow control. */
   void PauseReading(bool paused);
+  /** @param bytes most bytes that are read at once; nullopt: no limit of this
+   * connection. */
+  void set_max_read(std::optional<size_t> bytes) { max_read_ = bytes; }
   /** Reads once, as the event loop does for a readable socket. */
   void ReadNow() { OnReadable(); }
   /** Closes once all written bytes have been sent and the peer has closed, or
-   * after a timeout, and deletes this object; no more callbacks. */
-  void CloseAfterFlush();
+   * after a timeout, and deletes this object; no more callbacks.
+   * @param max_discarded received bytes that are read and thrown away, beyond
+   * the timeout too, so that a peer that still sends can read what was written.
+   */
+  void CloseAfterFlush(size_t max_discarded = 0);
   /** Closes at once and deletes this object; no more callbacks. Bytes received
    * later are answered with a reset, unread. The caller makes sure that no
    * written bytes are unacknowledged, as a reset would discard them. */
@@ -129,8 +135,11 @@
   void OnConnected();
   void RecordConnectError(int error);
   bool Flush();
+  void ClearSendBuffer();
   void WaitForFlush();
   void FinishClose();
+  /** Closes after the close timeout, unless the peer still sends and may. */
+  void WaitForPeer(std::chrono::steady_clock::time_point until);
   void End(SocketEnd end);
   void CloseFd();
 
@@ -142,7 +151,11 @@
   std::string tunnel_answer_;  ///< Received part of the proxy's answer.
   bool tunnel_requested_ = false;
   std::optional<TunnelFrameReader> tunnel_frames_;  ///< If framed.
+  std::optional<size_t> max_read_;
   bool closing_ = false;
+  bool logged_late_bytes_ = false;
+  size_t max_discarded_ = 0;
+  size_t discarded_ = 0;  ///< Bytes received while closing.
   std::string send_buffer_;
   size_t send_offset_ = 0;
   uint64_t sent_ = 0;
--- a/libs/http/src/listener.cc
+++ b/libs/http/src/listener.cc
@@ -26,6 +26,28 @@
  * left: the notifier would fire without end. */
 constexpr std::chrono::milliseconds kDescriptorPause{50};
 
+/** A local address in the form of the system. */
+struct BoundAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;  ///< 0: the text is no address.
+};
+
+BoundAddress ToBoundAddress(const Endpoint& address) {
+  BoundAddress bound;
+  auto& v4 = reinterpret_cast<sockaddr_in&>(bound.storage);
+  auto& v6 = reinterpret_cast<sockaddr_in6&>(bound.storage);
+  if (::inet_pton(AF_INET, address.ip.c_str(), &v4.sin_addr) == 1) {
+    v4.sin_family = AF_INET;
+    v4.sin_port = htons(address.port);
+    bound.size = sizeof(v4);
+  } else if (::inet_pton(AF_INET6, address.ip.c_str(), &v6.sin6_addr) == 1) {
+    v6.sin6_family = AF_INET6;
+    v6.sin6_port = htons(address.port);
+    bound.size = sizeof(v6);
+  }
+  return bound;
+}
+
 void Reset(int fd) {
   const linger reset{1, 0};
   ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -40,16 +62,15 @@
 Listener::~Listener() { Close(); }
 
 utils::Result<void> Listener::Listen(const Endpoint& address) {
-  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const BoundAddress bound = ToBoundAddress(address);
+  fd_ = ::socket(bound.storage.ss_family,
+                 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in bound{};
-  bound.sin_family = AF_INET;
-  bound.sin_port = htons(address.port);
-  const bool ok =
-      ::inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr) == 1 &&
-      ::bind(fd_, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0 &&
-      ::listen(fd_, kBacklog) == 0;
+  const bool ok = bound.size > 0 &&
+                  ::bind(fd_, reinterpret_cast<const sockaddr*>(&bound.storage),
+                         bound.size) == 0 &&
+                  ::listen(fd_, kBacklog) == 0;
   if (!ok) {
     const std::string why = std::strerror(errno);
     Close();
@@ -64,13 +85,14 @@
 }
 
 uint16_t Listener::port() const {
-  sockaddr_in bound{};
+  sockaddr_storage bound{};
   socklen_t size = sizeof(bound);
   if (fd_ < 0 ||
       ::getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
     return 0;
   }
-  return ntohs(bound.sin_port);
+  // Both families have the port at the same place.
+  return ntohs(reinterpret_cast<const sockaddr_in&>(bound).sin_port);
 }
 
 void Listener::Accept() {
--- a/libs/http/src/message.cc
+++ b/libs/http/src/message.cc
@@ -6,7 +6,9 @@
 #include <boost/beast/http/status.hpp>
 #include <ostream>
 // clang-format on
+#include <functional>
 #include <iterator>
+#include <numeric>
 
 #include "turmeric/utils/control_characters.h"
 
@@ -25,6 +27,14 @@
   return std::ranges::equal(a, b, {}, Lower, Lower);
 }
 
+size_t HeadBytes(std::span<const HeaderField> headers) {
+  return std::transform_reduce(headers.begin(), headers.end(), size_t{0},
+                               std::plus<>(), [](const HeaderField& h) {
+                                 return sizeof(HeaderField) + h.name.size() +
+                                        h.value.size();
+                               });
+}
+
 bool HasHeader(std::span<const HeaderField> headers, std::string_view name) {
   return std::ranges::any_of(headers, [&](const HeaderField& h) {
     return EqualsIgnoringCase(h.name, name);
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -19,8 +19,9 @@
 /** Longest line that begins a chunk, with its extensions. The usual line has
  * a few digits; servers that sign chunks use about 100 bytes. */
 constexpr size_t kMaxChunkLineBytes = 4 * 1024;
-/** Largest trailer section, together with the line of the last chunk. */
-constexpr size_t kMaxTrailerBytes = 16 * 1024;
+/** Largest trailer section of a response, together with the line of the last
+ * chunk. */
+constexpr size_t kMaxResponseTrailerBytes = 16 * 1024;
 
 std::string_view View(string_view text) { return {text.data(), text.size()}; }
 
@@ -58,19 +59,47 @@
  * @param rest bytes of a chunked body that the parser cannot consume yet: the
  *     end of a chunk and an incomplete line, or the last chunk's line and
  *     incomplete trailers.
+ * @param max_trailer_bytes limit of the trailers.
  * @return true if they exceed their limit.
  */
-bool ExceedsChunkLimits(std::string_view rest) {
+bool ExceedsChunkLimits(std::string_view rest, size_t max_trailer_bytes) {
   constexpr std::string_view kLineEnd = "\r\n";
   if (rest.starts_with(kLineEnd)) rest.remove_prefix(kLineEnd.size());
   const bool in_trailers = rest.find(kLineEnd) != std::string_view::npos;
-  return rest.size() > (in_trailers ? kMaxTrailerBytes : kMaxChunkLineBytes);
+  return rest.size() > (in_trailers ? max_trailer_bytes : kMaxChunkLineBytes);
+}
+
+/**
+ * Feeds a Beast parser, with limits on the lines of a chunked body: the parser
+ * consumes a chunk's line and the trailers only once they are complete. A peer
+ * that never ends them would otherwise make the caller of this function keep
+ * all bytes until a time limit.
+ */
+template <class Parser>
+ParseOutcome FeedBounded(Parser& parser, std::string_view bytes,
+                         size_t max_trailer_bytes) {
+  ParseOutcome outcome = FeedParser(parser, bytes);
+  if (outcome.status == ParseStatus::kNeedMore && parser.is_header_done() &&
+      parser.chunked() &&
+      ExceedsChunkLimits(bytes.substr(outcome.consumed), max_trailer_bytes)) {
+    outcome.status = ParseStatus::kMalformed;
+  }
+  return outcome;
+}
+
+void CheckChunkLine(string_view extensions, error_code& ec) {
+  if (extensions.size() > kMaxChunkLineBytes) {
+    ec = beast::error::bad_chunk_extension;
+  }
 }
 
 }  // namespace
 
 struct RequestParser::Impl : beast::basic_parser<true> {
   RequestMessage message;
+  size_t head_bytes = 0;
+  size_t max_trailer_bytes = 0;
+  size_t trailer_bytes = 0;
 
   void on_request_impl(beast::verb /*method*/, string_view method,
                        string_view target, int /*version*/,
@@ -80,7 +109,14 @@
   }
   void on_response_impl(int, string_view, int, error_code&) override {}
   void on_field_impl(beast::field, string_view name, string_view value,
-                     error_code&) override {
+                     error_code& ec) override {
+    if (is_header_done()) {
+      // Trailers are dropped (RFC 9112 7.1.2): among the header fields, which
+      // have been checked already, one could add a second Host or a key.
+      trailer_bytes += name.size() + value.size();
+      if (trailer_bytes > max_trailer_bytes) ec = beast::error::header_limit;
+      return;
+    }
     message.headers.push_back(
         {std::string(View(name)), std::string(View(value))});
   }
@@ -101,6 +137,8 @@
           return EqualsIgnoringCase(field.name, "Host");
         });
     if (hosts > 1) ec = beast::error::bad_field;
+    message.headers.shrink_to_fit();
+    head_bytes = message.target.size() + HeadBytes(message.headers);
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const& length,
                          error_code&) override {
@@ -110,7 +148,10 @@
     message.body.append(View(body));
     return body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  void on_chunk_header_impl(std::uint64_t, string_view extensions,
+                            error_code& ec) override {
+    CheckChunkLine(extensions, ec);
+  }
   size_t on_chunk_body_impl(std::uint64_t, string_view body,
                             error_code&) override {
     message.body.append(View(body));
@@ -121,6 +162,7 @@
 
 RequestParser::RequestParser(size_t max_header_bytes, size_t max_body_bytes)
     : impl_(std::make_unique<Impl>()) {
+  impl_->max_trailer_bytes = max_header_bytes;
   impl_->header_limit(static_cast<uint32_t>(max_header_bytes));
   impl_->body_limit(max_body_bytes);
 }
@@ -128,15 +170,22 @@
 RequestParser::~RequestParser() = default;
 
 ParseOutcome RequestParser::Feed(std::string_view bytes) {
-  return FeedParser(*impl_, bytes);
+  return FeedBounded(*impl_, bytes, impl_->max_trailer_bytes);
 }
 
 bool RequestParser::head_done() const { return impl_->is_header_done(); }
 
 bool RequestParser::keep_alive() const { return impl_->keep_alive(); }
 
+size_t RequestParser::head_bytes() const { return impl_->head_bytes; }
+
 size_t RequestParser::body_bytes() const { return impl_->message.body.size(); }
 
+std::optional<uint64_t> RequestParser::announced_length() const {
+  const auto length = impl_->content_length();
+  return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 RequestMessage& RequestParser::message() { return impl_->message; }
 
 struct ResponseParser::Impl : beast::basic_parser<false> {
@@ -154,7 +203,9 @@
     if (is_header_done()) {
       // Trailers are not forwarded.
       trailer_bytes += name.size() + value.size();
-      if (trailer_bytes > kMaxTrailerBytes) ec = beast::error::header_limit;
+      if (trailer_bytes > kMaxResponseTrailerBytes) {
+        ec = beast::error::header_limit;
+      }
       return;
     }
     head.headers.push_back({std::string(View(name)), std::string(View(value))});
@@ -168,9 +219,7 @@
   }
   void on_chunk_header_impl(std::uint64_t, string_view extensions,
                             error_code& ec) override {
-    if (extensions.size() > kMaxChunkLineBytes) {
-      ec = beast::error::bad_chunk_extension;
-    }
+    CheckChunkLine(extensions, ec);
   }
   size_t on_chunk_body_impl(std::uint64_t, string_view body,
                             error_code&) override {
@@ -191,15 +240,7 @@
 ResponseParser::~ResponseParser() = default;
 
 ParseOutcome ResponseParser::Feed(std::string_view bytes) {
-  ParseOutcome outcome = FeedParser(*impl_, bytes);
-  // Guard: the parser consumes a chunk's line and the trailers only once they
-  // are complete. An upstream that never ends them would otherwise make the
-  // caller of this function keep all bytes until the request's time limit.
-  if (outcome.status == ParseStatus::kNeedMore && impl_->is_header_done() &&
-      impl_->chunked() && ExceedsChunkLimits(bytes.substr(outcome.consumed))) {
-    outcome.status = ParseStatus::kMalformed;
-  }
-  return outcome;
+  return FeedBounded(*impl_, bytes, kMaxResponseTrailerBytes);
 }
 
 bool ResponseParser::FeedEnd() {
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -7,6 +7,7 @@
 
 #include "turmeric/http/tcp_socket.h"
 #include "turmeric/utils/decision_log.h"
+#include "turmeric/utils/log_interval.h"
 
 namespace turmeric::http {
 
@@ -16,6 +17,8 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
+/** Bytes that are read of a client while its last request is not answered. */
+constexpr size_t kMaxReadAheadBytes = 4 * 1024;
 /** Delay until an idle connection whose last response is not acknowledged is
  * checked again: a few round trips. */
 constexpr std::chrono::milliseconds kCloseRetryDelay{50};
@@ -67,6 +70,7 @@
     CloseIfIdle();
   });
   timer_.start(limits_source_().idle_timeout);
+  idle_since_ = std::chrono::steady_clock::now();
 }
 
 ServerConnection::~ServerConnection() = default;
@@ -86,25 +90,44 @@
   return socket->sent() - std::min<uint64_t>(in_transit, socket->sent());
 }
 
-size_t ServerConnection::received() const {
-  return unparsed_.size() + (reading_ && parser_ ? parser_->body_bytes() : 0);
+size_t ServerConnection::held() const {
+  const size_t parsed =
+      parser_ ? parser_->head_bytes() + parser_->body_bytes() : 0;
+  return parsed + (unparsed_.empty() ? 0 : unparsed_.capacity());
+}
+
+size_t ServerConnection::expected() const {
+  if (!parser_ || !parser_->head_done()) return unparsed_.size();
+  // As the buffer of a body without a length grows.
+  const size_t grown =
+      std::min(2 * parser_->body_bytes(), limits_source_().max_body_bytes);
+  return parser_->head_bytes() + parser_->announced_length().value_or(grown);
+}
+
+RequestMessage ServerConnection::TakeIncompleteHead() {
+  if (!parser_ || !parser_->head_done()) return {};
+  parser_->message().body = {};
+  return std::move(parser_->message());
 }
 
 void ServerConnection::NotifyBuffered() {
+  if (on_received_) on_received_();
   if (on_buffered_) on_buffered_();
 }
 
 void ServerConnection::OnBytes(std::string_view bytes) {
   unparsed_.append(bytes);
-  if (!busy()) {
-    ParseNext();
-    return NotifyBuffered();
-  }
+  if (!busy()) ParseNext();
   NotifyBuffered();
-  // A client that sends ahead of its responses is slowed by TCP flow control.
-  if (unparsed_.size() > limits_source_().max_header_bytes) {
-    socket_->PauseReading(true);
-  }
+  if (busy()) LimitReadAhead();
+}
+
+void ServerConnection::LimitReadAhead() {
+  if (socket_ == nullptr) return;
+  // What is not read slows the client by TCP flow control. A few bytes are
+  // read, as the end of the connection shows only when it is read.
+  socket_->set_max_read(kMaxReadAheadBytes);
+  if (unparsed_.size() >= kMaxReadAheadBytes) socket_->PauseReading(true);
 }
 
 void ServerConnection::ParseNext() {
@@ -122,12 +145,13 @@
   }
   const ParseOutcome outcome = parser_->Feed(unparsed_);
   unparsed_.erase(0, outcome.consumed);
+  if (outcome.consumed > 0) unparsed_.shrink_to_fit();
   if (outcome.status == ParseStatus::kNeedMore) {
     // Guard: while a body is received, the idle timeout applies; the shorter
     // header timeout applies only to a head that is received slowly.
     if (parser_->head_done()) timer_.start(limits.idle_timeout);
     if (!parser_->head_done() && unparsed_.size() > limits.max_header_bytes) {
-      Reject(kHeaderTooLarge);
+      return Reject(kHeaderTooLarge);
     }
     return;
   }
@@ -140,10 +164,11 @@
       std::chrono::steady_clock::now() - reading_since_);
   keep_alive_ = parser_->keep_alive();
   RequestMessage message = std::move(parser_->message());
+  parser_.reset();
   BeginExchange(message.method == "HEAD");
   // The handler accounts for the request from here on.
   NotifyBuffered();
-  handler_(*this, std::move(message));
+  if (socket_ != nullptr) handler_(*this, std::move(message));
 }
 
 void ServerConnection::BeginExchange(bool is_head_request) {
@@ -168,10 +193,35 @@
 }
 
 void ServerConnection::Reject(int status) {
+  static utils::LogInterval log_interval;
+  if (const auto requests =
+          log_interval.Count(utils::LogInterval::Clock::now())) {
+    utils::DecisionLog("request_rejected")
+        .Add("requests", *requests)
+        .Add("caller_connection", id_)
+        .Add("status", status)
+        .Add("held", held());
+  }
+  if (on_rejected_) on_rejected_(status);
+  RefuseIncomplete({.status = status, .headers = {}, .body = {}});
+}
+
+void ServerConnection::RefuseIncomplete(const ResponseMessage& response) {
+  if (!reading_) return;
+  DropReceived();
+  refused_at_ = std::chrono::steady_clock::now();
+  max_discarded_ = limits_source_().max_body_bytes;
   BeginExchange(false);
   keep_alive_ = false;
+  Respond(response);
+}
+
+void ServerConnection::DropReceived() {
+  // The connection stays for as long as its client reads the response.
   reading_ = false;
-  Respond({.status = status, .headers = {}, .body = {}});
+  parser_.reset();
+  unparsed_.clear();
+  unparsed_.shrink_to_fit();
 }
 
 void ServerConnection::WriteHead(int status,
@@ -250,14 +300,19 @@
   on_disconnected_ = nullptr;
   on_drained_ = nullptr;
   NotifyBuffered();
-  if (!keep_alive_) return Close();
+  socket_->set_max_read(std::nullopt);
   socket_->PauseReading(false);
+  if (!keep_alive_) return Close();
   // The next request is parsed from the event loop, so that a handler that
   // responds at once does not recurse.
   timer_.start(limits_source_().idle_timeout);
+  idle_since_ = std::chrono::steady_clock::now();
   if (!unparsed_.empty()) {
     QTimer::singleShot(0, this, [this] {
-      if (!busy() && socket_ != nullptr) ParseNext();
+      if (busy() || socket_ == nullptr) return;
+      ParseNext();
+      NotifyBuffered();
+      if (busy()) LimitReadAhead();
     });
   }
 }
@@ -268,6 +323,7 @@
 
 void ServerConnection::OnEnd() {
   socket_ = nullptr;
+  reading_ = false;
   timer_.stop();
   NotifyDisconnected();
   deleteLater();
@@ -280,22 +336,39 @@
   // This object stays until the socket has sent the response to the peer.
   connect(socket_, &QObject::destroyed, this, &QObject::deleteLater);
   flushing_ = socket_;
-  std::exchange(socket_, nullptr)->CloseAfterFlush();
+  std::exchange(socket_, nullptr)->CloseAfterFlush(max_discarded_);
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+ServerConnection::idle_since() const {
+  if (socket_ == nullptr || busy() || reading_ || !unparsed_.empty()) {
+    return std::nullopt;
+  }
+  return idle_since_;
+}
+
+std::optional<std::chrono::steady_clock::time_point>
+ServerConnection::refused_at() const {
+  return flushing_ ? refused_at_ : std::nullopt;
 }
 
-void ServerConnection::CloseIfIdle() {
+bool ServerConnection::CloseIfIdle() {
   // Guard: the next request may be in transit. A request that has already been
   // received is read and handled. For a request received later, the closed
   // socket resets the connection, so that the caller can infer that the request
   // was not run. A request read after the close would get no response.
   if (socket_ != nullptr) socket_->ReadNow();
-  if (socket_ == nullptr || busy() || reading_ || !unparsed_.empty()) return;
+  if (!idle_since()) return false;
   // Guard: a reset would discard the part of the last response that the caller
   // has not received yet.
-  if (socket_->unacknowledged() > 0) return timer_.start(kCloseRetryDelay);
+  if (socket_->unacknowledged() > 0) {
+    timer_.start(kCloseRetryDelay);
+    return false;
+  }
   timer_.stop();
   std::exchange(socket_, nullptr)->CloseNow();
   deleteLater();
+  return true;
 }
 
 void ServerConnection::Abort() {
@@ -307,8 +380,16 @@
   deleteLater();
 }
 
+void ServerConnection::CloseUnfinished() {
+  if (socket_ == nullptr) return;
+  Advance(*progress_, ResponseStep::kAbort);
+  on_disconnected_ = nullptr;
+  Close();
+}
+
 void ServerConnection::CutOff() {
   timer_.stop();
+  refused_at_.reset();
   if (flushing_) {
     flushing_->Abort();
     flushing_->deleteLater();
--- a/libs/http/src/server_response.cc
+++ b/libs/http/src/server_response.cc
@@ -73,6 +73,12 @@
   }
 }
 
+void ServerResponse::CloseUnfinished() {
+  if (auto* connection = ConnectionFor(ResponseStep::kAbort)) {
+    connection->CloseUnfinished();
+  }
+}
+
 void ServerResponse::set_on_drained(std::function<void()> callback) {
   if (auto* connection = Current()) {
     connection->set_on_drained(std::move(callback));
--- a/libs/http/src/sse.cc
+++ b/libs/http/src/sse.cc
@@ -20,8 +20,4 @@
 
 QByteArray SseEvent(const QByteArray& data) { return "data: " + data + "\n\n"; }
 
-QByteArray HttpChunk(const QByteArray& payload) {
-  return QByteArray::number(payload.size(), 16) + "\r\n" + payload + "\r\n";
-}
-
 }  // namespace turmeric::http
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -10,6 +10,7 @@
 
 #include <QPointer>
 #include <QTimer>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -30,10 +31,16 @@
 constexpr int kKeepAliveIdleS = 1;
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
-/** Longest wait for the peer to close after this side has closed. */
+/** Longest wait for the peer to close, or to send more, after this side has
+ * closed. */
 constexpr std::chrono::milliseconds kCloseTimeout{1000};
+/** Longest wait for a peer that still sends. */
+constexpr std::chrono::seconds kLongestClose{10};
 /** Size of the read buffer; it holds a few large prompts. */
 constexpr size_t kReadBufferBytes = 32 * 1024;
+/** Capacity of the send buffer that a socket keeps when all bytes have been
+ * sent. */
+constexpr size_t kKeptSendBufferBytes = 16 * 1024;
 
 void SetOption(int fd, int level, int name, int value) {
   ::setsockopt(fd, level, name, &value, sizeof(value));
@@ -226,10 +233,7 @@
     send_offset_ += static_cast<size_t>(sent);
     sent_ += static_cast<uint64_t>(sent);
   }
-  if (send_offset_ == send_buffer_.size()) {
-    send_buffer_.clear();
-    send_offset_ = 0;
-  }
+  if (unsent() == 0) ClearSendBuffer();
   return true;
 }
 
@@ -246,22 +250,32 @@
     send_offset_ += static_cast<size_t>(sent);
     sent_ += static_cast<uint64_t>(sent);
   }
-  if (send_offset_ == send_buffer_.size()) {
-    send_buffer_.clear();
-    send_offset_ = 0;
+  if (unsent() == 0) return ClearSendBuffer();
+  write_notifier_->setEnabled(true);
+}
+
+void TcpSocket::ClearSendBuffer() {
+  send_offset_ = 0;
+  send_buffer_.clear();
+  if (send_buffer_.capacity() > kKeptSendBufferBytes) {
+    send_buffer_.shrink_to_fit();
   }
-  if (unsent() > 0) write_notifier_->setEnabled(true);
 }
 
 void TcpSocket::OnReadable() {
   if (fd_ < 0) return;
   static thread_local std::array<char, kReadBufferBytes> buffer;
-  const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  const size_t size =
+      std::min(max_read_.value_or(buffer.size()), buffer.size());
+  const ssize_t got = ::recv(fd_, buffer.data(), size, MSG_DONTWAIT);
   if (got > 0) {
     if (!connected_) {
       OnTunnelAnswer({buffer.data(), static_cast<size_t>(got)});
     } else if (closing_) {
-      utils::DecisionLog("bytes_after_close").Add("bytes", got);
+      discarded_ += static_cast<size_t>(got);
+      if (!std::exchange(logged_late_bytes_, true)) {
+        utils::DecisionLog("bytes_after_close").Add("bytes", got);
+      }
     } else {
       Deliver({buffer.data(), static_cast<size_t>(got)});
     }
@@ -299,9 +313,10 @@
   if (auto callback = std::exchange(events_.on_end, nullptr)) callback(end);
 }
 
-void TcpSocket::CloseAfterFlush() {
+void TcpSocket::CloseAfterFlush(size_t max_discarded) {
   if (fd_ < 0 || closing_) return;
   closing_ = true;
+  max_discarded_ = max_discarded;
   // The socket has no parent from here on, because its owner may be destroyed
   // before the last bytes are sent. The callbacks are kept until the socket is
   // deleted, because one of them may be the caller of this function.
@@ -328,7 +343,17 @@
   // first; the socket is closed when the peer has closed or after
   // kCloseTimeout.
   if (fd_ >= 0) ::shutdown(fd_, SHUT_WR);
-  QTimer::singleShot(kCloseTimeout, this, [this] { CloseNow(); });
+  WaitForPeer(std::chrono::steady_clock::now() + kLongestClose);
+}
+
+void TcpSocket::WaitForPeer(std::chrono::steady_clock::time_point until) {
+  QTimer::singleShot(kCloseTimeout, this, [this, until, before = discarded_] {
+    const bool sends = discarded_ > before && discarded_ <= max_discarded_;
+    if (sends && std::chrono::steady_clock::now() < until) {
+      return WaitForPeer(until);
+    }
+    CloseNow();
+  });
 }
 
 void TcpSocket::CloseNow() {
--- a/libs/http/test/message_parser_test.cc
+++ b/libs/http/test/message_parser_test.cc
@@ -184,6 +184,53 @@
                                "") < 6000);
 }
 
+// Guards against clients that never end a chunk line or the trailers.
+TEST_CASE("chunk lines and trailers of a request without end are refused") {
+  constexpr std::string_view kHead =
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n";
+  const auto kept_until_refused = [&](std::string_view begin,
+                                      std::string_view part) {
+    RequestParser parser(kHeaderLimit, kBodyLimit);
+    std::string pending = std::string(kHead) + std::string(begin);
+    for (int i = 0; i < 1000; ++i) {
+      const auto outcome = parser.Feed(pending);
+      if (outcome.status != ParseStatus::kNeedMore) return pending.size();
+      pending.erase(0, outcome.consumed);
+      pending.append(part);
+    }
+    return std::string::npos;
+  };
+  const std::string part(100, 'x');
+  REQUIRE(kept_until_refused("5;a=", part) < 6000);
+  REQUIRE(kept_until_refused("0\r\n", "T: " + part + "\r\n") <
+          2 * kHeaderLimit);
+  REQUIRE(kept_until_refused("0\r\nT: ", part) < 2 * kHeaderLimit);
+}
+
+// Guards against a trailer that is read as a header field: a second Host, or a
+// key, which the check of the head has not seen.
+TEST_CASE("trailers of a request are dropped") {
+  RequestParser parser(kHeaderLimit, kBodyLimit);
+  const auto outcome = parser.Feed(
+      "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nhello\r\n0\r\nHost: other\r\nAuthorization: Bearer k\r\n\r\n");
+  REQUIRE(outcome.status == ParseStatus::kDone);
+  REQUIRE(parser.message().body == "hello");
+  REQUIRE(parser.message().headers.size() == 2);
+}
+
+// Guards against heads within their limit that hold many times as much.
+TEST_CASE("the memory of a head counts each of its fields") {
+  constexpr size_t kFields = 1000;
+  std::string head = "POST /x HTTP/1.1\r\nContent-Length: 1\r\n";
+  for (size_t i = 0; i < kFields; ++i) head += "a:\r\n";
+  RequestParser parser(16 * 1024, 1000);
+  REQUIRE(parser.head_bytes() == 0);
+  REQUIRE(parser.Feed(head + "\r\n").status == ParseStatus::kNeedMore);
+  REQUIRE(parser.head_bytes() > kFields * sizeof(turmeric::http::HeaderField));
+}
+
 // Guards against limits that sound upstreams exceed.
 TEST_CASE("chunk extensions and trailers within the limits are accepted") {
   ReceivedResponse response;
