--- a/tools/turmericgated/main.cc
+++ b/tools/turmericgated/main.cc
@@ -23,6 +23,7 @@
 #include "turmeric/kernel/kernel.h"
 #include "turmeric/store/memory_store.h"
 #include "turmeric/store/remote_store.h"
+#include "turmeric/utils/large_blocks.h"
 #include "turmeric/utils/log.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -63,6 +64,7 @@
   if (turmeric::config::HasEntrySettings(settings_file)) {
     return turmeric::daemon::RunEntry(app, settings_file);
   }
+  turmeric::utils::ReturnLargeBlocks();
   turmeric::config::InstanceSettings settings;
   if (!FLAGS_config.empty()) {
     auto loaded = turmeric::config::LoadInstanceSettings(FLAGS_config);
