Hold the text of a keyed request once, and once for each call

Cause: the parsed request, the run, each call and its body held a copy. The keyed interface refuses, counts and logs as the front does.

--- a/libs/gateway/include/turmeric/gateway/config_handler.h
+++ b/libs/gateway/include/turmeric/gateway/config_handler.h
@@ -5,7 +5,9 @@
 
 #include "turmeric/http/responder.h"
 
-class QHttpServerRequest;
+namespace turmeric::http {
+class HttpRequest;
+}
 
 namespace turmeric::config {
 class SettingsTree;
@@ -41,21 +43,19 @@
    * @param request GET of a level or a prefix.
    * @param responder writer of the answer.
    */
-  void HandleGet(const QHttpServerRequest& request,
-                 http::Responder&& responder);
+  void HandleGet(const http::HttpRequest& request, http::Responder&& responder);
   /**
    * @param request PUT with If-Match.
    * @param responder writer of the answer.
    */
-  void HandlePut(const QHttpServerRequest& request,
-                 http::Responder&& responder);
+  void HandlePut(const http::HttpRequest& request, http::Responder&& responder);
 
   /**
    * Returns the settings in force on this instance; needs no store access.
    * @param request GET /v1/resolved/<business>/<pipeline>/<organisation>.
    * @param responder writer of the answer.
    */
-  void HandleResolved(const QHttpServerRequest& request,
+  void HandleResolved(const http::HttpRequest& request,
                       http::Responder&& responder);
 
  private:
--- a/libs/gateway/include/turmeric/gateway/gateway_metrics.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_metrics.h
@@ -44,6 +44,18 @@
                    double seconds, int tokens, CallResult result);
   /** Counts an answer that did not echo the id of its request. */
   void OnMisdelivered() { misdelivered_.Increment(); }
+  /**
+   * Records a request that was refused before it was complete.
+   * @param reason a fixed word.
+   */
+  void OnReceptionRefused(std::string_view reason);
+  /**
+   * Records a request that was malformed, beyond a limit or too slow.
+   * @param status of the response.
+   */
+  void OnRejected(int status);
+  /** Records a connection that is closed for a new one. */
+  void OnClosedForNew();
   /**
    * @return the text exposition, with process CPU time and peak memory updated.
    */
@@ -58,6 +70,9 @@
   prometheus::Family<prometheus::Counter>& stage_calls_;
   prometheus::Family<prometheus::Histogram>& latency_;
   prometheus::Counter& misdelivered_;
+  prometheus::Family<prometheus::Counter>& reception_refusals_;
+  prometheus::Family<prometheus::Counter>& rejected_;
+  prometheus::Counter& closed_for_new_;
   prometheus::Gauge& cpu_seconds_;
   prometheus::Gauge& rss_bytes_;
 };
--- a/libs/gateway/include/turmeric/gateway/gateway_service.h
+++ b/libs/gateway/include/turmeric/gateway/gateway_service.h
@@ -67,11 +67,6 @@
    *     instance.
    */
   void SweepClaims(bool all);
-  /**
-   * Writes buffered answers to the sockets, as far as the kernel accepts them.
-   * @return true if no unsent bytes are left.
-   */
-  bool FlushAnswers();
   int LiveInstances() const;
 
   config::InstanceSettings settings_;
--- a/libs/gateway/include/turmeric/gateway/pipeline_run.h
+++ b/libs/gateway/include/turmeric/gateway/pipeline_run.h
@@ -119,8 +119,8 @@
   void StartCall(const UpstreamState* exclude);
   void StartHedgeTimer();
   void OnClaim(const Claim& claim);
-  void OnCallDone(StageCall* call, const StageOutcome& outcome);
-  void OnStageOk(const StageCall& call, const StageOutcome& outcome);
+  void OnCallDone(StageCall* call, StageOutcome&& outcome);
+  void OnStageOk(const StageCall& call, StageOutcome&& outcome);
   void OnStageFailed(const StageCall& call, const StageOutcome& outcome);
   void OnDeadline();
   /** Reports the end of a call to routing state, metrics (cost) and traces. */
--- a/libs/gateway/include/turmeric/gateway/run_handler.h
+++ b/libs/gateway/include/turmeric/gateway/run_handler.h
@@ -19,11 +19,16 @@
 #include "turmeric/http/responder.h"
 #include "turmeric/utils/trace.h"
 
-class QHttpServerRequest;
+namespace turmeric::http {
+class HttpRequest;
+}
 
 namespace turmeric::config {
 class SettingsTree;
 }
+namespace turmeric::memory {
+class MemoryAccount;
+}
 namespace turmeric::gateway {
 
 class StoreService;
@@ -39,10 +44,12 @@
    * @param settings settings of this instance.
    * @param tree the settings tree.
    * @param store the platform's store.
+   * @param memory account that large requests are charged to.
    * @param live_instances returns the number of live instances.
    */
   RunHandler(const config::InstanceSettings& settings,
              const config::SettingsTree& tree, StoreService& store,
+             memory::MemoryAccount& memory,
              std::function<int()> live_instances);
   ~RunHandler() override;
 
@@ -50,7 +57,7 @@
    * @param request run request of a caller.
    * @param responder writer of the answer.
    */
-  void Handle(const QHttpServerRequest& request, http::Responder&& responder);
+  void Handle(const http::HttpRequest& request, http::Responder&& responder);
   /**
    * Retries claim completions and releases that the store did not confirm;
    * called periodically.
@@ -119,6 +126,7 @@
   const config::InstanceSettings settings_;
   const config::SettingsTree& tree_;
   StoreService& store_;
+  memory::MemoryAccount& memory_;
   std::function<int()> live_instances_;
   /**
    * Random id of this process start, part of request ids, so that they stay
--- a/libs/gateway/include/turmeric/gateway/stage_call.h
+++ b/libs/gateway/include/turmeric/gateway/stage_call.h
@@ -4,6 +4,7 @@
 #include <QPointer>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "turmeric/config/resolved_settings.h"
 #include "turmeric/gateway/upstream_pool.h"
@@ -19,7 +20,6 @@
   std::string call_id;  ///< Unique per call; the upstream must echo it.
   config::StageSpec stage;
   UpstreamRef upstream;
-  std::string input;
   int max_tokens = 16;
   bool stream = false;  ///< Forward tokens as they arrive (engines only).
   int resume_from = 0;  ///< Streams: index of the first token still missing.
@@ -44,7 +44,7 @@
 class StageCall : public QObject {
  public:
   using OnToken = std::function<void(const std::string& token)>;
-  using OnDone = std::function<void(StageCall*, const StageOutcome&)>;
+  using OnDone = std::function<void(StageCall*, StageOutcome&&)>;
 
   /**
    * @param spec parameters of the call.
@@ -53,8 +53,11 @@
    * @param on_done called once, from the event loop.
    */
   StageCall(StageCallSpec spec, OnToken on_token, OnDone on_done);
-  /** @param network network manager that sends the call. */
-  void Send(QNetworkAccessManager& network);
+  /**
+   * @param network network manager that sends the call.
+   * @param input UTF-8 text that the stage processes; it is sent as a copy.
+   */
+  void Send(QNetworkAccessManager& network, std::string_view input);
   /**
    * Aborts the call; on_done is not called.
    * @return the outcome for cost accounting: elapsed time and tokens generated.
--- a/libs/gateway/src/config_handler.cc
+++ b/libs/gateway/src/config_handler.cc
@@ -2,7 +2,6 @@
 
 #include <easylogging++.h>
 
-#include <QHttpServerRequest>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -12,6 +11,7 @@
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/answer_json.h"
 #include "turmeric/gateway/store_service.h"
+#include "turmeric/http/http_request.h"
 #include "turmeric/http/router_server.h"
 
 namespace turmeric::gateway {
@@ -23,7 +23,7 @@
 
 constexpr int kStatusOk = 200;
 
-std::string StoreKey(const QHttpServerRequest& request) {
+std::string StoreKey(const http::HttpRequest& request) {
   const auto prefix = static_cast<qsizetype>(kConfigPath.size());
   return std::string(config::kConfigPrefix) +
          request.url().path().mid(prefix).toStdString();
@@ -76,7 +76,7 @@
 
 }  // namespace
 
-void ConfigHandler::HandleGet(const QHttpServerRequest& request,
+void ConfigHandler::HandleGet(const http::HttpRequest& request,
                               http::Responder&& responder) {
   auto shared_responder =
       std::make_shared<http::Responder>(std::move(responder));
@@ -104,7 +104,7 @@
       });
 }
 
-void ConfigHandler::HandleResolved(const QHttpServerRequest& request,
+void ConfigHandler::HandleResolved(const http::HttpRequest& request,
                                    http::Responder&& responder) {
   const QStringList parts =
       request.url()
@@ -140,7 +140,7 @@
                           {"revision", static_cast<double>(s.revision)}});
 }
 
-void ConfigHandler::HandlePut(const QHttpServerRequest& request,
+void ConfigHandler::HandlePut(const http::HttpRequest& request,
                               http::Responder&& responder) {
   auto shared_responder =
       std::make_shared<http::Responder>(std::move(responder));
--- a/libs/gateway/src/gateway_metrics.cc
+++ b/libs/gateway/src/gateway_metrics.cc
@@ -62,6 +62,21 @@
                         .Help("Answers not carrying their own request id")
                         .Register(*registry_)
                         .Add({})),
+      reception_refusals_(
+          BuildCounter()
+              .Name("turmeric_reception_refusals_total")
+              .Help("Large requests refused before they were complete")
+              .Register(*registry_)),
+      rejected_(BuildCounter()
+                    .Name("turmeric_rejected_requests_total")
+                    .Help("Requests that were malformed, beyond a limit or "
+                          "too slow, by status")
+                    .Register(*registry_)),
+      closed_for_new_(BuildCounter()
+                          .Name("turmeric_shed_connections_total")
+                          .Help("Connections closed for new ones")
+                          .Register(*registry_)
+                          .Add({})),
       cpu_seconds_(BuildGauge()
                        .Name("turmeric_process_cpu_seconds")
                        .Help("User+system CPU of this process")
@@ -104,6 +119,16 @@
   stage_calls_.Add(with_result).Increment();
 }
 
+void GatewayMetrics::OnReceptionRefused(std::string_view reason) {
+  reception_refusals_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void GatewayMetrics::OnClosedForNew() { closed_for_new_.Increment(); }
+
+void GatewayMetrics::OnRejected(int status) {
+  rejected_.Add({{"status", std::to_string(status)}}).Increment();
+}
+
 std::string GatewayMetrics::Render() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
--- a/libs/gateway/src/gateway_service.cc
+++ b/libs/gateway/src/gateway_service.cc
@@ -2,15 +2,16 @@
 
 #include <easylogging++.h>
 
-#include <QTcpServer>
-#include <QTcpSocket>
+#include <QTimer>
 #include <algorithm>
 #include <chrono>
 
+#include "turmeric/gateway/answer_json.h"
 #include "turmeric/gateway/drain_step.h"
 #include "turmeric/gateway/membership_service.h"
 #include "turmeric/gateway/settings_service.h"
 #include "turmeric/gateway/store_service.h"
+#include "turmeric/http/http_request.h"
 #include "turmeric/kernel/kernel.h"
 #include "turmeric/utils/random_id.h"
 
@@ -46,17 +47,53 @@
 /** Maximum clock difference between instances. */
 constexpr int64_t kMaxClockSkewMs = 300'000;
 
+/** @param head a request without its body.
+ * @return the answer if there is no memory for the body. */
+http::ResponseMessage NoMemoryAnswer(const http::RequestMessage& head) {
+  // An earlier attempt with the same key may have run.
+  const auto state = http::HasHeader(head.headers, "Idempotency-Key")
+                         ? utils::RunState::kUnknown
+                         : utils::RunState::kNotRun;
+  const int retry_after_ms = utils::RetryAfterMs(Errc::kNoMemory);
+  http::ResponseMessage answer{
+      .status = utils::HttpStatus(Errc::kNoMemory),
+      .headers = {{"Content-Type", "application/json"}},
+      .body = ErrorJson("", Errc::kNoMemory,
+                        "no memory for the body; this attempt ran nothing",
+                        state, retry_after_ms)
+                  .toStdString()};
+  for (const auto& [name, value] : AnswerHeaders("", retry_after_ms)) {
+    answer.headers.push_back({name.toStdString(), value.toStdString()});
+  }
+  return answer;
+}
+
 }  // namespace
 
 GatewayService::GatewayService(config::InstanceSettings settings)
-    : settings_(std::move(settings)) {}
+    : settings_(std::move(settings)),
+      server_({.max_body_bytes = settings_.max_body_bytes(),
+               .request_bytes = settings_.request_bytes(),
+               .partial_bytes = settings_.partial_bytes(),
+               .connection_bytes = settings_.connection_bytes()}) {
+  server_.set_refusal(
+      [](const http::RequestMessage& head) { return NoMemoryAnswer(head); },
+      [this](std::string_view reason) {
+        if (run_handler_) metrics().OnReceptionRefused(reason);
+      });
+  server_.set_on_closed_for_new([this] {
+    if (run_handler_) metrics().OnClosedForNew();
+  });
+  server_.set_on_rejected([this](int status) {
+    if (run_handler_) metrics().OnRejected(status);
+  });
+}
 
 GatewayService::~GatewayService() = default;
 
 void GatewayService::Kill() {
   run_handler_->Kill();
-  for (QTcpServer* s : server_.servers()) s->close();
-  for (QTcpSocket* s : server_.findChildren<QTcpSocket*>()) s->abort();
+  server_.AbortConnections();
 }
 
 utils::Result<void> GatewayService::Start(kernel::Kernel& kernel) {
@@ -67,15 +104,13 @@
                        "service gateway requires services store and settings");
   }
   membership_ = kernel.Find<MembershipService>("membership");
-  run_handler_ =
-      std::make_unique<RunHandler>(settings_, settings_service->tree(), *store_,
-                                   [this] { return LiveInstances(); });
+  run_handler_ = std::make_unique<RunHandler>(
+      settings_, settings_service->tree(), *store_, server_.account(),
+      [this] { return LiveInstances(); });
   config_handler_ =
       std::make_unique<ConfigHandler>(*store_, settings_service->tree());
   AddRoutes();
-  port_ = server_.listen(
-      QHostAddress(QString::fromStdString(settings_.listen_address)),
-      settings_.listen_port);
+  port_ = server_.Listen({settings_.listen_address, settings_.listen_port});
   if (port_ == 0) {
     return utils::Fail(Errc::kIniInvalid,
                        "cannot listen on " + settings_.listen_address + ":" +
@@ -100,28 +135,27 @@
 }
 
 void GatewayService::AddRoutes() {
-  using M = QHttpServerRequest::Method;
-  server_.Route(M::Post, std::string(kRunPrefix),
+  server_.Route("POST", std::string(kRunPrefix),
                 [this](const auto& r, auto&& w) {
                   run_handler_->Handle(r, std::move(w));
                 });
-  server_.Route(M::Get, std::string(kConfigPath),
+  server_.Route("GET", std::string(kConfigPath),
                 [this](const auto& r, auto&& w) {
                   config_handler_->HandleGet(r, std::move(w));
                 });
-  server_.Route(M::Put, std::string(kConfigPath),
+  server_.Route("PUT", std::string(kConfigPath),
                 [this](const auto& r, auto&& w) {
                   config_handler_->HandlePut(r, std::move(w));
                 });
-  server_.Route(M::Get, std::string(kResolvedPath),
+  server_.Route("GET", std::string(kResolvedPath),
                 [this](const auto& r, auto&& w) {
                   config_handler_->HandleResolved(r, std::move(w));
                 });
-  server_.Route(M::Get, "/metrics", [this](const auto&, auto&& w) {
+  server_.Route("GET", "/metrics", [this](const auto&, auto&& w) {
     w.WriteResponse(200, "text/plain; version=0.0.4",
                     QByteArray::fromStdString(metrics().Render()));
   });
-  server_.Route(M::Get, "/healthz", [this](const auto&, auto&& w) {
+  server_.Route("GET", "/healthz", [this](const auto&, auto&& w) {
     const char* state = stopping_               ? "draining"
                         : run_handler_->ready() ? "serving"
                                                 : "starting";
@@ -132,7 +166,7 @@
                     QByteArray(R"({"state":")") + state + R"(","members":)" +
                         QByteArray::number(LiveInstances()) + "}");
   });
-  server_.Route(M::Post, "/admin/drain", [this](const auto&, auto&& w) {
+  server_.Route("POST", "/admin/drain", [this](const auto&, auto&& w) {
     Drain([] {});
     http::WriteJson(w, 202, R"({"state":"draining"})");
   });
@@ -195,13 +229,6 @@
   instance_list_.reset();
 }
 
-bool GatewayService::FlushAnswers() {
-  const auto sockets = server_.findChildren<QTcpSocket*>();
-  for (QTcpSocket* s : sockets) s->flush();
-  return std::ranges::all_of(
-      sockets, [](const QTcpSocket* s) { return s->bytesToWrite() == 0; });
-}
-
 void GatewayService::Drain(std::function<void()> done) {
   using std::chrono::milliseconds;
   if (!stopping_) {
@@ -229,15 +256,12 @@
              milliseconds(settings_.drain_timeout_ms),
              // Claims not yet written count as in flight: if they were lost
              // with the process, a retry would not get the answer.
-             !run_handler_->idle(), !FlushAnswers()});
+             !run_handler_->idle(), server_.unsent() > 0});
         if (step == DrainStep::kServe) return;
         run_handler_->admission().StartDrain();
         if (step == DrainStep::kDrainInFlight) return;
         aborted += run_handler_->AbortOpenRequests();
         if (step == DrainStep::kAnswerRemaining) return;
-        // Flushes final answers that were written only in this poll, which
-        // happens if the event loop was blocked until the timeout expired.
-        FlushAnswers();
         LOG(INFO) << "event=drained inflight=" << aborted
                   << " claims_pending=" << claims().pending();
         poll->stop();
@@ -248,17 +272,10 @@
 }
 
 void GatewayService::Close(std::function<void()> done) {
-  for (QTcpServer* s : server_.servers()) {
-    // Accepts pending connections first: closing the socket would reset them
-    // together with their requests.
-    s->waitForNewConnection(0);
-    s->close();
-  }
-  QTimer::singleShot(kLastRefusalTime, run_handler_.get(),
-                     [this, done = std::move(done)] {
-                       FlushAnswers();
-                       done();
-                     });
+  // Accepts pending connections first: closing the socket would reset them
+  // together with their requests.
+  server_.CloseListener();
+  QTimer::singleShot(kLastRefusalTime, run_handler_.get(), std::move(done));
 }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/src/pipeline_run.cc
+++ b/libs/gateway/src/pipeline_run.cc
@@ -37,7 +37,7 @@
       req_(std::move(request)),
       on_token_(std::move(on_token)),
       on_done_(std::move(on_done)),
-      current_input_(req_.input) {
+      current_input_(std::move(req_.input)) {
   deadline_timer_.setSingleShot(true);
   deadline_timer_.setTimerType(Qt::PreciseTimer);
   connect(&deadline_timer_, &QTimer::timeout, this, [this] { OnDeadline(); });
@@ -85,7 +85,7 @@
 
 void PipelineRun::RunStage() {
   if (stage_ == req_.settings.stages.size()) {
-    answer_.output = current_input_;
+    answer_.output = std::move(current_input_);
     Finish(RunState::kRan, Errc::kOk, "");
     return;
   }
@@ -163,7 +163,6 @@
       req_.request_id + "/" + stage().name + "/" + std::to_string(attempt_);
   spec.stage = stage();
   spec.upstream = upstream;
-  spec.input = current_input_;
   spec.max_tokens = req_.max_tokens;
   spec.stream = StreamsCurrentStage();
   spec.resume_from = spec.stream ? streamed_tokens_ : 0;
@@ -176,12 +175,13 @@
         ++streamed_tokens_;
         if (on_token_) on_token_(QByteArray::fromStdString(token));
       },
-      [this](StageCall* ended, const StageOutcome& outcome) {
-        OnCallDone(ended, outcome);
+      [this](StageCall* ended, StageOutcome&& outcome) {
+        OnCallDone(ended, std::move(outcome));
       });
   calls_.push_back(call);
   if (!stage().idempotent) non_idempotent_sent_ = true;
-  call->Send(stage().idempotent ? *ctx_.network : *ctx_.non_persistent_network);
+  call->Send(stage().idempotent ? *ctx_.network : *ctx_.non_persistent_network,
+             current_input_);
   StartHedgeTimer();
 }
 
@@ -220,7 +220,7 @@
   }
 }
 
-void PipelineRun::OnCallDone(StageCall* call, const StageOutcome& outcome) {
+void PipelineRun::OnCallDone(StageCall* call, StageOutcome&& outcome) {
   std::erase(calls_, call);
   Account(*call, outcome);
   if (!CertainlyNotRun(outcome.report.result)) {
@@ -230,15 +230,14 @@
         answer_.stages, [](const StageRecord& r) { return !r.idempotent; });
   }
   if (outcome.report.result == CallResult::kOk) {
-    OnStageOk(*call, outcome);
+    OnStageOk(*call, std::move(outcome));
   } else if (calls_.empty()) {
     // While another call is in flight, the stage may still succeed.
     OnStageFailed(*call, outcome);
   }
 }
 
-void PipelineRun::OnStageOk(const StageCall& call,
-                            const StageOutcome& outcome) {
+void PipelineRun::OnStageOk(const StageCall& call, StageOutcome&& outcome) {
   CancelCalls();
   ctx_.pools->PoolFor(req_.settings.business, stage())
       .hedge_delay()
@@ -247,7 +246,8 @@
   answer_.stages.push_back({stage().name, call.spec().upstream->address,
                             outcome.report.ms / kMsPerSecond, outcome.tokens,
                             attempt_, stage().idempotent});
-  current_input_ = call.spec().stream ? streamed_text_ : outcome.output;
+  current_input_ =
+      std::move(call.spec().stream ? streamed_text_ : outcome.output);
   ++stage_;
   RunStage();
 }
--- a/libs/gateway/src/run_handler.cc
+++ b/libs/gateway/src/run_handler.cc
@@ -1,6 +1,5 @@
 #include "turmeric/gateway/run_handler.h"
 
-#include <QHttpServerRequest>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QPointer>
@@ -11,8 +10,12 @@
 #include "turmeric/config/settings_tree.h"
 #include "turmeric/gateway/answer_json.h"
 #include "turmeric/gateway/store_service.h"
+#include "turmeric/http/http_request.h"
 #include "turmeric/http/router_server.h"
 #include "turmeric/http/sse.h"
+#include "turmeric/memory/charge.h"
+#include "turmeric/memory/memory_account.h"
+#include "turmeric/memory/reception.h"
 #include "turmeric/utils/random_id.h"
 
 namespace turmeric::gateway {
@@ -31,6 +34,13 @@
 
 /** One request of a caller, from arrival to answer. */
 struct RunHandler::Exchange {
+  /** Only a large request is charged. */
+  Exchange(memory::MemoryAccount& memory, size_t body_bytes)
+      : charge(
+            memory, memory::BufferKind::kCallerRequest,
+            memory::IsLarge(body_bytes) ? memory::HeldBytes(body_bytes) : 0) {}
+
+  memory::Charge charge;
   std::string request_id;
   std::optional<http::Responder> responder;
   ParsedRunRequest parsed;
@@ -49,10 +59,12 @@
 
 RunHandler::RunHandler(const config::InstanceSettings& settings,
                        const config::SettingsTree& tree, StoreService& store,
+                       memory::MemoryAccount& memory,
                        std::function<int()> live_instances)
     : settings_(settings),
       tree_(tree),
       store_(store),
+      memory_(memory),
       live_instances_(std::move(live_instances)),
       incarnation_(utils::RandomHex(kIncarnationDigits)),
       spans_(settings.trace_path),
@@ -118,9 +130,10 @@
   exchange.responder.reset();
 }
 
-void RunHandler::Handle(const QHttpServerRequest& request,
+void RunHandler::Handle(const http::HttpRequest& request,
                         http::Responder&& responder) {
-  auto exchange = std::make_shared<Exchange>();
+  auto exchange = std::make_shared<Exchange>(
+      memory_, static_cast<size_t>(request.body().size()));
   exchange->received = Clock::now();
   exchange->start_us = utils::NowUnixMicros();
   exchange->request_id = settings_.name + "-" + incarnation_ + "-" +
@@ -211,7 +224,9 @@
 }
 
 void RunHandler::StartRun(const ExchangeRef& exchange) {
+  std::string input = std::move(exchange->parsed.run.input);
   RunRequest run = exchange->parsed.run;
+  run.input = std::move(input);
   run.request_id = exchange->request_id;
   run.deadline = exchange->received +
                  std::chrono::milliseconds(exchange->parsed.deadline_ms);
--- a/libs/gateway/src/stage_call.cc
+++ b/libs/gateway/src/stage_call.cc
@@ -8,6 +8,7 @@
 #include <QUrl>
 #include <utility>
 
+#include "turmeric/http/json_text.h"
 #include "turmeric/http/one_shot_body.h"
 #include "turmeric/http/sse.h"
 
@@ -20,20 +21,16 @@
 
 bool IsEngine(const StageCallSpec& spec) { return spec.stage.kind == "engine"; }
 
-QByteArray RequestBody(const StageCallSpec& spec) {
-  const QString input = QString::fromStdString(spec.input);
-  QJsonObject body;
-  if (IsEngine(spec)) {
-    body = {{"model", QString::fromStdString(spec.stage.pool)},
-            {"prompt", input},
-            {"max_tokens", spec.max_tokens},
-            {"stream", spec.stream}};
-    if (spec.resume_from > 0) body["resume_from"] = spec.resume_from;
-  } else {
-    body = {{"stage", QString::fromStdString(spec.stage.name)},
-            {"input", input}};
+QByteArray RequestBody(const StageCallSpec& spec, std::string_view text) {
+  if (!IsEngine(spec)) {
+    return http::JsonWithText(
+        {{"stage", QString::fromStdString(spec.stage.name)}}, "input", text);
   }
-  return QJsonDocument(body).toJson(QJsonDocument::Compact);
+  QJsonObject body{{"model", QString::fromStdString(spec.stage.pool)},
+                   {"max_tokens", spec.max_tokens},
+                   {"stream", spec.stream}};
+  if (spec.resume_from > 0) body["resume_from"] = spec.resume_from;
+  return http::JsonWithText(body, "prompt", text);
 }
 
 QNetworkRequest RequestHead(const StageCallSpec& spec, qsizetype body_size) {
@@ -68,8 +65,8 @@
       .count();
 }
 
-void StageCall::Send(QNetworkAccessManager& network) {
-  const QByteArray body = RequestBody(spec_);
+void StageCall::Send(QNetworkAccessManager& network, std::string_view input) {
+  const QByteArray body = RequestBody(spec_, input);
   OnSend(*spec_.upstream);
   sent_at_ = Clock::now();
   start_us_ = utils::NowUnixMicros();
@@ -189,7 +186,9 @@
   outcome.report = {result, ElapsedMs(), depth.isEmpty() ? -1 : depth.toInt()};
   reply_->deleteLater();
   deleteLater();
-  if (auto done = std::exchange(on_done_, nullptr)) done(this, outcome);
+  if (auto done = std::exchange(on_done_, nullptr)) {
+    done(this, std::move(outcome));
+  }
 }
 
 }  // namespace turmeric::gateway
--- a/libs/gateway/test/stage_call_test.cc
+++ b/libs/gateway/test/stage_call_test.cc
@@ -52,7 +52,7 @@
         if (tokens) *tokens += t + " ";
       },
       [&](StageCall*, const StageOutcome& o) { end = o; });
-  call->Send(network);
+  call->Send(network, {});
   for (int i = 0; i < 100 && !end; ++i) Wait(10);
   REQUIRE(end);
   return *end;
