--- a/libs/standins/include/turmeric/standins/engine_standin.h
+++ b/libs/standins/include/turmeric/standins/engine_standin.h
@@ -50,7 +50,7 @@
   uint16_t port() const { return port_; }
 
  private:
-  void HandleCompletion(const QHttpServerRequest& request,
+  void HandleCompletion(const http::HttpRequest& request,
                         http::Responder&& responder);
   /** Makes the prefix of the prompt the most recently used cache entry.
    * @return true if the prefix was cached before. */
--- a/libs/standins/include/turmeric/standins/platform_standin.h
+++ b/libs/standins/include/turmeric/standins/platform_standin.h
@@ -47,7 +47,7 @@
    * connection open without an answer. */
   void AnswerDelayed(http::Responder&& responder,
                      std::function<void(http::Responder&)> answer);
-  void Watch(const QHttpServerRequest& request, http::Responder&& responder);
+  void Watch(const http::HttpRequest& request, http::Responder&& responder);
   void SendBookmarks();
 
   std::shared_ptr<store::MemoryStore> store_;
--- a/libs/standins/include/turmeric/standins/service_standin.h
+++ b/libs/standins/include/turmeric/standins/service_standin.h
@@ -44,7 +44,7 @@
   int64_t refused_leaving() const { return refused_leaving_; }
 
  private:
-  void HandleStage(const QHttpServerRequest& request,
+  void HandleStage(const http::HttpRequest& request,
                    http::Responder&& responder);
 
   double delay_ms_;
--- a/libs/standins/src/engine_standin.cc
+++ b/libs/standins/src/engine_standin.cc
@@ -4,12 +4,16 @@
 #include <QJsonObject>
 #include <algorithm>
 
+#include "turmeric/http/http_request.h"
 #include "turmeric/http/sse.h"
 
 namespace turmeric::standins {
 
 namespace {
 
+/** A longer word is cut off, as a token of a real engine is short. */
+constexpr qsizetype kMaxTokenChars = 64;
+
 /** One completion in progress. */
 struct Completion {
   std::optional<http::Responder> responder;
@@ -24,12 +28,12 @@
 }  // namespace
 
 EngineStandin::EngineStandin(EngineLatencyModel model) : model_(model) {
-  server_.Route(QHttpServerRequest::Method::Post, "/v1/completions",
-                [this](const QHttpServerRequest& r, http::Responder&& w) {
+  server_.Route("POST", "/v1/completions",
+                [this](const http::HttpRequest& r, http::Responder&& w) {
                   HandleCompletion(r, std::move(w));
                 });
-  server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
-                [this](const QHttpServerRequest& r, http::Responder&& w) {
+  server_.Route("POST", "/admin/faults",
+                [this](const http::HttpRequest& r, http::Responder&& w) {
                   faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
@@ -41,7 +45,7 @@
 }
 
 uint16_t EngineStandin::Listen(uint16_t port) {
-  port_ = server_.listen(QHostAddress::LocalHost, port);
+  port_ = server_.Listen({"127.0.0.1", port});
   return port_;
 }
 
@@ -59,7 +63,7 @@
   return hit;
 }
 
-void EngineStandin::HandleCompletion(const QHttpServerRequest& request,
+void EngineStandin::HandleCompletion(const http::HttpRequest& request,
                                      http::Responder&& responder) {
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
@@ -81,9 +85,13 @@
   completion->responder.emplace(std::move(responder));
   completion->request_id = request_id;
   const QString prompt = body.value("prompt").toString();
-  completion->words = prompt.split(' ', Qt::SkipEmptyParts);
   completion->max_tokens =
       std::clamp(body.value("max_tokens").toInt(16), 1, 4096);
+  // No more words are used than there are tokens.
+  for (const QStringView word : prompt.tokenize(u' ', Qt::SkipEmptyParts)) {
+    if (completion->words.size() == completion->max_tokens) break;
+    completion->words.append(word.left(kMaxTokenChars).toString());
+  }
   completion->stream = body.value("stream").toBool(false);
   // A resumed stream continues at the token index requested by the client.
   completion->emitted =
--- a/libs/standins/src/platform_standin.cc
+++ b/libs/standins/src/platform_standin.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "turmeric/http/http_request.h"
 #include "turmeric/store/object_codec.h"
 
 namespace turmeric::standins {
@@ -23,8 +24,7 @@
   return QJsonDocument(o).toJson(QJsonDocument::Compact) + "\n";
 }
 
-std::string QueryParameter(const QHttpServerRequest& request,
-                           const char* name) {
+std::string QueryParameter(const http::HttpRequest& request, const char* name) {
   return QUrlQuery(request.url())
       .queryItemValue(QString::fromLatin1(name), QUrl::FullyDecoded)
       .toStdString();
@@ -77,7 +77,7 @@
 }
 
 uint16_t PlatformStandin::Listen(uint16_t port) {
-  return server_.listen(QHostAddress::LocalHost, port);
+  return server_.Listen({"127.0.0.1", port});
 }
 
 void PlatformStandin::SetFaults(const PlatformFaults& faults) {
@@ -109,8 +109,7 @@
 }
 
 void PlatformStandin::AddRoutes() {
-  using M = QHttpServerRequest::Method;
-  server_.Route(M::Get, "/v1/objects", [this](const auto& r, auto&& w) {
+  server_.Route("GET", "/v1/objects", [this](const auto& r, auto&& w) {
     AnswerDelayed(std::move(w),
                   [this, key = QueryParameter(r, "key")](http::Responder& out) {
                     auto got = store_->Get(key);
@@ -119,7 +118,7 @@
                                     JsonLine(store::ObjectToJson(got.value())));
                   });
   });
-  server_.Route(M::Put, "/v1/objects", [this](const auto& r, auto&& w) {
+  server_.Route("PUT", "/v1/objects", [this](const auto& r, auto&& w) {
     const int64_t expected = r.value(store::kIfVersionHeader).toLongLong();
     AnswerDelayed(
         std::move(w), [this, key = QueryParameter(r, "key"), expected,
@@ -131,7 +130,7 @@
           http::WriteJson(out, kStatusOk, JsonLine(store::ObjectToJson(head)));
         });
   });
-  server_.Route(M::Delete, "/v1/objects", [this](const auto& r, auto&& w) {
+  server_.Route("DELETE", "/v1/objects", [this](const auto& r, auto&& w) {
     const int64_t expected = r.value(store::kIfVersionHeader).toLongLong();
     AnswerDelayed(std::move(w), [this, key = QueryParameter(r, "key"),
                                  expected](http::Responder& out) {
@@ -140,7 +139,7 @@
       http::WriteJson(out, kStatusOk, "{}");
     });
   });
-  server_.Route(M::Get, "/v1/list", [this](const auto& r, auto&& w) {
+  server_.Route("GET", "/v1/list", [this](const auto& r, auto&& w) {
     AnswerDelayed(std::move(w), [this, prefix = QueryParameter(r, "prefix")](
                                     http::Responder& out) {
       auto list = store_->List(prefix);
@@ -155,9 +154,9 @@
                     {"revision", static_cast<double>(list.value().revision)}}));
     });
   });
-  server_.Route(M::Get, "/v1/watch",
+  server_.Route("GET", "/v1/watch",
                 [this](const auto& r, auto&& w) { Watch(r, std::move(w)); });
-  server_.Route(M::Post, "/admin/faults", [this](const auto& r, auto&& w) {
+  server_.Route("POST", "/admin/faults", [this](const auto& r, auto&& w) {
     const QJsonObject o = QJsonDocument::fromJson(r.body()).object();
     PlatformFaults faults;
     faults.store.outage = o.value("outage").toBool();
@@ -168,11 +167,11 @@
     SetFaults(faults);
     http::WriteJson(w, kStatusOk, "{}");
   });
-  server_.Route(M::Post, "/admin/compact", [this](const auto&, auto&& w) {
+  server_.Route("POST", "/admin/compact", [this](const auto&, auto&& w) {
     store_->Compact();
     http::WriteJson(w, kStatusOk, "{}");
   });
-  server_.Route(M::Get, "/admin/counts", [this](const auto&, auto&& w) {
+  server_.Route("GET", "/admin/counts", [this](const auto&, auto&& w) {
     const store::StoreCallCounts c = store_->counts();
     http::WriteJson(w, kStatusOk,
                     JsonLine({{"reads", static_cast<double>(c.reads)},
@@ -181,7 +180,7 @@
   });
 }
 
-void PlatformStandin::Watch(const QHttpServerRequest& request,
+void PlatformStandin::Watch(const http::HttpRequest& request,
                             http::Responder&& responder) {
   auto watch = std::make_shared<OpenWatch>();
   watch->responder = std::make_shared<http::Responder>(std::move(responder));
--- a/libs/standins/src/service_standin.cc
+++ b/libs/standins/src/service_standin.cc
@@ -2,25 +2,26 @@
 
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTcpServer>
-#include <QTcpSocket>
+
+#include "turmeric/http/http_request.h"
+#include "turmeric/http/json_text.h"
 
 namespace turmeric::standins {
 
 ServiceStandin::ServiceStandin(double delay_ms) : delay_ms_(delay_ms) {
-  server_.Route(QHttpServerRequest::Method::Post, "/v1/stage",
-                [this](const QHttpServerRequest& r, http::Responder&& w) {
+  server_.Route("POST", "/v1/stage",
+                [this](const http::HttpRequest& r, http::Responder&& w) {
                   HandleStage(r, std::move(w));
                 });
-  server_.Route(QHttpServerRequest::Method::Get, "/admin/stats",
-                [this](const QHttpServerRequest&, http::Responder&& w) {
+  server_.Route("GET", "/admin/stats",
+                [this](const http::HttpRequest&, http::Responder&& w) {
                   QJsonObject o{
                       {"executed", static_cast<double>(executed_)},
                       {"doubled", static_cast<double>(duplicate_keys_)}};
                   http::WriteJson(w, 200, QJsonDocument(o).toJson());
                 });
-  server_.Route(QHttpServerRequest::Method::Post, "/admin/faults",
-                [this](const QHttpServerRequest& r, http::Responder&& w) {
+  server_.Route("POST", "/admin/faults",
+                [this](const http::HttpRequest& r, http::Responder&& w) {
                   faults_ = ParseFaults(r.body());
                   http::WriteJson(w, 200, "{}");
                 });
@@ -31,15 +32,12 @@
 }
 
 uint16_t ServiceStandin::Listen(uint16_t port) {
-  return server_.listen(QHostAddress::LocalHost, port);
+  return server_.Listen({"127.0.0.1", port});
 }
 
-void ServiceStandin::SimulateCrash() {
-  for (QTcpServer* s : server_.servers()) s->close();
-  for (QTcpSocket* s : server_.findChildren<QTcpSocket*>()) s->abort();
-}
+void ServiceStandin::SimulateCrash() { server_.AbortConnections(); }
 
-void ServiceStandin::HandleStage(const QHttpServerRequest& request,
+void ServiceStandin::HandleStage(const http::HttpRequest& request,
                                  http::Responder&& responder) {
   const QJsonObject body = QJsonDocument::fromJson(request.body()).object();
   const QByteArray request_id = request.value("x-request-id");
@@ -77,13 +75,13 @@
           shared_responder->reset();
           return;
         }
-        const QString stage = body.value("stage").toString();
-        const QString input = body.value("input").toString();
-        QJsonObject out{{"request_id", QString(request_id)},
-                        {"output", stage + "(" + input + ")"}};
+        const std::string output =
+            body.value("stage").toString().toStdString() + "(" +
+            body.value("input").toString().toStdString() + ")";
         http::WriteJson(
             **shared_responder, 200,
-            QJsonDocument(out).toJson(QJsonDocument::Compact),
+            http::JsonWithText({{"request_id", QString(request_id)}}, "output",
+                               output),
             {{"x-request-id", request_id},
              {"x-queue-depth", QByteArray::number(reported_depth_)}});
         shared_responder->reset();
