Entry instances decide on requests by their heads, at each address

Front: RequestIntake with the shares of the settings. Readiness, metrics and tunnel addresses: small bodies and a bounded number of connections.

--- a/libs/entry/include/turmeric/entry/caller_buffers.h
+++ b/libs/entry/include/turmeric/entry/caller_buffers.h
@@ -17,8 +17,8 @@
 class MemoryGuard;
 
 /**
- * Charges the bytes that connections of callers hold to the account of the
- * instance. While the pressure is high, cuts off callers that read less than
+ * Charges the bytes that wait for callers to the account of the instance. While
+ * the pressure is high, cuts off callers that read less than
  * 1 KB a second, the slowest first; without pressure, a slow caller is served
  * to its deadline.
  */
@@ -38,7 +38,6 @@
  private:
   struct Buffers {
     explicit Buffers(MemoryGuard& guard);
-    memory::Charge received;
     memory::Charge unsent;
     memory::ReadRate read_rate;
   };
--- a/libs/entry/include/turmeric/entry/caller_intake.h
+++ b/libs/entry/include/turmeric/entry/caller_intake.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "turmeric/limits/intake_limit.h"
+#include "turmeric/utils/log_interval.h"
 
 namespace turmeric::peer {
 struct Frame;
@@ -28,8 +29,19 @@
   std::function<std::vector<std::string>(size_t count)> successors;
   /** Adds to the next frame to an instance. */
   std::function<void(const std::string& name, const AddToFrame&)> send;
+  /** Closes the connection of a caller for a new one, see http::CloseForNew().
+   * Returns false if there is none to close. */
+  std::function<bool()> close_for_new;
 };
 
+/**
+ * @param descriptors that an instance may open; 0: the limit that the system
+ *     states.
+ * @param bytes that connections may hold without their requests; 0: no bound.
+ * @return connections of callers at most.
+ */
+size_t MaxCallers(size_t descriptors, size_t bytes);
+
 /**
  * Decides which new connections of callers this instance takes. Those beyond
  * its means are left unread, so that the callers retry at other instances at
@@ -44,12 +56,10 @@
 
   /**
    * @param metrics counters of this instance; must outlive this.
-   * @param max_descriptors that this instance may open; 0: the limit that the
-   *     system states.
+   * @param max_callers connections of callers at most, see MaxCallers().
    * @param links see IntakeLinks.
    */
-  CallerIntake(EntryMetrics& metrics, size_t max_descriptors,
-               IntakeLinks links);
+  CallerIntake(EntryMetrics& metrics, size_t max_callers, IntakeLinks links);
 
   /** Decides on a new connection. @param open_callers open connections of
    * callers. @return true if it is to be taken. */
@@ -76,8 +86,7 @@
   size_t told_by_ = 0;  ///< Instances that would tell this one.
   bool announced_ = false;
   QTimer announce_timer_;
-  int left_since_log_ = 0;
-  Clock::time_point logged_at_;
+  utils::LogInterval log_interval_;
 };
 
 }  // namespace turmeric::entry
--- a/libs/entry/include/turmeric/entry/entry_context.h
+++ b/libs/entry/include/turmeric/entry/entry_context.h
@@ -49,7 +49,13 @@
             settings.first_start),
         cold_limiter({settings.cold_over, settings.cold_slack}, settings.name),
         memory(static_cast<size_t>(settings.memory_mb * kBytesPerMb *
-                                   settings.buffer_share)) {
+                                   settings.buffer_share)),
+        request_memory(static_cast<size_t>(settings.memory_mb * kBytesPerMb *
+                                           settings.request_share)),
+        partial_request_bound(static_cast<size_t>(
+            settings.memory_mb * kBytesPerMb * settings.partial_share)),
+        connection_bound(static_cast<size_t>(settings.memory_mb * kBytesPerMb *
+                                             settings.connection_share)) {
     cold_limiter.set_enabled(Uses(config::Mechanism::kColdLimit));
     if (!Uses(config::Mechanism::kRepeats)) retries.set_limits({});
   }
@@ -96,6 +102,14 @@
   ColdLimiter cold_limiter;
   /** Bytes that this instance holds in buffers. */
   memory::MemoryAccount memory;
+  /** Bytes of large requests, until they are answered. */
+  memory::MemoryAccount request_memory;
+  /** Bytes that incomplete requests may hold which are not large; 0: no bound.
+   */
+  size_t partial_request_bound = 0;
+  /** Bytes that connections of callers may hold without their requests; 0: no
+   * bound. */
+  size_t connection_bound = 0;
   stages::StageTimes stage_times;
   stages::EngineTimes engine_times;
   UsualDeadlines usual_deadlines;
--- a/libs/entry/include/turmeric/entry/entry_metrics.h
+++ b/libs/entry/include/turmeric/entry/entry_metrics.h
@@ -127,10 +127,30 @@
    * @param reason a fixed word.
    */
   void OnLeftUnread(std::string_view reason);
+  /** Records a connection of a caller that was closed, as a new one needed its
+   * place. @param state see http::ClosedConnection. */
+  void OnCallerClosedForNew(std::string_view state);
   /** Records a request that was refused because the memory is full. */
   void OnMemoryRefusal();
-  /** @param account the bytes that the instance holds in buffers. */
-  void SetBuffered(const memory::MemoryAccount& account);
+  /**
+   * Records a request that was refused before it was complete.
+   * @param reason a fixed word.
+   */
+  void OnReceptionRefused(std::string_view reason);
+  /**
+   * Records a request that was malformed, beyond a limit or too slow.
+   * @param status of the response.
+   */
+  void OnRejected(int status);
+  /**
+   * Records a connection that was closed or reset, as others have all places.
+   * @param address a fixed word: readiness, metrics or tunnel.
+   */
+  void OnConnectionShed(std::string_view address);
+  /** @param account the bytes that the instance holds in buffers.
+   * @param large_requests the bytes of large requests. */
+  void SetBuffered(const memory::MemoryAccount& account,
+                   const memory::MemoryAccount& large_requests);
   /**
    * Replaces the learned speeds of upstreams.
    * @param speeds at most 64 of them.
@@ -191,6 +211,10 @@
   prometheus::Counter& dropped_lines_;
   prometheus::Family<prometheus::Gauge>& buffered_;
   prometheus::Counter& memory_refusals_;
+  prometheus::Family<prometheus::Counter>& reception_refusals_;
+  prometheus::Family<prometheus::Counter>& closed_for_new_;
+  prometheus::Family<prometheus::Counter>& rejected_;
+  prometheus::Family<prometheus::Counter>& shed_;
   prometheus::Family<prometheus::Gauge>& speed_family_;
   std::vector<prometheus::Gauge*> speeds_;  ///< Of `speed_family_`.
   prometheus::Family<prometheus::Counter>& share_refusals_;
--- a/libs/entry/include/turmeric/entry/entry_service.h
+++ b/libs/entry/include/turmeric/entry/entry_service.h
@@ -12,6 +12,11 @@
 #include "turmeric/http/listener.h"
 #include "turmeric/kernel/service.h"
 #include "turmeric/memory/charge.h"
+#include "turmeric/utils/log_interval.h"
+
+namespace turmeric::http {
+class RequestIntake;
+}
 
 namespace turmeric::peer {
 struct Frame;
@@ -30,6 +35,7 @@
 class OriginArchive;
 class PeerServer;
 class PlacementCoordinator;
+class ProbeServer;
 class ReachMonitor;
 class RequestRun;
 class StageDispatcher;
@@ -77,7 +83,7 @@
   /** @return bound port for callers. */
   uint16_t front_port() const { return front_->port(); }
   /** @return bound port for probes. */
-  uint16_t readiness_port() const { return readiness_->port(); }
+  uint16_t readiness_port() const;
 
  private:
   void ConnectPeerEvents();
@@ -96,12 +102,15 @@
   std::unique_ptr<UpstreamLimiter> MakeLimiter();
   std::unique_ptr<UpstreamConnections> MakeConnections();
   std::unique_ptr<CallerIntake> MakeIntake();
+  /** Closes the connection of a caller for a new one, see http::CloseForNew().
+   * @return false if none was closed. */
+  bool CloseForNewCaller();
   std::unique_ptr<VersionRegistry> MakeVersions();
   std::unique_ptr<StreamOrigins> MakeOrigins();
   std::unique_ptr<FairShares> MakeShares();
   utils::Result<void> StartPeers();
   void AcceptCaller(int fd);
-  void AcceptProbe(int fd);
+  std::unique_ptr<http::RequestIntake> MakeRequestIntake();
   void OnRequest(http::ServerConnection& connection,
                  http::RequestMessage&& message);
   void OnProbe(http::ServerConnection& connection,
@@ -120,6 +129,7 @@
   EntryContext context_;
   std::unique_ptr<MemoryGuard> memory_guard_;
   std::unique_ptr<CallerBuffers> caller_buffers_;
+  std::unique_ptr<http::RequestIntake> request_intake_;
   memory::Charge link_charge_;  ///< Of the links to peer instances.
   QTimer link_charge_timer_;
   std::unique_ptr<InstanceLinks> links_;
@@ -147,9 +157,10 @@
   std::unique_ptr<StoreSharing> sharing_;
   std::unique_ptr<ConfigCheck> config_check_;
   std::unique_ptr<http::Listener> front_;
-  std::unique_ptr<http::Listener> readiness_;
-  std::unique_ptr<http::Listener> metrics_listener_;
+  std::unique_ptr<ProbeServer> readiness_;
+  std::unique_ptr<ProbeServer> metrics_server_;
   std::set<http::ServerConnection*> callers_;
+  utils::LogInterval caller_close_log_;
   bool draining_ = false;
   std::chrono::steady_clock::time_point drain_began_;
   std::function<void()> on_drained_;
--- a/libs/entry/include/turmeric/entry/request_run.h
+++ b/libs/entry/include/turmeric/entry/request_run.h
@@ -65,6 +65,8 @@
   void AnswerBeforeExit();
 
  private:
+  /** @return true if other large requests use up the memory for them. */
+  bool FindsNoRoom() const;
   bool Admitted();
   /** @return true if the caller resumes a stream of an earlier attempt. */
   bool ResumesStream() const;
--- a/libs/entry/include/turmeric/entry/tunnel_server.h
+++ b/libs/entry/include/turmeric/entry/tunnel_server.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <QObject>
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
 #include "turmeric/http/listener.h"
 #include "turmeric/http/tunnel.h"
+#include "turmeric/utils/log_interval.h"
 #include "turmeric/utils/result.h"
 
 namespace turmeric::entry {
@@ -25,8 +27,11 @@
   /** Finds the upstream with an id. */
   using FindTarget = std::function<TunnelTarget(std::string_view upstream_id)>;
 
-  /** @param find_target see FindTarget. */
-  explicit TunnelServer(FindTarget find_target);
+  /** @param find_target see FindTarget. @param max_descriptors that the
+   * instance may open; 0: not stated. @param on_shed called with each
+   * connection that is reset; may be empty. */
+  explicit TunnelServer(FindTarget find_target, size_t max_descriptors = 0,
+                        std::function<void()> on_shed = {});
   ~TunnelServer() override;
 
   /** @param address "ip:port". @return kIniInvalid if it cannot be bound. */
@@ -37,9 +42,13 @@
   bool LeadsTo(std::string_view upstream_id) const;
 
  private:
+  bool Takes();
   void Accept(int fd);
 
   FindTarget find_target_;
+  const size_t max_tunnels_;
+  std::function<void()> on_shed_;
+  utils::LogInterval log_interval_;
   http::Listener listener_;
 };
 
--- a/libs/entry/src/caller_buffers.cc
+++ b/libs/entry/src/caller_buffers.cc
@@ -22,8 +22,7 @@
 }  // namespace
 
 CallerBuffers::Buffers::Buffers(MemoryGuard& guard)
-    : received(guard.account(), BufferKind::kCallerRequest),
-      unsent(guard.account(), BufferKind::kCallerAnswer) {}
+    : unsent(guard.account(), BufferKind::kCallerAnswer) {}
 
 CallerBuffers::CallerBuffers(MemoryGuard& guard) : guard_(guard) {
   timer_.setInterval(kSampleInterval);
@@ -44,20 +43,16 @@
   const auto it = buffers_.find(&connection);
   if (it == buffers_.end()) return;
   Buffers& buffers = *it->second;
-  const size_t before = buffers.received.bytes() + buffers.unsent.bytes();
-  buffers.received.Set(connection.received());
+  const size_t before = buffers.unsent.bytes();
   buffers.unsent.Set(connection.unsent());
   if (buffers.unsent.bytes() > 0 && !timer_.isActive()) timer_.start();
-  if (buffers.received.bytes() + buffers.unsent.bytes() > before) {
-    guard_.OnGrowth();
-  }
+  if (buffers.unsent.bytes() > before) guard_.OnGrowth();
 }
 
 void CallerBuffers::Check(memory::ReadRate::Clock::time_point now) {
   bool any_waiting = false;
   for (auto& [connection, buffers] : buffers_) {
     const size_t unsent = connection->unsent();
-    buffers->received.Set(connection->received());
     buffers->unsent.Set(unsent);
     buffers->read_rate.Sample(connection->sent(), unsent > 0, now);
     any_waiting = any_waiting || unsent > 0;
--- a/libs/entry/src/caller_intake.cc
+++ b/libs/entry/src/caller_intake.cc
@@ -1,14 +1,14 @@
 #include "turmeric/entry/caller_intake.h"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdint>
 #include <utility>
 
 #include "turmeric/entry/entry_metrics.h"
+#include "turmeric/http/connection_limit.h"
 #include "turmeric/peer/frame.h"
 #include "turmeric/utils/decision_log.h"
+#include "turmeric/utils/descriptor_limit.h"
 
 namespace turmeric::entry {
 
@@ -26,27 +26,20 @@
 constexpr size_t kReservedDescriptors = 600;
 /** A caller's connection and the one to the upstream of its request. */
 constexpr size_t kDescriptorsPerCaller = 2;
-constexpr milliseconds kLogInterval{1000};
 
-size_t SystemLimit() {
-  rlimit limit{};
-  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return SIZE_MAX;
-  return limit.rlim_cur;
-}
+}  // namespace
 
-size_t MaxCallers(size_t descriptors) {
+size_t MaxCallers(size_t descriptors, size_t bytes) {
+  if (descriptors == 0) descriptors = utils::DescriptorLimit();
   const size_t reserved = std::min(kReservedDescriptors, descriptors / 2);
-  return (descriptors - reserved) / kDescriptorsPerCaller;
+  const size_t callers = (descriptors - reserved) / kDescriptorsPerCaller;
+  if (bytes == 0) return callers;
+  return std::min(callers, std::max<size_t>(1, bytes / http::kConnectionBytes));
 }
 
-}  // namespace
-
-CallerIntake::CallerIntake(EntryMetrics& metrics, size_t max_descriptors,
+CallerIntake::CallerIntake(EntryMetrics& metrics, size_t max_callers,
                            IntakeLinks links)
-    : metrics_(metrics),
-      links_(std::move(links)),
-      max_callers_(
-          MaxCallers(max_descriptors > 0 ? max_descriptors : SystemLimit())) {
+    : metrics_(metrics), links_(std::move(links)), max_callers_(max_callers) {
   announce_timer_.setInterval(kAnnounceInterval);
   connect(&announce_timer_, &QTimer::timeout, this, [this] { Announce(); });
 }
@@ -54,7 +47,7 @@
 bool CallerIntake::Takes(size_t open_callers) {
   const auto now = Clock::now();
   MeasureLoopDelay(now);
-  if (open_callers >= max_callers_) {
+  if (open_callers >= max_callers_ && !links_.close_for_new()) {
     LeaveUnread("descriptors", open_callers);
     return false;
   }
@@ -124,12 +117,10 @@
 
 void CallerIntake::LeaveUnread(std::string_view reason, size_t open_callers) {
   metrics_.OnLeftUnread(reason);
-  ++left_since_log_;
-  const auto now = Clock::now();
-  if (now - logged_at_ < kLogInterval) return;
-  logged_at_ = now;
+  const auto connections = log_interval_.Count(Clock::now());
+  if (!connections) return;
   utils::DecisionLog("connections_left_unread")
-      .Add("connections", std::exchange(left_since_log_, 0))
+      .Add("connections", *connections)
       .Add("reason", reason)
       .Add("open_callers", open_callers)
       .Add("max_callers", max_callers_)
--- a/libs/entry/src/entry_metrics.cc
+++ b/libs/entry/src/entry_metrics.cc
@@ -145,6 +145,26 @@
               .Help("Requests refused because the memory for buffers is full")
               .Register(*registry_)
               .Add({})),
+      reception_refusals_(
+          prometheus::BuildCounter()
+              .Name("turmeric_reception_refusals_total")
+              .Help("Large requests refused before they were complete")
+              .Register(*registry_)),
+      closed_for_new_(
+          prometheus::BuildCounter()
+              .Name("turmeric_entry_closed_for_new_total")
+              .Help("Connections of callers that were closed for new "
+                    "ones, by what they did")
+              .Register(*registry_)),
+      rejected_(prometheus::BuildCounter()
+                    .Name("turmeric_rejected_requests_total")
+                    .Help("Requests that were malformed, beyond a limit or "
+                          "too slow, by status")
+                    .Register(*registry_)),
+      shed_(prometheus::BuildCounter()
+                .Name("turmeric_entry_shed_connections_total")
+                .Help("Connections closed as others had all places")
+                .Register(*registry_)),
       speed_family_(prometheus::BuildGauge()
                         .Name("turmeric_upstream_speed")
                         .Help("Learned service time of an upstream, as a "
@@ -257,7 +277,26 @@
 
 void EntryMetrics::OnMemoryRefusal() { memory_refusals_.Increment(); }
 
-void EntryMetrics::SetBuffered(const memory::MemoryAccount& account) {
+void EntryMetrics::OnCallerClosedForNew(std::string_view state) {
+  closed_for_new_.Add({{"state", std::string(state)}}).Increment();
+}
+
+void EntryMetrics::OnRejected(int status) {
+  rejected_.Add({{"status", std::to_string(status)}}).Increment();
+}
+
+void EntryMetrics::OnConnectionShed(std::string_view address) {
+  shed_.Add({{"address", std::string(address)}}).Increment();
+}
+
+void EntryMetrics::OnReceptionRefused(std::string_view reason) {
+  reception_refusals_.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void EntryMetrics::SetBuffered(const memory::MemoryAccount& account,
+                               const memory::MemoryAccount& large_requests) {
+  buffered_.Add({{"kind", "large_request"}})
+      .Set(static_cast<double>(large_requests.total()));
   for (size_t i = 0; i < memory::kBufferKinds; ++i) {
     const auto kind = static_cast<memory::BufferKind>(i);
     buffered_.Add({{"kind", std::string(memory::kBufferKindNames[i])}})
--- a/libs/entry/src/entry_service.cc
+++ b/libs/entry/src/entry_service.cc
@@ -16,6 +16,7 @@
 #include "turmeric/entry/origin_archive.h"
 #include "turmeric/entry/peer_server.h"
 #include "turmeric/entry/placement_coordinator.h"
+#include "turmeric/entry/probe_server.h"
 #include "turmeric/entry/reach_monitor.h"
 #include "turmeric/entry/request_quarantine.h"
 #include "turmeric/entry/request_run.h"
@@ -31,7 +32,7 @@
 #include "turmeric/entry/upstream_limiter.h"
 #include "turmeric/entry/upstream_speeds.h"
 #include "turmeric/entry/version_registry.h"
-#include "turmeric/peer/instance_identity.h"
+#include "turmeric/http/request_intake.h"
 #include "turmeric/utils/decision_log.h"
 
 namespace turmeric::entry {
@@ -55,8 +56,6 @@
 /** Interval at which the bytes of links to peer instances are counted. A link
  * that does not take them ends after its acknowledgement timeout. */
 constexpr milliseconds kLinkChargeInterval{500};
-/** Interval of the check for permits that may be used now. */
-constexpr milliseconds kPermitCheckInterval{5};
 
 http::Endpoint EndpointOf(const std::string& address) {
   return http::ParseEndpoint(address);
@@ -75,6 +74,7 @@
       context_(std::move(settings), link_.wire),
       memory_guard_(std::make_unique<MemoryGuard>(context_.memory, metrics_)),
       caller_buffers_(std::make_unique<CallerBuffers>(*memory_guard_)),
+      request_intake_(MakeRequestIntake()),
       link_charge_(context_.memory, memory::BufferKind::kPeerLink),
       links_(std::make_unique<InstanceLinks>(context_)),
       tunnel_peers_(std::make_unique<TunnelPeers>(
@@ -156,10 +156,14 @@
   front_ =
       std::make_unique<http::Listener>([this](int fd) { AcceptCaller(fd); });
   front_->set_takes([this] { return intake_->Takes(callers_.size()); });
-  readiness_ =
-      std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
-  metrics_listener_ =
-      std::make_unique<http::Listener>([this](int fd) { AcceptProbe(fd); });
+  const auto on_probe = [this](http::ServerConnection& c,
+                               http::RequestMessage&& message) {
+    OnProbe(c, message);
+  };
+  readiness_ = std::make_unique<ProbeServer>("readiness", metrics_,
+                                             *request_intake_, on_probe);
+  metrics_server_ = std::make_unique<ProbeServer>("metrics", metrics_,
+                                                  *request_intake_, on_probe);
   link_charge_timer_.setInterval(kLinkChargeInterval);
   connect(&link_charge_timer_, &QTimer::timeout, this,
           [this] { ChargeLinks(); });
@@ -168,207 +172,6 @@
   connect(&drain_timer_, &QTimer::timeout, this, [this] { CheckDrained(); });
 }
 
-void EntryService::AddKnownState(peer::Frame& frame) const {
-  quarantine_->AddKnownCrashes(frame);
-  limiter_->AddKnownLimits(frame);
-  brittle_->AddKnown(frame);
-  availability_->AddKnown(frame);
-  versions_->AddKnown(frame);
-  connections_->AddStatement(frame);
-}
-
-void EntryService::AddToFrame(const std::string& name,
-                              const std::function<void(peer::Frame&)>& add) {
-  peer::PeerLink* link = links_->Open(name);
-  if (link != nullptr) add(link->outgoing());
-}
-
-bool EntryService::Owns(const std::string& key) {
-  return !links_->OwnerOf(key).has_value();
-}
-
-std::unique_ptr<UpstreamLimiter> EntryService::MakeLimiter() {
-  permit_timer_.setInterval(kPermitCheckInterval);
-  permit_timer_.setTimerType(Qt::PreciseTimer);
-  connect(&permit_timer_, &QTimer::timeout, this, [this] {
-    limiter_->Tick(Clock::now());
-    if (!limiter_->has_open()) permit_timer_.stop();
-  });
-  return std::make_unique<UpstreamLimiter>(
-      LimiterSettings{
-          .name = context_.settings.name,
-          .first_start = context_.settings.first_start,
-          .enabled = context_.Uses(config::Mechanism::kUpstreamLimit)},
-      context_.upstreams,
-      LimiterLinks{
-          .reaches =
-              [this](const std::string& name) { return links_->Reaches(name); },
-          .send = [this](const std::string& name,
-                         const auto& add) { AddToFrame(name, add); },
-          .broadcast = [this](const auto& add) { links_->Broadcast(add); },
-          .on_open =
-              [this] {
-                if (!permit_timer_.isActive()) permit_timer_.start();
-              }},
-      Clock::now());
-}
-
-std::unique_ptr<UpstreamConnections> EntryService::MakeConnections() {
-  return std::make_unique<UpstreamConnections>(
-      context_,
-      LoanLinks{
-          .reaches =
-              [this](const std::string& name) {
-                return links_->Reaches(name) && !links_->leaving(name);
-              },
-          .send = [this](const std::string& name,
-                         const auto& add) { AddToFrame(name, add); },
-          .broadcast = [this](const auto& add) { links_->Broadcast(add); }});
-}
-
-std::unique_ptr<CallerIntake> EntryService::MakeIntake() {
-  return std::make_unique<CallerIntake>(
-      metrics_, static_cast<size_t>(context_.settings.max_descriptors),
-      IntakeLinks{
-          .successors =
-              [this](size_t count) { return links_->Successors(count); },
-          .send = [this](const std::string& name,
-                         const auto& add) { AddToFrame(name, add); }});
-}
-
-std::unique_ptr<VersionRegistry> EntryService::MakeVersions() {
-  return std::make_unique<VersionRegistry>(
-      context_,
-      VersionRegistry::Links{
-          .owns = [this](const std::string& key) { return Owns(key); },
-          .broadcast = [this](const auto& add) { links_->Broadcast(add); }});
-}
-
-std::unique_ptr<StreamOrigins> EntryService::MakeOrigins() {
-  return std::make_unique<StreamOrigins>(
-      *versions_, *archive_, metrics_,
-      StreamOrigins::Links{
-          .holders =
-              [this](const std::string& key, size_t count) {
-                return links_->HoldersOf(key, count, false);
-              },
-          .may_hold =
-              [this](const std::string& key, size_t count) {
-                return links_->HoldersOf(key, count, true);
-              },
-          .owner_of =
-              [this](const std::string& key) { return links_->OwnerOf(key); },
-          .send = [this](const std::string& name,
-                         const auto& add) { AddToFrame(name, add); },
-          .fleet_size =
-              [this] { return context_.retries.listed_instances(); }});
-}
-
-std::unique_ptr<FairShares> EntryService::MakeShares() {
-  return std::make_unique<FairShares>(
-      context_,
-      ShareLinks{
-          .owner_of =
-              [this](const std::string& key) { return links_->OwnerOf(key); },
-          .send =
-              [this](const std::string& name, const auto& add) {
-                peer::PeerLink* link = links_->Open(name);
-                if (link == nullptr) return;
-                add(link->outgoing());
-                // Shows a coordinator that is frozen or cut off.
-                link->RequestAck();
-              }});
-}
-
-std::unique_ptr<TunnelServer> EntryService::MakeTunnelServer() {
-  return std::make_unique<TunnelServer>([this](std::string_view id) {
-    const routing::UpstreamPtr upstream = context_.upstreams.Find(id);
-    if (!upstream) return TunnelTarget{};
-    // A peer may ask about an upstream that has ended: its host then refuses.
-    const bool unavailable =
-        upstream->availability->leaving() || IsResting(*upstream, Clock::now());
-    if (unavailable || upstream->reach.path == routing::Path::kTunnel) {
-      return TunnelTarget{http::TunnelStatus::kUnavailable, {}};
-    }
-    return TunnelTarget{http::TunnelStatus::kOpen,
-                        EndpointOf(upstream->entry.address)};
-  });
-}
-
-void EntryService::ConnectPaths() {
-  context_.client.set_paths(
-      tunnel_peers_.get(),
-      [this](const routing::UpstreamPtr& upstream, std::string_view why) {
-        reach_->Suspect(upstream, why);
-      });
-  reach_->set_on_partition([this](bool partitioned) {
-    const auto statement = partitioned ? peer::ReachStatement::kPartitioned
-                                       : peer::ReachStatement::kReaches;
-    links_->Broadcast(
-        [statement](peer::Frame& frame) { frame.reach = statement; });
-  });
-}
-
-void EntryService::OnPeerState(const std::string& name,
-                               const peer::Frame& frame) {
-  tunnel_peers_->OnStatement(name, frame.reach, Clock::now());
-  brittle_->OnFrame(frame);
-  availability_->OnFrame(name, frame, Clock::now());
-  versions_->OnFrame(frame);
-  intake_->OnFrame(name, frame);
-  if (frame.leaving) context_.client.CloseIdleTunnels(name);
-}
-
-void EntryService::ConnectPeerEvents() {
-  context_.cold_limiter.set_reaches_most(
-      [this] { return links_->ReachesMost(); });
-  context_.cold_limiter.set_owns(
-      [this](const std::string& part) { return Owns(part); });
-  links_->set_events(
-      {.on_frame =
-           [this](const std::string& name, const peer::Frame& frame) {
-             OnPeerState(name, frame);
-             sharing_->OnFrame(name, frame);
-             quarantine_->OnFrame(name, frame);
-             limiter_->OnPermits(name, frame, Clock::now());
-             connections_->OnGrants(name, frame);
-             origins_->OnAnswers(name, frame);
-             shares_->OnPlans(name, frame);
-             if (!frame.placed.empty()) placer_->OnPlaced(frame.placed);
-             router_->OnFrame(frame);
-           },
-       .on_lost =
-           [this](const std::string& name, bool was_reset) {
-             placer_->OnOwnerLost(name);
-             router_->OnInstanceLost(name, was_reset);
-             sharing_->OnLost(name);
-             connections_->OnLost(name);
-             origins_->OnPeersChanged();
-           },
-       .on_connect = [this](peer::Frame& frame) { AddKnownState(frame); }});
-  peer_server_->set_on_new_peer(
-      [this](peer::Frame& frame) { AddKnownState(frame); });
-  peer_server_->set_on_frame(
-      [this](const std::string& identity, const peer::Frame& frame) {
-        OnPeerState(peer::InstanceName(identity), frame);
-        quarantine_->OnFrame(identity, frame);
-        peer::Frame* reply = peer_server_->FrameTo(identity);
-        limiter_->OnOrders(frame, reply, Clock::now());
-        if (!frame.sender.empty()) {
-          // An instance connects to those in its list.
-          limiter_->OnKnownBy(peer::InstanceName(identity));
-          connections_->OnFirstFrame(identity, frame);
-        }
-        connections_->OnOrders(identity, frame, reply);
-        origins_->OnQueries(frame, reply);
-        shares_->OnReports(identity, frame, reply);
-      });
-  peer_server_->set_on_follow(
-      [this](const std::string& identity, const peer::FollowRequest& request) {
-        sharing_->OnFollow(identity, request);
-      });
-}
-
 EntryService::~EntryService() {
   // Open requests and connections are children of this object, so without this
   // they would be destroyed after the members that they use. A process that is
@@ -380,11 +183,11 @@
   const config::EntrySettings& s = context_.settings;
   if (auto ok = front_->Listen(EndpointOf(s.front_address)); !ok) return ok;
   if (!s.readiness_address.empty()) {
-    auto ok = readiness_->Listen(EndpointOf(s.readiness_address));
+    auto ok = readiness_->Listen(s.readiness_address);
     if (!ok) return ok;
   }
   if (!s.metrics_address.empty()) {
-    auto ok = metrics_listener_->Listen(EndpointOf(s.metrics_address));
+    auto ok = metrics_server_->Listen(s.metrics_address);
     if (!ok) return ok;
   }
   if (auto ok = StartPeers(); !ok) return ok;
@@ -445,9 +248,11 @@
 void EntryService::Stop() {
   front_->Close();
   readiness_->Close();
-  metrics_listener_->Close();
+  metrics_server_->Close();
 }
 
+uint16_t EntryService::readiness_port() const { return readiness_->port(); }
+
 bool EntryService::ready() const { return feed_->complete() && !draining_; }
 
 http::ServerLimits EntryService::Limits() const {
@@ -465,20 +270,14 @@
       },
       this);
   callers_.insert(connection);
+  connection->set_on_rejected(
+      [this](int status) { metrics_.OnRejected(status); });
   caller_buffers_->Add(*connection);
+  request_intake_->Add(*connection);
   connect(connection, &QObject::destroyed, this,
           [this, connection] { callers_.erase(connection); });
 }
 
-void EntryService::AcceptProbe(int fd) {
-  new http::ServerConnection(
-      fd, [] { return http::ServerLimits{}; },
-      [this](http::ServerConnection& c, http::RequestMessage&& message) {
-        OnProbe(c, message);
-      },
-      this);
-}
-
 void EntryService::OnProbe(http::ServerConnection& connection,
                            const http::RequestMessage& message) {
   if (message.target == link_.wire.readiness_path) {
@@ -487,7 +286,7 @@
   }
   if (message.target == kMetricsPath) {
     ChargeLinks();
-    metrics_.SetBuffered(context_.memory);
+    metrics_.SetBuffered(context_.memory, context_.request_memory);
     metrics_.SetUpstreamSpeeds(UpstreamSpeeds(context_));
     return connection.Respond({.status = kOk,
                                .headers = {{"Content-Type", "text/plain"}},
--- a/libs/entry/src/request_run.cc
+++ b/libs/entry/src/request_run.cc
@@ -19,6 +19,7 @@
 #include "turmeric/entry/upstream_choice.h"
 #include "turmeric/entry/upstream_criteria.h"
 #include "turmeric/entry/upstream_send.h"
+#include "turmeric/memory/reception.h"
 #include "turmeric/utils/decision_log.h"
 #include "turmeric/utils/random_id.h"
 
@@ -46,12 +47,22 @@
 /** Value of a log field for a request that resumes no stream. */
 constexpr int64_t kNoEvent = -1;
 
+size_t HeadBytes(const CallerRequest& request) {
+  return request.target.size() + http::HeadBytes(request.headers);
+}
+
+bool IsLarge(const CallerRequest& request) {
+  return memory::IsLarge(HeadBytes(request) + request.body.size());
+}
+
+/** @return the account for a request. */
+memory::MemoryAccount& AccountFor(const CallerRequest& request,
+                                  EntryContext& context) {
+  return IsLarge(request) ? context.request_memory : context.memory;
+}
+
 size_t BytesOf(const CallerRequest& request) {
-  size_t bytes = request.target.size() + request.body.size();
-  for (const http::HeaderField& field : request.headers) {
-    bytes += field.name.size() + field.value.size();
-  }
-  return bytes;
+  return HeadBytes(request) + memory::HeldBytes(request.body.size());
 }
 
 }  // namespace
@@ -63,8 +74,8 @@
       context_(context),
       answer_(connection, [this] { OnCallerDisconnected(); }),
       request_(std::move(request)),
-      request_charge_(context.memory, memory::BufferKind::kCallerRequest,
-                      BytesOf(request_)),
+      request_charge_(AccountFor(request_, context),
+                      memory::BufferKind::kCallerRequest, BytesOf(request_)),
       evidence_(context),
       arrived_(Clock::now()) {}
 
@@ -83,7 +94,18 @@
       .count();
 }
 
+bool RequestRun::FindsNoRoom() const {
+  // A large request that was received in one read has not been decided on.
+  const memory::MemoryAccount& account = context_.request_memory;
+  return IsLarge(request_) && account.bound() > 0 &&
+         account.total() - request_charge_.bytes() >= account.bound();
+}
+
 void RequestRun::Start() {
+  if (FindsNoRoom()) {
+    context_.metrics->OnReceptionRefused("no_room");
+    return Refuse("memory_full", kMemoryRetryDelay);
+  }
   if (context_.memory_guard->RefusesRequest()) {
     return Refuse("memory_full", kMemoryRetryDelay);
   }
@@ -350,6 +372,12 @@
   context_.metrics->OnRequest(route_ ? route_->name : std::string(), status,
                               outcome, ms / 1000);
   LogEnd(status, outcome, ms);
+  // Many requests may end before the event loop deletes them.
+  request_.headers.clear();
+  request_.headers.shrink_to_fit();
+  request_.body.clear();
+  request_.body.shrink_to_fit();
+  request_charge_.Set(0);
   deleteLater();
 }
 
--- a/libs/entry/src/upstream_send.cc
+++ b/libs/entry/src/upstream_send.cc
@@ -198,14 +198,16 @@
 void UpstreamSend::Cancel(Outcome outcome) {
   if (exchange_) exchange_->Cancel();
   held_.Release();
-  body_ = {};
+  body_.clear();
+  body_.shrink_to_fit();
   End(outcome);
 }
 
 void UpstreamSend::Abandon() {
   if (exchange_) exchange_->Cancel();
   held_.Release();
-  body_ = {};
+  body_.clear();
+  body_.shrink_to_fit();
   OnPromptRead();
   EndLoad();
   spec_.placement.reset();
