Keep connections whole while their callbacks are destroyed

It shows where a server is destroyed beside an open response, so also when the keyed interface ends. Entry instances: no callback of theirs owns a Responder.

--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -73,7 +73,13 @@
   idle_since_ = std::chrono::steady_clock::now();
 }
 
-ServerConnection::~ServerConnection() = default;
+ServerConnection::~ServerConnection() {
+  // The callbacks may own responses, which use this connection when they are
+  // destroyed.
+  if (busy()) Abort();
+  on_disconnected_ = nullptr;
+  on_drained_ = nullptr;
+}
 
 size_t ServerConnection::unsent() const {
   if (flushing_) return flushing_->unsent();
