Know the demand of a crowd that begins with the service

Cause: the rates of WorkMeter decay with a time constant of 1 s and counted the time before the first request as time without work. So also after a restart of an instance. Rates of a young meter are now those over its age.

--- a/libs/fairness/include/turmeric/fairness/work_meter.h
+++ b/libs/fairness/include/turmeric/fairness/work_meter.h
@@ -14,7 +14,9 @@
 /**
  * Work per organisation and second, as a rate with exponential decay. The time
  * constant of 1 s follows a crowd within a second, and its error for an
- * organisation with 12 requests per second is a fifth.
+ * organisation with 12 requests per second is a fifth. The rates of a meter
+ * that has just begun are those over its age, so that a crowd that begins with
+ * it is not taken for a part of itself.
  */
 class WorkMeter {
  public:
@@ -46,7 +48,13 @@
     Clock::time_point at;  ///< Time of the last addition.
   };
 
+  /** @return what the decayed rates are multiplied by: the decay counts time
+   * before the first addition as time without work. */
+  double CorrectionForAge(Clock::time_point now) const;
+
   std::map<std::string, Entry, std::less<>> entries_;
+  Clock::time_point began_;  ///< Time of the first addition.
+  Clock::time_point last_;   ///< Time of the last addition.
 };
 
 }  // namespace turmeric::fairness
--- a/libs/fairness/src/work_meter.cc
+++ b/libs/fairness/src/work_meter.cc
@@ -11,6 +11,8 @@
 constexpr std::chrono::duration<double> kTimeConstant{1.0};
 /** After five time constants, less than a hundredth of a rate is left. */
 constexpr std::chrono::seconds kNegligibleAfter{5};
+/** Least age over which a rate is taken: one or two requests are no rate. */
+constexpr std::chrono::duration<double> kLeastAge{0.2};
 
 double Decayed(double per_s, Clock::duration age) {
   const std::chrono::duration<double> seconds = age;
@@ -21,6 +23,11 @@
 
 void WorkMeter::Add(std::string_view organisation, double work,
                     Clock::time_point now) {
+  if (entries_.empty() || now - last_ > kNegligibleAfter) {
+    entries_.clear();
+    began_ = now;
+  }
+  last_ = now;
   auto it = entries_.find(organisation);
   if (it == entries_.end()) {
     const auto key = entries_.size() < kMaxOrganisations ? organisation
@@ -37,7 +44,12 @@
                        Clock::time_point now) const {
   const auto it = entries_.find(organisation);
   if (it == entries_.end()) return 0;
-  return Decayed(it->second.per_s, now - it->second.at);
+  return CorrectionForAge(now) * Decayed(it->second.per_s, now - it->second.at);
+}
+
+double WorkMeter::CorrectionForAge(Clock::time_point now) const {
+  const std::chrono::duration<double> age = now - began_;
+  return 1 / (1 - std::exp(-(std::max(age, kLeastAge) / kTimeConstant)));
 }
 
 bool WorkMeter::IsIdle(Clock::time_point now) const {
@@ -51,13 +63,14 @@
   std::erase_if(entries_, [now](const auto& entry) {
     return now - entry.second.at > kNegligibleAfter;
   });
+  const double correction = CorrectionForAge(now);
   std::vector<OrganisationDemand> demands;
   demands.reserve(entries_.size());
   OrganisationDemand others{.organisation = std::string(kOtherOrganisations),
                             .demand = 0,
                             .organisations = 0};
   for (const auto& [name, entry] : entries_) {
-    const double demand = Decayed(entry.per_s, now - entry.at);
+    const double demand = correction * Decayed(entry.per_s, now - entry.at);
     if (name == kOtherOrganisations) {
       others.demand += demand;
       ++others.organisations;
--- a/libs/fairness/test/share_coordinator_test.cc
+++ b/libs/fairness/test/share_coordinator_test.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <string>
 
+#include "turmeric/fairness/service_share.h"
+
 namespace turmeric::fairness {
 namespace {
 
@@ -28,6 +30,32 @@
   CHECK(coordinator.Plan(kStart + ShareCoordinator::kCollection) != nullptr);
 }
 
+// Guards against a queue that grows until the whole demand is known.
+TEST_CASE("the first plan limits a crowd that begins with the service") {
+  constexpr double kWork = 200;
+  ServiceShare share;
+  ShareCoordinator coordinator;
+  for (auto time = milliseconds(0); time <= milliseconds(600); ++time) {
+    const auto now = kStart + time;
+    if (time % milliseconds(10) == milliseconds(0)) {
+      share.OnRequest("large", kWork, now);
+    }
+    if (time % milliseconds(200) == milliseconds(100)) {
+      share.OnRequest("small", kWork, now);
+    }
+    if (time % ServiceShare::kReportInterval == milliseconds(0)) {
+      coordinator.OnReport("a", share.MakeReport("s", 8, now), now);
+    }
+  }
+  const SharePlan* plan = coordinator.Plan(kStart + milliseconds(600));
+  REQUIRE(plan != nullptr);
+  REQUIRE(plan->limited.size() == 1);
+  CHECK(plan->limited[0].organisation == "large");
+  // Of 100 requests a second, the slots have room for 35 beside the small ones.
+  CHECK(plan->limited[0].fraction <= 0.4);
+  CHECK(plan->limited[0].fraction >= 0.3);
+}
+
 // Guards against shares by the view of one instance.
 TEST_CASE("demands of all instances are summed by organisation") {
   ShareCoordinator coordinator;
