--- a/libs/http/test/client_connection_test.cc
+++ b/libs/http/test/client_connection_test.cc
@@ -1,6 +1,5 @@
 #include "turmeric/http/client_connection.h"
 
-#include <QCoreApplication>
 #include <QObject>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -12,24 +11,17 @@
 #include <thread>
 #include <vector>
 
+#include "run_until.h"
 #include "turmeric/http/listener.h"
 #include "turmeric/http/message.h"
 #include "turmeric/http/tcp_socket.h"
 
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 using namespace turmeric::http;        // NOLINT(google-build-using-namespace)
+using turmeric::http::test::RunUntil;
 
 namespace {
 
-bool RunUntil(const std::function<bool()>& condition) {
-  const auto until = std::chrono::steady_clock::now() + 3s;
-  while (!condition() && std::chrono::steady_clock::now() < until) {
-    QCoreApplication::processEvents(QEventLoop::AllEvents);
-    std::this_thread::sleep_for(1ms);
-  }
-  return condition();
-}
-
 std::string Response(std::string_view id, std::string_view body) {
   std::string response = "HTTP/1.1 200 OK\r\n";
   if (!id.empty()) AppendHeader(response, "Id", id);
--- a/libs/http/test/router_server_test.cc
+++ b/libs/http/test/router_server_test.cc
@@ -1,32 +1,18 @@
 #include "turmeric/http/router_server.h"
 
-#include <QCoreApplication>
 #include <QObject>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <functional>
 #include <memory>
 #include <optional>
-#include <thread>
 
+#include "run_until.h"
 #include "turmeric/http/http_request.h"
 #include "turmeric/http/tcp_socket.h"
 
 using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 using namespace turmeric::http;        // NOLINT(google-build-using-namespace)
-
-namespace {
-
-bool RunUntil(const std::function<bool()>& condition) {
-  const auto until = std::chrono::steady_clock::now() + 3s;
-  while (!condition() && std::chrono::steady_clock::now() < until) {
-    QCoreApplication::processEvents(QEventLoop::AllEvents);
-    std::this_thread::sleep_for(1ms);
-  }
-  return condition();
-}
-
-}  // namespace
+using turmeric::http::test::RunUntil;
 
 // Guards against a response that uses its connection while that is destroyed.
 TEST_CASE("a server is destroyed while a callback owns an open response") {
