--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -37,10 +37,19 @@
         print(f"{now():8.3f}", *parts, file=self.file, flush=True)
 
 
+_given_ports = set()
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Returns a port below the range that outgoing connections use."""
+    while True:
+        port = random.SystemRandom().randrange(15000, 32000)
+        if port in _given_ports:
+            continue
+        with socket.socket() as s, contextlib.suppress(OSError):
+            s.bind(("127.0.0.1", port))
+            _given_ports.add(port)
+            return port
 
 
 def quiet(serve):
