--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -411,8 +411,6 @@
         self.conns = 0
         self.busy = 0
         self.free = asyncio.Semaphore(slots)
-        self.runs = []
-        self.tasks = set()
         self.server = None
 
     async def start(self, store):
@@ -466,7 +464,7 @@
         self.busy += 1
         try:
             async with self.free:
-                self.runs.append((now(), attempt, line))
+                self.record("run", self.id, self.port, attempt, line)
                 return await self.work(self, reader, writer, line, fields, body)
         finally:
             self.busy -= 1
@@ -497,6 +495,9 @@
     record("TROUBLE", int(TROUBLE))
 
     async def all_of_it():
+        # A script that is ended ends its processes, too.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         with work_folder() as folder:
             return await asyncio.wait_for(run(record, folder), 115)
 
@@ -506,7 +507,8 @@
             record("no program; run the build of the deploy file")
         else:
             status = asyncio.run(all_of_it())
-    except (OSError, asyncio.TimeoutError, AssertionError) as error:
+    except (OSError, asyncio.TimeoutError, AssertionError,
+            asyncio.CancelledError) as error:
         record("could not run", repr(error))
         print("could not run:", repr(error))
     sys.exit(status)
